Add frames, sessions and the loop of the daemons

Cause: processes need one checked way to talk, and silent connections must be noticed on both ends. Change: length-limited CBOR frames with checked messages; sessions with hello, heartbeats both ways and a silence limit; a dialer that replaces a session whenever it ends; a loop that runs a reducer. Before: no transport. Conclusion: daemons can be built on these parts.

--- /dev/null
+++ b/daemons/runtime/loop_test.ts
@@ -0,0 +1,17 @@
+import { test } from "tap";
+import { createLoop } from "./loop.ts";
+
+// Guards against effects of two events that are performed in mixed order.
+test("an event from within an effect waits for the effects before it", (t) => {
+  const performed: string[] = [];
+  const loop = createLoop<string, string>({
+    reduce: (event) => [`${event}1`, `${event}2`],
+    perform: (effect) => {
+      performed.push(effect);
+      if (effect === "a1") loop.dispatch("b");
+    },
+  });
+  loop.dispatch("a");
+  t.same(performed, ["a1", "a2", "b1", "b2"]);
+  t.end();
+});
--- /dev/null
+++ b/daemons/runtime/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * System clock and timers, and the loop that runs a reducer.
+ *
+ * @module
+ */
+
+export * from "./loop.ts";
+export * from "./system_time.ts";
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -102,5 +102,7 @@
     if (!/^\s*not ok/.test(line)) return;
     for (let near = index; near < index + 40; near++) shown.add(near);
   });
-  return [...shown].slice(0, 600).map((index) => lines[index] ?? "").join("\n");
+  return [...shown].slice(0, 600).map((index) =>
+    (lines[index] ?? "").slice(0, 200)
+  ).join("\n");
 }
--- a/wire/codec/mod.ts
+++ b/wire/codec/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 
-export {};
+export * from "./frame.ts";
+export { checkMessage } from "./message_schema.ts";
--- /dev/null
+++ b/wire/session/listener.ts
@@ -0,0 +1,78 @@
+/**
+ * Accepts sessions.
+ *
+ * @module
+ */
+
+import { createServer } from "node:net";
+import type { AddressInfo, Server } from "node:net";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { ErrorCode, StepError } from "@dragonflyledge/model";
+import type { Clock, Hello, Timer, Versions } from "@dragonflyledge/model";
+import { runSession } from "./session.ts";
+import type { SessionHandlers, SessionTimes } from "./session.ts";
+
+/** Connections beyond this number are refused by the operating system. */
+const CONNECTION_LIMIT = 2048;
+
+/** A port on which sessions are accepted. */
+export interface Listener {
+  readonly port: number;
+  /** Stops accepting and closes all sessions. */
+  close(): Promise<void>;
+}
+
+/** Starts to accept sessions on `host` and `port`; port 0 picks a free one. */
+export async function listen(fields: {
+  host: string;
+  port: number;
+  hello: () => Hello;
+  versions: () => Versions;
+  accept?: (hello: Hello) => string | undefined;
+  handlers: SessionHandlers;
+  clock: Clock;
+  timer: Timer;
+  times?: SessionTimes;
+}): Promise<Result<Listener, StepError>> {
+  const open = new Set<{ close: (reason: string) => void }>();
+  const server = createServer((socket) => {
+    const session = runSession({ ...fields, socket });
+    open.add(session);
+    socket.once("close", () => open.delete(session));
+  });
+  server.maxConnections = CONNECTION_LIMIT;
+  const failure = await bind(server, fields.host, fields.port);
+  if (failure) return err(failure);
+  return ok({
+    port: (server.address() as AddressInfo).port,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        for (const session of open) session.close("the process stops");
+      }),
+  });
+}
+
+function bind(
+  server: Server,
+  host: string,
+  port: number,
+): Promise<StepError | undefined> {
+  return new Promise((resolve) => {
+    server.once("error", (cause) => {
+      resolve(
+        new StepError({
+          code: ErrorCode.Session,
+          step: "listen",
+          peer: `${host}:${port}`,
+          message: cause.message,
+          hint:
+            "Check that the address is this machine's and the port is free.",
+          cause,
+        }),
+      );
+    });
+    server.listen(port, host, () => resolve(undefined));
+  });
+}
--- a/wire/session/mod.ts
+++ b/wire/session/mod.ts
@@ -4,4 +4,12 @@
  * @module
  */
 
-export {};
+export * from "./dialer.ts";
+export * from "./listener.ts";
+export type {
+  Session,
+  SessionHandlers,
+  SessionTimes,
+  Traffic,
+} from "./session.ts";
+export { DEFAULT_TIMES } from "./session.ts";
--- /dev/null
+++ b/wire/session/session_test.ts
@@ -0,0 +1,175 @@
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { test } from "tap";
+import { encodeFrame } from "@dragonflyledge/codec";
+import {
+  createRandom,
+  ErrorCode,
+  PROTOCOL_VERSION,
+  StepError,
+} from "@dragonflyledge/model";
+import type { Hello, Message } from "@dragonflyledge/model";
+import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
+import { createDialer } from "./dialer.ts";
+import { listen } from "./listener.ts";
+import type { Session, SessionHandlers } from "./session.ts";
+
+const versions = () => ({ configuration: 1, homes: 1 });
+const system = { clock: createSystemClock(), timer: createSystemTimer() };
+const times = { heartbeat: 20, timeout: 200 };
+
+function hello(id: string, protocol = PROTOCOL_VERSION): () => Hello {
+  const role = "agent" as const;
+  return () => ({
+    kind: "hello",
+    protocol,
+    role,
+    id,
+    incarnation: 1,
+    versions: versions(),
+  });
+}
+
+/** Collects what happens on one side and lets a test wait for it. */
+function createProbe() {
+  const seen: { kind: string; detail: unknown; session?: Session }[] = [];
+  const waiting: (() => void)[] = [];
+  const note = (kind: string, detail: unknown, session?: Session) => {
+    seen.push({ kind, detail, session });
+    for (const wake of waiting.splice(0)) wake();
+  };
+  const handlers: SessionHandlers = {
+    onOpen: (session) => note("open", session.peer.id, session),
+    onMessage: (session, message) => note("message", message, session),
+    onHeartbeat: (session, value) => note("heartbeat", value, session),
+    onClose: (session, error) => note("close", error, session),
+  };
+  async function waitFor(kind: string, count = 1) {
+    while (seen.filter((entry) => entry.kind === kind).length < count) {
+      await new Promise<void>((resolve) => waiting.push(resolve));
+    }
+    return seen.filter((entry) => entry.kind === kind)[count - 1]!;
+  }
+  return { handlers, waitFor };
+}
+
+async function openListener(handlers: SessionHandlers, id = "entry") {
+  const result = await listen({
+    host: "127.0.0.1",
+    port: 0,
+    hello: hello(id),
+    versions,
+    handlers,
+    times,
+    ...system,
+  });
+  return result._unsafeUnwrap();
+}
+
+function openDialer(port: number, handlers: SessionHandlers, protocol = 1) {
+  return createDialer({
+    address: `127.0.0.1:${port}`,
+    hello: hello("agent", protocol),
+    versions,
+    handlers,
+    random: createRandom(5),
+    times,
+    ...system,
+  });
+}
+
+// Guards against a session that loses messages or heartbeats.
+test("both sides exchange hellos, messages and heartbeats", async (t) => {
+  const server = createProbe();
+  const client = createProbe();
+  const listener = await openListener(server.handlers);
+  const dialer = openDialer(listener.port, client.handlers);
+  const opened = await client.waitFor("open");
+  t.equal(opened.detail, "entry");
+  opened.session!.send({ kind: "drain" });
+  const received = await server.waitFor("message");
+  t.same(received.detail, { kind: "drain" });
+  await client.waitFor("heartbeat", 2);
+  await server.waitFor("heartbeat", 2);
+  dialer.stop();
+  await listener.close();
+});
+
+// Guards against waiting for ever on a connection that lost its state.
+test("a silent connection is closed and replaced", async (t) => {
+  const sockets: Socket[] = [];
+  const silent = createServer((socket) => sockets.push(socket));
+  await new Promise<void>((resolve) => silent.listen(0, "127.0.0.1", resolve));
+  const client = createProbe();
+  const port = (silent.address() as AddressInfo).port;
+  const dialer = openDialer(port, client.handlers);
+  const closed = await client.waitFor("close", 2);
+  const error = closed.detail as StepError;
+  t.equal(error.step, "heartbeat");
+  t.equal(error.code, ErrorCode.Session);
+  t.ok(sockets.length >= 2, "the connection was dialled again");
+  dialer.stop();
+  for (const socket of sockets) socket.destroy();
+  await new Promise((resolve) => silent.close(resolve));
+});
+
+// Guards against talking to a process of another protocol version.
+test("another protocol version is refused with both versions", async (t) => {
+  const server = createProbe();
+  const listener = await openListener(server.handlers);
+  const client = createProbe();
+  const dialer = openDialer(listener.port, client.handlers, 99);
+  const closed = await server.waitFor("close");
+  t.equal((closed.detail as StepError).code, ErrorCode.Protocol);
+  t.match((closed.detail as StepError).message, /99/);
+  dialer.stop();
+  await listener.close();
+});
+
+// Guards against a foreign client that disturbs other sessions.
+test("garbled bytes end only their own session", async (t) => {
+  const server = createProbe();
+  const listener = await openListener(server.handlers);
+  const client = createProbe();
+  const dialer = openDialer(listener.port, client.handlers);
+  await client.waitFor("open");
+  const foreign = connect({ host: "127.0.0.1", port: listener.port });
+  foreign.on("error", () => {});
+  foreign.write("GET / HTTP/1.1\r\n\r\n");
+  const closed = await server.waitFor("close");
+  t.equal((closed.detail as StepError).code, ErrorCode.Frame);
+  t.equal(closed.session, undefined);
+  await client.waitFor("heartbeat", 3);
+  dialer.stop();
+  await listener.close();
+});
+
+// Guards against a message that is acted upon before its sender is known.
+test("a frame before the hello is refused", async (t) => {
+  const server = createProbe();
+  const listener = await openListener(server.handlers);
+  const message: Message = { kind: "drain" };
+  const foreign = connect({ host: "127.0.0.1", port: listener.port });
+  foreign.on("error", () => {});
+  foreign.write(encodeFrame({ message, peer: "x" })._unsafeUnwrap());
+  const closed = await server.waitFor("close");
+  t.match((closed.detail as StepError).message, /first frame/);
+  foreign.destroy();
+  await listener.close();
+});
+
+// Guards against a start-up failure without a reason.
+test("a port in use is reported", async (t) => {
+  const probe = createProbe();
+  const listener = await openListener(probe.handlers);
+  const second = await listen({
+    host: "127.0.0.1",
+    port: listener.port,
+    hello: hello("entry"),
+    versions,
+    handlers: probe.handlers,
+    ...system,
+  });
+  t.equal(second._unsafeUnwrapErr().step, "listen");
+  await listener.close();
+});
