Validate the configuration document

Cause: operators submit documents by hand, and a fault in one would reach every process. Before: nothing was checked. Conclusion: a faulty document is refused with all faults at once.

--- /dev/null
+++ b/config/schema/document.ts
@@ -0,0 +1,74 @@
+/**
+ * Shape of the configuration document. Descriptions say what to write.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { Adjacency, HOUR, KIBIBYTE } from "@dragonflyledge/model";
+
+/** Requests travel in one frame, with room for the other fields. */
+export const BODY_LIMIT = 512 * KIBIBYTE;
+/** Accelerators of the largest gang. */
+export const SHAPE_LIMIT = 64;
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/).describe(
+  "a name of 1 to 63 lower-case letters, digits and hyphens",
+);
+
+function whole(minimum: number, maximum: number) {
+  return z.int().min(minimum).max(maximum).describe(
+    `a whole number from ${minimum} to ${maximum}`,
+  );
+}
+
+export const shapeSchema = z.strictObject({
+  accelerators: whole(1, SHAPE_LIMIT),
+  adjacency: z.enum(Adjacency).describe(
+    `one of ${Object.values(Adjacency).join(", ")}`,
+  ),
+  count: whole(1, 10000),
+}).describe("a shape with accelerators, adjacency and count");
+
+export const teamSchema = z.strictObject({
+  name,
+  tokenDigests: z.array(
+    z.string().regex(/^[0-9a-f]{64}$/).describe(
+      "a SHA-256 digest of 64 lower-case hex characters, from tokenDigest()",
+    ),
+  ).min(1).describe("a list of at least one token digest"),
+  guarantees: z.array(shapeSchema).describe("a list of shapes, maybe empty"),
+  acceleratorQuota: whole(0, 1000000),
+  weight: z.number().positive().max(1000).describe(
+    "a number above 0 and at most 1000",
+  ),
+}).describe("a team");
+
+export const classSchema = z.strictObject({
+  name,
+  urgent: z.boolean().describe("true or false"),
+  slotShare: z.number().positive().max(1).describe(
+    "a number above 0 and at most 1",
+  ),
+  defaultDeadline: z.int().min(1).max(24 * HOUR).describe(
+    `milliseconds, a whole number from 1 to ${24 * HOUR}`,
+  ),
+  queueLimit: whole(1, 100000),
+}).describe("a class of work");
+
+export const serviceSchema = z.strictObject({
+  name,
+  path: z.string().regex(/^\/[\w\-./~%]{0,200}$/).describe(
+    "a path that starts with / and has no query",
+  ),
+  bodyLimit: z.int().min(1).max(BODY_LIMIT).describe(
+    `bytes, a whole number from 1 to ${BODY_LIMIT} (512 KiB)`,
+  ),
+}).describe("a service");
+
+export const configurationSchema = z.strictObject({
+  version: z.int().min(0).describe("a whole number, 0 before submission"),
+  teams: z.array(teamSchema).describe("a list of teams"),
+  classes: z.array(classSchema).describe("a list of classes of work"),
+  services: z.array(serviceSchema).describe("a list of services"),
+}).describe("an object with version, teams, classes and services");
--- /dev/null
+++ b/config/schema/validate.ts
@@ -0,0 +1,82 @@
+/**
+ * Runs a schema and turns its findings into problems.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Problem } from "./problem.ts";
+
+/** Validates `value`; paths of problems start with `root`. */
+export function validate<T>(fields: {
+  schema: z.ZodType<T>;
+  value: unknown;
+  root: string;
+}): Result<T, Problem[]> {
+  const parsed = fields.schema.safeParse(fields.value);
+  if (parsed.success) return ok(parsed.data);
+  return err(parsed.error.issues.flatMap((issue) => toProblems(fields, issue)));
+}
+
+function toProblems(
+  fields: { schema: z.ZodType; value: unknown; root: string },
+  issue: z.core.$ZodIssue,
+): Problem[] {
+  const schema = schemaAt(fields.schema, issue.path);
+  if (issue.code === "unrecognized_keys") {
+    const known = schema instanceof z.ZodObject
+      ? Object.keys(schema.shape).join(", ")
+      : "";
+    return issue.keys.map((key) => ({
+      path: labelPath({ ...fields, path: [...issue.path, key] }),
+      value: valueAt(fields.value, [...issue.path, key]),
+      message: "unknown key",
+      hint: `only the keys ${known}`,
+    }));
+  }
+  const value = valueAt(fields.value, issue.path);
+  return [{
+    path: labelPath({ ...fields, path: issue.path }),
+    value,
+    message: value === undefined ? "is missing" : "is not allowed",
+    hint: schema?.description ?? issue.message,
+  }];
+}
+
+function schemaAt(schema: z.ZodType, path: PropertyKey[]) {
+  let current: unknown = schema;
+  for (const key of path) {
+    if (current instanceof z.ZodObject) current = current.shape[String(key)];
+    else if (current instanceof z.ZodArray) current = current.element;
+  }
+  return current as z.ZodType | undefined;
+}
+
+function valueAt(value: unknown, path: PropertyKey[]): unknown {
+  let current = value;
+  for (const key of path) {
+    current = (current as Record<PropertyKey, unknown> | undefined)?.[key];
+  }
+  return current;
+}
+
+/** Writes a path with list members named by their `name`, else by index. */
+function labelPath(fields: {
+  value: unknown;
+  path: PropertyKey[];
+  root: string;
+}): string {
+  let label = fields.root;
+  fields.path.forEach((key, depth) => {
+    if (typeof key !== "number") {
+      label += label === "" ? String(key) : `.${String(key)}`;
+      return;
+    }
+    const member = valueAt(fields.value, fields.path.slice(0, depth + 1));
+    const name = (member as { name?: unknown } | null)?.name;
+    label += `[${typeof name === "string" ? name : key}]`;
+  });
+  return label;
+}
