Add the operators' library

Cause: operators need a checked way to write a configuration. Change: plain functions that check each part as it is declared and throw an error with team, field and remedy; tokens are stored as digests only. Before: documents were written as JSON. Conclusion: a declaration that runs prints a valid document.

--- a/config/declare/mod.ts
+++ b/config/declare/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
-export {};
+export { configuration, printConfiguration } from "./configuration.ts";
+export { shape, team } from "./team.ts";
+export { tokenDigest } from "./token.ts";
+export { service, workClass } from "./work.ts";
--- /dev/null
+++ b/config/declare/team.ts
@@ -0,0 +1,49 @@
+/**
+ * Declaration of teams and of the shapes guaranteed to them.
+ *
+ * @module
+ */
+
+import type { Adjacency, Shape, Team } from "@dragonflyledge/model";
+import {
+  guaranteedAccelerators,
+  parseShape,
+  parseTeam,
+} from "@dragonflyledge/schema";
+import { required } from "./declare.ts";
+
+/**
+ * Declares a capacity shape. Adjacency `worker` needs a power of two.
+ *
+ * @throws {StepError} with code `DFL_CONFIGURATION`
+ */
+export function shape(fields: {
+  accelerators: number;
+  adjacency: Adjacency;
+  /** 1 if absent. */
+  count?: number;
+}): Shape {
+  const value = { count: 1, ...fields };
+  return required(parseShape({ value, path: "shape" }), "shape");
+}
+
+/**
+ * Declares a team. The quota is the sum of the guarantees if absent: then the
+ * team borrows nothing. The weight is 1 if absent.
+ *
+ * @throws {StepError} with code `DFL_CONFIGURATION`
+ */
+export function team(fields: {
+  name: string;
+  tokenDigests: string[];
+  guarantees: Shape[];
+  acceleratorQuota?: number;
+  weight?: number;
+}): Team {
+  const value = { weight: 1, acceleratorQuota: 0, ...fields };
+  if (fields.acceleratorQuota === undefined) {
+    value.acceleratorQuota = guaranteedAccelerators(value);
+  }
+  const path = `teams[${fields.name}]`;
+  return required(parseTeam({ value, path }), `team ${fields.name}`);
+}
