Read INI settings of the daemons

Cause: addresses and failure domains come from settings, and a mistyped key must not be ignored. Change: readSettings with one schema for each daemon. TLS has no keys, since nothing implements it. Before: no settings. Conclusion: all faults of a file are reported at once, and the reference cannot differ from the schema.

--- /dev/null
+++ b/config/settings/keys.ts
@@ -0,0 +1,99 @@
+/**
+ * Kinds of values of settings. Each carries what it allows, for errors and
+ * for the reference.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+
+/** Address of a peer. */
+export interface HostPort {
+  host: string;
+  port: number;
+}
+
+/** What the reference says about a key. */
+export interface KeyDescription {
+  allowed: string;
+  meaning: string;
+}
+
+const HOST = /^[A-Za-z0-9]([A-Za-z0-9.:-]{0,252}[A-Za-z0-9])?$/;
+const HOST_PORT = /^\[?([^\s\]]+?)\]?:(\d{1,5})$/;
+
+export function name(meaning: string) {
+  return z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/).meta({
+    allowed: "1 to 63 letters, digits, dots, hyphens and underscores",
+    meaning,
+  });
+}
+
+export function host(meaning: string) {
+  return z.string().regex(HOST).meta({
+    allowed: "an IP address or a host name",
+    meaning,
+  });
+}
+
+export function whole(minimum: number, maximum: number, meaning: string) {
+  return z.string().regex(/^\d{1,15}$/).transform(Number).pipe(
+    z.int().min(minimum).max(maximum),
+  ).meta({
+    allowed: `a whole number from ${minimum} to ${maximum}`,
+    meaning,
+  });
+}
+
+export function port(meaning: string) {
+  return whole(1, 65535, meaning);
+}
+
+export function url(meaning: string) {
+  return z.string().refine(isOrigin).meta({
+    allowed: "a URL such as http://10.0.0.5:2379, http or https, no path",
+    meaning,
+  });
+}
+
+function isOrigin(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const { protocol, pathname, search, hash, username } = new URL(text);
+  return /^https?:$/.test(protocol) && pathname === "/" &&
+    search + hash + username === "";
+}
+
+export function oneOf<const T extends string>(values: T[], meaning: string) {
+  return z.enum(values).meta({
+    allowed: `one of ${values.join(", ")}`,
+    meaning,
+  });
+}
+
+export function prefix(meaning: string) {
+  return z.string().regex(/^\/([\w.-]+\/)+$/).meta({
+    allowed: "a path that starts and ends with /",
+    meaning,
+  });
+}
+
+export function addresses(meaning: string) {
+  return z.string().transform((text, context): HostPort[] => {
+    const list = text.split(",").map((each) => parseAddress(each.trim()));
+    const valid = list.filter((each) => each !== undefined);
+    if (valid.length !== list.length) {
+      context.addIssue({ code: "custom", message: "address" });
+    }
+    return valid;
+  }).meta({
+    allowed: "addresses host:port, separated by commas",
+    meaning,
+  });
+}
+
+function parseAddress(text: string): HostPort | undefined {
+  const match = HOST_PORT.exec(text);
+  if (!match?.[1] || !HOST.test(match[1])) return undefined;
+  const port = Number(match[2]);
+  return port >= 1 && port <= 65535 ? { host: match[1], port } : undefined;
+}
--- a/config/settings/mod.ts
+++ b/config/settings/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export type { HostPort } from "./keys.ts";
+export { formatSettingsProblem, readSettings, settingsError } from "./read.ts";
+export type { SettingsProblem } from "./read.ts";
+export { listSettings } from "./reference.ts";
+export type { SettingsKey } from "./reference.ts";
+export type { AgentSettings, EntrySettings, Role } from "./sections.ts";
--- /dev/null
+++ b/config/settings/read.ts
@@ -0,0 +1,149 @@
+/**
+ * Reading of INI settings.
+ *
+ * @module
+ */
+
+import { parse } from "ini";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { z } from "zod";
+import { ErrorCode, StepError } from "@dragonflyledge/model";
+import type { KeyDescription } from "./keys.ts";
+import { SECTIONS } from "./sections.ts";
+import type { AgentSettings, EntrySettings, Role } from "./sections.ts";
+
+/** One fault of a settings file. */
+export interface SettingsProblem {
+  file: string;
+  /** Empty for a key before the first section. */
+  section: string;
+  /** Empty for a fault of the whole section. */
+  key: string;
+  value: unknown;
+  allowed: string;
+}
+
+type SettingsOf<R extends Role> = R extends "entry" ? EntrySettings
+  : AgentSettings;
+type Values = Record<string, Record<string, unknown>>;
+type Shape = Record<string, { shape: Record<string, z.ZodType> }>;
+
+/** Reads the settings of a daemon, or returns all of their problems. */
+export function readSettings<R extends Role>(fields: {
+  text: string;
+  file: string;
+  role: R;
+}): Result<SettingsOf<R>, SettingsProblem[]> {
+  const sections = SECTIONS[fields.role].shape as unknown as Shape;
+  const raw = parseSections(fields.text);
+  const problems = unknownSections(sections, raw);
+  const values: Values = {};
+  for (const [section, schema] of Object.entries(sections)) {
+    const given = raw[section] ?? {};
+    if (typeof given !== "object") continue;
+    const read = readSection(section, schema, given as Values[string]);
+    values[camel(section)] = read.values;
+    problems.push(...read.problems);
+  }
+  if (problems.length === 0) return ok(values as unknown as SettingsOf<R>);
+  return err(problems.map((each) => ({ ...each, file: fields.file })));
+}
+
+/** Returns the problem as one line. */
+export function formatSettingsProblem(problem: SettingsProblem): string {
+  const { file, section, key, value, allowed } = problem;
+  const place = `${file}: [${section}]${key === "" ? "" : ` ${key}`}`;
+  const found = value === undefined
+    ? "is missing"
+    : `= ${JSON.stringify(value)} is not allowed`;
+  return `${place} ${found}; allowed: ${allowed}`;
+}
+
+/** Returns all problems as one error with code `DFL_SETTINGS`. */
+export function settingsError(problems: SettingsProblem[]): StepError {
+  return new StepError({
+    code: ErrorCode.Settings,
+    step: "readSettings",
+    peer: problems[0]?.file ?? "",
+    message: problems.map(formatSettingsProblem).join("\n"),
+    hint: "docs/SETTINGS.md lists all keys.",
+  });
+}
+
+/**
+ * Parses each section by itself. A repeated key becomes a list, and is
+ * refused, since the last value would win silently; `ini` counts repetitions
+ * over all sections of a text. Dots in section names make no subsections.
+ */
+function parseSections(text: string): Record<string, unknown> {
+  const bodies = new Map<string, string[]>();
+  let header = "";
+  for (const line of text.split(/\r?\n/)) {
+    const section = /^\s*\[([^\]]*)\]/.exec(line)?.[1];
+    if (section !== undefined) header = `[${section.replace(/\./g, "\\.")}]`;
+    const body = bodies.get(header) ?? [];
+    bodies.set(header, section === undefined ? [...body, line] : body);
+  }
+  const parsed = [...bodies].map(([section, lines]) =>
+    parse([section, ...lines].join("\n"), { bracketedArray: false })
+  );
+  return Object.assign({}, ...parsed);
+}
+
+type Found = Omit<SettingsProblem, "file">;
+
+function unknownSections(sections: Shape, raw: Record<string, unknown>) {
+  const known = Object.keys(sections).map((each) => `[${each}]`).join(" ");
+  return Object.entries(raw).flatMap(([section, value]): Found[] => {
+    if (typeof value !== "object" || Array.isArray(value)) {
+      const allowed = `keys only within the sections ${known}`;
+      return [{ section: "", key: section, value, allowed }];
+    }
+    if (section in sections) return [];
+    const keys = Object.keys(value ?? {});
+    return [{
+      section,
+      key: "",
+      value: keys,
+      allowed: `the sections ${known}`,
+    }];
+  });
+}
+
+function readSection(
+  section: string,
+  schema: Shape[string],
+  given: Record<string, unknown>,
+): { values: Record<string, unknown>; problems: Found[] } {
+  const keys = Object.keys(schema.shape).join(", ");
+  const problems: Found[] = Object.entries(given)
+    .filter(([key]) => !(key in schema.shape))
+    .map(([key, value]) => {
+      return { section, key, value, allowed: `the keys ${keys}` };
+    });
+  const values: Record<string, unknown> = {};
+  for (const [key, type] of Object.entries(schema.shape)) {
+    const value = given[key];
+    const parsed = type.safeParse(value);
+    if (parsed.success) values[camel(key)] = parsed.data;
+    else {
+      const { allowed } = describeKey(type);
+      const list = Array.isArray(value) ? "one value, given once: " : "";
+      problems.push({ section, key, value, allowed: list + allowed });
+    }
+  }
+  return { values, problems };
+}
+
+/** Finds the description below a default or an optional mark. */
+export function describeKey(type: z.ZodType): KeyDescription {
+  const description = type.meta() as KeyDescription | undefined;
+  if (description) return description;
+  const inner = (type.def as { innerType?: z.ZodType }).innerType;
+  return inner ? describeKey(inner) : { allowed: "", meaning: "" };
+}
+
+function camel(key: string): string {
+  return key.replace(/-(\w)/g, (_, letter: string) => letter.toUpperCase());
+}
--- /dev/null
+++ b/config/settings/sections.ts
@@ -0,0 +1,104 @@
+/**
+ * Sections and keys of the settings of each daemon.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { DEFAULT_PREFIX, KIBIBYTE } from "@dragonflyledge/model";
+import {
+  addresses,
+  host,
+  name,
+  oneOf,
+  port,
+  prefix,
+  url,
+  whole,
+} from "./keys.ts";
+
+const identity = z.strictObject({
+  id: name("Identity of the entry, or of the worker beside the agent"),
+  region: name("Region of the VM"),
+  "failure-domain": name("Failure domain of the VM"),
+  rack: name("Rack of the VM"),
+});
+
+const log = z.strictObject({
+  level: oneOf(["debug", "info", "warn", "error"], "Least level written")
+    .default("info"),
+});
+
+const metrics = z.strictObject({
+  host: host("StatsD host; no metrics are sent if unset").optional(),
+  port: port("StatsD port").default(8125),
+  prefix: name("Prefix of metric names").default("dragonflyledge"),
+});
+
+const entry = z.strictObject({
+  identity,
+  listen: z.strictObject({
+    host: host("Address to listen on"),
+    port: port("Port for sessions of agents"),
+    "http-port": port("Port for HTTP"),
+    advertise: host("Address that others use; same as host if unset")
+      .optional(),
+  }),
+  store: z.strictObject({
+    url: url("Gateway of the key-value service"),
+    prefix: prefix("Prefix of all keys").default(DEFAULT_PREFIX),
+  }),
+  limits: z.strictObject({
+    "body-limit": whole(
+      KIBIBYTE,
+      512 * KIBIBYTE,
+      "Largest request body, in bytes",
+    ).default(512 * KIBIBYTE),
+    connections: whole(1, 100000, "Most HTTP connections at the same time")
+      .default(4096),
+    "store-writes": whole(1, 10000, "Most writes to the store a second")
+      .default(50),
+    "store-reads": whole(1, 10000, "Most reads from the store a second")
+      .default(200),
+  }),
+  log,
+  metrics,
+});
+
+const agent = z.strictObject({
+  identity,
+  entries: z.strictObject({
+    seeds: addresses("Entries to dial first"),
+  }),
+  worker: z.strictObject({
+    url: url("Worker that runs tasks"),
+    accelerators: whole(0, 64, "Accelerators of the worker"),
+    cores: whole(1, 4096, "Processor cores of the worker"),
+    "memory-mib": whole(1, 67108864, "Memory of the worker, in MiB"),
+  }),
+  endpoint: z.strictObject({
+    url: url("Endpoint that answers requests"),
+    service: name("Service that the endpoint offers"),
+    slots: whole(1, 10000, "Requests that the endpoint runs at the same time"),
+    connections: whole(1, 10000, "Most connections to the endpoint"),
+  }),
+  log,
+  metrics,
+});
+
+/** Schemas by role, with the names that the file uses. */
+export const SECTIONS = { entry, agent };
+
+/** Daemon whose settings are read. */
+export type Role = keyof typeof SECTIONS;
+
+type Camel<S> = S extends `${infer Head}-${infer Tail}`
+  ? `${Head}${Capitalize<Camel<Tail>>}`
+  : S;
+type CamelKeys<T> = { [K in keyof T as Camel<K>]: T[K] };
+type Sections<T> = { [K in keyof T as Camel<K>]: CamelKeys<T[K]> };
+
+/** Settings of an entry daemon; keys of the file in camel case. */
+export type EntrySettings = Sections<z.output<typeof entry>>;
+/** Settings of an agent daemon; keys of the file in camel case. */
+export type AgentSettings = Sections<z.output<typeof agent>>;
