Add structured logs

Cause: the daemons need one form of log from which secrets are kept out. Change: createLog on bunyan with a fixed prefix for each part, fields beside the message, and redaction of secret fields and bearer tokens. Fields that would replace those of bunyan are renamed. Before: no logs. Conclusion: log lines can be traced to part, request and job.

--- /dev/null
+++ b/observe/log/log.ts
@@ -0,0 +1,83 @@
+/**
+ * Structured logs on `bunyan`.
+ *
+ * @module
+ */
+
+import { createLogger } from "bunyan";
+import type { LogLevel } from "@dragonflyledge/model";
+import { redact } from "./redact.ts";
+
+/** Parts of the system. Each starts its messages with a fixed prefix. */
+export const Part = {
+  Entry: "entry",
+  Agent: "agent",
+  Store: "store",
+  Session: "session",
+  Config: "config",
+  Audit: "audit",
+  Cli: "cli",
+} as const;
+export type Part = typeof Part[keyof typeof Part];
+
+/** Ids and figures beside the message, such as `request` and `job`. */
+export type LogFields = Record<string, unknown>;
+
+/** Log of one part. Messages are short sentences. */
+export interface Log {
+  write(level: LogLevel, text: string, fields?: LogFields): void;
+  debug(text: string, fields?: LogFields): void;
+  info(text: string, fields?: LogFields): void;
+  warn(text: string, fields?: LogFields): void;
+  error(text: string, fields?: LogFields): void;
+  /** Returns a log of another part to the same stream. */
+  part(part: Part): Log;
+}
+
+/** Fields that bunyan writes itself. */
+const RESERVED = ["name", "hostname", "pid", "level", "msg", "time", "v"];
+
+/**
+ * Returns a log that writes one JSON line a message. Values of secret fields
+ * and bearer tokens are redacted.
+ */
+export function createLog(fields: {
+  part: Part;
+  level: LogLevel;
+  stream: NodeJS.WritableStream;
+  fields?: LogFields;
+}): Log {
+  const logger = createLogger({
+    ...prepare(fields.fields ?? {}),
+    name: "dragonflyledge",
+    level: fields.level,
+    stream: fields.stream,
+  });
+  const forPart = (part: Part): Log => {
+    const write: Log["write"] = (level, text, extra = {}) => {
+      const message = `${part}: ${redact(text)}`;
+      // The format keeps percent signs of the text.
+      logger[level]({ ...prepare(extra), part }, "%s", message);
+    };
+    return {
+      write,
+      debug: (text, extra) => write("debug", text, extra),
+      info: (text, extra) => write("info", text, extra),
+      warn: (text, extra) => write("warn", text, extra),
+      error: (text, extra) => write("error", text, extra),
+      part: forPart,
+    };
+  };
+  return forPart(fields.part);
+}
+
+/** Redacts, and renames fields that would replace those of bunyan. */
+function prepare(fields: LogFields): LogFields {
+  const redacted = redact(fields) as LogFields;
+  return Object.fromEntries(
+    Object.entries(redacted).map(([key, value]) => [
+      RESERVED.includes(key) ? `${key}Field` : key,
+      value,
+    ]),
+  );
+}
--- a/observe/log/mod.ts
+++ b/observe/log/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 
-export {};
+export { createLog, Part } from "./log.ts";
+export type { Log, LogFields } from "./log.ts";
