--- a/daemons/runtime/mod.ts
+++ b/daemons/runtime/mod.ts
@@ -5,4 +5,5 @@
  */
 
 export * from "./loop.ts";
+export type { Observer } from "./observer.ts";
 export * from "./system_time.ts";
