Add home assignment and gang placement

Cause: entries need one deterministic way to map guaranteed shapes to accelerators and to place gangs on own, unassigned and borrowed capacity. Change: assignHomes, placeGang, chooseVictims, fragmentation and indexHomes as pure functions over WorkerView. Conclusion: the package can be used by the entry reducer.

--- /dev/null
+++ b/core/placement/assign_homes.ts
@@ -0,0 +1,147 @@
+/**
+ * Assignment of guaranteed shapes to accelerators.
+ *
+ * @module
+ */
+
+import type {
+  Configuration,
+  Home,
+  HomePart,
+  HomesTable,
+  Inventory,
+  Shape,
+  TeamName,
+} from "@dragonflyledge/model";
+import { findParts, takeParts } from "./find_parts.ts";
+import type { Space } from "./find_parts.ts";
+import { isValidHome } from "./is_valid_home.ts";
+
+/** One instance of a guaranteed shape. */
+interface Need {
+  team: TeamName;
+  shape: number;
+  instance: number;
+  guarantee: Shape;
+}
+
+/**
+ * Computes the homes table. Equal input gives an equal table. Homes of
+ * `previous` that are still valid stay, unless moving smaller ones makes room
+ * for a shape that would otherwise have no home.
+ */
+export function assignHomes(fields: {
+  configuration: Configuration;
+  inventories: Iterable<Inventory>;
+  previous?: HomesTable;
+  version: number;
+}): HomesTable {
+  const { configuration, previous, version } = fields;
+  const needs = listNeeds(configuration);
+  const inventories = [...fields.inventories].sort((a, b) =>
+    a.worker < b.worker ? -1 : 1
+  );
+  const former = previous?.homes ?? [];
+  let result = assign(needs, inventories, former);
+  if (result.unplaced.length > 0 && former.length > 0) {
+    const size = Math.max(
+      ...result.unplaced.map((need) => need.guarantee.accelerators),
+    );
+    const large = former.filter((home) => sizeOf(home.parts) >= size);
+    const moved = assign(needs, inventories, large);
+    if (weigh(moved.unplaced) < weigh(result.unplaced)) result = moved;
+  }
+  return {
+    version,
+    configurationVersion: configuration.version,
+    homes: result.homes,
+    unplaced: result.unplaced.map(({ team, shape, instance }) => ({
+      team,
+      shape,
+      instance,
+    })),
+  };
+}
+
+function weigh(needs: Need[]): number {
+  return needs.reduce((sum, need) => sum + need.guarantee.accelerators, 0);
+}
+
+function sizeOf(parts: HomePart[]): number {
+  return parts.reduce((sum, part) => sum + part.accelerators.length, 0);
+}
+
+/** Largest shapes first, since they need the largest free blocks. */
+function listNeeds(configuration: Configuration): Need[] {
+  const needs: Need[] = [];
+  for (const { name: team, guarantees } of configuration.teams) {
+    guarantees.forEach((guarantee, shape) => {
+      if (guarantee.accelerators <= 0) return;
+      for (let instance = 0; instance < guarantee.count; instance++) {
+        needs.push({ team, shape, instance, guarantee });
+      }
+    });
+  }
+  return needs.sort((a, b) =>
+    b.guarantee.accelerators - a.guarantee.accelerators ||
+    a.instance - b.instance ||
+    (a.team < b.team ? -1 : a.team > b.team ? 1 : a.shape - b.shape)
+  );
+}
+
+function assign(needs: Need[], inventories: Inventory[], former: Home[]) {
+  const space: Space = { workers: new Map(), teamDomains: new Map() };
+  for (const inventory of inventories) {
+    const free = Array<boolean>(inventory.capacity.accelerators).fill(true);
+    space.workers.set(inventory.worker, { inventory, free });
+  }
+  const placed = keepFormer(needs, former, space);
+  const unplaced: Need[] = [];
+  for (const need of needs) {
+    if (placed.has(need)) continue;
+    const parts = findParts({ ...need, space });
+    if (parts === undefined) {
+      unplaced.push(need);
+      continue;
+    }
+    takeParts({ space, team: need.team, parts });
+    placed.set(need, parts);
+  }
+  const homes = needs.flatMap((need) => {
+    const { team, shape, instance } = need;
+    const parts = placed.get(need);
+    return parts === undefined ? [] : [{ team, shape, instance, parts }];
+  });
+  return { homes, unplaced };
+}
+
+/** First the same instance, then any home of the team with a fitting shape. */
+function keepFormer(needs: Need[], former: Home[], space: Space) {
+  const placed = new Map<Need, HomePart[]>();
+  const byKey = new Map(former.map((home) => [keyOf(home), home]));
+  const keep = (need: Need, home: Home | undefined): boolean => {
+    const valid = home !== undefined &&
+      isValidHome({ guarantee: need.guarantee, parts: home.parts, space });
+    if (!valid) return false;
+    takeParts({ space, team: need.team, parts: home.parts });
+    placed.set(need, home.parts);
+    byKey.delete(keyOf(home));
+    return true;
+  };
+  for (const need of needs) keep(need, byKey.get(keyOf(need)));
+  const left = new Map<TeamName, Home[]>();
+  for (const home of byKey.values()) {
+    left.set(home.team, [...left.get(home.team) ?? [], home]);
+  }
+  for (const need of needs) {
+    if (placed.has(need)) continue;
+    const homes = left.get(need.team) ?? [];
+    const index = homes.findIndex((home) => keep(need, home));
+    if (index >= 0) homes.splice(index, 1);
+  }
+  return placed;
+}
+
+function keyOf(home: { team: string; shape: number; instance: number }) {
+  return `${home.team}\n${home.shape}\n${home.instance}`;
+}
--- /dev/null
+++ b/core/placement/assign_homes_test.ts
@@ -0,0 +1,164 @@
+import { test } from "tap";
+import fc from "fast-check";
+import type { Configuration, Shape } from "@dragonflyledge/model";
+import { assignHomes } from "./assign_homes.ts";
+import { isAlignedBlock } from "./find_block.ts";
+import { buildInventories } from "./testing.ts";
+
+function configure(teams: Record<string, Shape[]>): Configuration {
+  return {
+    version: 1,
+    classes: [],
+    services: [],
+    teams: Object.entries(teams).map(([name, guarantees]) => ({
+      name,
+      guarantees,
+      tokenDigests: [],
+      acceleratorQuota: 1000,
+      weight: 1,
+    })),
+  };
+}
+
+const shape = (
+  accelerators: number,
+  count: number,
+  adjacency: Shape["adjacency"] = "worker",
+): Shape => ({ accelerators, count, adjacency });
+
+// Guards against guarantees that one failure domain takes down together.
+test("instances of a team are spread over failure domains", (t) => {
+  const inventories = buildInventories(9);
+  const configuration = configure({ a: [shape(4, 3)] });
+  const { homes } = assignHomes({ configuration, inventories, version: 1 });
+  const domains = homes.map((home) =>
+    inventories.find((one) => one.worker === home.parts[0]?.worker)?.location
+      .failureDomain
+  );
+  t.equal(new Set(domains).size, 3);
+  t.end();
+});
+
+// Guards against a shape over one worker that is scattered over racks.
+test("a rack shape takes whole workers of one rack", (t) => {
+  const inventories = buildInventories(9);
+  const configuration = configure({ a: [shape(1, 1), shape(24, 1, "rack")] });
+  const { homes, unplaced } = assignHomes({
+    configuration,
+    inventories,
+    version: 1,
+  });
+  const large = homes.find((home) => home.shape === 1);
+  const racks = large?.parts.map((part) =>
+    inventories.find((one) => one.worker === part.worker)?.location.rack
+  );
+  t.same(unplaced, []);
+  t.equal(new Set(racks).size, 1);
+  t.same(large?.parts.map((part) => part.accelerators.length), [8, 8, 8]);
+  t.end();
+});
+
+// Guards against a shape without a home although moving small homes makes room.
+test("small homes move if a large shape has no home otherwise", (t) => {
+  const inventories = buildInventories(2, 1);
+  const small = configure({ a: [shape(4, 2)] });
+  const former = assignHomes({ configuration: small, inventories, version: 1 });
+  former.homes.forEach((home, index) => {
+    home.parts = [{ worker: `w00${index}`, accelerators: [0, 1, 2, 3] }];
+  });
+  const { unplaced } = assignHomes({
+    configuration: configure({ a: [shape(4, 2)], b: [shape(8, 1)] }),
+    inventories,
+    previous: former,
+    version: 2,
+  });
+  t.same(unplaced, []);
+  t.end();
+});
+
+// Guards against overlapping or unaligned homes, lost shapes, tables that
+// differ between entries, and moves of homes that are still valid.
+test("tables are valid, deterministic and stable (seed 11)", (t) => {
+  const sizes = fc.constantFrom(1, 2, 3, 4, 8, 16);
+  const adjacency = fc.constantFrom("worker", "rack", "any") as fc.Arbitrary<
+    Shape["adjacency"]
+  >;
+  const guarantee = fc.record({
+    accelerators: sizes,
+    count: fc.nat(4),
+    adjacency,
+  });
+  const teams = fc.dictionary(
+    fc.constantFrom("a", "b", "c"),
+    fc.array(guarantee, { maxLength: 3 }),
+  );
+  fc.assert(
+    fc.property(teams, fc.nat(17), (shapes, gone) => {
+      const configuration = configure(shapes);
+      const inventories = buildInventories(18);
+      const first = assignHomes({ configuration, inventories, version: 1 });
+      const again = assignHomes({
+        configuration,
+        inventories: [...inventories].reverse(),
+        previous: first,
+        version: 2,
+      });
+      if (first.unplaced.length === 0) t.same(again.homes, first.homes);
+      const left = inventories.filter((_, index) => index !== gone);
+      const last = assignHomes({
+        configuration,
+        inventories: left,
+        previous: first,
+        version: 3,
+      });
+      const count = Object.values(shapes).flat().reduce(
+        (sum, one) => sum + one.count,
+        0,
+      );
+      const taken = new Set<string>();
+      for (const home of last.homes) {
+        const wanted = shapes[home.team]?.[home.shape];
+        let size = 0;
+        for (const part of home.parts) {
+          size += part.accelerators.length;
+          const known = left.some((one) => one.worker === part.worker);
+          if (!known) throw new Error(`home on lost worker ${part.worker}`);
+          for (const index of part.accelerators) {
+            const key = `${part.worker}/${index}`;
+            if (taken.has(key)) throw new Error(`${key} has two owners`);
+            taken.add(key);
+          }
+          const aligned = isAlignedBlock(part.accelerators);
+          if (wanted?.adjacency === "worker" && !aligned) {
+            throw new Error("unaligned");
+          }
+        }
+        if (size !== wanted?.accelerators) throw new Error("size differs");
+      }
+      if (last.homes.length + last.unplaced.length !== count) {
+        throw new Error("a shape is missing from the table");
+      }
+    }),
+    { seed: 11, numRuns: 200 },
+  );
+  t.end();
+});
+
+// Guards against an assignment that does not cope with the target size.
+test("35 teams on 860 workers all get homes", (t) => {
+  const inventories = buildInventories(860, 4, 2);
+  const teams = Object.fromEntries(
+    Array.from({ length: 35 }, (_, index) => [
+      `t${index}`,
+      [shape(1, 10), shape(2, 8), shape(4, 2, "rack"), shape(6, 1, "rack")],
+    ]),
+  );
+  const table = assignHomes({
+    configuration: configure(teams),
+    inventories,
+    version: 1,
+  });
+  t.same(table.unplaced, []);
+  t.equal(table.homes.length, 35 * 21);
+  t.end();
+});
--- /dev/null
+++ b/core/placement/fragmentation_test.ts
@@ -0,0 +1,46 @@
+import { test } from "tap";
+import { chooseVictims } from "./choose_victims.ts";
+import { fragmentation } from "./fragmentation.ts";
+import { buildHeld, buildInventories, buildViews } from "./testing.ts";
+
+// Guards against a measure that counts scattered accelerators as usable.
+test("scattered free accelerators count as fragmented", (t) => {
+  const views = buildViews(buildInventories(2), {
+    w000: [buildHeld("j1", "b", [0, 1, 4, 5])],
+    w001: [buildHeld("j2", "b", [0, 1, 2, 3], { revocable: false })],
+  });
+  const homes = {
+    version: 1,
+    configurationVersion: 1,
+    homes: ["w000", "w001"].map((worker, instance) => ({
+      team: "a",
+      shape: 0,
+      instance,
+      parts: [{ worker, accelerators: [0, 1] }],
+    })),
+    unplaced: [],
+  };
+  t.same(fragmentation({ workers: views, homes, memberAccelerators: 4 }), {
+    largestGang: 0.5,
+    placeableGuarantees: 0.5,
+  });
+  t.end();
+});
+
+// Guards against two stopped gangs where stopping one makes the room.
+test("a gang that is stopped anyway is preferred", (t) => {
+  const run = (job: string) => ({ job, epoch: 1 });
+  const options = [
+    { runs: [run("a")], rank: 0 },
+    { runs: [run("b")], rank: 1 },
+    { runs: [run("a")], rank: 2 },
+  ];
+  const { chosen, victims } = chooseVictims({
+    needed: 2,
+    options,
+    lostWork: () => 10,
+  });
+  t.same(chosen.map((option) => option.rank), [0, 2]);
+  t.same(victims, [run("a")]);
+  t.end();
+});
--- /dev/null
+++ b/core/placement/place_gang_test.ts
@@ -0,0 +1,195 @@
+import { test } from "tap";
+import fc from "fast-check";
+import type { HomesTable, JobSpec } from "@dragonflyledge/model";
+import { isAlignedBlock } from "./find_block.ts";
+import { indexHomes } from "./index_homes.ts";
+import { placeGang } from "./place_gang.ts";
+import {
+  buildHeld,
+  buildInventories,
+  buildSpec,
+  buildViews,
+} from "./testing.ts";
+import type { HeldMember } from "./worker_view.ts";
+
+const all = [0, 1, 2, 3, 4, 5, 6, 7];
+
+/** Whole workers as homes: `owners[i]` is the team of worker i. */
+function own(owners: (string | undefined)[], accelerators = all) {
+  const homes: HomesTable["homes"] = owners.flatMap((team, instance) => {
+    if (team === undefined) return [];
+    const parts = [{ worker: `w00${instance}`, accelerators }];
+    return [{ team, shape: 0, instance, parts }];
+  });
+  const table = { version: 1, configurationVersion: 1, homes, unplaced: [] };
+  return indexHomes({ homes: table });
+}
+
+function place(
+  spec: JobSpec,
+  owners: (string | undefined)[],
+  held: Record<string, HeldMember[]> = {},
+  urgent = false,
+) {
+  return placeGang({
+    spec,
+    run: { job: "j", epoch: 1 },
+    urgent,
+    workers: buildViews(buildInventories(owners.length), held),
+    homes: own(owners),
+    lostWork: (run) => Number(run.job.slice(1)),
+  });
+}
+
+const placeOf = (result: ReturnType<typeof place>) =>
+  result.map((plan) => plan.workers.map((one) => one.worker)).unwrapOr([]);
+
+// Guards against borrowing while own or unassigned capacity is available.
+test("own homes come first, then unassigned, then borrowed capacity", (t) => {
+  const owners = ["b", undefined, "a"];
+  const full = (team: string, revocable: boolean) =>
+    buildHeld("1", team, all, { revocable });
+  const a = [full("a", false)];
+  t.same(placeOf(place(buildSpec(1, 8), owners)), ["w002"]);
+  t.same(placeOf(place(buildSpec(1, 8), owners, { w002: a })), ["w001"]);
+  t.same(placeOf(place(buildSpec(1, 8), owners, { w002: a, w001: a })), [
+    "w000",
+  ]);
+  const fixed = buildSpec(1, 8, { revocable: false });
+  const blocked = place(fixed, owners, { w002: a, w001: a });
+  t.equal(blocked._unsafeUnwrapErr().kind, "not-now");
+  t.end();
+});
+
+// Guards against an owner that waits while its home is lent out.
+test("a home is reclaimed from borrowers, from the least lost work", (t) => {
+  const held = {
+    w000: [buildHeld("j9", "b", all)],
+    w001: [buildHeld("j5", "b", all)],
+  };
+  const plan = place(buildSpec(1, 8), ["a", "a"], held)._unsafeUnwrap();
+  t.same(plan.workers.map((one) => [one.worker, one.reclaims]), [
+    ["w001", true],
+  ]);
+  t.same(plan.victims, [{ job: "j5", epoch: 1 }]);
+  t.end();
+});
+
+// Guards against urgent work that waits behind deferrable work, and against
+// deferrable work that preempts.
+test("only urgent work preempts deferrable revocable work", (t) => {
+  const held = { w000: [buildHeld("j1", "b", all)] };
+  t.ok(place(buildSpec(1, 8), [undefined], held, true).isOk());
+  t.ok(place(buildSpec(1, 8), [undefined], held, false).isErr());
+  t.ok(place(buildSpec(1, 8), ["b"], held, true).isErr());
+  const own = { w000: [buildHeld("j1", "a", all)] };
+  t.ok(place(buildSpec(1, 8), ["a"], own, true).isOk());
+  t.ok(place(buildSpec(1, 8), ["a"], own, false).isErr());
+  t.end();
+});
+
+// Guards against small work that splits a worker or rack needed by large gangs.
+test("small gangs fill partly used workers and racks", (t) => {
+  const held = { w004: [buildHeld("j1", "b", [0, 1, 2])] };
+  const free = Array<undefined>(6).fill(undefined);
+  const one = place(buildSpec(1, 2), free, held)._unsafeUnwrap();
+  t.same(one.workers, [{
+    worker: "w004",
+    members: [{ member: 0, accelerators: [4, 5] }],
+    reclaims: false,
+  }]);
+  t.same(placeOf(place(buildSpec(1, 8), free, held)), ["w003"]);
+  t.end();
+});
+
+// Guards against refusal of what would fit later, and endless waits for what
+// never fits.
+test("never and not now are told apart, with a reason", (t) => {
+  const owners = [undefined, undefined, undefined, undefined];
+  const rack = buildSpec(4, 8, { adjacency: "rack" });
+  t.equal(place(rack, owners)._unsafeUnwrapErr().kind, "never");
+  const many = buildSpec(1, 8, {
+    perMember: { accelerators: 8, cores: 33, memoryMiB: 1 },
+  });
+  t.equal(place(many, owners)._unsafeUnwrapErr().kind, "never");
+  const held = { w000: [buildHeld("j1", "b", [0], { revocable: false })] };
+  const error = place(buildSpec(4, 8), owners, held)._unsafeUnwrapErr();
+  t.match(error, { kind: "not-now", reason: /4 members.*3 of 4 fit now/ });
+  t.end();
+});
+
+// Guards against plans beyond capacity, broken adjacency, and use of
+// accelerators that must not be used.
+test("plans respect capacity, adjacency and ownership (seed 12)", (t) => {
+  const member = fc.record({
+    worker: fc.nat(5),
+    index: fc.nat(7),
+    revocable: fc.boolean(),
+    urgent: fc.boolean(),
+    team: fc.constantFrom("a", "b"),
+  });
+  const spec = fc.record({
+    members: fc.integer({ min: 1, max: 6 }),
+    accelerators: fc.constantFrom(0, 1, 2, 3, 4, 8),
+    cores: fc.integer({ min: 1, max: 16 }),
+    adjacency: fc.constantFrom("worker", "rack", "any"),
+    revocable: fc.boolean(),
+    urgent: fc.boolean(),
+  });
+  const owner = fc.constantFrom("a", "b", undefined);
+  const owners = fc.array(owner, { minLength: 6, maxLength: 6 });
+  let placed = 0;
+  fc.assert(
+    fc.property(spec, fc.array(member), owners, (wanted, members, teams) => {
+      const held: Record<string, HeldMember[]> = {};
+      members.forEach((one, index) => {
+        const worker = `w00${one.worker}`;
+        const list = held[worker] ??= [];
+        if (list.some((other) => other.accelerators[0] === one.index)) return;
+        list.push(buildHeld(`j${index}`, one.team, [one.index], one));
+      });
+      const full = buildSpec(wanted.members, wanted.accelerators, {
+        adjacency: wanted.adjacency as JobSpec["adjacency"],
+        revocable: wanted.revocable,
+      });
+      full.perMember.cores = wanted.cores;
+      const result = place(full, teams, held, wanted.urgent);
+      if (result.isErr()) return;
+      placed++;
+      const racks = new Set<number>();
+      let count = 0;
+      for (const part of result.value.workers) {
+        const index = Number(part.worker.slice(1));
+        racks.add(Math.floor(index / 3));
+        count += part.members.length;
+        if (part.members.length * wanted.cores > 32) throw new Error("cores");
+        for (const { accelerators } of part.members) {
+          if (accelerators.length !== wanted.accelerators) {
+            throw new Error("number of accelerators");
+          }
+          const loose = wanted.adjacency !== "worker" ||
+            accelerators.length === 0;
+          if (!loose && !isAlignedBlock(accelerators)) {
+            throw new Error("alignment");
+          }
+          for (const accelerator of accelerators) {
+            const foreign = teams[index] === "b";
+            if (foreign && !wanted.revocable) throw new Error("ownership");
+            const holder = held[part.worker]?.find((one) =>
+              one.accelerators[0] === accelerator
+            );
+            if (holder === undefined) continue;
+            if (foreign || !holder.revocable) throw new Error("reclaim");
+          }
+        }
+      }
+      if (wanted.adjacency === "rack" && racks.size > 1) {
+        throw new Error("rack");
+      }
+      if (count !== wanted.members) throw new Error("members");
+    }),
+    { seed: 12, numRuns: 1000 },
+  );
+  t.ok(placed > 300, `placed ${placed}`);
+  t.end();
+});
