Add the reducer of the agent

Cause: the daemons and the entry's reducer need the authority on a worker. Change: attempts with tombstones, reservations, commits, leases, reclaim, members, versions, reports, usage and shutdown in small modules, with invariants checked after each event. Conclusion: a first usable version; the gang part is not yet tested.

--- /dev/null
+++ b/core/agent_reducer/attempts.ts
@@ -0,0 +1,249 @@
+/**
+ * Slots and attempts: each attempt runs at most once, and every answer about
+ * one is true. See docs/decisions/attempts.md.
+ *
+ * @module
+ */
+
+import type {
+  AgentEvent,
+  Attempt,
+  AttemptId,
+  AttemptRefused,
+  EntryId,
+} from "@dragonflyledge/model";
+import { ATTEMPT_RETENTION, createAnswers } from "./answers.ts";
+import type { Answers } from "./answers.ts";
+import { attemptKey, count, send } from "./state.ts";
+import type { AttemptRecord, Core } from "./state.ts";
+
+/**
+ * Attempts that are remembered at a time. At the bound new attempts are
+ * refused, so that none is forgotten early: about 16 MB, and 218 attempts a
+ * second over the retention time.
+ */
+export const ATTEMPT_LIMIT = 131_072;
+
+type FailedEvent = Extract<AgentEvent, { kind: "endpointFailed" }>;
+
+/** Decides over attempts and follows their endpoint calls. */
+export interface Attempts {
+  readonly answers: Answers;
+  receive(entry: EntryId, attempt: Attempt): void;
+  cancel(entry: EntryId, id: AttemptId): void;
+  query(entry: EntryId, id: AttemptId): void;
+  failed(event: FailedEvent): void;
+  /** Ends attempts whose time has run out, and forgets old ones. */
+  expire(): void;
+}
+
+/** Creates the attempts part of the reducer. */
+export function createAttempts(fields: { core: Core }): Attempts {
+  const { core } = fields;
+  const answers = createAnswers({ core, settle });
+
+  /** Ends the call of an attempt and frees its slot. */
+  function settle(record: AttemptRecord, phase: AttemptRecord["phase"]): void {
+    record.phase = phase;
+    record.calling = false;
+    record.settledAt = core.now;
+    core.calling.delete(record);
+    core.slotsChanged = true;
+    // Settled attempts stay in the order in which they are to be forgotten.
+    core.attempts.delete(record.key);
+    core.attempts.set(record.key, record);
+    if (phase !== "done") answers.discard(record);
+  }
+
+  /** Forgets a call that did not run and makes sure that it never will. */
+  function entomb(record: AttemptRecord): void {
+    settle(record, "cancelled");
+    core.tombstones.add(record.key);
+    core.attempts.delete(record.key);
+    if (core.requests.get(record.id.request) === record) {
+      core.requests.delete(record.id.request);
+    }
+  }
+
+  function refuse(
+    entry: EntryId,
+    attempt: AttemptId,
+    reason: AttemptRefused["reason"],
+  ): void {
+    // A stale incarnation never becomes current, so it needs no tombstone.
+    if (reason !== "stale-incarnation") {
+      core.tombstones.add(attemptKey(attempt));
+    }
+    count(core, "attempts.refused", { reason });
+    send(core, entry, { kind: "attemptRefused", attempt, reason });
+  }
+
+  function tell(entry: EntryId, record: AttemptRecord): void {
+    const { id: attempt, phase: state } = record;
+    send(core, entry, { kind: "attemptState", attempt, state });
+  }
+
+  function abort(record: AttemptRecord): void {
+    if (record.aborted || !record.calling) return;
+    record.aborted = true;
+    core.effects.push({ kind: "abortCall", attempt: record.id });
+  }
+
+  function start(entry: EntryId, attempt: Attempt): void {
+    const record = createRecord(entry, attempt, core.now);
+    core.attempts.set(record.key, record);
+    core.calling.add(record);
+    core.requests.set(record.id.request, record);
+    core.slotsChanged = true;
+    send(core, entry, { kind: "attemptAccepted", attempt: record.id });
+    core.effects.push({
+      kind: "callEndpoint",
+      attempt: record.id,
+      service: attempt.service,
+      path: attempt.path,
+      contentType: attempt.contentType,
+      body: attempt.body,
+      timeout: attempt.remaining,
+    });
+  }
+
+  function query(entry: EntryId, id: AttemptId): void {
+    const record = core.attempts.get(attemptKey(id));
+    if (record === undefined) {
+      core.tombstones.add(attemptKey(id));
+      send(core, entry, { kind: "attemptState", attempt: id, state: "absent" });
+      return;
+    }
+    // The answer precedes the state `done`, which thus never lacks it.
+    if (record.entry === entry && record.behind) answers.replay(record);
+    tell(entry, record);
+  }
+
+  return {
+    answers,
+    query,
+    receive(entry, attempt) {
+      if (core.attempts.has(attemptKey(attempt.attempt))) {
+        query(entry, attempt.attempt);
+        return;
+      }
+      const reason = refusalOf(core, attempt);
+      if (reason === undefined) {
+        start(entry, attempt);
+        return;
+      }
+      refuse(entry, attempt.attempt, reason);
+      const earlier = core.requests.get(attempt.attempt.request);
+      // The refusal speaks of one number; the request itself may have run.
+      if (reason === "duplicate" && earlier) tell(entry, earlier);
+    },
+    cancel(entry, id) {
+      const record = core.attempts.get(attemptKey(id));
+      if (record === undefined) {
+        query(entry, id);
+        return;
+      }
+      if (record.calling) {
+        record.cancelled = true;
+        abort(record);
+      } else {
+        answers.discard(record);
+      }
+      tell(entry, record);
+    },
+    failed(event) {
+      const record = core.attempts.get(attemptKey(event.attempt));
+      if (record === undefined || !record.calling) return;
+      if (record.phase !== "running") {
+        settle(record, record.phase);
+        return;
+      }
+      if (!event.sent && record.sequence === 0) {
+        entomb(record);
+        if (record.cancelled) tell(record.entry, record);
+        else refuse(record.entry, record.id, "unreachable");
+        return;
+      }
+      settle(record, "broken");
+      sendBroken(core, record, event.cause);
+    },
+    expire() {
+      for (const record of core.calling) {
+        if (core.now < record.deadline || record.phase !== "running") continue;
+        record.phase = "broken";
+        abort(record);
+        sendBroken(core, record, "The attempt's time ran out.");
+        count(core, "attempts.expired");
+      }
+      answers.sweep();
+      core.tombstones.sweep(core.now);
+      forgetOld(core);
+    },
+  };
+}
+
+function createRecord(
+  entry: EntryId,
+  attempt: Attempt,
+  now: number,
+): AttemptRecord {
+  return {
+    id: attempt.attempt,
+    key: attemptKey(attempt.attempt),
+    entry,
+    class: attempt.class,
+    phase: "running",
+    deadline: now + attempt.remaining,
+    calling: true,
+    cancelled: false,
+    aborted: false,
+    sequence: 0,
+    behind: false,
+    answer: undefined,
+    settledAt: Infinity,
+  };
+}
+
+function sendBroken(core: Core, record: AttemptRecord, cause: string): void {
+  const { id: attempt, entry } = record;
+  send(core, entry, { kind: "attemptBroken", attempt, cause });
+}
+
+/** Why an unknown attempt may not start, or nothing if it may. */
+function refusalOf(
+  core: Core,
+  attempt: Attempt,
+): AttemptRefused["reason"] | undefined {
+  const { inventory, incarnation, leaving } = core.state;
+  if (attempt.incarnation !== incarnation) return "stale-incarnation";
+  if (core.tombstones.has(attemptKey(attempt.attempt))) return "tombstoned";
+  if (!attempt.idempotent && core.requests.has(attempt.attempt.request)) {
+    return "duplicate";
+  }
+  if (leaving) return "leaving";
+  if (attempt.remaining <= 0) return "expired";
+  if (attempt.service !== inventory.service) return "unreachable";
+  if (core.attempts.size >= ATTEMPT_LIMIT) return "busy";
+  const limit = Math.min(inventory.slots, inventory.connections);
+  if (core.calling.size >= limit) return "busy";
+  if (attempt.urgent) return undefined;
+  const held = slotsOf(core, attempt.class);
+  return held >= attempt.classSlots ? "class-limit" : undefined;
+}
+
+function slotsOf(core: Core, className: string): number {
+  let held = 0;
+  for (const record of core.calling) if (record.class === className) held++;
+  return held;
+}
+
+function forgetOld(core: Core): void {
+  for (const record of core.attempts.values()) {
+    if (record.calling) continue;
+    if (core.now - record.settledAt < ATTEMPT_RETENTION) return;
+    core.attempts.delete(record.key);
+    if (core.requests.get(record.id.request) === record) {
+      core.requests.delete(record.id.request);
+    }
+  }
+}
--- /dev/null
+++ b/core/agent_reducer/invariants.ts
@@ -0,0 +1,185 @@
+/**
+ * Invariants of the agent's state, checked after each event.
+ *
+ * @module
+ */
+
+import { assertInvariant, Invariant, MemberState } from "@dragonflyledge/model";
+import type { AgentEffect, AgentEvent } from "@dragonflyledge/model";
+import { ATTEMPT_RETENTION } from "./answers.ts";
+import { localHomes } from "./homes.ts";
+import { fits, holds, sumNeeds } from "./runs.ts";
+import { attemptKey } from "./state.ts";
+import type { Core, Run } from "./state.ts";
+import { versionsOf } from "./versions.ts";
+
+/** Checks one agent. */
+export interface Invariants {
+  /** Notes the state before an event. */
+  before(): void;
+  /** Checks what the event may have broken; throws a `StepError`. */
+  after(event: AgentEvent): void;
+}
+
+/** Creates the checks over the state of one agent. */
+export function createInvariants(fields: { core: Core }): Invariants {
+  const { core } = fields;
+  // Own record of all calls, so that a fault in the attempts cannot hide.
+  const calls = new Map<string, number>();
+  let leaving = false;
+  let versions = versionsOf(core);
+  let step = "";
+
+  function check(invariant: Invariant, holds: boolean, detail: string): void {
+    const peer = core.state.inventory.worker;
+    assertInvariant({ invariant, holds, step, peer, detail });
+  }
+
+  function checkCall(effect: AgentEffect & { kind: "callEndpoint" }): void {
+    const key = attemptKey(effect.attempt);
+    check(Invariant.NoWorkAfterLeaving, !leaving, `attempt ${key} was started`);
+    check(Invariant.AtMostOnce, !calls.has(key), `attempt ${key} ran before`);
+    check(
+      Invariant.NotRunTrue,
+      !core.tombstones.has(key),
+      `attempt ${key} was refused and is called`,
+    );
+    calls.set(key, core.now);
+  }
+
+  function checkEffects(): void {
+    for (const effect of core.effects) {
+      if (effect.kind === "callEndpoint") checkCall(effect);
+      if (effect.kind === "startTask") {
+        check(Invariant.NoWorkAfterLeaving, !leaving, "a task was started");
+      }
+      if (effect.kind !== "send") continue;
+      const { message } = effect;
+      const notRun = message.kind === "attemptRefused" ||
+        (message.kind === "attemptState" && message.state === "absent");
+      if (!notRun) continue;
+      const running = core.attempts.has(attemptKey(message.attempt));
+      check(Invariant.NotRunTrue, !running, "a known attempt was denied");
+    }
+  }
+
+  function checkVersions(): void {
+    const now = versionsOf(core);
+    const forward = now.configuration >= versions.configuration &&
+      now.homes >= versions.homes;
+    check(Invariant.VersionForward, forward, "a version went back");
+  }
+
+  function forgetCalls(): void {
+    for (const [key, at] of calls) {
+      if (core.now - at < ATTEMPT_RETENTION) return;
+      calls.delete(key);
+    }
+  }
+
+  return {
+    before() {
+      leaving = core.state.leaving;
+      versions = versionsOf(core);
+    },
+    after(event) {
+      step = event.kind === "message" ? event.message.kind : event.kind;
+      checkEffects();
+      checkVersions();
+      checkCapacity(core, step);
+      checkLeases(core, step);
+      checkHomes(core, step);
+      forgetCalls();
+    },
+  };
+}
+
+/** Checks the whole state; for tests. */
+export function checkState(fields: { core: Core; step: string }): void {
+  const { core, step } = fields;
+  checkCapacity(core, step);
+  checkLeases(core, step);
+  checkHomes(core, step);
+  const fail = (invariant: Invariant, detail: string) =>
+    assertInvariant({
+      invariant,
+      holds: false,
+      step,
+      peer: core.state.inventory.worker,
+      detail,
+    });
+  for (const record of core.calling) {
+    if (core.attempts.get(record.key) !== record) {
+      fail(Invariant.AtMostOnce, `attempt ${record.key} runs and is forgotten`);
+    }
+    if (core.tombstones.has(record.key)) {
+      fail(Invariant.NotRunTrue, `attempt ${record.key} runs and is denied`);
+    }
+  }
+  for (const run of core.runs.values()) {
+    const highest = core.epochs.get(run.id.job)?.epoch ?? -Infinity;
+    if (run.id.epoch > highest) {
+      fail(Invariant.GangWhole, `job ${run.id.job} runs past its epoch`);
+    }
+  }
+}
+
+/** `within-capacity`: slots, accelerators, cores and memory. */
+function checkCapacity(core: Core, step: string): void {
+  const { inventory } = core.state;
+  const holders = [...core.runs.values()].filter((run) =>
+    run.phase !== "reserving" && !run.excess
+  );
+  const used = holders.flatMap(acceleratorsOf);
+  const holdsAll = fits(sumNeeds(holders), inventory.capacity) &&
+    new Set(used).size === used.length &&
+    core.calling.size <= Math.min(inventory.slots, inventory.connections);
+  assertInvariant({
+    invariant: Invariant.WithinCapacity,
+    holds: holdsAll,
+    step,
+    peer: inventory.worker,
+    detail: `accelerators ${used.join(" ")}, slots ${core.calling.size}`,
+  });
+}
+
+/** `gang-whole`: no member runs past the gang's lease. */
+function checkLeases(core: Core, step: string): void {
+  for (const run of core.runs.values()) {
+    if (run.phase !== "committed" || core.now <= run.leaseUntil) continue;
+    const stopping = run.members.every((member) =>
+      !holds(member.report) || member.report.state === MemberState.Stopping
+    );
+    assertInvariant({
+      invariant: Invariant.GangWhole,
+      holds: stopping,
+      step,
+      peer: core.state.inventory.worker,
+      detail: `job ${run.id.job} runs past its lease`,
+    });
+  }
+}
+
+/** `guarantee-reclaimable`: foreign work on a home can be revoked. */
+function checkHomes(core: Core, step: string): void {
+  const { homes, inventory } = core.state;
+  const local = localHomes({ homes, worker: inventory.worker });
+  for (const run of core.runs.values()) {
+    if (run.revocable || run.displaced) continue;
+    const foreign = acceleratorsOf(run).some((one) =>
+      ![undefined, run.team].includes(local.teamOf(one))
+    );
+    assertInvariant({
+      invariant: Invariant.GuaranteeReclaimable,
+      holds: local.known && !foreign,
+      step,
+      peer: inventory.worker,
+      detail: `job ${run.id.job} cannot be revoked from a home`,
+    });
+  }
+}
+
+function acceleratorsOf(run: Run): number[] {
+  return run.members.filter((member) => holds(member.report))
+    .flatMap((member) => member.report.accelerators);
+}
--- /dev/null
+++ b/core/agent_reducer/leases.ts
@@ -0,0 +1,127 @@
+/**
+ * Leases of gangs: renewal, takeover by a higher epoch, lapse.
+ *
+ * @module
+ */
+
+import { MemberState, MINUTE } from "@dragonflyledge/model";
+import type {
+  EntryId,
+  Milliseconds,
+  Renew,
+  StopRun,
+  ThrottleRun,
+} from "@dragonflyledge/model";
+import type { Members } from "./members.ts";
+import { boundedLease } from "./reservations.ts";
+import type { Reservations } from "./reservations.ts";
+import { holds } from "./runs.ts";
+import type { Runs } from "./runs.ts";
+import { count, log, runKey } from "./state.ts";
+import type { Core, Run } from "./state.ts";
+
+/** How long a late renewal can still learn how the members ended. */
+export const ENDED_RETENTION = 10 * MINUTE;
+
+/** Operations on running gangs. */
+export interface Leases {
+  renew(entry: EntryId, message: Renew): void;
+  stop(entry: EntryId, message: StopRun): void;
+  throttle(message: ThrottleRun): void;
+  /** Stops gangs whose lease has lapsed, and forgets old ended runs. */
+  expire(): void;
+}
+
+/** Creates the operations on running gangs. */
+export function createLeases(fields: {
+  core: Core;
+  runs: Runs;
+  members: Members;
+  reservations: Reservations;
+}): Leases {
+  const { core, runs, members, reservations } = fields;
+
+  /** Puts the run of a job under a higher epoch. */
+  function takeOver(message: Renew | StopRun): boolean {
+    const { run: id } = message;
+    if (!reservations.fence(id, true)) return false;
+    const run = runs.latest(id.job);
+    if (run === undefined || run.id.epoch >= id.epoch) return true;
+    count(core, "runs.taken-over");
+    runs.rename(run, id);
+    runs.epochOf(id.job)!.started = true;
+    stopOlder(run);
+    return true;
+  }
+
+  /** An earlier run of the same job must not run beside the one taken over. */
+  function stopOlder(kept: Run): void {
+    for (const run of core.runs.values()) {
+      if (run.id.job !== kept.id.job || run === kept) continue;
+      members.stop(run, run.revocable);
+    }
+  }
+
+  function extend(run: Run, lease: Milliseconds): void {
+    // The worker's lease of a stopped run has to lapse if the stop is lost.
+    if (run.phase !== "committed" || run.stopSentAt !== -Infinity) return;
+    run.leaseUntil = core.now + lease;
+    for (const member of run.members) {
+      const { state } = member.report;
+      if (!holds(member.report) || state === MemberState.Stopping) continue;
+      core.effects.push({ kind: "renewTask", task: member.task, lease });
+    }
+  }
+
+  return {
+    renew(entry, message) {
+      if (takeOver(message)) {
+        const run = core.runs.get(runKey(message.run));
+        if (run !== undefined) {
+          run.entry = entry;
+          extend(run, boundedLease(message.lease));
+        }
+      }
+      runs.tell(entry, message.run);
+    },
+    stop(entry, message) {
+      const run = takeOver(message)
+        ? core.runs.get(runKey(message.run))
+        : undefined;
+      if (run !== undefined) {
+        run.entry = entry;
+        if (run.phase === "committed") members.stop(run, message.checkpoint);
+        else {
+          runs.drop(run);
+          reservations.settle();
+        }
+      }
+      runs.tell(entry, message.run);
+    },
+    throttle(message) {
+      const run = core.runs.get(runKey(message.run));
+      if (run?.phase !== "committed") return;
+      for (const member of run.members) {
+        if (!holds(member.report)) continue;
+        const { share } = message;
+        core.effects.push({ kind: "throttleTask", task: member.task, share });
+      }
+    },
+    expire() {
+      for (const run of core.runs.values()) {
+        if (run.phase !== "committed" || core.now < run.leaseUntil) continue;
+        if (run.stopSentAt !== -Infinity) continue;
+        count(core, "leases.lapsed");
+        log(core, "warn", "The lease of a gang has lapsed.", {
+          job: run.id.job,
+          epoch: run.id.epoch,
+        });
+        members.stop(run, false);
+      }
+      for (const [key, run] of core.ended) {
+        if (core.now - run.endedAt < ENDED_RETENTION) break;
+        core.ended.delete(key);
+      }
+    },
+  };
+}
--- a/core/agent_reducer/mod.ts
+++ b/core/agent_reducer/mod.ts
@@ -5,4 +5,6 @@
  * @module
  */
 
-export * from "./reducer.ts";
+export { createAgentReducer } from "./reducer.ts";
+export type { AgentReducer } from "./reducer.ts";
+export type { AgentState } from "./state.ts";
--- a/core/agent_reducer/reducer.ts
+++ b/core/agent_reducer/reducer.ts
@@ -7,22 +7,28 @@
 import type {
   AgentEffect,
   AgentEvent,
-  Configuration,
-  HomesTable,
+  EntryId,
+  EntryMessage,
+  Hello,
   Incarnation,
   Inventory,
   MemberReport,
 } from "@dragonflyledge/model";
-
-/** What the agent's shell needs to read for its hello and heartbeats. */
-export interface AgentState {
-  readonly inventory: Inventory;
-  readonly incarnation: Incarnation;
-  configuration: Configuration | undefined;
-  homes: HomesTable | undefined;
-  leaving: boolean;
-  members: MemberReport[];
-}
+import { createAttempts } from "./attempts.ts";
+import { localHomes } from "./homes.ts";
+import { createInvariants } from "./invariants.ts";
+import { createLeases } from "./leases.ts";
+import { createMembers } from "./members.ts";
+import type { Members } from "./members.ts";
+import { createReclaim } from "./reclaim.ts";
+import { createReporting } from "./reporting.ts";
+import { createReservations } from "./reservations.ts";
+import { createRuns } from "./runs.ts";
+import { createShutdown } from "./shutdown.ts";
+import { count, createCore, log } from "./state.ts";
+import type { AgentState, Core, Run } from "./state.ts";
+import { createUsageWatch } from "./usage.ts";
+import { createVersionExchange } from "./versions.ts";
 
 /** Applies events to the state of one agent. */
 export interface AgentReducer {
@@ -36,13 +42,184 @@
   inventory: Inventory;
   incarnation: Incarnation;
 }): AgentReducer {
-  const state: AgentState = {
-    inventory: fields.inventory,
-    incarnation: fields.incarnation,
-    configuration: undefined,
-    homes: undefined,
-    leaving: false,
-    members: [],
+  return createReducerOver({ core: createCore(fields) });
+}
+
+/** Creates the reducer over a given state, which tests can break. */
+export function createReducerOver(fields: { core: Core }): AgentReducer {
+  const { core } = fields;
+  const parts = createParts(core);
+  const { attempts, members, reservations, leases, shutdown } = parts;
+
+  /** Applies what time alone has made due. */
+  function expire(): void {
+    attempts.expire();
+    leases.expire();
+    members.expire();
+    reservations.expire();
+  }
+
+  return {
+    state: core.state,
+    reduce(event) {
+      core.now = Math.max(core.now, event.now);
+      core.effects = [];
+      parts.invariants.before();
+      expire();
+      apply(parts, event);
+      parts.reporting.flush();
+      shutdown.settle();
+      parts.invariants.after(event);
+      return core.effects;
+    },
   };
-  return { state, reduce: () => [] };
+}
+
+type Parts = ReturnType<typeof createParts>;
+
+function createParts(core: Core) {
+  const runs = createRuns({ core });
+  const reclaim = createReclaim({ core });
+  const reservations = createReservations({
+    core,
+    runs,
+    reclaim,
+    members: (): Members => members,
+  });
+  const members = createMembers({ core, runs, freed: reservations.settle });
+  return {
+    core,
+    attempts: createAttempts({ core }),
+    members,
+    reservations,
+    leases: createLeases({ core, runs, members, reservations }),
+    versions: createVersionExchange({
+      core,
+      homesChanged: () => displace(core, reservations.revoke),
+    }),
+    usage: createUsageWatch({ core }),
+    reporting: createReporting({ core }),
+    shutdown: createShutdown({ core, members, reservations }),
+    invariants: createInvariants({ core }),
+  };
+}
+
+function apply(parts: Parts, event: AgentEvent): void {
+  const { attempts, members, shutdown } = parts;
+  switch (event.kind) {
+    case "tick":
+      return;
+    case "entryConnected":
+      return connect(parts, event.entry, event.hello);
+    case "entryLost":
+      return disconnect(parts, event.entry);
+    case "message":
+      return receive(parts, event.entry, event.message);
+    case "peerVersions":
+      return parts.versions.compare(event.entry, event.versions);
+    case "endpointAnswer":
+      return attempts.answers.receive(event);
+    case "endpointFailed":
+      return attempts.failed(event);
+    case "taskStarted":
+      return members.started(event.task);
+    case "taskCheckpointed":
+      return members.checkpointed(event.task);
+    case "taskEnded":
+      return members.ended(event);
+    case "tasksFound":
+      return adopt(parts, event.members);
+    case "usage":
+      return parts.usage.receive(event);
+    case "stopRequested":
+      return shutdown.exit();
+  }
+}
+
+function receive(parts: Parts, entry: EntryId, message: EntryMessage): void {
+  const { attempts, reservations, leases, versions } = parts;
+  switch (message.kind) {
+    case "attempt":
+      return attempts.receive(entry, message);
+    case "cancelAttempt":
+      return attempts.cancel(entry, message.attempt);
+    case "queryAttempt":
+      return attempts.query(entry, message.attempt);
+    case "reserve":
+      return reservations.reserve(entry, message);
+    case "commit":
+      return reservations.commit(entry, message);
+    case "release":
+      return reservations.release(entry, message.run);
+    case "renew":
+      return leases.renew(entry, message);
+    case "stop":
+      return leases.stop(entry, message);
+    case "throttle":
+      return leases.throttle(message);
+    case "configuration":
+      return versions.configuration(message.configuration);
+    case "homes":
+      return versions.homes(message.homes);
+    case "fetch":
+      return versions.fetch(entry, message.versions);
+    case "entries":
+      return versions.entries(message);
+    case "drain":
+      return parts.shutdown.leave();
+  }
+}
+
+function connect(parts: Parts, entry: EntryId, hello: Hello): void {
+  // A new session replaces one that was not yet seen to be lost.
+  if (parts.core.peers.has(entry)) disconnect(parts, entry);
+  parts.core.peers.set(entry, {
+    id: entry,
+    versions: hello.versions,
+    laggingSince: undefined,
+    lastReport: -Infinity,
+    slotsPending: true,
+  });
+  parts.versions.compare(entry, hello.versions);
+}
+
+function disconnect(parts: Parts, entry: EntryId): void {
+  parts.core.peers.delete(entry);
+  parts.attempts.answers.entryLost(entry);
+  parts.versions.entryLost(entry);
+}
+
+function adopt(parts: Parts, found: MemberReport[]): void {
+  // Found tasks hold their capacity already, so reservations give way.
+  for (const run of [...parts.core.runs.values()]) {
+    if (run.phase !== "committed") {
+      parts.reservations.revoke(run, "tasks-found");
+    }
+  }
+  parts.members.adopt(found);
+  if (parts.core.state.leaving) parts.shutdown.stopMembers();
+}
+
+/** Handles non-revocable work whose place a new table gives to a team. */
+function displace(core: Core, revoke: (run: Run, cause: string) => void): void {
+  const { homes, inventory } = core.state;
+  const local = localHomes({ homes, worker: inventory.worker });
+  for (const run of [...core.runs.values()]) {
+    if (run.revocable || run.displaced) continue;
+    const foreign = run.members.some((member) =>
+      member.report.accelerators.some((one) =>
+        ![undefined, run.team].includes(local.teamOf(one))
+      )
+    );
+    if (!foreign) continue;
+    if (run.phase !== "committed") {
+      revoke(run, "home-moved");
+      continue;
+    }
+    run.displaced = true;
+    count(core, "runs.displaced");
+    log(core, "warn", "A home was assigned over work that cannot be revoked.", {
+      job: run.id.job,
+    });
+  }
 }
--- /dev/null
+++ b/core/agent_reducer/reporting.ts
@@ -0,0 +1,74 @@
+/**
+ * Reports of the worker's state to all connected entries.
+ *
+ * @module
+ */
+
+import { REPORT_INTERVAL } from "@dragonflyledge/model";
+import type { Report } from "@dragonflyledge/model";
+import { holds } from "./runs.ts";
+import { send } from "./state.ts";
+import type { Core } from "./state.ts";
+import { versionsOf } from "./versions.ts";
+
+/** Least time between reports to one entry that change only the slots. */
+export const SLOTS_REPORT_INTERVAL = 20;
+
+/** Sends reports. */
+export interface Reporting {
+  /** Sends what the event has made due; called once after each event. */
+  flush(): void;
+}
+
+/** Creates the reporting over the state of one agent. */
+export function createReporting(fields: { core: Core }): Reporting {
+  const { core } = fields;
+
+  function refreshMembers(): void {
+    core.state.members = [...core.runs.values()]
+      .filter((run) => run.phase !== "reserving")
+      .flatMap((run) => run.members)
+      .filter((member) => holds(member.report))
+      .map((member) => ({ ...member.report }));
+  }
+
+  return {
+    flush() {
+      const { membersChanged, slotsChanged } = core;
+      core.membersChanged = false;
+      core.slotsChanged = false;
+      if (membersChanged) refreshMembers();
+      let report: Report | undefined;
+      for (const peer of core.peers.values()) {
+        peer.slotsPending ||= slotsChanged;
+        const age = core.now - peer.lastReport;
+        const due = membersChanged || age >= REPORT_INTERVAL ||
+          (peer.slotsPending && age >= SLOTS_REPORT_INTERVAL);
+        if (!due) continue;
+        report ??= createReport(core);
+        peer.lastReport = core.now;
+        peer.slotsPending = false;
+        send(core, peer.id, report);
+      }
+    },
+  };
+}
+
+function createReport(core: Core): Report {
+  const slotsByClass: Record<string, number> = {};
+  for (const record of core.calling) {
+    slotsByClass[record.class] = (slotsByClass[record.class] ?? 0) + 1;
+  }
+  const { cores, memoryMiB, readAt } = core.usage;
+  return {
+    kind: "report",
+    worker: core.state.inventory.worker,
+    incarnation: core.state.incarnation,
+    versions: versionsOf(core),
+    leaving: core.state.leaving,
+    slotsUsed: core.calling.size,
+    slotsByClass,
+    members: core.state.members,
+    usage: { cores, memoryMiB, age: core.now - readAt },
+  };
+}
