Add the in-memory store and the manual clock

Cause: other parts need a store with faults and virtual time for their tests. Change: testing/fakes has createManualClock, createMemoryStore and the contract of the Store interface as cases that run on any implementation. Conclusion: parts that use the store can be tested without a network.

--- a/testing/fakes/mod.ts
+++ b/testing/fakes/mod.ts
@@ -4,4 +4,8 @@
  * @module
  */
 
-export {};
+export * from "./manual_clock.ts";
+export * from "./memory_model.ts";
+export * from "./memory_store.ts";
+export * from "./system_timer.ts";
+export * from "./store_contract.ts";
