Add the etcd JSON gateway adapter and its stand-in

Cause: the platform's key-value service is reached over the JSON gateway of the etcd v3 API. Change: createEtcdStore sends a batch of conditional writes as one outer transaction of nested ones, gives every call a deadline, validates answers, and replaces its connections after a timeout. createEtcdServer speaks the same operations over the in-memory model, with its faults.

--- /dev/null
+++ b/testing/fakes/http.ts
@@ -0,0 +1,95 @@
+/**
+ * Shared parts of the HTTP stand-ins.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { Buffer } from "node:buffer";
+
+/** A listening server that ends without leaving connections open. */
+export interface Listening {
+  readonly host: string;
+  readonly port: number;
+  readonly url: string;
+  stop(): Promise<void>;
+}
+
+/** Listens on loopback; port 0 picks a free one. */
+export async function listenHttp(
+  { host = "127.0.0.1", port = 0, handle }: {
+    host?: string;
+    port?: number;
+    handle: (request: IncomingMessage, response: ServerResponse) => void;
+  },
+): Promise<Listening> {
+  const server = createServer((request, response) => {
+    request.on("error", () => {});
+    response.on("error", () => {});
+    handle(request, response);
+  });
+  // A test's clients decide how long idle connections stay open.
+  server.keepAliveTimeout = 0;
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = (server.address() as AddressInfo).port;
+  const url = `http://${host}:${bound}`;
+  return { host, port: bound, url, stop: () => stopServer(server) };
+}
+
+/** Reads the whole body; `undefined` if the caller went away. */
+export async function readBody(
+  request: IncomingMessage,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+  } catch {
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Reads a JSON object; `undefined` for anything else. */
+export async function readObject(
+  request: IncomingMessage,
+): Promise<Record<string, unknown> | undefined> {
+  const body = await readBody(request);
+  try {
+    const value: unknown = body?.length ? JSON.parse(body.toString()) : {};
+    return isObject(value) ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Whether the value is an object with named fields. */
+export function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+/** Answers with a JSON value. */
+export function answerJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  if (response.destroyed) return;
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+}
+
+function stopServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- a/testing/fakes/mod.ts
+++ b/testing/fakes/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export * from "./etcd_server.ts";
+export type { Listening } from "./http.ts";
 export * from "./manual_clock.ts";
 export * from "./memory_model.ts";
 export * from "./memory_store.ts";
