--- /dev/null
+++ b/daemons/entry/store_effects.ts
@@ -0,0 +1,203 @@
+/**
+ * Performs the effects that concern the store, and turns results into events.
+ *
+ * @module
+ */
+
+import { ErrorCode, SECOND } from "@dragonflyledge/model";
+import type {
+  Claim,
+  Clock,
+  EntryEffect,
+  EntryEvent,
+  Milliseconds,
+  StepError,
+  Timer,
+} from "@dragonflyledge/model";
+import type { Observer } from "@dragonflyledge/runtime";
+import type { Records } from "./records.ts";
+
+const SETTLE_RETRY_DELAY: Milliseconds = SECOND;
+/** Outcomes that wait for the store; the oldest is dropped beyond this. */
+const UNSETTLED_LIMIT = 1000;
+
+/** An effect that this module performs. */
+export type StoreEffect = Extract<
+  EntryEffect,
+  {
+    kind:
+      | "claim"
+      | "settleClaim"
+      | "readClaim"
+      | "writeJob"
+      | "loadJobs"
+      | "writeHomes"
+      | "fetchConfiguration"
+      | "audit";
+  }
+>;
+
+/** Performs store effects one by one. */
+export interface StoreEffects {
+  perform(effect: StoreEffect): void;
+  close(): void;
+}
+
+/** Creates the performer of store effects. */
+export function createStoreEffects(fields: {
+  records: Records;
+  clock: Clock;
+  timer: Timer;
+  observer: Observer;
+  dispatch: (event: EntryEvent) => void;
+}): StoreEffects {
+  const { records, clock, timer, observer, dispatch } = fields;
+  const unsettled: Claim[] = [];
+  let settling = false;
+  let cancelRetry = () => {};
+
+  function note(error: StepError): void {
+    observer.count("store.failures", 1, { code: error.code, step: error.step });
+  }
+
+  async function claim(claims: Claim[]): Promise<void> {
+    const results = await records.createClaims(claims);
+    if (results.isErr()) note(results.error);
+    dispatch({
+      kind: "claimsAnswered",
+      now: clock.now(),
+      requests: claims.map((one) => one.request),
+      results: results.unwrapOr(undefined),
+    });
+  }
+
+  /** Outcomes are kept until the store takes them, in order. */
+  async function settle(): Promise<void> {
+    if (settling) return;
+    settling = true;
+    while (unsettled.length > 0) {
+      const result = await records.settleClaim(unsettled[0]!);
+      if (result.isErr()) {
+        note(result.error);
+        if (result.error.code === ErrorCode.StoreUnavailable) break;
+      }
+      unsettled.shift();
+    }
+    settling = false;
+    if (unsettled.length === 0) return;
+    cancelRetry();
+    cancelRetry = timer.after(SETTLE_RETRY_DELAY, () => void settle());
+  }
+
+  function queueOutcome(claim: Claim): void {
+    unsettled.push(claim);
+    if (unsettled.length > UNSETTLED_LIMIT) {
+      unsettled.shift();
+      observer.count("claims.dropped", 1, {});
+    }
+    void settle();
+  }
+
+  async function readClaim(
+    effect: Extract<StoreEffect, { kind: "readClaim" }>,
+  ): Promise<void> {
+    const claim = await records.readClaim(effect);
+    if (claim.isErr()) note(claim.error);
+    dispatch({
+      kind: "claimRead",
+      now: clock.now(),
+      request: effect.request,
+      claim: claim.unwrapOr(undefined),
+    });
+  }
+
+  async function writeJob(
+    effect: Extract<StoreEffect, { kind: "writeJob" }>,
+  ): Promise<void> {
+    const result = await records.writeJob(effect);
+    const base = {
+      kind: "jobWritten" as const,
+      job: effect.record.id,
+      write: effect.write,
+    };
+    if (result.isErr()) {
+      note(result.error);
+      const failed = { result: "unavailable" as const, revision: 0 };
+      return dispatch({ ...base, ...failed, now: clock.now() });
+    }
+    const written = result.value;
+    if (written.kind === "stored") {
+      const { revision } = written;
+      return dispatch({
+        ...base,
+        now: clock.now(),
+        result: "stored",
+        revision,
+      });
+    }
+    dispatch({
+      ...base,
+      now: clock.now(),
+      result: "conflict",
+      revision: written.current?.revision ?? 0,
+      current: written.current?.record,
+    });
+  }
+
+  async function loadJobs(): Promise<void> {
+    const jobs = await records.listJobs();
+    if (jobs.isErr()) return note(jobs.error);
+    dispatch({ kind: "jobsLoaded", now: clock.now(), jobs: jobs.value });
+  }
+
+  async function writeHomes(
+    effect: Extract<StoreEffect, { kind: "writeHomes" }>,
+  ): Promise<void> {
+    const result = await records.writeHomes(effect.homes);
+    if (result.isErr()) note(result.error);
+    dispatch({
+      kind: "homesWritten",
+      now: clock.now(),
+      version: effect.homes.version,
+      result: result.unwrapOr("unavailable" as const),
+    });
+  }
+
+  async function fetchConfiguration(): Promise<void> {
+    const read = await records.readConfiguration();
+    if (read.isErr()) return note(read.error);
+    const configuration = read.value?.configuration;
+    if (configuration === undefined) return;
+    const now = clock.now();
+    dispatch({ kind: "configurationSeen", now, configuration });
+  }
+
+  function perform(effect: StoreEffect): void {
+    switch (effect.kind) {
+      case "claim":
+        void claim(effect.claims);
+        return;
+      case "settleClaim":
+        return queueOutcome(effect.claim);
+      case "readClaim":
+        void readClaim(effect);
+        return;
+      case "writeJob":
+        void writeJob(effect);
+        return;
+      case "loadJobs":
+        void loadJobs();
+        return;
+      case "writeHomes":
+        void writeHomes(effect);
+        return;
+      case "fetchConfiguration":
+        void fetchConfiguration();
+        return;
+      case "audit":
+        records.appendAudit(effect.record);
+    }
+  }
+
+  return { perform, close: () => cancelRetry() };
+}
