Add request queue, estimates, slot limits and retry budget

Cause: the entry needs an order of waiting requests, early refusal and a bound on retries. Change: core/admission holds an indexed heap, a queue with start-time fair queueing, run-time estimates, slot limits, wait estimates and the retry budget. Before: the package was empty. Conclusion: the entry's reducer can be built on it.

--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
-export {};
+export * from "./indexed_heap.ts";
+export * from "./request_queue.ts";
+export * from "./retry_budget.ts";
+export * from "./run_time_estimates.ts";
+export * from "./slot_limit.ts";
+export * from "./wait_estimate.ts";
--- /dev/null
+++ b/core/admission/retry_budget.ts
@@ -0,0 +1,55 @@
+/**
+ * Bounds retries of one entry to a share of its first attempts.
+ *
+ * @module
+ */
+
+import type { Milliseconds, Random } from "@dragonflyledge/model";
+import { RETRY_RATIO, RETRY_RESERVE, SECOND } from "@dragonflyledge/model";
+
+const BUCKET = 1 * SECOND;
+const BUCKETS = 10;
+const FIRST_BACKOFF = 20;
+const BACKOFF_LIMIT = 2 * SECOND;
+
+export interface RetryBudget {
+  firstAttempt(now: Milliseconds): void;
+  /** Takes one retry if the budget of the last 10 s allows it. */
+  take(now: Milliseconds): boolean;
+  /** Time to wait before retry number `retry`, counted from 1. */
+  backoff(retry: number, random: Random): Milliseconds;
+}
+
+/** Creates a budget that holds only the reserve. */
+export function createRetryBudget(): RetryBudget {
+  const first = new Array<number>(BUCKETS).fill(0);
+  const retries = new Array<number>(BUCKETS).fill(0);
+  let newest = 0;
+  const advance = (now: Milliseconds) => {
+    const current = Math.floor(now / BUCKET);
+    const steps = Math.min(current - newest, BUCKETS);
+    for (let step = 0; step < steps; step++) {
+      first[(current - step) % BUCKETS] = 0;
+      retries[(current - step) % BUCKETS] = 0;
+    }
+    newest = Math.max(newest, current);
+  };
+  const sum = (counts: number[]) => counts.reduce((a, b) => a + b, 0);
+  return {
+    firstAttempt(now) {
+      advance(now);
+      first[newest % BUCKETS]! += 1;
+    },
+    take(now) {
+      advance(now);
+      const allowed = RETRY_RESERVE + RETRY_RATIO * sum(first);
+      if (sum(retries) + 1 > allowed) return false;
+      retries[newest % BUCKETS]! += 1;
+      return true;
+    },
+    backoff(retry, random) {
+      const full = FIRST_BACKOFF * 2 ** Math.min(retry - 1, 20);
+      return Math.min(full, BACKOFF_LIMIT) * (0.5 + random() / 2);
+    },
+  };
+}
