Run requests on agents in the entry's reducer

Cause: other parts wait for agentConnected, report and requestArrived. Change: members, configuration and requests handle their events, from arrival over claim, queue and attempt to the outcome. Before: all events were ignored.

--- /dev/null
+++ b/core/entry_reducer/members/free_slots.ts
@@ -0,0 +1,46 @@
+/**
+ * Free slots of an agent for work of a class.
+ *
+ * @module
+ */
+
+import { slotLimit } from "@dragonflyledge/admission";
+import type { Configuration, WorkClass } from "@dragonflyledge/model";
+import type { AgentView } from "../state.ts";
+
+/**
+ * Slots that the agent has free for the class, counting attempts that it has
+ * not yet answered. The agent decides in the end; this only avoids refusals.
+ */
+export function freeSlots(fields: {
+  agent: AgentView;
+  configuration: Configuration;
+  workClass: WorkClass;
+  long: boolean;
+  peak: boolean;
+}): number {
+  const { agent, configuration, workClass, long, peak } = fields;
+  const slots = agent.inventory.slots;
+  const limit = slotLimit({ slots, workClass, long, peak });
+  let promised = 0;
+  for (const count of agent.slotsPromised.values()) promised += count;
+  const free = slots - agent.slotsUsed - promised;
+  if (workClass.urgent && !long) return Math.max(0, free);
+  let deferrable = 0;
+  for (const other of configuration.classes) {
+    if (!other.urgent) deferrable += held(agent, other.name);
+  }
+  return Math.max(
+    0,
+    Math.min(
+      free,
+      limit.ofClass - held(agent, workClass.name),
+      limit.ofDeferrable - deferrable,
+    ),
+  );
+}
+
+function held(agent: AgentView, name: string): number {
+  return (agent.slotsByClass.get(name) ?? 0) +
+    (agent.slotsPromised.get(name) ?? 0);
+}
--- /dev/null
+++ b/core/entry_reducer/members/slots.ts
@@ -0,0 +1,74 @@
+/**
+ * Slots of an agent between its reports.
+ *
+ * @module
+ */
+
+import type { ClassName, Milliseconds } from "@dragonflyledge/model";
+import type { AgentView, EntryState } from "../state.ts";
+import { reindexAgent } from "./choose_agent.ts";
+
+/** Counts an attempt that is being sent. */
+export function promiseSlot(
+  state: EntryState,
+  agent: AgentView,
+  name: ClassName,
+  now: Milliseconds,
+): void {
+  change(agent.slotsPromised, name, 1);
+  agent.probing = false;
+  reindexAgent(state, agent, now);
+}
+
+/** Moves an accepted attempt to the used slots until the next report. */
+export function confirmSlot(
+  state: EntryState,
+  agent: AgentView,
+  name: ClassName,
+  now: Milliseconds,
+): void {
+  change(agent.slotsPromised, name, -1);
+  agent.slotsUsed++;
+  change(agent.slotsByClass, name, 1);
+  reindexAgent(state, agent, now);
+}
+
+/** Frees the slot of an attempt that ended. */
+export function freeSlot(
+  state: EntryState,
+  agent: AgentView,
+  slot: { class: ClassName; accepted: boolean },
+  now: Milliseconds,
+): void {
+  if (slot.accepted) {
+    agent.slotsUsed = Math.max(0, agent.slotsUsed - 1);
+    change(agent.slotsByClass, slot.class, -1);
+  } else change(agent.slotsPromised, slot.class, -1);
+  reindexAgent(state, agent, now);
+}
+
+/** Treats the agent, or the class on it, as full until its next report. */
+export function markFull(
+  state: EntryState,
+  agent: AgentView,
+  fields: { class: ClassName; limit: number; whole: boolean },
+  now: Milliseconds,
+): void {
+  if (fields.whole) {
+    agent.slotsUsed = Math.max(agent.slotsUsed, agent.inventory.slots);
+  } else {
+    const used = agent.slotsByClass.get(fields.class) ?? 0;
+    agent.slotsByClass.set(fields.class, Math.max(used, fields.limit));
+  }
+  reindexAgent(state, agent, now);
+}
+
+function change(
+  counts: Map<ClassName, number>,
+  name: ClassName,
+  by: number,
+): void {
+  const count = (counts.get(name) ?? 0) + by;
+  if (count > 0) counts.set(name, count);
+  else counts.delete(name);
+}
--- /dev/null
+++ b/core/entry_reducer/members/work_health.ts
@@ -0,0 +1,87 @@
+/**
+ * Quarantine of workers that fail work which succeeds on others.
+ *
+ * @module
+ */
+
+import type { Milliseconds, WorkerId } from "@dragonflyledge/model";
+import { MINUTE, SECOND } from "@dragonflyledge/model";
+import type { AgentView, EntryState } from "../state.ts";
+import { reindexAgent } from "./choose_agent.ts";
+import { serviceAgents } from "./state.ts";
+
+/** Consecutive failures after which a worker is excluded. */
+export const QUARANTINE_FAILURES = 3;
+const FIRST_QUARANTINE = 5 * SECOND;
+const QUARANTINE_LIMIT = 2 * MINUTE;
+/** Older successes elsewhere do not count against a worker. */
+const SUCCESS_AGE = 1 * MINUTE;
+
+/** Records that a worker completed work of this kind. */
+export function recordSuccess(
+  state: EntryState,
+  agent: AgentView,
+  work: string,
+  now: Milliseconds,
+): void {
+  const others = (state.members.successes.get(work) ?? [])
+    .filter((each) => each.worker !== agent.worker);
+  const latest = { worker: agent.worker, at: now };
+  state.members.successes.set(work, [latest, ...others.slice(0, 1)]);
+  if (agent.failures === 0) return;
+  agent.failures = 0;
+  agent.quarantinedUntil = 0;
+  agent.probing = false;
+  serviceAgents(state.members, agent.inventory.service).failing
+    .delete(agent.worker);
+  reindexAgent(state, agent, now);
+}
+
+/** Records a failure, which counts only if others run work of this kind. */
+export function recordFailure(
+  state: EntryState,
+  agent: AgentView,
+  work: string,
+  now: Milliseconds,
+): void {
+  if (!succeedsElsewhere(state, agent.worker, work, now)) {
+    endProbe(state, agent, now);
+    return;
+  }
+  agent.failures++;
+  if (agent.failures < QUARANTINE_FAILURES) return;
+  const agents = serviceAgents(state.members, agent.inventory.service);
+  agents.failing.add(agent.worker);
+  // If most workers fail, the cause is the work or something they share.
+  if (agents.failing.size * 2 > agents.connected.size) {
+    endProbe(state, agent, now);
+    return;
+  }
+  const level = Math.min(agent.failures - QUARANTINE_FAILURES, 10);
+  const time = Math.min(FIRST_QUARANTINE * 2 ** level, QUARANTINE_LIMIT);
+  agent.quarantinedUntil = now + time;
+  agent.probing = true;
+  reindexAgent(state, agent, now);
+}
+
+/** Allows another probe after one that ended without a verdict. */
+export function endProbe(
+  state: EntryState,
+  agent: AgentView,
+  now: Milliseconds,
+): void {
+  if (agent.quarantinedUntil === 0 || agent.probing) return;
+  agent.probing = true;
+  reindexAgent(state, agent, now);
+}
+
+function succeedsElsewhere(
+  state: EntryState,
+  worker: WorkerId,
+  work: string,
+  now: Milliseconds,
+): boolean {
+  return (state.members.successes.get(work) ?? []).some((each) =>
+    each.worker !== worker && now - each.at < SUCCESS_AGE
+  );
+}
--- a/core/entry_reducer/mod.ts
+++ b/core/entry_reducer/mod.ts
@@ -7,3 +7,6 @@
 
 export * from "./reducer.ts";
 export type { AgentView, EntryState } from "./state.ts";
+export { chooseAgent, eligibleAgents } from "./members/choose_agent.ts";
+export { freeSlots } from "./members/free_slots.ts";
+export { requestsSettled } from "./requests/settled.ts";
--- a/core/entry_reducer/reducer.ts
+++ b/core/entry_reducer/reducer.ts
@@ -12,10 +12,13 @@
   Random,
 } from "@dragonflyledge/model";
 import { reduceConfiguration } from "./configuration/reduce.ts";
+import { createConfigurationState } from "./configuration/state.ts";
 import { reduceJobs } from "./jobs/reduce.ts";
 import { createJobsState } from "./jobs/state.ts";
 import { reduceMembers } from "./members/reduce.ts";
+import { createMembersState } from "./members/state.ts";
 import { reduceRequests } from "./requests/reduce.ts";
+import { requestsSettled } from "./requests/settled.ts";
 import { createRequestsState } from "./requests/state.ts";
 import type { EntryState } from "./state.ts";
 
@@ -31,6 +34,8 @@
   id: EntryId;
   incarnation: Incarnation;
   random: Random;
+  /** Agents in the same one are preferred on equal load. */
+  failureDomain?: string;
 }): EntryReducer {
   const state: EntryState = {
     id: fields.id,
@@ -44,6 +49,9 @@
     stopping: false,
     requests: createRequestsState(),
     jobs: createJobsState(),
+    members: createMembersState(fields.failureDomain ?? ""),
+    sharing: createConfigurationState(),
+    exited: false,
   };
   return { state, reduce: (event) => reduceEvent(state, event) };
 }
@@ -59,5 +67,13 @@
   reduceConfiguration(state, event, emit);
   reduceRequests(state, event, emit);
   reduceJobs(state, event, emit);
+  emitExit(state, emit);
   return effects;
 }
+
+/** Jobs are not considered yet: `jobsSettled(state)` belongs here too. */
+function emitExit(state: EntryState, emit: (effect: EntryEffect) => void) {
+  if (!state.stopping || state.exited || !requestsSettled(state)) return;
+  state.exited = true;
+  emit({ kind: "exit" });
+}
--- /dev/null
+++ b/core/entry_reducer/requests/answer_pieces.ts
@@ -0,0 +1,68 @@
+/**
+ * Assembly of an answer from its pieces.
+ *
+ * @module
+ */
+
+import type { Answer, AttemptAnswer } from "@dragonflyledge/model";
+import { assertInvariant, Invariant, MEBIBYTE } from "@dragonflyledge/model";
+
+/** Longest answer, in bytes. */
+export const ANSWER_LIMIT = 8 * MEBIBYTE;
+
+export interface AnswerPieces {
+  pieces: Map<number, Uint8Array>;
+  size: number;
+  status: number;
+  contentType: string;
+  /** Sequence number of the last piece, once it has arrived. */
+  last: number | undefined;
+}
+
+export function createAnswerPieces(): AnswerPieces {
+  return {
+    pieces: new Map(),
+    size: 0,
+    status: 0,
+    contentType: "",
+    last: undefined,
+  };
+}
+
+/** Adds a piece; a repeated one is ignored. */
+export function addPiece(answer: AnswerPieces, message: AttemptAnswer): void {
+  if (answer.pieces.has(message.sequence)) return;
+  answer.pieces.set(message.sequence, message.piece);
+  answer.size += message.piece.length;
+  if (message.sequence === 0) {
+    answer.status = message.status;
+    answer.contentType = message.contentType;
+  }
+  if (message.last) answer.last = message.sequence;
+}
+
+/** Whether the last piece and all before it have arrived. */
+export function isWhole(answer: AnswerPieces): boolean {
+  return answer.last !== undefined && answer.pieces.size === answer.last + 1;
+}
+
+/** Joins the pieces of a whole answer. */
+export function joinPieces(answer: AnswerPieces, request: string): Answer {
+  const body = new Uint8Array(answer.size);
+  let offset = 0;
+  for (let sequence = 0; sequence <= (answer.last ?? -1); sequence++) {
+    const piece = answer.pieces.get(sequence);
+    if (piece === undefined) break;
+    body.set(piece, offset);
+    offset += piece.length;
+  }
+  assertInvariant({
+    invariant: Invariant.AnswerWhole,
+    holds: isWhole(answer) && offset === answer.size,
+    step: "answer",
+    peer: request,
+    detail: `${offset} of ${answer.size} bytes joined, last piece ` +
+      `${answer.last}, ${answer.pieces.size} pieces`,
+  });
+  return { status: answer.status, contentType: answer.contentType, body };
+}
--- /dev/null
+++ b/core/entry_reducer/requests/arrive.ts
@@ -0,0 +1,112 @@
+/**
+ * Arrival of requests.
+ *
+ * @module
+ */
+
+import type {
+  EntryEvent,
+  Milliseconds,
+  Outcome,
+  WorkRequest,
+} from "@dragonflyledge/model";
+import { Reason } from "@dragonflyledge/model";
+import type { Emit, EntryState } from "../state.ts";
+import { claimKey, requestClaim } from "./claim_calls.ts";
+import { serviceOf } from "./dispatch.ts";
+import { finishRequest } from "./finish.ts";
+import { classOf, queueRequest, refusal } from "./queueing.ts";
+import type { OpenRequest } from "./state.ts";
+import { Phase } from "./state.ts";
+import { isWithoutEndpoint } from "./timers.ts";
+
+/** Refuses the request at once, has its key claimed, or queues it. */
+export function acceptRequest(
+  state: EntryState,
+  event: EntryEvent & { kind: "requestArrived" },
+  emit: Emit,
+): void {
+  const { now } = event;
+  const { open, byKey } = state.requests;
+  if (open.has(event.request.id)) return;
+  const request = openRequest(event.request, event.fingerprint);
+  open.set(request.id, request);
+  const key = claimKey(request.request);
+  const holder = key === undefined ? undefined : byKey.get(key);
+  const refused = check(state, request, now) ??
+    // A repeat adds no load, so load is no reason to refuse it.
+    (holder === undefined
+      ? checkLoad(state, request, now)
+      : checkRepeat(request, holder));
+  if (refused !== undefined) {
+    finishRequest(state, request, refused, now, emit);
+  } else if (key !== undefined) requestClaim(state, request, now);
+  else queueRequest(state, request, now, emit);
+}
+
+function check(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+): Outcome | undefined {
+  if (state.stopping) return notRun(Reason.ShuttingDown);
+  if (state.configuration === undefined) return notRun(Reason.NoEndpoint);
+  if (serviceOf(state, request) === undefined) {
+    return notRun(Reason.UnknownService);
+  }
+  if (classOf(state, request) === undefined) return notRun(Reason.UnknownClass);
+  if (request.deadline <= now) return notRun(Reason.DeadlinePassed);
+  return undefined;
+}
+
+function checkLoad(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+): Outcome | undefined {
+  if (isWithoutEndpoint(state, request.service, now)) {
+    return notRun(Reason.NoEndpoint);
+  }
+  return refusal(state, request, classOf(state, request)!, now);
+}
+
+function checkRepeat(
+  request: OpenRequest,
+  holder: OpenRequest,
+): Outcome | undefined {
+  return holder.fingerprint === request.fingerprint
+    ? undefined
+    : notRun(Reason.KeyReused);
+}
+
+function notRun(reason: Reason): Outcome {
+  return { kind: "not-run", reason };
+}
+
+function openRequest(request: WorkRequest, fingerprint: string): OpenRequest {
+  return {
+    id: request.id,
+    service: request.service,
+    team: request.team,
+    class: request.class,
+    deadline: request.deadline,
+    request,
+    fingerprint,
+    phase: Phase.Backoff,
+    wakeAt: request.deadline,
+    urgent: false,
+    long: false,
+    attempts: 0,
+    retries: 0,
+    refusals: 0,
+    needsBudget: false,
+    running: undefined,
+    mayHaveRun: false,
+    avoid: undefined,
+    claim: undefined,
+    reads: 0,
+    callerLeft: false,
+    followers: [],
+    ended: false,
+  };
+}
--- /dev/null
+++ b/core/entry_reducer/requests/attempts.ts
@@ -0,0 +1,304 @@
+/**
+ * What agents say about attempts.
+ *
+ * @module
+ */
+
+import type {
+  Answer,
+  AttemptAnswer,
+  AttemptId,
+  AttemptRefused,
+  AttemptState,
+  EntryEvent,
+  Milliseconds,
+} from "@dragonflyledge/model";
+import { Reason, SESSION_TIMEOUT } from "@dragonflyledge/model";
+import { currentAgent } from "../members/reduce.ts";
+import { reindexAgent } from "../members/choose_agent.ts";
+import { confirmSlot, markFull } from "../members/slots.ts";
+import { recordFailure, recordSuccess } from "../members/work_health.ts";
+import type { Emit, EntryState } from "../state.ts";
+import {
+  addPiece,
+  ANSWER_LIMIT,
+  isWhole,
+  joinPieces,
+} from "./answer_pieces.ts";
+import { endAttempt } from "./end_attempt.ts";
+import { finishRequest, giveUp } from "./finish.ts";
+import { backOff, requeueRequest } from "./queueing.ts";
+import type { OpenRequest, RunningAttempt } from "./state.ts";
+import { Phase } from "./state.ts";
+import { wakeRequest } from "./wake.ts";
+
+/** Refusals after which a request waits before it is sent again. */
+const PROMPT_REFUSALS = 3;
+
+type MessageEvent = EntryEvent & { kind: "message" };
+
+/** Handles a message about an attempt; late ones are dropped and counted. */
+export function reduceAttempt(
+  state: EntryState,
+  event: MessageEvent,
+  emit: Emit,
+): void {
+  const { message, now } = event;
+  if (!("attempt" in message)) return;
+  const request = findRunning(state, event, message.attempt);
+  if (request === undefined) {
+    const tags = { message: message.kind };
+    emit({ kind: "count", metric: "late_messages", value: 1, tags });
+    return;
+  }
+  switch (message.kind) {
+    case "attemptAccepted":
+      return accept(state, request, now);
+    case "attemptRefused":
+      return refuse(state, request, message, now, emit);
+    case "attemptAnswer":
+      return answer(state, request, message, now, emit);
+    case "attemptBroken":
+      return breakAttempt(state, request, true, now, emit);
+    case "attemptState":
+      return applyState(state, request, message.state, now, emit);
+  }
+}
+
+/** Ends an attempt without proof that it did not run. */
+export function breakAttempt(
+  state: EntryState,
+  request: OpenRequest,
+  workerFailed: boolean,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { worker, incarnation } = request.running!;
+  const cancelling = request.phase === Phase.Cancelling;
+  endAttempt(state, request, now);
+  request.mayHaveRun = true;
+  request.avoid = worker;
+  const agent = currentAgent(state, worker, incarnation);
+  if (workerFailed && agent) {
+    recordFailure(state, agent, workOf(request), now);
+  }
+  if (cancelling) giveUp(state, request, Reason.DeadlinePassed, now, emit);
+  else if (request.request.idempotent && isWanted(request)) {
+    backOff(state, request, true, now);
+  } else {
+    const reason = workerFailed ? Reason.ConnectionLost : Reason.WorkerLost;
+    giveUp(state, request, reason, now, emit);
+  }
+}
+
+/** A request without a key is of no use once its caller has left. */
+export function isWanted(request: OpenRequest): boolean {
+  return !request.callerLeft || request.request.idempotencyKey !== undefined;
+}
+
+/** Work for which a failure on one worker and a success on another compare. */
+function workOf(request: OpenRequest): string {
+  return `${request.service}\0${request.team}\0${request.class}`;
+}
+
+function findRunning(
+  state: EntryState,
+  event: MessageEvent,
+  attempt: AttemptId,
+): OpenRequest | undefined {
+  const request = state.requests.open.get(attempt.request);
+  const running = request?.running;
+  return running?.number === attempt.number &&
+      running.worker === event.worker &&
+      running.incarnation === event.incarnation
+    ? request
+    : undefined;
+}
+
+function accept(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+): void {
+  const running = request.running!;
+  if (running.accepted) return;
+  running.accepted = true;
+  const agent = currentAgent(state, running.worker, running.incarnation);
+  if (agent) confirmSlot(state, agent, request.class, now);
+  if (request.phase === Phase.Running) {
+    wakeRequest(state, request, request.deadline);
+  }
+}
+
+function refuse(
+  state: EntryState,
+  request: OpenRequest,
+  message: AttemptRefused,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const running = request.running!;
+  const started = running.answer.pieces.size > 0;
+  // The first copy of a duplicated attempt may be running.
+  if (message.reason === "duplicate" || started) {
+    queryAttempt(state, request, now, emit);
+    return;
+  }
+  const { reason } = message;
+  const agent = currentAgent(state, running.worker, running.incarnation);
+  notRun(state, request, now, emit);
+  if (agent === undefined) return;
+  if (reason === "unreachable") {
+    recordFailure(state, agent, workOf(request), now);
+  } else if (reason === "leaving") {
+    agent.leaving = true;
+    reindexAgent(state, agent, now);
+  } else if (reason === "busy" || reason === "class-limit") {
+    const full = {
+      class: request.class,
+      limit: running.classSlots,
+      whole: reason === "busy",
+    };
+    markFull(state, agent, full, now);
+  }
+}
+
+/** Sends the request again after the proof that the attempt never ran. */
+function notRun(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { worker } = request.running!;
+  const cancelling = request.phase === Phase.Cancelling;
+  endAttempt(state, request, now, false);
+  request.avoid = worker;
+  request.refusals++;
+  if (cancelling) giveUp(state, request, Reason.DeadlinePassed, now, emit);
+  else if (!isWanted(request)) {
+    giveUp(state, request, Reason.Cancelled, now, emit);
+  } else if (request.refusals <= PROMPT_REFUSALS) {
+    requeueRequest(state, request, now);
+  } else backOff(state, request, false, now);
+}
+
+function answer(
+  state: EntryState,
+  request: OpenRequest,
+  message: AttemptAnswer,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  accept(state, request, now);
+  const running = request.running!;
+  addPiece(running.answer, message);
+  if (running.answer.size > ANSWER_LIMIT) {
+    rejectLong(state, request, now, emit);
+  } else if (isWhole(running.answer)) {
+    complete(state, request, running, now, emit);
+  } else if (message.last) awaitRest(state, request, now);
+}
+
+/** The work ran, but its answer is not passed on in part. */
+function rejectLong(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  cancelAttempt(request, emit);
+  const reason = Reason.AnswerTooLong;
+  finishRequest(state, request, { kind: "unknown", reason }, now, emit);
+}
+
+/** Pieces that are still missing either come soon or were lost. */
+function awaitRest(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+): void {
+  const running = request.running!;
+  running.giveUpAt = Math.min(running.giveUpAt, now + SESSION_TIMEOUT);
+  if (request.phase !== Phase.Running) return;
+  const at = Math.min(running.giveUpAt, request.deadline);
+  wakeRequest(state, request, at);
+}
+
+function complete(
+  state: EntryState,
+  request: OpenRequest,
+  running: RunningAttempt,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const whole: Answer = joinPieces(running.answer, request.id);
+  const agent = currentAgent(state, running.worker, running.incarnation);
+  const kind = whole.status < 400 ? "done" : "failed";
+  // The run time of failing work says nothing about work that succeeds.
+  if (kind === "done") {
+    state.requests.estimates.observe(request, now - running.sentAt, now);
+  }
+  if (agent && kind === "done") {
+    recordSuccess(state, agent, workOf(request), now);
+  } else if (agent && whole.status >= 500) {
+    recordFailure(state, agent, workOf(request), now);
+  }
+  finishRequest(state, request, { kind, answer: whole }, now, emit);
+}
+
+function applyState(
+  state: EntryState,
+  request: OpenRequest,
+  attemptState: AttemptState["state"],
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const running = request.running!;
+  running.queried = false;
+  switch (attemptState) {
+    case "absent":
+      // An agent that accepted the attempt has only forgotten it.
+      if (!running.accepted) return notRun(state, request, now, emit);
+      return breakAttempt(state, request, false, now, emit);
+    case "running":
+      accept(state, request, now);
+      if (request.phase === Phase.Running) {
+        const at = Math.min(running.giveUpAt, request.deadline);
+        wakeRequest(state, request, at);
+      }
+      return;
+    case "done":
+      accept(state, request, now);
+      return awaitRest(state, request, now);
+    case "broken":
+      return breakAttempt(state, request, true, now, emit);
+    case "cancelled":
+      return breakAttempt(state, request, false, now, emit);
+  }
+}
+
+/** Asks the agent what became of the attempt. */
+export function queryAttempt(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { worker, incarnation, number } = request.running!;
+  request.running!.queried = true;
+  const attempt = { request: request.id, number };
+  const message = { kind: "queryAttempt" as const, attempt };
+  emit({ kind: "send", worker, incarnation, message });
+  if (request.phase !== Phase.Running) return;
+  const at = Math.min(now + SESSION_TIMEOUT / 3, request.deadline);
+  wakeRequest(state, request, at);
+}
+
+/** Cancels the attempt, or keeps it from running if it has not arrived. */
+export function cancelAttempt(request: OpenRequest, emit: Emit): void {
+  const { worker, incarnation, number } = request.running!;
+  const attempt = { request: request.id, number };
+  const message = { kind: "cancelAttempt" as const, attempt };
+  emit({ kind: "send", worker, incarnation, message });
+}
--- /dev/null
+++ b/core/entry_reducer/requests/claim_calls.ts
@@ -0,0 +1,129 @@
+/**
+ * Calls to the store that claim idempotency keys, many in one call.
+ *
+ * @module
+ */
+
+import type {
+  Claim,
+  Milliseconds,
+  Outcome,
+  WorkRequest,
+} from "@dragonflyledge/model";
+import { SECOND } from "@dragonflyledge/model";
+import type { Emit, EntryState } from "../state.ts";
+import type { OpenRequest } from "./state.ts";
+import { Phase } from "./state.ts";
+import { wakeRequest } from "./wake.ts";
+
+/** Claims are collected for this long, unless a tick comes first. */
+const COLLECT_TIME = 5;
+const BATCH_LIMIT = 64;
+/** A call that takes longer counts as failed, so that it holds up no other. */
+export const CLAIM_TIMEOUT = 1 * SECOND;
+/** Beyond it, the oldest are forgotten; their keys then stay without outcome. */
+const ABANDONED_LIMIT = 10_000;
+
+/** Name of the request's key among all teams, if it has one. */
+export function claimKey(request: WorkRequest): string | undefined {
+  if (request.idempotencyKey === undefined) return undefined;
+  return `${request.team}\0${request.idempotencyKey}`;
+}
+
+/** Has the key claimed, or follows the open request that holds it here. */
+export function requestClaim(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+): void {
+  const { byKey, claims } = state.requests;
+  const key = claimKey(request.request)!;
+  const holder = byKey.get(key);
+  if (holder !== undefined) {
+    request.phase = Phase.Following;
+    holder.followers.push(request);
+    wakeRequest(state, request, request.deadline);
+    return;
+  }
+  byKey.set(key, request);
+  request.phase = Phase.Claiming;
+  if (claims.pending.length === 0) claims.pendingSince = now;
+  claims.pending.push(request);
+  wakeRequest(state, request, Math.min(now + CLAIM_TIMEOUT, request.deadline));
+}
+
+/** Sends the collected claims, one call at a time. */
+export function flushClaims(
+  state: EntryState,
+  now: Milliseconds,
+  tick: boolean,
+  emit: Emit,
+): void {
+  const { claims } = state.requests;
+  if (claims.inFlight && now < claims.inFlight.sentAt + CLAIM_TIMEOUT) return;
+  claims.inFlight = undefined;
+  claims.pending = claims.pending
+    .filter((each) => !each.ended && each.phase === Phase.Claiming);
+  if (claims.pending.length === 0) return;
+  if (!tick && now < claims.pendingSince + COLLECT_TIME) return;
+  const batch = claims.pending.splice(0, BATCH_LIMIT);
+  sendClaims(state, batch.map((each) => newClaim(state, each)), now, emit);
+}
+
+/** Sends claims whose state in the store is uncertain, to settle them. */
+export function resolveAbandoned(
+  state: EntryState,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { claims } = state.requests;
+  if (claims.inFlight || claims.abandoned.size === 0) return;
+  const batch: Claim[] = [];
+  for (const { claim } of claims.abandoned.values()) {
+    if (state.requests.byKey.has(`${claim.team}\0${claim.key}`)) continue;
+    batch.push(claim);
+    if (batch.length === BATCH_LIMIT) break;
+  }
+  if (batch.length > 0) sendClaims(state, batch, now, emit);
+}
+
+/** Remembers a claim that may be in the store although its request ended. */
+export function abandonClaim(
+  state: EntryState,
+  request: OpenRequest,
+  outcome: Outcome,
+): void {
+  const { abandoned, inFlight } = state.requests.claims;
+  if (request.phase !== Phase.Claiming || request.claim !== undefined) return;
+  if (!inFlight?.requests.includes(request.id)) return;
+  abandoned.set(request.id, { claim: newClaim(state, request), outcome });
+  if (abandoned.size <= ABANDONED_LIMIT) return;
+  for (const oldest of abandoned.keys()) {
+    abandoned.delete(oldest);
+    break;
+  }
+}
+
+function sendClaims(
+  state: EntryState,
+  claims: Claim[],
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const requests = claims.map((each) => each.request);
+  state.requests.claims.inFlight = { requests, sentAt: now };
+  emit({ kind: "claim", claims });
+}
+
+/** The shell fills in the time, since the reducer knows no wall clock. */
+function newClaim(state: EntryState, request: OpenRequest): Claim {
+  return {
+    team: request.team,
+    key: request.request.idempotencyKey!,
+    fingerprint: request.fingerprint,
+    request: request.id,
+    entry: state.id,
+    incarnation: state.incarnation,
+    created: "",
+  };
+}
--- /dev/null
+++ b/core/entry_reducer/requests/finish.ts
@@ -0,0 +1,95 @@
+/**
+ * The end of a request.
+ *
+ * @module
+ */
+
+import type { Milliseconds, Outcome, Reason } from "@dragonflyledge/model";
+import { assertInvariant, Invariant } from "@dragonflyledge/model";
+import type { Emit, EntryState } from "../state.ts";
+import { endAttempt } from "./end_attempt.ts";
+import { abandonClaim, claimKey, requestClaim } from "./claim_calls.ts";
+import type { OpenRequest } from "./state.ts";
+
+/** Gives the request its outcome, and stores it for a claimed key. */
+export function finishRequest(
+  state: EntryState,
+  request: OpenRequest,
+  outcome: Outcome,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  assertOutcome(request, outcome);
+  endAttempt(state, request, now);
+  request.ended = true;
+  state.requests.queue.remove(request);
+  state.requests.timers.remove(request);
+  state.requests.open.delete(request.id);
+  abandonClaim(state, request, outcome);
+  if (request.claim !== undefined) {
+    emit({ kind: "settleClaim", claim: { ...request.claim, outcome } });
+  }
+  emit({ kind: "respond", request: request.id, outcome });
+  const tags = { outcome: outcome.kind, class: request.class };
+  emit({ kind: "count", metric: "requests", value: 1, tags });
+  endKey(state, request, outcome, now, emit);
+}
+
+/** Ends a request that has no attempt running: `not-run` only if that is true. */
+export function giveUp(
+  state: EntryState,
+  request: OpenRequest,
+  reason: Reason,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const kind = request.mayHaveRun || request.running ? "unknown" : "not-run";
+  finishRequest(state, request, { kind, reason }, now, emit);
+}
+
+function assertOutcome(request: OpenRequest, outcome: Outcome): void {
+  assertInvariant({
+    invariant: Invariant.OneOutcome,
+    holds: !request.ended,
+    step: "respond",
+    peer: request.id,
+    detail: `a second outcome ${outcome.kind}`,
+  });
+  assertInvariant({
+    invariant: Invariant.NotRunTrue,
+    holds: outcome.kind !== "not-run" ||
+      (!request.mayHaveRun && request.running === undefined),
+    step: "respond",
+    peer: request.id,
+    detail: `attempt ${request.attempts} may have run`,
+  });
+}
+
+/**
+ * Work that did not run may still run for a repeat, and a request that only
+ * watched the claim of another entry may have had less time than its repeats.
+ */
+function isShared(request: OpenRequest, outcome: Outcome): boolean {
+  return outcome.kind === "done" || outcome.kind === "failed" ||
+    (outcome.kind === "unknown" && request.claim !== undefined);
+}
+
+/** Passes the outcome on to repeats of the request that wait here. */
+function endKey(
+  state: EntryState,
+  request: OpenRequest,
+  outcome: Outcome,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { byKey } = state.requests;
+  const key = claimKey(request.request);
+  if (key === undefined || byKey.get(key) !== request) return;
+  byKey.delete(key);
+  for (const follower of request.followers.splice(0)) {
+    if (follower.ended) continue;
+    if (isShared(request, outcome)) {
+      finishRequest(state, follower, outcome, now, emit);
+    } else requestClaim(state, follower, now);
+  }
+}
--- /dev/null
+++ b/core/entry_reducer/requests/leave.ts
@@ -0,0 +1,40 @@
+/**
+ * What happens to a request whose caller has left.
+ *
+ * @module
+ */
+
+import type { Milliseconds, RequestId } from "@dragonflyledge/model";
+import { Reason } from "@dragonflyledge/model";
+import type { Emit, EntryState } from "../state.ts";
+import { cancelAttempt, isWanted } from "./attempts.ts";
+import { finishRequest, giveUp } from "./finish.ts";
+import { Phase } from "./state.ts";
+
+/**
+ * Drops what nobody waits for any more. Running work ends only if it may be
+ * repeated and no key lets a repeat ask for its outcome.
+ */
+export function leaveRequest(
+  state: EntryState,
+  id: RequestId,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const request = state.requests.open.get(id);
+  if (request === undefined) return;
+  request.callerLeft = true;
+  // Repeats that follow this request still want its outcome.
+  if (request.followers.some((each) => !each.ended)) return;
+  const reason = Reason.Cancelled;
+  if (request.running !== undefined) {
+    if (!request.request.idempotent || isWanted(request)) return;
+    cancelAttempt(request, emit);
+    giveUp(state, request, reason, now, emit);
+  } else if (
+    request.phase === Phase.Following || request.phase === Phase.Watching
+  ) {
+    // The work of the key may have run for the request that claimed it.
+    finishRequest(state, request, { kind: "unknown", reason }, now, emit);
+  } else giveUp(state, request, reason, now, emit);
+}
--- /dev/null
+++ b/core/entry_reducer/requests/sessions.ts
@@ -0,0 +1,58 @@
+/**
+ * What the loss and return of an agent mean for the attempts on it.
+ *
+ * @module
+ */
+
+import type {
+  Incarnation,
+  Milliseconds,
+  WorkerId,
+} from "@dragonflyledge/model";
+import { currentAgent } from "../members/reduce.ts";
+import type { Emit, EntryState } from "../state.ts";
+import { breakAttempt, queryAttempt } from "./attempts.ts";
+import { Phase } from "./state.ts";
+import { wakeRequest } from "./wake.ts";
+
+/**
+ * Idempotent requests are tried elsewhere. Others wait for the same
+ * incarnation, which alone knows whether they ran.
+ */
+export function loseAttempts(
+  state: EntryState,
+  worker: WorkerId,
+  incarnation: Incarnation,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  for (const request of [...state.requests.byWorker.get(worker) ?? []]) {
+    if (request.running?.incarnation !== incarnation) continue;
+    if (request.request.idempotent || request.phase === Phase.Cancelling) {
+      breakAttempt(state, request, false, now, emit);
+    } else {
+      request.phase = Phase.Lost;
+      wakeRequest(state, request, request.deadline);
+    }
+  }
+}
+
+/** The same incarnation is asked; a new one proves nothing about the old. */
+export function resumeAttempts(
+  state: EntryState,
+  worker: WorkerId,
+  incarnation: Incarnation,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  if (currentAgent(state, worker, incarnation) === undefined) return;
+  for (const request of [...state.requests.byWorker.get(worker) ?? []]) {
+    const running = request.running!;
+    if (running.incarnation < incarnation) {
+      breakAttempt(state, request, false, now, emit);
+    } else if (running.incarnation === incarnation) {
+      if (request.phase === Phase.Lost) request.phase = Phase.Running;
+      queryAttempt(state, request, now, emit);
+    }
+  }
+}
--- a/core/entry_reducer/state.ts
+++ b/core/entry_reducer/state.ts
@@ -18,7 +18,9 @@
   Versions,
   WorkerId,
 } from "@dragonflyledge/model";
+import type { ConfigurationState } from "./configuration/state.ts";
 import type { JobsState } from "./jobs/state.ts";
+import type { MembersState } from "./members/state.ts";
 import type { RequestsState } from "./requests/state.ts";
 
 /** What an entry knows about one agent and its worker. */
@@ -62,6 +64,10 @@
   stopping: boolean;
   requests: RequestsState;
   jobs: JobsState;
+  members: MembersState;
+  sharing: ConfigurationState;
+  /** Whether the `exit` effect was emitted. */
+  exited: boolean;
 }
 
 /** Collects the effects of one event. */
--- a/core/model/outcome.ts
+++ b/core/model/outcome.ts
@@ -36,6 +36,7 @@
   WorkerLost: "worker-lost",
   TooManyFailures: "too-many-failures",
   OwnershipLost: "ownership-lost",
+  AnswerTooLong: "answer-too-long",
 } as const;
 export type Reason = typeof Reason[keyof typeof Reason];
 
