--- /dev/null
+++ b/core/entry_reducer/requests/sessions_test.ts
@@ -0,0 +1,93 @@
+import { test } from "tap";
+import { createHarness } from "../test_support.ts";
+
+// Guards against losing idempotent work with its agent.
+test("an idempotent request is retried elsewhere after a loss", (t) => {
+  const h = createHarness(["w1", "w2"]);
+  h.request("r1", { idempotent: true });
+  const { worker } = h.attempt("r1")!;
+  h.lose(worker);
+  h.at(20);
+  t.equal(h.sent("attempt").length, 2);
+  t.not(h.attempt("r1")!.worker, worker);
+  h.answer("r1");
+  t.equal(h.outcome("r1"), "done: 200");
+  t.end();
+});
+
+// Guards against retries beyond the budget, and "not run" after an attempt.
+test("retries wait for the budget and end at the deadline as unknown", (t) => {
+  const h = createHarness(["w1"], 40);
+  for (let n = 0; n < 40; n++) {
+    h.request(`r${n}`, { idempotent: true, deadline: 900 });
+  }
+  h.reply("r0", { kind: "attemptAccepted" });
+  for (let n = 0; n < 40; n++) {
+    h.reply(`r${n}`, { kind: "attemptBroken", cause: "reset" });
+  }
+  for (let time = 20; time <= 900; time += 20) h.at(time);
+  t.equal(h.sent("attempt").length, 40 + 14, "reserve of 10 and 10% of 40");
+  h.at(1150);
+  t.same([...new Set([...h.outcomes.keys()].map(h.outcome))], [
+    "unknown: deadline-passed",
+  ]);
+  t.end();
+});
+
+// Guards against running non-idempotent work twice.
+test("a broken non-idempotent attempt is unknown", (t) => {
+  const h = createHarness(["w1", "w2"]);
+  h.request("r1");
+  h.reply("r1", { kind: "attemptBroken", cause: "reset" });
+  t.equal(h.outcome("r1"), "unknown: connection-lost");
+  t.end();
+});
+
+// Guards against giving up, or repeating, work whose agent comes back.
+test("a returning agent is asked, and absent work is sent again", (t) => {
+  const h = createHarness(["w1", "w2"]);
+  h.request("r1");
+  const { worker } = h.attempt("r1")!;
+  h.lose(worker);
+  h.at(1000);
+  t.equal(h.outcome("r1"), undefined);
+  h.connect(worker);
+  t.equal(h.sent("queryAttempt").length, 1);
+  h.tell("r1", "absent");
+  t.not(h.attempt("r1")!.worker, worker);
+  h.answer("r1");
+  t.equal(h.outcome("r1"), "done: 200");
+  t.end();
+});
+
+// Guards against an unknown outcome although the answer still comes.
+test("work that still runs on the returning agent is awaited", (t) => {
+  const h = createHarness(["w1"]);
+  h.request("r1");
+  h.lose("w1");
+  h.connect("w1");
+  h.tell("r1", "running");
+  h.answer("r1");
+  t.equal(h.outcome("r1"), "done: 200");
+  h.request("r2");
+  h.lose("w1");
+  h.at(100);
+  h.connect("w1");
+  h.tell("r2", "done");
+  h.at(3100);
+  t.equal(h.outcome("r2"), "unknown: connection-lost", "answer was lost");
+  t.end();
+});
+
+// Guards against taking a restart for the proof that nothing ran.
+test("a new incarnation leaves non-idempotent work unknown", (t) => {
+  const h = createHarness(["w1"]);
+  h.request("r1");
+  h.connect("w1", { incarnation: 2 });
+  t.equal(h.outcome("r1"), "unknown: worker-lost");
+  h.request("r2", { deadline: 100 });
+  h.lose("w1", 2);
+  h.at(100);
+  t.equal(h.outcome("r2"), "unknown: deadline-passed");
+  t.end();
+});
