Add metrics

Cause: operators must see queue wait, outcomes, borrowed capacity, breaker state and version lag. Change: one table of 24 names with kind, unit and tags, createMetrics on hot-shots with a no-op without a host, and docs/METRICS.md. Tags outside the table are dropped, so that ids do not create a series each. Before: no metrics. Conclusion: names in code, on the wire and on the page are the same.

--- a/observe/metrics/mod.ts
+++ b/observe/metrics/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
-export {};
+export { createMetrics } from "./metrics.ts";
+export type { MetricRecord, Metrics } from "./metrics.ts";
+export { MetricKind, METRICS } from "./table.ts";
+export type { MetricDescription, MetricName } from "./table.ts";
