Add the command line

Cause: operators submit configurations and inspect the system through entries, any of which may be down. The next entry is tried if one is down; a job submission is not repeated once it may have arrived. Before: no commands. Conclusion: the loser of a race is told who won and what differs.

--- /dev/null
+++ b/cli/command/client.ts
@@ -0,0 +1,209 @@
+/**
+ * Calls to the HTTP API of the entries.
+ *
+ * @module
+ */
+
+import { ErrorCode, SECOND } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { ExchangeFailure } from "./dependencies.ts";
+import type { Dependencies, HttpRequest } from "./dependencies.ts";
+import type { ExitName } from "./exit_code.ts";
+import { CommandFailure } from "./failure.ts";
+import { oneLine } from "./output.ts";
+
+/** One call; `repeatable` ones may reach several entries. */
+export interface Call {
+  method: HttpRequest["method"];
+  path: string;
+  body?: unknown;
+  headers?: Record<string, string>;
+  /** Whether a second execution changes nothing more than the first. */
+  repeatable: boolean;
+  /** Statuses besides 2xx that the caller handles. */
+  expected?: number[];
+}
+
+/** Answer of an entry with parsed JSON. */
+export interface Answer {
+  entry: string;
+  status: number;
+  body: unknown;
+}
+
+/** Options of commands that call an entry. */
+export interface RemoteOptions {
+  entry?: string[];
+  tokenFile?: string;
+  timeout?: number;
+  json?: boolean;
+}
+
+/** Function that performs calls. */
+export type Client = (call: Call) => Promise<Answer>;
+
+const EXITS: Record<number, ExitName> = {
+  400: "Invalid",
+  401: "Denied",
+  403: "Denied",
+  404: "NotFound",
+  409: "Conflict",
+  413: "Invalid",
+  422: "Invalid",
+  503: "Unreachable",
+};
+
+/** Returns a client that tries the entries in the order given. */
+export async function createClient(fields: {
+  dependencies: Dependencies;
+  options: RemoteOptions;
+}): Promise<Client> {
+  const { dependencies, options } = fields;
+  const entries = findEntries(options, dependencies.environment);
+  const token = await findToken(options, dependencies);
+  const timeout = (options.timeout ?? 10) * SECOND;
+  return async (call) => {
+    const failures: string[] = [];
+    for (const entry of entries) {
+      try {
+        const request = toRequest({ call, entry, token, timeout });
+        const { status, body } = await dependencies.send(request);
+        // This status states that nothing was done: another entry may do it.
+        if (status === 503 && entry !== entries.at(-1)) {
+          failures.push(`${entry}: ${describe(body)}`);
+          continue;
+        }
+        return judge(call, { entry, status, body });
+      } catch (error) {
+        failures.push(afterFailure(call, entry, error));
+      }
+    }
+    throw new CommandFailure({
+      exit: "Unreachable",
+      code: ErrorCode.Session,
+      step: `${call.method} ${call.path}`,
+      message: `no entry answered: ${failures.join("; ")}`,
+      hint: "Name more entries with --entry, or see whether they run.",
+    });
+  };
+}
+
+function findEntries(
+  options: RemoteOptions,
+  environment: Dependencies["environment"],
+): string[] {
+  const named = options.entry ??
+    environment["DRAGONFLYLEDGE_ENTRY"]?.split(",") ?? [];
+  if (named.length === 0) {
+    throw usage("no entry is named", "Add --entry http://host:port.");
+  }
+  return named.map((text) => {
+    const url = URL.canParse(text.trim()) ? new URL(text.trim()) : undefined;
+    if (url && /^https?:$/.test(url.protocol)) return url.origin;
+    throw usage(`entry ${text} is no URL`, "Write http://host:port.");
+  });
+}
+
+async function findToken(
+  options: RemoteOptions,
+  dependencies: Dependencies,
+): Promise<string> {
+  const { tokenFile } = options;
+  const text = tokenFile === undefined
+    ? dependencies.environment["DRAGONFLYLEDGE_TOKEN"] ?? ""
+    : await dependencies.readFile(tokenFile).catch((error: Error) => {
+      const message = `cannot read ${tokenFile}: ${error.message}`;
+      throw usage(message, "Name a file that holds the token.");
+    });
+  const token = text.trim();
+  if (/^[\x21-\x7e]+$/.test(token)) return token;
+  throw usage(
+    token === "" ? "no token is given" : "the token is not printable",
+    "Set DRAGONFLYLEDGE_TOKEN or add --token-file.",
+  );
+}
+
+function usage(message: string, hint: string): CommandFailure {
+  return new CommandFailure({ exit: "Usage", step: "options", message, hint });
+}
+
+function toRequest(fields: {
+  call: Call;
+  entry: string;
+  token: string;
+  timeout: Milliseconds;
+}): HttpRequest {
+  const { call, entry, token, timeout } = fields;
+  const headers = {
+    authorization: `Bearer ${token}`,
+    accept: "application/json",
+    ...(call.body === undefined ? {} : { "content-type": "application/json" }),
+    ...call.headers,
+  };
+  const body = call.body === undefined ? undefined : JSON.stringify(call.body);
+  const url = `${entry}${call.path}`;
+  return { method: call.method, url, headers, body, timeout };
+}
+
+/** Returns the line to report, or ends the command if it may have run. */
+function afterFailure(call: Call, entry: string, error: unknown): string {
+  if (!(error instanceof ExchangeFailure)) throw error;
+  if (!error.sent || call.repeatable) return `${entry}: ${error.message}`;
+  throw new CommandFailure({
+    exit: "Unknown",
+    code: ErrorCode.Session,
+    step: `${call.method} ${call.path}`,
+    peer: entry,
+    message: `${entry} broke off (${error.message}); the command may have ` +
+      "taken effect",
+    hint: "Look before you repeat it.",
+    cause: error,
+  });
+}
+
+function judge(
+  call: Call,
+  answer: { entry: string; status: number; body: string },
+): Answer {
+  const { entry, status } = answer;
+  const good = status >= 200 && status < 300;
+  if (good || call.expected?.includes(status)) {
+    return { entry, status, body: parseBody(call, answer) };
+  }
+  throw new CommandFailure({
+    exit: EXITS[status] ?? "Failure",
+    code: ErrorCode.Protocol,
+    step: `${call.method} ${call.path}`,
+    peer: entry,
+    message: `${entry} answered ${status}: ${describe(answer.body)}`,
+  });
+}
+
+function parseBody(call: Call, answer: { entry: string; body: string }) {
+  if (answer.body === "") return {};
+  try {
+    return JSON.parse(answer.body) as unknown;
+  } catch (cause) {
+    throw new CommandFailure({
+      exit: "Failure",
+      code: ErrorCode.Protocol,
+      step: `${call.method} ${call.path}`,
+      peer: answer.entry,
+      message: `${answer.entry} answered something other than JSON`,
+      hint: "See whether --entry names an entry's HTTP port.",
+      cause,
+    });
+  }
+}
+
+/** Returns the message, reason and hint of an error body as one line. */
+function describe(body: string): string {
+  try {
+    const { message, reason, hint } = JSON.parse(body);
+    const parts = [message, reason, hint].filter((each) => each);
+    if (parts.length > 0) return oneLine(parts.join(". "));
+  } catch {
+    // Other bodies are shown as they are.
+  }
+  return oneLine(body).slice(0, 200);
+}
--- /dev/null
+++ b/cli/command/commands/config_check.ts
@@ -0,0 +1,53 @@
+/**
+ * Command `config check`.
+ *
+ * @module
+ */
+
+import type { Inventory } from "@dragonflyledge/model";
+import { checkFit } from "@dragonflyledge/schema";
+import { CommandFailure } from "../failure.ts";
+import { asFields, asList } from "../output.ts";
+import { invalid, readConfiguration, readJson } from "../read_document.ts";
+import { group } from "./register.ts";
+import type { Register } from "./register.ts";
+
+/** Adds the command. */
+export const registerConfigCheck: Register = ({ program, dependencies }) => {
+  group(program, "config").command("check <file>")
+    .description("Check a configuration without an entry.")
+    .option(
+      "--inventories <file>",
+      "JSON list of workers on which the guarantees must fit",
+    )
+    .action(async (path: string, options: { inventories?: string }) => {
+      const configuration = await readConfiguration(path, dependencies);
+      if (options.inventories !== undefined) {
+        const list = await readJson(options.inventories, dependencies);
+        const inventories = toInventories(list, options.inventories);
+        const fit = checkFit({ configuration, inventories });
+        if (fit.isErr()) throw invalid(fit.error, path);
+      }
+      const { teams, classes, services } = configuration;
+      dependencies.write(
+        `${path} is valid: ${teams.length} teams, ${classes.length} ` +
+          `classes, ${services.length} services.\n`,
+      );
+    });
+};
+
+function toInventories(value: unknown, peer: string): Inventory[] {
+  const list = asList(value, "workers");
+  const whole = list.every((each) =>
+    typeof asFields(each["capacity"])["accelerators"] === "number" &&
+    typeof asFields(each["location"])["rack"] === "string"
+  );
+  if (whole && list.length > 0) return list as unknown as Inventory[];
+  throw new CommandFailure({
+    exit: "Invalid",
+    step: "check",
+    peer,
+    message: `${peer} is no list of workers`,
+    hint: "Each worker needs capacity.accelerators and location.rack.",
+  });
+}
--- /dev/null
+++ b/cli/command/commands/config_diff.ts
@@ -0,0 +1,36 @@
+/**
+ * Command `config diff`.
+ *
+ * @module
+ */
+
+import { diffConfigurations, formatChange } from "@dragonflyledge/schema";
+import { createClient } from "../client.ts";
+import type { RemoteOptions } from "../client.ts";
+import { fetchConfiguration } from "../current_configuration.ts";
+import { readConfiguration } from "../read_document.ts";
+import { group, remote } from "./register.ts";
+import type { Register } from "./register.ts";
+
+/** Adds the command. */
+export const registerConfigDiff: Register = ({ program, dependencies }) => {
+  remote(group(program, "config").command("diff <file>"))
+    .description("Show how a file differs from the configuration in force.")
+    .action(async (path: string, options: RemoteOptions) => {
+      const after = await readConfiguration(path, dependencies);
+      const client = await createClient({ dependencies, options });
+      const before = await fetchConfiguration(client);
+      const changes = diffConfigurations({ before, after });
+      const { version } = before;
+      if (options.json) {
+        const output = JSON.stringify({ version, changes }, undefined, 2);
+        dependencies.write(`${output}\n`);
+        return;
+      }
+      const lines = [
+        `Version ${version} is in force; ${changes.length} differences.`,
+        ...changes.map(formatChange),
+      ];
+      dependencies.write(`${lines.join("\n")}\n`);
+    });
+};
--- /dev/null
+++ b/cli/command/commands/config_print.ts
@@ -0,0 +1,46 @@
+/**
+ * Command `config print`.
+ *
+ * @module
+ */
+
+import { printConfiguration } from "@dragonflyledge/declare";
+import { StepError } from "@dragonflyledge/model";
+import { CommandFailure } from "../failure.ts";
+import { checked } from "../read_document.ts";
+import { group } from "./register.ts";
+import type { Register } from "./register.ts";
+
+/** Adds the command. */
+export const registerConfigPrint: Register = ({ program, dependencies }) => {
+  group(program, "config").command("print <module>")
+    .description(
+      "Print the configuration that a module exports as `configuration` or " +
+        "as default.",
+    )
+    .action(async (path: string) => {
+      const exported = await load(path, dependencies.loadModule);
+      const value = exported["configuration"] ?? exported["default"];
+      dependencies.write(printConfiguration(checked(value, path)));
+    });
+};
+
+async function load(
+  path: string,
+  loadModule: (path: string) => Promise<Record<string, unknown>>,
+) {
+  try {
+    return await loadModule(path);
+  } catch (cause) {
+    const declared = cause instanceof StepError ? cause : undefined;
+    throw new CommandFailure({
+      exit: declared ? "Invalid" : "Usage",
+      code: declared?.code,
+      step: "load",
+      peer: path,
+      message: `cannot load ${path}: ${(cause as Error).message}`,
+      hint: declared?.hint ?? "Name a compiled module, such as teams.js.",
+      cause,
+    });
+  }
+}
--- /dev/null
+++ b/cli/command/commands/config_submit.ts
@@ -0,0 +1,91 @@
+/**
+ * Command `config submit`.
+ *
+ * @module
+ */
+
+import { ErrorCode } from "@dragonflyledge/model";
+import type { Configuration } from "@dragonflyledge/model";
+import { diffConfigurations, formatChange } from "@dragonflyledge/schema";
+import { createClient } from "../client.ts";
+import type { Answer, Client, RemoteOptions } from "../client.ts";
+import { fetchConfiguration } from "../current_configuration.ts";
+import { CommandFailure } from "../failure.ts";
+import { asFields, formatValue } from "../output.ts";
+import { readConfiguration } from "../read_document.ts";
+import { group, parseWhole, remote } from "./register.ts";
+import type { Register } from "./register.ts";
+
+interface SubmitOptions extends RemoteOptions {
+  expect: number;
+}
+
+/** Adds the command. */
+export const registerConfigSubmit: Register = ({ program, dependencies }) => {
+  remote(group(program, "config").command("submit <file>"))
+    .description("Put a configuration in force if nobody changed it since.")
+    .requiredOption(
+      "--expect <version>",
+      "version that the change is based on, as config diff shows it",
+      parseWhole,
+    )
+    .action(async (path: string, options: SubmitOptions) => {
+      const document = await readConfiguration(path, dependencies);
+      const client = await createClient({ dependencies, options });
+      const { version, note } = await submit(client, document, options.expect);
+      dependencies.write(
+        options.json
+          ? `${JSON.stringify({ version }, undefined, 2)}\n`
+          : `Configuration version ${version} ${note}.\n`,
+      );
+    });
+};
+
+/** The condition makes a repetition through another entry harmless. */
+async function submit(
+  client: Client,
+  document: Configuration,
+  expect: number,
+): Promise<{ version: unknown; note: string }> {
+  const submitted = { ...document, version: expect + 1 };
+  const answer = await client({
+    method: "PUT",
+    path: "/v1/configuration",
+    headers: { "if-match": String(expect) },
+    body: submitted,
+    repeatable: true,
+    expected: [409],
+  });
+  if (answer.status !== 409) {
+    return { version: asFields(answer.body)["version"], note: "is accepted" };
+  }
+  const current = await fetchConfiguration(client);
+  const changes = diffConfigurations({ before: current, after: submitted });
+  // An earlier attempt may have been stored although its answer was lost.
+  if (changes.length === 0 && current.version > expect) {
+    return { version: current.version, note: "holds this document already" };
+  }
+  throw conflict(answer, current.version, expect, changes.map(formatChange));
+}
+
+function conflict(
+  answer: Answer,
+  version: number,
+  expect: number,
+  differences: string[],
+): CommandFailure {
+  const author = formatValue(asFields(answer.body)["author"]);
+  return new CommandFailure({
+    exit: "Conflict",
+    code: ErrorCode.ConfigurationConflict,
+    step: "submit",
+    peer: answer.entry,
+    message: [
+      `version ${version} by ${author} is in force, not version ${expect}; ` +
+      "your file differs from it:",
+      ...differences,
+    ].join("\n"),
+    hint: `Apply your change to version ${version}, then use --expect ` +
+      `${version}.`,
+  });
+}
--- /dev/null
+++ b/cli/command/commands/jobs_cancel.ts
@@ -0,0 +1,25 @@
+/**
+ * Command `jobs cancel`.
+ *
+ * @module
+ */
+
+import type { RemoteOptions } from "../client.ts";
+import { jobPath } from "../job_fields.ts";
+import { show } from "../show.ts";
+import { group, remote } from "./register.ts";
+import type { Register } from "./register.ts";
+
+/** Adds the command. */
+export const registerJobsCancel: Register = ({ program, dependencies }) => {
+  remote(group(program, "jobs").command("cancel <id>"))
+    .description("Cancel a job; its members are stopped.")
+    .action(async (id: string, options: RemoteOptions) => {
+      await show({
+        dependencies,
+        options,
+        call: { method: "DELETE", path: jobPath(id), repeatable: true },
+        format: () => `Cancellation of ${id} is accepted.`,
+      });
+    });
+};
--- /dev/null
+++ b/cli/command/commands/list.ts
@@ -0,0 +1,37 @@
+/**
+ * All commands, in the order of the help. A new command is one file here and
+ * one line in the list.
+ *
+ * @module
+ */
+
+import { registerAudit } from "./audit.ts";
+import { registerConfigCheck } from "./config_check.ts";
+import { registerConfigDiff } from "./config_diff.ts";
+import { registerConfigHistory } from "./config_history.ts";
+import { registerConfigPrint } from "./config_print.ts";
+import { registerConfigSubmit } from "./config_submit.ts";
+import { registerDrain } from "./drain.ts";
+import { registerJobsCancel } from "./jobs_cancel.ts";
+import { registerJobsList } from "./jobs_list.ts";
+import { registerJobsShow } from "./jobs_show.ts";
+import { registerJobsSubmit } from "./jobs_submit.ts";
+import { registerJobsWhy } from "./jobs_why.ts";
+import type { Register } from "./register.ts";
+import { registerStatus } from "./status.ts";
+
+export const COMMANDS: Register[] = [
+  registerConfigPrint,
+  registerConfigCheck,
+  registerConfigDiff,
+  registerConfigSubmit,
+  registerConfigHistory,
+  registerStatus,
+  registerJobsList,
+  registerJobsShow,
+  registerJobsWhy,
+  registerJobsSubmit,
+  registerJobsCancel,
+  registerAudit,
+  registerDrain,
+];
--- /dev/null
+++ b/cli/command/main.ts
@@ -0,0 +1,32 @@
+#!/usr/bin/env node
+/**
+ * Entry point of the command line.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import { resolve } from "node:path";
+import process from "node:process";
+import { text } from "node:stream/consumers";
+import { pathToFileURL } from "node:url";
+import { runProgram } from "./program.ts";
+import { sendRequest } from "./send_request.ts";
+
+// A reader such as `head` that stops early is no failure.
+process.stdout.on("error", (error: NodeJS.ErrnoException) => {
+  if (error.code !== "EPIPE") throw error;
+});
+
+process.exitCode = await runProgram({
+  arguments: process.argv.slice(2),
+  dependencies: {
+    write: (output) => void process.stdout.write(output),
+    writeError: (output) => void process.stderr.write(output),
+    readFile: (path) =>
+      path === "-" ? text(process.stdin) : readFile(path, "utf8"),
+    loadModule: (path) => import(pathToFileURL(resolve(path)).href),
+    send: sendRequest,
+    environment: process.env,
+  },
+});
--- /dev/null
+++ b/cli/command/program_test.ts
@@ -0,0 +1,342 @@
+import { execFile } from "node:child_process";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { text } from "node:stream/consumers";
+import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
+import { test } from "tap";
+import type { Test } from "tap";
+import {
+  configuration,
+  printConfiguration,
+  service,
+  shape,
+  team,
+  tokenDigest,
+  workClass,
+} from "@dragonflyledge/declare";
+import { EXIT_CODES, runProgram } from "./mod.ts";
+import { COMMANDS } from "./commands/list.ts";
+import { sendRequest } from "./send_request.ts";
+
+const TOKEN = "example-operator-token";
+
+function example(weight = 1) {
+  const guarantees = [shape({ accelerators: 4, adjacency: "worker" })];
+  const tokenDigests = [tokenDigest("example-token-of-the-lab")];
+  return configuration({
+    version: 7,
+    teams: [team({ name: "lab", tokenDigests, guarantees, weight })],
+    classes: [workClass({
+      name: "plan",
+      urgent: true,
+      slotShare: 1,
+      defaultDeadline: 900,
+      queueLimit: 10,
+    })],
+    services: [service({ name: "planning", path: "/plan" })],
+  });
+}
+
+interface Seen {
+  line: string;
+  headers: Record<string, unknown>;
+  body: string;
+}
+/** Answer by "METHOD /path", or how the entry fails to answer. */
+type Answers = Record<string, [number, unknown] | "break" | "silence">;
+
+/** Stand-in for the HTTP API of an entry. */
+async function serve(t: Test, answers: Answers) {
+  const seen: Seen[] = [];
+  const server = createServer(async (request, response) => {
+    const line = `${request.method} ${request.url}`;
+    seen.push({ line, headers: request.headers, body: await text(request) });
+    const answer = answers[line] ?? [404, { message: `no ${line}` }];
+    if (answer === "silence") return;
+    if (answer === "break") {
+      request.socket.destroy();
+      return;
+    }
+    const [status, body] = answer;
+    response.writeHead(status);
+    response.end(typeof body === "string" ? body : JSON.stringify(body));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return { url, seen, lines: () => seen.map((each) => each.line) };
+}
+
+async function run(
+  line: string,
+  files: Record<string, string> = {},
+  environment: Record<string, string> = { DRAGONFLYLEDGE_TOKEN: TOKEN },
+) {
+  let output = "";
+  let errors = "";
+  const code = await runProgram({
+    arguments: line.split(" "),
+    dependencies: {
+      write: (text) => output += text,
+      writeError: (text) => errors += text,
+      readFile: (path) => {
+        const file = files[path];
+        if (file === undefined) return Promise.reject(new Error("no file"));
+        return Promise.resolve(file);
+      },
+      loadModule: (path) =>
+        path === "teams.js"
+          ? Promise.resolve({ default: example() })
+          : Promise.reject(new Error("no module")),
+      send: sendRequest,
+      environment,
+    },
+  });
+  return { code, output, errors };
+}
+
+/** Address on which nothing listens. */
+async function deadEntry(): Promise<string> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return `http://127.0.0.1:${port}`;
+}
+
+const CURRENT = { configuration: example(), revision: 3 };
+const FILES = { "c.json": printConfiguration(example(2)) };
+
+// Guards against usage that no operator can learn from the program.
+test("help lists commands, examples and exit codes", async (t) => {
+  const { code, output } = await run("--help");
+  t.equal(code, 0);
+  for (const { code, meaning } of Object.values(EXIT_CODES)) {
+    t.ok(output.includes(`  ${code}  ${meaning}`));
+  }
+  t.match(output, /Examples:\n.*config print/);
+  const fit = output.split("\n").every((line) => line.length <= 80);
+  t.ok(fit, "80 columns");
+  t.equal(COMMANDS.length, 13);
+  t.equal((await run("config submit --help")).code, 0);
+});
+
+// Guards against wrong arguments that reach an entry or end with code 0.
+test("wrong arguments are refused with code 2", async (t) => {
+  const dead = "--entry http://127.0.0.1:1";
+  for (
+    const line of [
+      "no-such-command",
+      "config",
+      "config submit c.json",
+      `config submit c.json ${dead} --expect 1.5`,
+      `config submit c.json ${dead} --expect -1`,
+      `status ${dead} --timeout 0`,
+      `status ${dead} --token-file absent`,
+      `audit ${dead} --since yesterday`,
+      "status",
+      "status --entry 127.0.0.1:8080",
+      "config print absent.js",
+      "config check absent.json",
+    ]
+  ) {
+    const { code, output, errors } = await run(line, FILES);
+    t.equal(code, 2, `${line}: ${errors}`);
+    t.equal(output, "");
+    t.not(errors, "");
+  }
+  const { code, errors } = await run(`status ${dead}`, {}, {});
+  t.equal(code, 2);
+  t.match(errors, /no token.*\nhint: Set DRAGONFLYLEDGE_TOKEN/);
+});
+
+// Guards against a refusal that does not say where and why.
+test("config print and check work without an entry", async (t) => {
+  const printed = await run("config print teams.js");
+  t.equal(printed.output, printConfiguration(example()));
+  const worker = {
+    location: { region: "r", failureDomain: "d", rack: "1" },
+    capacity: { accelerators: 2 },
+  };
+  const files = {
+    ...FILES,
+    "bad.json": '{"version":1,"teams":[{"name":"lab"}],"x":1}',
+    "text.json": "{",
+    "w.json": JSON.stringify([worker, worker]),
+    "w2.json": "[{}]",
+  };
+  t.match(await run("config check c.json", files), { code: 0 });
+  t.match(await run("config check bad.json", files), {
+    code: 3,
+    errors: /teams\[lab\]\.weight: is missing[^]*x: unknown key/,
+  });
+  t.match(await run("config check text.json", files), { code: 3 });
+  t.match(await run("config check c.json --inventories w.json", files), {
+    code: 3,
+    errors: /teams\[lab\]\.guarantees\[0\]: only 0 of 1/,
+  });
+  t.match(await run("config check c.json --inventories w2.json", files), {
+    code: 3,
+  });
+});
+
+// Guards against a change that is lost, or accepted on another basis.
+test("config submit sends the condition and tells the version", async (t) => {
+  const entry = await serve(t, {
+    "PUT /v1/configuration": [200, { version: 8 }],
+    "GET /v1/configuration": [200, CURRENT],
+    "GET /v1/configuration/history": [200, {
+      history: [{ version: 7, author: "amina", at: "2026-12-04T06:00:00Z" }],
+    }],
+  });
+  const files = { ...FILES, token: `${TOKEN}\n` };
+  const diff = await run(`config diff c.json --entry ${entry.url}`, FILES);
+  t.match(diff.output, /Version 7 .*1 diff[^]*~ teams\[lab\]\.weight: 1 -> 2/);
+  const line = `config submit c.json --expect 7 --entry ${entry.url}`;
+  const done = await run(`${line} --token-file token`, files, {});
+  t.match(done, { code: 0, output: "Configuration version 8 is accepted.\n" });
+  const put = entry.seen.at(-1);
+  t.equal(put?.headers["if-match"], "7");
+  t.equal(put?.headers["authorization"], `Bearer ${TOKEN}`);
+  t.equal(JSON.parse(put?.body ?? "").version, 8);
+  t.same(JSON.parse((await run(`${line} --json`, FILES)).output), {
+    version: 8,
+  });
+  const history = await run(`config history --entry ${entry.url}`);
+  t.match(history.output, /^VERSION +AUTHOR[^]* 7 +amina/);
+});
+
+// Guards against a loser of a race who does not learn who won and what differs.
+test("the loser of a race is told who won and what differs", async (t) => {
+  const entry = await serve(t, {
+    "PUT /v1/configuration": [409, { current: 7, author: "amina" }],
+    "GET /v1/configuration": [200, CURRENT],
+  });
+  const line = `config submit c.json --expect 6 --entry ${entry.url}`;
+  const lost = await run(line, FILES);
+  t.equal(lost.code, 4);
+  t.match(lost.errors, /version 7 by amina is in force, not version 6/);
+  t.match(lost.errors, /~ teams\[lab\]\.weight: 1 -> 2/);
+  t.match(lost.errors, /--expect 7[^]*DFL_CONFIGURATION_CONFLICT/);
+  const same = { "c.json": printConfiguration(example()) };
+  t.match(await run(line, same), { code: 0, output: /7 holds this document/ });
+});
+
+// Guards against a command that fails because one entry is down.
+test("the next entry is tried if one is down or refuses", async (t) => {
+  const dead = await deadEntry();
+  const busy = await serve(t, { "POST /v1/jobs": [503, { reason: "x" }] });
+  const broken = await serve(t, {
+    "POST /v1/jobs": "break",
+    "PUT /v1/configuration": "break",
+  });
+  const good = await serve(t, {
+    "POST /v1/jobs": [202, { id: "job-1" }],
+    "PUT /v1/configuration": [200, { version: 8 }],
+  });
+  const through = (...urls: string[]) =>
+    urls.map((url) => `--entry ${url}`).join(" ");
+  const files = { ...FILES, "j.json": "{}" };
+  const job = await run(
+    `jobs submit j.json ${through(dead, busy.url, good.url)}`,
+    files,
+  );
+  t.match(job, { code: 0, output: "Job job-1 is accepted.\n" });
+  const put = await run(
+    `config submit c.json --expect 7 ${through(broken.url, good.url)}`,
+    files,
+  );
+  t.match(put, { code: 0, output: /version 8 is accepted/ });
+  const silent = await serve(t, { "GET /v1/status": "silence" });
+  const status = `status --timeout 0.05 ${through(silent.url, broken.url)}`;
+  t.match(await run(status), { code: 7, errors: /answered 404/ });
+  const none = await run(`status ${through(dead, dead)}`);
+  t.match(none, { code: 5, errors: /no entry answered: .*ECONNREFUSED/ });
+  t.equal(good.lines().filter((line) => line === "POST /v1/jobs").length, 1);
+  const lost = await run(
+    `jobs submit j.json ${through(broken.url, good.url)}`,
+    files,
+  );
+  t.match(lost, { code: 8, errors: /may have taken effect/ });
+  t.equal(good.lines().filter((line) => line === "POST /v1/jobs").length, 1);
+});
+
+const STATUS = {
+  entry: "entry-1",
+  at: "2026-12-04T06:00:00Z",
+  teams: [{
+    name: "a-team-with-a-long-name-that-is-never-cut",
+    guaranteed: 72,
+    held: 64,
+    borrowed: 8,
+    reclaimedBy: ["quality-lab", "dispatch", "recipe-tuning"],
+    queued: 3,
+  }],
+  workers: [
+    { worker: "w1", state: "ok", slots: 8 },
+    { worker: "w2", state: "leaving", slots: 2 },
+  ],
+  entries: [{ id: "entry-1", httpAddress: "10.0.0.1:8080" }],
+  versions: { configuration: 7, homes: 9 },
+  ages: { store: 120 },
+};
+
+// Guards against output that is cut, too wide, or rewrites the terminal.
+test("status is readable at 80 columns and complete as JSON", async (t) => {
+  const entry = await serve(t, { "GET /v1/status": [200, STATUS] });
+  const { output } = await run(`status --entry ${entry.url}`);
+  t.ok(output.split("\n").every((line) => line.length <= 80), output);
+  t.match(output, /GUARANTEED +HELD +BORROWED +RECLAIMED BY +QUEUED\n/);
+  t.match(output, /\na-team-\S+-never-cut\n +72 +64 +8 +quality-.* 3\n/);
+  t.match(output, /Workers: 2 \(ok 1, leaving 1\)/);
+  t.match(output, /configuration 7, homes 9/);
+  const all = await run(`status --workers --entry ${entry.url}`);
+  t.match(all.output, /w2 +leaving +2/);
+  const json = await run(`status --json --entry ${entry.url}`);
+  t.same(JSON.parse(json.output), STATUS);
+});
+
+// Guards against jobs, audit and drain calls under a wrong path or method.
+test("jobs, audit and drain call their paths", async (t) => {
+  const spec = { team: "lab", class: "plan", members: 4 };
+  const job = { id: "j/1", state: "queued", spec, reason: "\u001b[2Jx" };
+  const entry = await serve(t, {
+    "GET /v1/jobs": [200, { jobs: [job] }],
+    "GET /v1/jobs/j%2F1": [200, { ...job, why: ["needs 4", "3 are free"] }],
+    "DELETE /v1/jobs/j%2F1": [202, ""],
+    "GET /v1/audit?team=lab&since=2026-12-04T06%3A00%3A00.000Z": [200, {
+      records: [{ kind: "reclaim", team: "lab", actor: "entry-1" }],
+    }],
+    "POST /v1/workers/w1/drain": [202, {}],
+    "POST /v1/workers/w2/drain": [403, { message: "operators only" }],
+    "GET /v1/configuration/history": [200, "<html>"],
+  });
+  const ask = (line: string) => run(`${line} --entry ${entry.url}`);
+  const list = await ask("jobs list");
+  t.match(list.output, /j\/1 +queued +lab +plan +4 +- +\?\[2Jx/);
+  t.match(await ask("jobs show j/1"), { output: /id: j\/1[^]*members: 4/ });
+  t.match(await ask("jobs why j/1"), {
+    output: "j/1 is queued.\nneeds 4\n3 are free\n",
+  });
+  t.match(await ask("jobs cancel j/1"), { code: 0 });
+  const audit = await ask("audit --team lab --since 2026-12-04T06:00Z");
+  t.match(audit.output, /reclaim +lab/);
+  t.match(await ask("drain w1"), { output: "Worker w1 is draining.\n" });
+  t.match(await ask("drain w2"), { code: 6, errors: /403: operators only/ });
+  t.match(await ask("jobs show none"), { code: 7 });
+  t.match(await ask("config history"), { code: 1, errors: /than JSON/ });
+});
+
+// Guards against a bin that does not start.
+test("the bin prints a configuration and ends with its code", async (t) => {
+  const main = fileURLToPath(new URL("main.js", import.meta.url));
+  const start = (...rest: string[]) =>
+    promisify(execFile)(process.execPath, [main, ...rest]);
+  t.match((await start("--help")).stdout, /Usage: dragonflyledge/);
+  await t.rejects(start("config", "check", "absent"), { code: 2 });
+});
--- /dev/null
+++ b/cli/command/show.ts
@@ -0,0 +1,26 @@
+/**
+ * Commands that read one path and print it.
+ *
+ * @module
+ */
+
+import { createClient } from "./client.ts";
+import type { Call, RemoteOptions } from "./client.ts";
+import type { Dependencies } from "./dependencies.ts";
+
+/** Performs the call and prints the answer as JSON or as text. */
+export async function show(fields: {
+  dependencies: Dependencies;
+  options: RemoteOptions;
+  call: Call;
+  /** Returns lines for people. */
+  format: (body: unknown) => string;
+}): Promise<void> {
+  const { dependencies, options } = fields;
+  const client = await createClient({ dependencies, options });
+  const { body } = await client(fields.call);
+  const text = options.json
+    ? JSON.stringify(body, undefined, 2)
+    : fields.format(body);
+  dependencies.write(`${text}\n`);
+}
