Wire the entry daemon

Cause: the reducer, the sessions and the routes were not connected. Change: one module wires them; the status document and the job lookup are built from the reducer's state.

--- /dev/null
+++ b/daemons/entry/entry.ts
@@ -0,0 +1,279 @@
+/**
+ * Wires the parts of the entry daemon.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { createEntryReducer } from "@dragonflyledge/entry-reducer";
+import { PROTOCOL_VERSION } from "@dragonflyledge/model";
+import type {
+  AgentMessage,
+  Clock,
+  EntryEffect,
+  EntryEvent,
+  Hello,
+  Milliseconds,
+  Random,
+  StepError,
+  Timer,
+  Versions,
+} from "@dragonflyledge/model";
+import { createLoop } from "@dragonflyledge/runtime";
+import type { Observer } from "@dragonflyledge/runtime";
+import { acceptAgents } from "./agent_sessions.ts";
+import { readTokenDigest } from "./http/authentication.ts";
+import { createConfigurationApi } from "./http/configuration_api.ts";
+import { createJobApi } from "./http/job_api.ts";
+import { createOperatorApi } from "./http/operator_api.ts";
+import { createRequestApi } from "./http/request_api.ts";
+import { startHttpServer } from "./http/server.ts";
+import type { HttpRequest } from "./http/server.ts";
+import { createJobLookup } from "./job_lookup.ts";
+import type { Records } from "./records.ts";
+import { describeStatus } from "./status.ts";
+import { createStoreEffects } from "./store_effects.ts";
+
+const TICK_INTERVAL: Milliseconds = 10;
+/** Time in which balancers and callers see that a stopping entry is not ready. */
+const NOT_READY_TIME: Milliseconds = 200;
+
+/** An operator with the SHA-256 digest of the bearer token. */
+export interface Operator {
+  name: string;
+  tokenDigest: string;
+}
+
+/** Settings of one entry. */
+export interface EntrySettings {
+  id: string;
+  host: string;
+  port: number;
+  httpPort: number;
+  /** Address that others use to reach this process. */
+  advertise: string;
+  bodyLimit: number;
+  operators: Operator[];
+}
+
+/** A running entry. */
+export interface Entry {
+  readonly port: number;
+  readonly httpPort: number;
+  /** Starts a graceful shutdown; a second call changes nothing. */
+  stop(): void;
+  /** Resolves when the entry has ended. */
+  readonly ended: Promise<void>;
+}
+
+/** Opens the records once the addresses of the entry are known. */
+export type OpenRecords = (fields: {
+  incarnation: number;
+  address: string;
+  httpAddress: string;
+}) => Records;
+
+/** Creates and starts an entry. */
+export async function startEntry(fields: {
+  settings: EntrySettings;
+  openRecords: OpenRecords;
+  clock: Clock;
+  timer: Timer;
+  random: Random;
+  observer: Observer;
+}): Promise<Result<Entry, StepError>> {
+  const { settings, clock, timer, random, observer } = fields;
+  const incarnation = clock.date().getTime();
+  const reducer = createEntryReducer({ id: settings.id, incarnation, random });
+  const { state } = reducer;
+  const loop = createLoop<EntryEvent, EntryEffect>({
+    reduce: reducer.reduce,
+    perform,
+  });
+  const { dispatch } = loop;
+  let cancelTick = () => {};
+  let end = () => {};
+  const ended = new Promise<void>((resolve) => {
+    end = resolve;
+  });
+
+  const agents = await acceptAgents({
+    host: settings.host,
+    port: settings.port,
+    hello,
+    versions,
+    clock,
+    timer,
+    observer,
+    handlers: {
+      onConnected: (hello) =>
+        dispatch({ kind: "agentConnected", now: clock.now(), hello }),
+      onLost: (worker, incarnation) =>
+        dispatch({ kind: "agentLost", now: clock.now(), worker, incarnation }),
+      onMessage: ({ id, incarnation }, message) =>
+        dispatch({
+          kind: "message",
+          now: clock.now(),
+          worker: id,
+          incarnation,
+          message: message as AgentMessage,
+        }),
+      onVersions: (worker, versions) =>
+        dispatch({ kind: "peerVersions", now: clock.now(), worker, versions }),
+    },
+  });
+  if (agents.isErr()) return err(agents.error);
+  const sessions = agents.value;
+
+  const requests = createRequestApi({
+    clock,
+    configuration: () => state.configuration,
+    createId: randomUUID,
+    dispatch,
+  });
+  const records = fields.openRecords({
+    incarnation,
+    address: `${settings.advertise}:${sessions.port}`,
+    httpAddress: `${settings.advertise}:${settings.httpPort}`,
+  });
+  const lookup = createJobLookup({ state, records });
+  const jobs = createJobApi({
+    clock,
+    configuration: () => state.configuration,
+    isOperator: (request) => findOperator(request) !== undefined,
+    createId: randomUUID,
+    lookup,
+    dispatch,
+  });
+  const store = createStoreEffects({
+    records,
+    clock,
+    timer,
+    observer,
+    dispatch,
+  });
+  const http = await startHttpServer({
+    host: settings.host,
+    port: settings.httpPort,
+    bodyLimit: settings.bodyLimit,
+    routes: [
+      ...requests.routes,
+      ...jobs.routes,
+      ...createConfigurationApi({
+        clock,
+        records,
+        configuration: () => state.configuration,
+        findOperator,
+        inventories: () =>
+          [...state.agents.values()].map((agent) => agent.inventory),
+        dispatch,
+      }),
+      ...createOperatorApi({
+        clock,
+        records,
+        findOperator,
+        status: () =>
+          describeStatus({ state, clock, waiting: lookup.countWaiting }),
+        knowsWorker: (worker) => state.agents.has(worker),
+        ready: () => state.configuration !== undefined && !state.stopping,
+        dispatch,
+      }),
+    ],
+  });
+  if (http.isErr()) {
+    await sessions.close();
+    await records.close();
+    return err(http.error);
+  }
+  const server = http.value;
+
+  records.follow({
+    onConfiguration: (configuration) =>
+      dispatch({ kind: "configurationSeen", now: clock.now(), configuration }),
+    onHomes: (homes) =>
+      dispatch({ kind: "homesSeen", now: clock.now(), homes }),
+    onEntries: (entries) =>
+      dispatch({ kind: "entriesSeen", now: clock.now(), entries }),
+    onLease: (validUntil) =>
+      dispatch({ kind: "leaseRenewed", now: clock.now(), validUntil }),
+  });
+  tick();
+  observer.log("info", "entry started", {
+    entry: settings.id,
+    port: sessions.port,
+    httpPort: server.port,
+  });
+
+  function versions(): Versions {
+    return {
+      configuration: state.configuration?.version ?? 0,
+      homes: state.homes?.version ?? 0,
+    };
+  }
+
+  function hello(): Hello {
+    return {
+      kind: "hello",
+      protocol: PROTOCOL_VERSION,
+      role: "entry",
+      id: settings.id,
+      incarnation,
+      versions: versions(),
+    };
+  }
+
+  function findOperator(request: HttpRequest): string | undefined {
+    const digest = readTokenDigest(request.headers.authorization);
+    return settings.operators
+      .find((operator) => operator.tokenDigest === digest)?.name;
+  }
+
+  function tick(): void {
+    dispatch({ kind: "tick", now: clock.now() });
+    cancelTick = timer.after(TICK_INTERVAL, tick);
+  }
+
+  function perform(effect: EntryEffect): void {
+    switch (effect.kind) {
+      case "send":
+        sessions.send(effect.worker, effect.incarnation, effect.message);
+        return;
+      case "disconnect":
+        sessions.disconnect(effect.worker, effect.incarnation);
+        return;
+      case "respond":
+        return requests.respond(effect.request, effect.outcome);
+      case "answerSubmission":
+        return jobs.answerSubmission(effect.job, effect.result);
+      case "log":
+        return observer.log(effect.level, effect.text, effect.fields);
+      case "count":
+        return observer.count(effect.metric, effect.value, effect.tags);
+      case "exit":
+        void shutDown();
+        return;
+      default:
+        store.perform(effect);
+    }
+  }
+
+  async function shutDown(): Promise<void> {
+    await new Promise<void>((resolve) => timer.after(NOT_READY_TIME, resolve));
+    cancelTick();
+    store.close();
+    await server.close();
+    await sessions.close();
+    await records.close();
+    observer.log("info", "entry ended", { entry: settings.id });
+    end();
+  }
+
+  return ok({
+    port: sessions.port,
+    httpPort: server.port,
+    stop: () => dispatch({ kind: "stopRequested", now: clock.now() }),
+    ended,
+  });
+}
--- a/daemons/entry/mod.ts
+++ b/daemons/entry/mod.ts
@@ -1,7 +1,17 @@
 /**
- * Entry daemon: HTTP towards callers, sessions towards agents, store adapter.
+ * Entry daemon: HTTP towards callers, sessions towards agents, records in the
+ * store.
  *
  * @module
  */
 
-export {};
+export { startEntry } from "./entry.ts";
+export type { Entry, EntrySettings, OpenRecords, Operator } from "./entry.ts";
+export type {
+  AuditFilter,
+  ConfigurationRecord,
+  JobWrite,
+  Records,
+  StoredJob,
+  Submission,
+} from "./records.ts";
--- /dev/null
+++ b/daemons/entry/status.ts
@@ -0,0 +1,129 @@
+/**
+ * The status document: what this entry knows, and how old it is.
+ *
+ * @module
+ */
+
+import { guaranteedAccelerators } from "@dragonflyledge/schema";
+import type { AgentView, EntryState } from "@dragonflyledge/entry-reducer";
+import type {
+  Clock,
+  HomesTable,
+  MemberReport,
+  Milliseconds,
+  TeamName,
+} from "@dragonflyledge/model";
+
+/** Jobs and requests of a team that wait. */
+export interface Waiting {
+  requests: number;
+  jobs: number;
+}
+
+/** Returns the status as plain data for JSON. */
+export function describeStatus(fields: {
+  state: EntryState;
+  clock: Clock;
+  waiting: (team: TeamName) => Waiting;
+}): unknown {
+  const { state, clock } = fields;
+  const now = clock.now();
+  const owners = ownersByWorker(state.homes);
+  const agents = [...state.agents.values()];
+  return {
+    entry: state.id,
+    at: clock.date().toISOString(),
+    versions: {
+      configuration: state.configuration?.version ?? 0,
+      homes: state.homes?.version ?? 0,
+    },
+    ages: { oldestReportMs: oldestReport(agents, now) },
+    lease: { validForMs: Math.max(0, state.leaseValidUntil - now) },
+    teams: (state.configuration?.teams ?? []).map((team) => ({
+      name: team.name,
+      guaranteed: guaranteedAccelerators(team),
+      unplaced: countUnplaced(state.homes, team.name),
+      ...countHeld(agents, owners, team.name),
+      queued: fields.waiting(team.name).jobs,
+      requests: fields.waiting(team.name).requests,
+    })),
+    entries: state.entries.map((entry) => ({
+      id: entry.id,
+      address: entry.address,
+      http: entry.httpAddress,
+    })),
+    workers: agents.map((agent) => describeWorker(agent, now)),
+  };
+}
+
+function describeWorker(agent: AgentView, now: Milliseconds): unknown {
+  return {
+    worker: agent.worker,
+    state: workerState(agent, now),
+    failureDomain: agent.inventory.location.failureDomain,
+    rack: agent.inventory.location.rack,
+    slots: `${agent.slotsUsed}/${agent.inventory.slots}`,
+    accelerators: `${
+      held(agent.members)
+    }/${agent.inventory.capacity.accelerators}`,
+    ageMs: Math.round(now - agent.reportedAt),
+  };
+}
+
+function workerState(agent: AgentView, now: Milliseconds): string {
+  if (!agent.connected) return "lost";
+  if (agent.leaving) return "leaving";
+  if (agent.quarantinedUntil > now) return "quarantined";
+  if (agent.dampedUntil > now) return "damped";
+  return "ready";
+}
+
+function held(members: MemberReport[]): number {
+  return members.reduce((sum, one) => sum + one.accelerators.length, 0);
+}
+
+function oldestReport(agents: AgentView[], now: Milliseconds): number {
+  const ages = agents
+    .filter((agent) => agent.connected)
+    .map((agent) => now - agent.reportedAt);
+  return Math.round(Math.max(0, ...ages));
+}
+
+/** Owner of each accelerator that belongs to a home, by worker. */
+function ownersByWorker(
+  homes: HomesTable | undefined,
+): Map<string, Map<number, TeamName>> {
+  const owners = new Map<string, Map<number, TeamName>>();
+  for (const home of homes?.homes ?? []) {
+    for (const part of home.parts) {
+      const worker = owners.get(part.worker) ?? new Map<number, TeamName>();
+      owners.set(part.worker, worker);
+      for (const index of part.accelerators) worker.set(index, home.team);
+    }
+  }
+  return owners;
+}
+
+function countHeld(
+  agents: AgentView[],
+  owners: Map<string, Map<number, TeamName>>,
+  team: TeamName,
+): { held: number; borrowed: number; lent: number } {
+  const count = { held: 0, borrowed: 0, lent: 0 };
+  for (const agent of agents) {
+    for (const member of agent.members) {
+      for (const index of member.accelerators) {
+        const owner = owners.get(agent.worker)?.get(index);
+        if (member.team === team) count.held++;
+        if (owner === undefined || owner === member.team) continue;
+        if (member.team === team) count.borrowed++;
+        if (owner === team) count.lent++;
+      }
+    }
+  }
+  return count;
+}
+
+function countUnplaced(homes: HomesTable | undefined, team: TeamName): number {
+  return homes?.unplaced.filter((shape) => shape.team === team).length ?? 0;
+}
