Add stand-ins for endpoints, workers and connections

Cause: tests of agents and sessions need an endpoint, a worker and a network that fail in the ways the design lists.

--- a/testing/fakes/mod.ts
+++ b/testing/fakes/mod.ts
@@ -11,3 +11,7 @@
 export * from "./memory_store.ts";
 export * from "./system_timer.ts";
 export * from "./store_contract.ts";
+export * from "./endpoint_server.ts";
+export * from "./relay.ts";
+export * from "./worker_server.ts";
+export * from "./worker_tasks.ts";
--- /dev/null
+++ b/testing/fakes/relay.ts
@@ -0,0 +1,145 @@
+/**
+ * TCP relay whose connections can be made silent, cut or delayed.
+ *
+ * @module
+ */
+
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import type { Milliseconds, Timer } from "@dragonflyledge/model";
+import { createSystemTimer } from "./system_timer.ts";
+
+/** Direction of bytes: to the target, to the caller, or both. */
+export type Direction = "to-target" | "to-caller" | "both";
+
+/** A running relay. Faults hold for connections that are open at the time. */
+export interface Relay {
+  readonly host: string;
+  readonly port: number;
+  /** Connections that are open now, and all that were ever accepted. */
+  readonly connections: { open: number; accepted: number };
+  /** Bytes that were passed on in each direction. */
+  readonly bytes: { toTarget: number; toCaller: number };
+  /** Swallows all further bytes and keeps the connections open. */
+  silence(direction?: Direction): void;
+  /** Delays further bytes. */
+  delay(time: Milliseconds, direction?: Direction): void;
+  /** Closes the connections with a reset. */
+  cut(): void;
+  /** While refused, new connections are reset at once. */
+  refuse(refused: boolean): void;
+  stop(): Promise<void>;
+}
+
+interface Flow {
+  silent: boolean;
+  delay: Milliseconds;
+}
+interface Link {
+  toTarget: Flow;
+  toCaller: Flow;
+  cut(): void;
+}
+
+/** Starts a relay to `target`; port 0 picks a free one. */
+export async function createRelay(
+  { target, host = "127.0.0.1", port = 0, timer = createSystemTimer() }: {
+    target: { host?: string; port: number };
+    host?: string;
+    port?: number;
+    timer?: Timer;
+  },
+): Promise<Relay> {
+  const links = new Set<Link>();
+  const bytes = { toTarget: 0, toCaller: 0 };
+  let accepted = 0;
+  let refused = false;
+
+  const server = createServer({ allowHalfOpen: false }, (caller) => {
+    caller.on("error", () => {});
+    if (refused) return void caller.resetAndDestroy();
+    accepted++;
+    const onward = connect(target.port, target.host ?? "127.0.0.1");
+    const link = createLink(caller, onward);
+    links.add(link);
+    caller.once("close", () => links.delete(link));
+  });
+
+  function createLink(caller: Socket, onward: Socket): Link {
+    const toTarget: Flow = { silent: false, delay: 0 };
+    const toCaller: Flow = { silent: false, delay: 0 };
+    pass(caller, onward, toTarget, (size) => bytes.toTarget += size);
+    pass(onward, caller, toCaller, (size) => bytes.toCaller += size);
+    const cut = () => {
+      caller.resetAndDestroy();
+      onward.resetAndDestroy();
+    };
+    return { toTarget, toCaller, cut };
+  }
+
+  /** Passes bytes in order; a later chunk never overtakes a delayed one. */
+  function pass(
+    from: Socket,
+    to: Socket,
+    flow: Flow,
+    count: (size: number) => void,
+  ): void {
+    let waiting = 0;
+    const forward = (task: () => void) => {
+      if (flow.delay === 0 && waiting === 0) return task();
+      waiting++;
+      timer.after(flow.delay, () => {
+        waiting--;
+        task();
+      });
+    };
+    from.on("error", () => {});
+    from.on("data", (chunk) =>
+      forward(() => {
+        if (flow.silent || to.destroyed) return;
+        count(chunk.length);
+        to.write(chunk);
+      }));
+    from.on("close", () =>
+      forward(() => {
+        // A silent connection does not tell the other end of its close.
+        if (!flow.silent) to.destroy();
+      }));
+  }
+
+  const flowsOf = (direction: Direction) =>
+    [...links].flatMap((link) => [
+      ...(direction === "to-caller" ? [] : [link.toTarget]),
+      ...(direction === "to-target" ? [] : [link.toCaller]),
+    ]);
+
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+
+  return {
+    host,
+    port: (server.address() as AddressInfo).port,
+    connections: {
+      get open() {
+        return links.size;
+      },
+      get accepted() {
+        return accepted;
+      },
+    },
+    bytes,
+    silence(direction = "both") {
+      for (const flow of flowsOf(direction)) flow.silent = true;
+    },
+    delay(time, direction = "both") {
+      for (const flow of flowsOf(direction)) flow.delay = time;
+    },
+    cut: () => links.forEach((link) => link.cut()),
+    refuse: (value) => void (refused = value),
+    stop() {
+      links.forEach((link) => link.cut());
+      return new Promise((resolve) => server.close(() => resolve()));
+    },
+  };
+}
