--- /dev/null
+++ b/core/entry_reducer/homes/state.ts
@@ -0,0 +1,32 @@
+/**
+ * State of the computation of homes.
+ *
+ * @module
+ */
+
+import type { HomesTable, Milliseconds, WorkerId } from "@dragonflyledge/model";
+
+export interface HomesState {
+  startedAt: Milliseconds | undefined;
+  /** Whether the workers or the configuration may have changed. */
+  dirty: boolean;
+  /** No computation before this time. */
+  notBefore: Milliseconds;
+  /** When each lost worker counts as gone, in ascending order. */
+  losses: Milliseconds[];
+  /** Workers that are known to leave. */
+  leaving: Set<WorkerId>;
+  /** The table that is being written. */
+  writing: HomesTable | undefined;
+}
+
+export function createHomesState(): HomesState {
+  return {
+    startedAt: undefined,
+    dirty: true,
+    notBefore: 0,
+    losses: [],
+    leaving: new Set(),
+    writing: undefined,
+  };
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/alarms.ts
@@ -0,0 +1,59 @@
+/**
+ * Alarms in order of time.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+
+/** A binary heap, so that a tick costs nothing for jobs that are not due. */
+export class Alarms<T> {
+  readonly #heap: { at: Milliseconds; item: T }[] = [];
+
+  set(at: Milliseconds, item: T): void {
+    const heap = this.#heap;
+    let index = heap.length;
+    heap.push({ at, item });
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (this.#at(parent) <= at) break;
+      this.#swap(index, parent);
+      index = parent;
+    }
+  }
+
+  /** Removes and returns the next alarm that is due. */
+  take(now: Milliseconds): T | undefined {
+    const heap = this.#heap;
+    const first = heap[0];
+    if (first === undefined || first.at > now) return undefined;
+    const last = heap.pop();
+    if (last !== undefined && heap.length > 0) {
+      heap[0] = last;
+      this.#sink();
+    }
+    return first.item;
+  }
+
+  #sink(): void {
+    let index = 0;
+    for (;;) {
+      const left = 2 * index + 1;
+      const smaller = this.#at(left + 1) < this.#at(left) ? left + 1 : left;
+      if (this.#at(smaller) >= this.#at(index)) return;
+      this.#swap(index, smaller);
+      index = smaller;
+    }
+  }
+
+  #at(index: number): Milliseconds {
+    return this.#heap[index]?.at ?? Infinity;
+  }
+
+  #swap(a: number, b: number): void {
+    const [first, second] = [this.#heap[a], this.#heap[b]];
+    if (first === undefined || second === undefined) return;
+    this.#heap[a] = second;
+    this.#heap[b] = first;
+  }
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/capacity.ts
@@ -0,0 +1,256 @@
+/**
+ * Index of what holds the capacity of each worker, updated per worker.
+ *
+ * @module
+ */
+
+import {
+  GANG_LEASE,
+  RECLAIM_GRACE,
+  SESSION_TIMEOUT,
+} from "@dragonflyledge/model";
+import type {
+  JobId,
+  JobSpec,
+  MemberReport,
+  Milliseconds,
+  WorkerId,
+} from "@dragonflyledge/model";
+import { indexHomes } from "@dragonflyledge/placement";
+import type {
+  HeldMember,
+  HomeIndex,
+  WorkerView,
+} from "@dragonflyledge/placement";
+import type { AgentView } from "../state.ts";
+import type { Context } from "./context.ts";
+import type { Part } from "./state.ts";
+
+/**
+ * Time after the last extension of a lease when its members have stopped: a
+ * message may spend the session timeout on its way, and stopping takes the
+ * grace period.
+ */
+export const LAPSE: Milliseconds = GANG_LEASE + SESSION_TIMEOUT +
+  RECLAIM_GRACE;
+
+/** Older figures of usage say little about the present. */
+const usageAgeLimit = 15_000;
+
+/** Whether capacity is in use in this state. */
+export function isLive(state: MemberReport["state"]): boolean {
+  return state !== "stopped" && state !== "finished" && state !== "failed";
+}
+
+/** Work on capacity of others must be stopped without loss, and repeated. */
+export function isRevocable(spec: JobSpec): boolean {
+  return spec.revocable && spec.idempotent;
+}
+
+/** Recomputes the view of one worker from its agent and our reservations. */
+export function refreshWorker(context: Context, worker: WorkerId): void {
+  const { jobs, state, now } = context;
+  const agent = state.agents.get(worker);
+  const former = jobs.views.get(worker);
+  if (former !== undefined) count(context, former, -1);
+  if (agent === undefined) {
+    jobs.views.delete(worker);
+    jobs.lost.delete(worker);
+    return;
+  }
+  if (agent.connected) jobs.lost.delete(worker);
+  else jobs.lost.add(worker);
+  const lapsed = !agent.connected && now >= agent.lostAt + LAPSE;
+  if (lapsed) jobs.lost.delete(worker);
+  const held = lapsed ? [] : listHeld(context, agent);
+  const view: WorkerView = {
+    inventory: agent.inventory,
+    available: isAvailable(agent, now),
+    held,
+    free: freeOf(agent, held),
+  };
+  jobs.views.set(worker, view);
+  count(context, view, 1);
+  if (former === undefined || gainedRoom(former, view)) markFreed(context);
+}
+
+/** Gangs that didn't fit may fit now. */
+export function markFreed(context: Context): void {
+  context.jobs.capacityVersion++;
+  context.jobs.stale = true;
+}
+
+export function isAvailable(agent: AgentView, now: Milliseconds): boolean {
+  return agent.connected && !agent.leaving && now >= agent.dampedUntil &&
+    now >= agent.quarantinedUntil;
+}
+
+/** Views of all workers, with their availability at this time. */
+export function listViews(context: Context): Iterable<WorkerView> {
+  const { jobs, state, now } = context;
+  for (const [worker, agent] of state.agents) {
+    const view = jobs.views.get(worker);
+    if (view === undefined) {
+      refreshWorker(context, worker);
+      continue;
+    }
+    const available = isAvailable(agent, now);
+    if (available && !view.available) markFreed(context);
+    view.available = available;
+  }
+  return jobs.views.values();
+}
+
+/** The homes index of the present table. */
+export function homeIndex(context: Context): HomeIndex {
+  const { jobs, state } = context;
+  if (jobs.homes.table !== state.homes) {
+    jobs.homes = {
+      table: state.homes,
+      index: indexHomes({ homes: state.homes }),
+    };
+    markFreed(context);
+  }
+  return jobs.homes.index;
+}
+
+/** Accelerators that the team holds on all workers. */
+export function heldBy(context: Context, team: string): number {
+  return context.jobs.held.get(team) ?? 0;
+}
+
+/** Work of the gang that is lost if it stops, in accelerator-milliseconds. */
+export function lostWork(context: Context, job: JobId): number {
+  const seen = context.jobs.runs.get(job);
+  const spec = specOf(context, job);
+  if (seen === undefined) return 0;
+  const accelerators = spec === undefined
+    ? seen.workers.size
+    : spec.members * spec.perMember.accelerators;
+  return (context.now - seen.since) * Math.max(1, accelerators);
+}
+
+export function specOf(context: Context, job: JobId): JobSpec | undefined {
+  const { jobs } = context;
+  return (jobs.jobs.get(job) ?? jobs.foreign.get(job))?.record.spec;
+}
+
+function listHeld(context: Context, agent: AgentView): HeldMember[] {
+  const held: HeldMember[] = [];
+  const reported = new Set<string>();
+  for (const member of agent.members) {
+    if (!isLive(member.state)) continue;
+    reported.add(`${member.run.job}\n${member.member}`);
+    held.push(fromReport(context, agent, member));
+  }
+  for (const [id, part] of context.jobs.parts.get(agent.worker) ?? []) {
+    for (const member of part.members) {
+      if (reported.has(`${id}\n${member.member}`)) continue;
+      const pending = fromPart(context, id, part, member);
+      if (pending !== undefined) held.push(pending);
+    }
+  }
+  return held;
+}
+
+function fromReport(
+  context: Context,
+  agent: AgentView,
+  report: MemberReport,
+): HeldMember {
+  const { run, member, team, urgent, revocable, accelerators } = report;
+  const needs = specOf(context, run.job)?.perMember;
+  const { capacity } = agent.inventory;
+  // Until the record is loaded, the share of accelerators is the best guess.
+  const share = accelerators.length / Math.max(1, capacity.accelerators);
+  return {
+    run,
+    member,
+    team,
+    class: report.class,
+    urgent,
+    revocable,
+    accelerators,
+    cores: needs?.cores ?? capacity.cores * share,
+    memoryMiB: needs?.memoryMiB ?? capacity.memoryMiB * share,
+  };
+}
+
+function fromPart(
+  context: Context,
+  id: JobId,
+  part: Part,
+  member: Part["members"][number],
+): HeldMember | undefined {
+  const job = context.jobs.jobs.get(id);
+  if (job?.gang === undefined || part.gone) return undefined;
+  const state = part.states.get(member.member);
+  if (state !== undefined && !isLive(state)) return undefined;
+  const { spec } = job.record;
+  return {
+    run: job.gang.run,
+    member: member.member,
+    team: spec.team,
+    class: spec.class,
+    urgent: job.urgent,
+    revocable: isRevocable(spec),
+    accelerators: member.accelerators,
+    cores: spec.perMember.cores,
+    memoryMiB: spec.perMember.memoryMiB,
+  };
+}
+
+/** Declared sizes are hints: what is observed counts if it is more. */
+function freeOf(agent: AgentView, held: HeldMember[]): WorkerView["free"] {
+  const { capacity } = agent.inventory;
+  const { usage } = agent;
+  const recent = usage.age < usageAgeLimit;
+  let cores = 0;
+  let memoryMiB = 0;
+  for (const member of held) {
+    cores += member.cores;
+    memoryMiB += member.memoryMiB;
+  }
+  if (recent) {
+    cores = Math.max(cores, usage.cores);
+    memoryMiB = Math.max(memoryMiB, usage.memoryMiB);
+  }
+  return {
+    cores: Math.max(0, capacity.cores - cores),
+    memoryMiB: Math.max(0, capacity.memoryMiB - memoryMiB),
+  };
+}
+
+function gainedRoom(former: WorkerView, view: WorkerView): boolean {
+  if (view.available && !former.available) return true;
+  if (view.free.cores > former.free.cores) return true;
+  if (view.free.memoryMiB > former.free.memoryMiB) return true;
+  return view.held.length < former.held.length;
+}
+
+function count(context: Context, view: WorkerView, sign: 1 | -1): void {
+  const { jobs, now } = context;
+  const { worker } = view.inventory;
+  for (const { run, team, accelerators } of view.held) {
+    const before = jobs.held.get(team) ?? 0;
+    jobs.held.set(team, before + sign * accelerators.length);
+    const seen = jobs.runs.get(run.job);
+    if (sign > 0) {
+      const next = seen ?? { epoch: 0, since: now, workers: new Set() };
+      if (run.epoch > next.epoch) next.since = now;
+      next.epoch = Math.max(next.epoch, run.epoch);
+      next.workers.add(worker);
+      jobs.runs.set(run.job, next);
+    } else if (seen !== undefined) {
+      seen.workers.delete(worker);
+    }
+  }
+}
+
+/** Drops runs that no worker has; called in a slow cycle. */
+export function sweepRuns(context: Context): void {
+  for (const [job, seen] of context.jobs.runs) {
+    if (seen.workers.size === 0) context.jobs.runs.delete(job);
+  }
+  for (const worker of [...context.jobs.lost]) refreshWorker(context, worker);
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/context.ts
@@ -0,0 +1,81 @@
+/**
+ * What the job modules work with during one event.
+ *
+ * @module
+ */
+
+import type {
+  EntryMessage,
+  Fields,
+  JobState,
+  LogLevel,
+  Milliseconds,
+  WorkerId,
+} from "@dragonflyledge/model";
+import type { Emit, EntryState } from "../state.ts";
+import type { Job, JobsState } from "./state.ts";
+
+export interface Context {
+  state: EntryState;
+  jobs: JobsState;
+  now: Milliseconds;
+  emit: Emit;
+}
+
+/** Sends to a connected agent and tells whether there was one. */
+export function send(
+  context: Context,
+  worker: WorkerId,
+  message: EntryMessage,
+): boolean {
+  const agent = context.state.agents.get(worker);
+  if (agent === undefined || !agent.connected) return false;
+  const { incarnation } = agent;
+  context.emit({ kind: "send", worker, incarnation, message });
+  return true;
+}
+
+export function audit(
+  context: Context,
+  job: Job,
+  fields: { kind: string; reason: string; worker?: WorkerId; detail?: Fields },
+): void {
+  context.emit({
+    kind: "audit",
+    record: {
+      kind: fields.kind,
+      team: job.record.spec.team,
+      worker: fields.worker ?? "",
+      job: job.record.id,
+      reason: fields.reason,
+      actor: context.state.id,
+      detail: { epoch: job.record.epoch, ...fields.detail },
+    },
+  });
+}
+
+export function log(
+  context: Context,
+  level: LogLevel,
+  text: string,
+  fields: Fields,
+): void {
+  context.emit({ kind: "log", level, text: `jobs: ${text}`, fields });
+}
+
+/** Wakes the job at the given time unless it is to be woken earlier. */
+export function wake(context: Context, job: Job, at: Milliseconds): void {
+  if (job.wakeAt <= at && job.wakeAt > context.now) return;
+  job.wakeAt = at;
+  context.jobs.alarms.set(at, job);
+}
+
+/** A time between half and one and a half of the delay from now. */
+export function jittered(context: Context, delay: Milliseconds): Milliseconds {
+  return context.now + delay * (0.5 + context.state.random());
+}
+
+export function hasEnded(state: JobState): boolean {
+  return state === "succeeded" || state === "failed" ||
+    state === "cancelled" || state === "unknown";
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/dispatch.ts
@@ -0,0 +1,152 @@
+/**
+ * Rounds of placement.
+ *
+ * @module
+ */
+
+import type { RunId, WorkerId } from "@dragonflyledge/model";
+import { placeGang } from "@dragonflyledge/placement";
+import type { NoPlace, Plan } from "@dragonflyledge/placement";
+import {
+  heldBy,
+  homeIndex,
+  isRevocable,
+  listViews,
+  lostWork,
+} from "./capacity.ts";
+import type { Context } from "./context.ts";
+import { isShort } from "./estimates.ts";
+import { updateHold } from "./hold.ts";
+import { listCandidates } from "./queue.ts";
+import { startGang } from "./start.ts";
+import type { Job } from "./state.ts";
+
+/** A round without a change picks up what only time changes. */
+const roundInterval = 1000;
+/** Searches without result in one round; a search scans all workers. */
+const misfitsPerRound = 16;
+const misfitLimit = 5000;
+/** Workers on which a job failed are used again if it waits for this long. */
+const exclusionTime = 5000;
+
+/** Tries to place waiting jobs, if anything changed. */
+export function dispatch(context: Context): void {
+  const { jobs, state, now } = context;
+  if (state.stopping || state.configuration === undefined) return;
+  if (!jobs.stale && now < jobs.nextRound) return;
+  listViews(context);
+  homeIndex(context);
+  jobs.stale = false;
+  jobs.nextRound = now + roundInterval;
+  const waiting: Job[] = [];
+  let misfits = 0;
+  for (const job of listCandidates(context)) {
+    const result = tryStart(context, job);
+    if (result === "started") continue;
+    waiting.push(job);
+    if (result === "searched") misfits++;
+    if (misfits < misfitsPerRound) continue;
+    jobs.stale = true;
+    break;
+  }
+  updateHold(context, waiting);
+}
+
+/** Places one job, for urgent work that cannot wait for a round. */
+export function dispatchUrgent(context: Context, job: Job): void {
+  if (context.state.stopping || !job.urgent || job.phase !== "queued") return;
+  listViews(context);
+  tryStart(context, job);
+}
+
+function tryStart(
+  context: Context,
+  job: Job,
+): "started" | "skipped" | "searched" {
+  const { jobs, state, now } = context;
+  const { spec } = job.record;
+  const team = state.configuration?.teams.find((one) => one.name === spec.team);
+  const quota = team?.acceleratorQuota ?? 0;
+  const held = heldBy(context, spec.team);
+  if (held + job.need > quota) {
+    job.wait = `the team holds ${held} of its quota of ${quota} accelerators`;
+    return "skipped";
+  }
+  if (!spec.idempotent && state.leaseValidUntil <= now) {
+    job.wait = "the entry's lease in the store has lapsed";
+    return "skipped";
+  }
+  const key = keyOf(context, job);
+  const known = jobs.misfits.get(key);
+  if (known?.version === jobs.capacityVersion && !mayReuse(context, job)) {
+    job.wait = known.reason;
+    return "skipped";
+  }
+  const place = findPlace(context, job);
+  if ("kind" in place) {
+    job.wait = place.reason;
+    if (jobs.misfits.size > misfitLimit) jobs.misfits.clear();
+    const { reason } = place;
+    jobs.misfits.set(key, { version: jobs.capacityVersion, reason });
+    return "searched";
+  }
+  startGang(context, job, place);
+  return "started";
+}
+
+function findPlace(context: Context, job: Job): Plan | NoPlace {
+  const { jobs } = context;
+  const { id, spec, epoch } = job.record;
+  const place = placeGang({
+    spec: { ...spec, revocable: isRevocable(spec) },
+    run: { job: id, epoch: epoch + 1 },
+    urgent: job.urgent,
+    workers: jobs.views.values(),
+    homes: homeIndex(context),
+    excluded: listExcluded(context, job),
+    lostWork: (run: RunId) => lostWork(context, run.job),
+  });
+  return place.isOk() ? place.value : place.error;
+}
+
+function mayReuse({ now }: Context, job: Job): boolean {
+  return job.record.failedOn.length > 0 && now > job.queuedAt + exclusionTime;
+}
+
+function listExcluded(context: Context, job: Job): Set<WorkerId> {
+  const { failedOn } = job.record;
+  const excluded = new Set(mayReuse(context, job) ? [] : failedOn);
+  const { hold } = context.jobs;
+  if (hold !== undefined && !passesHold(context, job)) {
+    for (const worker of hold.workers) excluded.add(worker);
+  }
+  return excluded;
+}
+
+/** Whether the job may be placed on workers that are drained for another. */
+function passesHold(context: Context, job: Job): boolean {
+  const { hold } = context.jobs;
+  if (hold === undefined || job.urgent) return true;
+  if (hold.job === job.record.id) return true;
+  if (hold.draining) return false;
+  const { spec } = job.record;
+  return isRevocable(spec) || isShort(context, spec);
+}
+
+/** Jobs with equal keys fit or don't fit alike. */
+function keyOf(context: Context, job: Job): string {
+  const { spec, failedOn } = job.record;
+  const { accelerators, cores, memoryMiB } = spec.perMember;
+  return [
+    spec.team,
+    spec.members,
+    accelerators,
+    cores,
+    memoryMiB,
+    spec.adjacency,
+    isRevocable(spec),
+    job.urgent,
+    passesHold(context, job),
+    ...failedOn,
+  ].join("\n");
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/endings.ts
@@ -0,0 +1,192 @@
+/**
+ * Ends of runs and of jobs.
+ *
+ * @module
+ */
+
+import {
+  assertInvariant,
+  Invariant,
+  MAX_WORKER_FAILURES_PER_JOB,
+  Reason,
+} from "@dragonflyledge/model";
+import type { JobId, JobState } from "@dragonflyledge/model";
+import { refreshWorker } from "./capacity.ts";
+import { audit, hasEnded, log, send } from "./context.ts";
+import type { Context } from "./context.ts";
+import { observeRunTime } from "./estimates.ts";
+import { dequeue, enqueue } from "./queue.ts";
+import type { Ending, Gang, Job } from "./state.ts";
+import { isOwn, persist } from "./writes.ts";
+
+/** Ended jobs that are kept for questions about their state. */
+const endedLimit = 2000;
+
+/** Makes the parts of a gang count as held capacity. */
+export function holdParts(context: Context, job: Job, gang: Gang): void {
+  job.gang = gang;
+  for (const [worker, part] of gang.parts) {
+    const parts = context.jobs.parts.get(worker) ?? new Map();
+    parts.set(job.record.id, part);
+    context.jobs.parts.set(worker, parts);
+    refreshWorker(context, worker);
+  }
+}
+
+/** Frees what the gang held. */
+export function releaseParts(context: Context, job: Job): void {
+  const { gang } = job;
+  job.gang = undefined;
+  for (const worker of gang?.parts.keys() ?? []) {
+    const parts = context.jobs.parts.get(worker);
+    parts?.delete(job.record.id);
+    if (parts?.size === 0) context.jobs.parts.delete(worker);
+    refreshWorker(context, worker);
+  }
+}
+
+/** Ends a run of which nothing is left on any worker. */
+export function endRun(context: Context, job: Job): void {
+  const { gang } = job;
+  if (gang === undefined) return;
+  const held = context.now - gang.startedAt;
+  if (gang.committed) job.attained += held * job.need;
+  const succeeded = hasFinished(gang);
+  const ending = gang.ending ?? { kind: "requeue", reason: "" };
+  releaseParts(context, job);
+  if (succeeded) {
+    observeRunTime(context, job.record.spec, held);
+    endJob(context, job, "succeeded", "");
+  } else if (job.cancelled) {
+    endJob(context, job, "cancelled", Reason.Cancelled);
+  } else if (ending.kind !== "requeue") {
+    endJob(context, job, ending.kind, ending.reason);
+  } else {
+    requeue(context, job, ending.reason);
+  }
+}
+
+/** Whether every member of the gang has finished. */
+export function hasFinished(gang: Gang): boolean {
+  if (gang.parts.size === 0) return false;
+  for (const part of gang.parts.values()) {
+    for (const { member } of part.members) {
+      if (part.states.get(member) !== "finished") return false;
+    }
+  }
+  return true;
+}
+
+/** What follows when a run is lost. Non-idempotent work never runs again. */
+export function endingOf(job: Job, reason: string, failed: boolean): Ending {
+  const started = job.gang?.committed === true || job.record.started;
+  if (!job.record.spec.idempotent && started) {
+    return { kind: failed ? "failed" : "unknown", reason };
+  }
+  const { failedOn } = job.record;
+  if (failed && failedOn.length >= MAX_WORKER_FAILURES_PER_JOB) {
+    return { kind: "failed", reason: Reason.TooManyFailures };
+  }
+  return { kind: "requeue", reason };
+}
+
+function requeue(context: Context, job: Job, reason: string): void {
+  const { idempotent } = job.record.spec;
+  assertInvariant({
+    invariant: Invariant.AtMostOnce,
+    holds: idempotent || !job.record.started,
+    step: "requeue",
+    peer: job.record.id,
+    detail: "a non-idempotent job was started before",
+  });
+  job.record = { ...job.record, state: "queued", reason };
+  enqueue(context, job, reason);
+  if (context.state.stopping) handOver(context, job);
+  else persist(context, job);
+}
+
+/** Gives up the ownership of a job in the store. */
+export function handOver(context: Context, job: Job): void {
+  job.record = { ...job.record, owner: "", ownerIncarnation: 0 };
+  persist(context, job, "handover");
+}
+
+/** Gives a job its final state. It is kept until that is stored. */
+export function endJob(
+  context: Context,
+  job: Job,
+  state: JobState,
+  reason: string,
+): void {
+  if (job.phase === "queued") dequeue(context, job);
+  job.phase = "ended";
+  job.record = { ...job.record, state, reason };
+  context.jobs.stale = true;
+  if (context.jobs.hold?.job === job.record.id) context.jobs.hold = undefined;
+  audit(context, job, { kind: "job-ended", reason: reason || state });
+  context.emit({
+    kind: "count",
+    metric: "jobs.ended",
+    value: 1,
+    tags: { state, team: job.record.spec.team },
+  });
+  persist(context, job);
+}
+
+/** Removes a job whose record in the store no longer depends on this entry. */
+export function forget(context: Context, job: Job): void {
+  const { jobs } = context;
+  const { id } = job.record;
+  const ended = hasEnded(job.record.state);
+  assertInvariant({
+    invariant: Invariant.NoLostJob,
+    holds: job.revision > 0 && (ended || !isOwn(context, job.record)),
+    step: "forget job",
+    peer: id,
+    detail: `state ${job.record.state} at revision ${job.revision}`,
+  });
+  if (job.phase === "queued") dequeue(context, job);
+  releaseParts(context, job);
+  if (job.write !== undefined) jobs.writesInFlight--;
+  job.write = undefined;
+  job.phase = "ended";
+  jobs.backlog.delete(job);
+  jobs.jobs.delete(id);
+  if (jobs.hold?.job === id) jobs.hold = undefined;
+  if (ended) remember(context, id, job);
+}
+
+function remember({ jobs }: Context, id: JobId, job: Job): void {
+  jobs.ended.set(id, job.record);
+  for (const oldest of jobs.ended.keys()) {
+    if (jobs.ended.size <= endedLimit) break;
+    jobs.ended.delete(oldest);
+  }
+}
+
+/** Another entry owns the job: nothing may be done to its run. */
+export function lose(
+  context: Context,
+  job: Job,
+  owner: { record: Job["record"]; revision: number } | undefined,
+): void {
+  const { id } = job.record;
+  log(context, "warn", "ownership of a job was lost", {
+    job: id,
+    owner: owner?.record.owner ?? "",
+  });
+  audit(context, job, { kind: "ownership-lost", reason: "other owner" });
+  if (job.gang?.committed === false) {
+    const { run, parts } = job.gang;
+    for (const { worker } of parts.values()) {
+      send(context, worker, { kind: "release", run });
+    }
+  }
+  const record = owner?.record ?? { ...job.record, owner: "" };
+  job.record = record;
+  job.revision = Math.max(1, owner?.revision ?? job.revision);
+  forget(context, job);
+  if (owner !== undefined && !hasEnded(record.state)) {
+    context.jobs.foreign.set(id, owner);
+  }
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/handover.ts
@@ -0,0 +1,64 @@
+/**
+ * Graceful shutdown: jobs are given up for other entries to adopt.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import type { EntryState } from "../state.ts";
+import { isUnresolved } from "./cancel.ts";
+import type { Context } from "./context.ts";
+import { forget, handOver } from "./endings.ts";
+import { renew } from "./run.ts";
+import { abandon } from "./start.ts";
+import type { Job } from "./state.ts";
+
+/** The store counts as unavailable if it is silent for longer. */
+const storePatience: Milliseconds = 2000;
+
+/** Gives up all jobs. Running gangs continue under their lease. */
+export function beginHandover(context: Context): void {
+  const { jobs } = context;
+  if (jobs.handingOver) return;
+  jobs.handingOver = true;
+  jobs.hold = undefined;
+  jobs.nextLoad = context.now;
+  for (const job of [...jobs.jobs.values()]) {
+    if (job.phase === "queued") handOver(context, job);
+    if (job.phase === "active") handOverRun(context, job);
+  }
+}
+
+function handOverRun(context: Context, job: Job): void {
+  const { gang } = job;
+  if (gang === undefined) return;
+  // An abandoned start is handed over from the queue.
+  if (!gang.committed) return abandon(context, job, "the entry shuts down");
+  if (gang.phase === "running") {
+    renew(context, job);
+  } else {
+    const reason = job.cancelled ? "cancelled" : gang.ending?.reason ?? "";
+    job.record = { ...job.record, state: "stopping", reason };
+  }
+  handOver(context, job);
+}
+
+/** The record without an owner was stored. */
+export function takeHandoverWritten(context: Context, job: Job): void {
+  if (job.write === undefined && !job.dirty) forget(context, job);
+}
+
+/**
+ * Whether nothing of the jobs keeps the entry from its exit: all records are
+ * written, or the store is known to be unavailable.
+ */
+export function jobsSettled(state: EntryState): boolean {
+  const { jobs } = state;
+  const unresolved = [...jobs.cancels.values()].some(isUnresolved);
+  if (jobs.jobs.size === 0 && !unresolved) return true;
+  let silentSince = jobs.storeDownSince ?? Infinity;
+  for (const job of jobs.jobs.values()) {
+    silentSince = Math.min(silentSince, job.write?.sentAt ?? Infinity);
+  }
+  return jobs.now > silentSince + storePatience;
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/hold.ts
@@ -0,0 +1,134 @@
+/**
+ * Holds: capacity that is drained for a large gang that waits too long.
+ *
+ * @module
+ */
+
+import { MINUTE } from "@dragonflyledge/model";
+import type { Milliseconds, RunId } from "@dragonflyledge/model";
+import { placeGang } from "@dragonflyledge/placement";
+import type { HeldMember, Plan, WorkerView } from "@dragonflyledge/placement";
+import { homeIndex, isRevocable, markFreed, specOf } from "./capacity.ts";
+import { audit } from "./context.ts";
+import type { Context } from "./context.ts";
+import { endingOf } from "./endings.ts";
+import { expectedRunTime } from "./estimates.ts";
+import { stopGang } from "./run.ts";
+import type { Hold, Job } from "./state.ts";
+
+const holdDelay: Milliseconds = MINUTE;
+const longestHold: Milliseconds = 10 * MINUTE;
+
+/**
+ * Ends a hold that is over, grants one to the first large gang that waits too
+ * long, and stops backfilled work once that makes room for the gang. There is
+ * one hold at a time, so that holds cannot take all capacity.
+ */
+export function updateHold(context: Context, waiting: Job[]): void {
+  const { jobs, now } = context;
+  if (jobs.hold !== undefined && now >= jobs.hold.until) {
+    const job = jobs.jobs.get(jobs.hold.job);
+    if (job !== undefined) job.holdAfter = now + longestHold;
+    setHold(context, undefined);
+  }
+  const { hold } = jobs;
+  if (hold === undefined) {
+    const job = waiting.find((one) => mayHold(context, one));
+    if (job !== undefined) grant(context, job);
+    return;
+  }
+  const job = jobs.jobs.get(hold.job);
+  if (job?.phase === "queued" && !hold.draining) drain(context, hold, job);
+}
+
+function setHold(context: Context, hold: Hold | undefined): void {
+  context.jobs.hold = hold;
+  markFreed(context);
+}
+
+function mayHold({ jobs, now }: Context, job: Job): boolean {
+  if (now < job.queuedAt + holdDelay || now < job.holdAfter) return false;
+  let largest = 1;
+  for (const { inventory } of jobs.views.values()) {
+    largest = Math.max(largest, inventory.capacity.accelerators);
+  }
+  return job.need >= largest;
+}
+
+/** Holds the workers that are expected to be free first. */
+function grant(context: Context, job: Job): void {
+  const { jobs, now } = context;
+  const remaining = (run: RunId) => remainingWork(context, run);
+  const plan = search(context, job, (held) => !held.urgent, remaining);
+  if (plan === undefined) return;
+  const workers = new Set(plan.workers.map(({ worker }) => worker));
+  setHold(context, {
+    job: job.record.id,
+    workers,
+    until: now + longestHold,
+    draining: false,
+  });
+  audit(context, job, {
+    kind: "hold",
+    reason: job.wait,
+    detail: { workers: workers.size },
+  });
+}
+
+function remainingWork({ jobs, now, ...rest }: Context, run: RunId): number {
+  const spec = specOf({ jobs, now, ...rest }, run.job);
+  const since = jobs.runs.get(run.job)?.since ?? now;
+  if (spec === undefined) return MINUTE;
+  const expected = expectedRunTime({ jobs, now, ...rest }, spec);
+  return Math.max(0, expected - (now - since));
+}
+
+/** Stops own revocable work on the held workers if the gang then fits. */
+function drain(context: Context, hold: Hold, job: Job): void {
+  const { jobs } = context;
+  const stoppable = (held: HeldMember, view: WorkerView) => {
+    const other = jobs.jobs.get(held.run.job);
+    return hold.workers.has(view.inventory.worker) && !held.urgent &&
+      other?.gang?.phase === "running" && isRevocable(other.record.spec);
+  };
+  const lost = (run: RunId) =>
+    jobs.now - (jobs.runs.get(run.job)?.since ?? jobs.now);
+  const plan = search(context, job, stoppable, lost);
+  if (plan === undefined || plan.victims.length === 0) return;
+  hold.draining = true;
+  markFreed(context);
+  for (const run of plan.victims) {
+    const victim = jobs.jobs.get(run.job);
+    if (victim === undefined) continue;
+    const reason = `makes room for ${hold.job}, which has a hold`;
+    stopGang(context, victim, endingOf(victim, reason, false));
+  }
+}
+
+/** A place for the gang if the members that match were stopped for it. */
+function search(
+  context: Context,
+  job: Job,
+  stoppable: (held: HeldMember, view: WorkerView) => boolean,
+  lostWork: (run: RunId) => number,
+): Plan | undefined {
+  const workers = [...context.jobs.views.values()].map((view) => ({
+    ...view,
+    held: view.held.map((held) => ({
+      ...held,
+      urgent: false,
+      revocable: stoppable(held, view),
+    })),
+  }));
+  const { id, spec, epoch } = job.record;
+  const place = placeGang({
+    spec: { ...spec, revocable: isRevocable(spec) },
+    run: { job: id, epoch: epoch + 1 },
+    urgent: true,
+    workers,
+    homes: homeIndex(context),
+    excluded: new Set(job.record.failedOn),
+    lostWork,
+  });
+  return place.isOk() ? place.value : undefined;
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/jobs_test.ts
@@ -0,0 +1,211 @@
+import { test } from "tap";
+import { explainJob } from "./explain.ts";
+import { buildSpec, World } from "./testing.ts";
+
+/** A settled cluster with one entry, past the grace for connections. */
+function settle(workers: number, accelerators = 8): World {
+  const world = new World(21, workers, accelerators);
+  world.addEntry("e1");
+  world.run(4000);
+  return world;
+}
+
+// Guards against acceptance before the record is stored, and against jobs
+// that can never run.
+test("a job is accepted once stored, or refused with the true reason", (t) => {
+  const world = settle(2);
+  const cases: [string, ReturnType<typeof buildSpec>, string][] = [
+    ["j1", buildSpec(2, 8), "never-fits"],
+    ["j2", buildSpec(1, 9), "never-fits"],
+    ["j3", buildSpec(2, 8, { team: "c" }), "quota-exceeded"],
+    ["j4", buildSpec(1, 1, { team: "x" }), "unknown-team"],
+    ["j5", buildSpec(1, 1, { class: "x" }), "unknown-class"],
+    ["j6", buildSpec(1, 8), "accepted"],
+  ];
+  for (const [job, spec] of cases.slice(1)) world.submit("e1", job, spec);
+  world.submit("e1", "j1", buildSpec(2, 8, { revocable: false }));
+  t.notOk(world.answers.has("j6"));
+  world.run(100);
+  for (const [job, , answer] of cases) t.equal(world.answers.get(job), answer);
+  t.equal(world.running("j6").length, 1);
+  world.end("j6", "finished");
+  world.run(100);
+  t.equal(world.stateOf("j6"), "succeeded");
+  t.end();
+});
+
+// Guards against a run of a job whose caller was told that it did not run.
+test("a record whose write was not answered is cancelled", (t) => {
+  const world = settle(2);
+  world.storeMode = "answers-lost";
+  world.submit("e1", "j", buildSpec(1, 8));
+  world.run(500);
+  t.equal(world.answers.get("j"), "store-unavailable");
+  t.equal(world.stateOf("j"), "queued");
+  world.storeMode = "up";
+  world.run(8000);
+  t.equal(world.stateOf("j"), "cancelled");
+  t.same(world.starts, []);
+  t.end();
+});
+
+// Guards against idempotent starts that wait for the store.
+test("accepted idempotent jobs start without the store", (t) => {
+  const world = settle(1);
+  world.submit("e1", "j1", buildSpec(1, 8, { team: "a" }));
+  world.submit("e1", "j2", buildSpec(1, 8, { team: "a" }));
+  world.submit("e1", "j3", buildSpec(1, 8, { idempotent: false, team: "a" }));
+  world.run(100);
+  world.storeMode = "down";
+  world.end("j1", "finished");
+  world.run(100);
+  t.equal(world.running("j2").length, 1);
+  world.end("j2", "finished");
+  world.run(10_000);
+  t.same(world.starts, ["j1/0", "j2/0"]);
+  world.storeMode = "up";
+  world.run(5000);
+  t.same(world.starts, ["j1/0", "j2/0", "j3/0"]);
+  t.same(["j1", "j2"].map((job) => world.stateOf(job)), [
+    "succeeded",
+    "succeeded",
+  ]);
+  t.end();
+});
+
+// Guards against a non-idempotent start that another entry could repeat.
+test("a non-idempotent start is stored before the commit", (t) => {
+  const world = settle(1);
+  world.submit("e1", "j", buildSpec(1, 8, { idempotent: false, team: "a" }));
+  world.run(100);
+  const commit = world.effects.findIndex((effect) =>
+    effect.kind === "send" && effect.message.kind === "commit"
+  );
+  const write = world.effects.findIndex((effect) =>
+    effect.kind === "writeJob" && effect.record.started
+  );
+  t.ok(write >= 0 && write < commit);
+  for (const agent of world.running("j")) world.failAgent(agent);
+  world.run(20_000);
+  t.equal(world.stateOf("j"), "unknown");
+  t.same(world.starts, ["j/0"]);
+  t.end();
+});
+
+// Guards against gangs that run without one of their members, and against a
+// second run beside the first.
+test("a lost worker stops the whole gang, which then starts anew", (t) => {
+  const world = settle(4);
+  world.submit("e1", "j", buildSpec(3, 8));
+  world.run(100);
+  const [first, ...others] = world.running("j");
+  t.equal(others.length, 2);
+  if (first) world.failAgent(first);
+  world.run(100);
+  t.equal(world.running("j").filter((agent) => agent.up).length, 0);
+  t.match(explainJob(world.entry("e1").state, "j"), /stopping: worker-lost/);
+  world.run(12_000);
+  t.equal(world.starts.length, 3, "no start before the lease has lapsed");
+  world.run(6000);
+  t.equal(world.running("j").length, 3);
+  t.end();
+});
+
+// Guards against leases that are renewed although a member is silent.
+test("a silent member stops the gang within its lease", (t) => {
+  const world = settle(2);
+  world.submit("e1", "j", buildSpec(2, 8));
+  world.run(100);
+  const silent = world.running("j")[0];
+  if (silent) silent.silent = true;
+  world.run(12_100);
+  t.equal(world.running("j").filter((agent) => !agent.silent).length, 0);
+  t.end();
+});
+
+// Guards against endless restarts of a job that fails everywhere.
+test("a job that failed on three workers is given up", (t) => {
+  const world = settle(5);
+  world.submit("e1", "j", buildSpec(1, 8));
+  for (let failure = 0; failure < 3; failure++) {
+    world.run(6500);
+    t.equal(world.running("j").length, 1);
+    world.end("j", "failed");
+  }
+  world.run(1000);
+  t.equal(world.stateOf("j"), "failed");
+  const { record } = world.store.get("j") ?? {};
+  t.equal(record?.reason, "too-many-failures");
+  t.equal(new Set(record?.failedOn).size, 3);
+  t.end();
+});
+
+// Guards against owners that wait for borrowers, and victims that stay in part.
+test("an owner reclaims its home; the whole borrower is requeued", (t) => {
+  const world = settle(2);
+  world.submit("e1", "lent", buildSpec(2, 8));
+  world.run(100);
+  t.equal(world.running("lent").length, 2);
+  world.submit("e1", "own", buildSpec(1, 8, { team: "a", class: "plan" }));
+  world.run(4100);
+  t.equal(world.running("own").length, 1);
+  t.equal(world.running("lent").length, 0);
+  t.ok(world.audits.some((one) => one.kind === "reclaim"));
+  t.equal(world.stateOf("lent"), "queued");
+  world.end("own", "finished");
+  world.run(3000);
+  t.equal(world.running("lent").length, 2);
+  t.end();
+});
+
+// Guards against waves of cancellations that cost a scan each, and against
+// members that keep running.
+test("cancelled jobs end, queued or running", (t) => {
+  const world = settle(1);
+  const jobs = Array.from({ length: 200 }, (_, index) => `j${index}`);
+  for (const job of jobs) world.submit("e1", job, buildSpec(1, 8));
+  world.run(200);
+  for (const job of jobs) world.reduce("e1", { kind: "jobCancelled", job });
+  world.run(3000);
+  t.ok(jobs.every((job) => world.stateOf(job) === "cancelled"));
+  t.equal([...world.agents.values()][0]?.runs.size, 0);
+  t.equal(world.entry("e1").state.jobs.open, 0);
+  t.equal(world.starts.length, 1);
+  t.end();
+});
+
+// Guards against quotas that count only guaranteed capacity.
+test("borrowed accelerators count towards the quota", (t) => {
+  const world = settle(3);
+  const spec = buildSpec(1, 8, { team: "c" });
+  for (const job of ["j1", "j2"]) world.submit("e1", job, spec);
+  world.run(2000);
+  t.same(world.starts, ["j1/0"]);
+  t.match(explainJob(world.entry("e1").state, "j2"), /holds 8 of its quota/);
+  t.end();
+});
+
+// Guards against a large gang that small work keeps from starting.
+test("a large gang that waits gets a hold, which is drained", (t) => {
+  const world = settle(2);
+  const small = buildSpec(1, 4, { revocable: false, team: "a" });
+  const backfill = buildSpec(1, 4, { command: "other" });
+  for (const job of ["s1", "s2"]) world.submit("e1", job, small);
+  world.run(100);
+  world.submit("e1", "large", buildSpec(2, 8, { team: "a" }));
+  world.run(100);
+  world.submit("e1", "b1", backfill);
+  world.run(61_000);
+  t.equal(world.entry("e1").state.jobs.hold?.job, "large");
+  world.submit("e1", "late", buildSpec(1, 4, { revocable: false }));
+  world.submit("e1", "b2", backfill);
+  world.submit("e1", "now", buildSpec(1, 4, { class: "plan" }));
+  world.run(1000);
+  t.equal(world.running("late").length, 0);
+  t.equal(world.running("now").length, 1);
+  for (const job of ["s1", "s2", "now"]) world.end(job, "finished");
+  world.run(6000);
+  t.equal(world.running("large").length, 2);
+  t.equal(world.entry("e1").state.jobs.hold, undefined);
+  t.end();
+});
--- /dev/null
+++ b/core/entry_reducer/jobs/queue.ts
@@ -0,0 +1,96 @@
+/**
+ * Queues of waiting jobs.
+ *
+ * @module
+ */
+
+import { MINUTE } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { heldBy } from "./capacity.ts";
+import { wake } from "./context.ts";
+import type { Context } from "./context.ts";
+import type { Job } from "./state.ts";
+
+/** Level 0 is urgent; each further level has received twice the service. */
+const levels = 8;
+/** Bounds the cost of one round of placement. */
+const candidatesPerTeam = 256;
+
+/** Puts a job into the queue of its team. */
+export function enqueue(context: Context, job: Job, wait: string): void {
+  const { jobs, now } = context;
+  if (job.phase !== "queued") job.queuedAt = now;
+  job.phase = "queued";
+  job.wait = wait;
+  job.level = levelOf(job);
+  const team = job.record.spec.team;
+  const queue = jobs.queues.get(team) ??
+    Array.from({ length: levels }, () => new Set<Job>());
+  queue[job.level]?.add(job);
+  jobs.queues.set(team, queue);
+  jobs.stale = true;
+  if (job.notBefore > now) wake(context, job, job.notBefore);
+}
+
+/** Takes a job out of its queue. */
+export function dequeue(context: Context, job: Job): void {
+  const queue = context.jobs.queues.get(job.record.spec.team);
+  queue?.[job.level]?.delete(job);
+}
+
+/** Least attained service, by powers of two of accelerator-minutes. */
+function levelOf(job: Job): number {
+  if (job.urgent) return 0;
+  const service = Math.floor(Math.log2(1 + job.attained / MINUTE));
+  return 1 + Math.min(levels - 2, service);
+}
+
+/**
+ * Jobs to try in order: urgent ones, then the job with a hold, then those
+ * within the guarantee of their team, then those of the team that holds
+ * least for its weight.
+ */
+export function listCandidates(context: Context): Job[] {
+  const { jobs, state, now } = context;
+  const candidates: { job: Job; rank: number; share: number }[] = [];
+  for (const [name, queue] of jobs.queues) {
+    const team = state.configuration?.teams.find((one) => one.name === name);
+    if (team === undefined) {
+      for (const job of takeReady(queue, now)) {
+        job.wait = "its team is not configured";
+      }
+      continue;
+    }
+    const held = heldBy(context, name);
+    const guaranteed = team.guarantees.reduce(
+      (sum, shape) => sum + shape.accelerators * shape.count,
+      0,
+    );
+    for (const job of takeReady(queue, now)) {
+      const rank = rankOf(context, job, held + job.need <= guaranteed);
+      candidates.push({ job, rank, share: held / Math.max(0.01, team.weight) });
+    }
+  }
+  candidates.sort((a, b) =>
+    a.rank - b.rank || a.share - b.share || a.job.level - b.job.level ||
+    a.job.queuedAt - b.job.queuedAt
+  );
+  return candidates.map(({ job }) => job);
+}
+
+function rankOf(context: Context, job: Job, guaranteed: boolean): number {
+  if (job.urgent) return 0;
+  if (context.jobs.hold?.job === job.record.id) return 1;
+  return guaranteed ? 2 : 3;
+}
+
+function takeReady(queue: Set<Job>[], now: Milliseconds): Job[] {
+  const ready: Job[] = [];
+  for (const level of queue) {
+    for (const job of level) {
+      if (ready.length >= candidatesPerTeam) return ready;
+      if (job.notBefore <= now) ready.push(job);
+    }
+  }
+  return ready;
+}
--- a/core/entry_reducer/jobs/reduce.ts
+++ b/core/entry_reducer/jobs/reduce.ts
@@ -4,12 +4,219 @@
  * @module
  */
 
-import type { EntryEvent } from "@dragonflyledge/model";
+import type { EntryEvent, JobId, WorkerId } from "@dragonflyledge/model";
 import type { Emit, EntryState } from "../state.ts";
+import { cancelJob, cancelOwn, takeCancelWritten } from "./cancel.ts";
+import { markFreed, refreshWorker, sweepRuns } from "./capacity.ts";
+import { hasEnded } from "./context.ts";
+import type { Context } from "./context.ts";
+import { dispatch, dispatchUrgent } from "./dispatch.ts";
+import { forget, lose } from "./endings.ts";
+import { beginHandover, takeHandoverWritten } from "./handover.ts";
+import { dequeue, enqueue } from "./queue.ts";
+import {
+  losePart,
+  renew,
+  sendStops,
+  takeReclaim,
+  takeReport,
+  takeRunState,
+} from "./run.ts";
+import { abandon, takeReservation, takeStartWritten } from "./start.ts";
+import type { Job, Part } from "./state.ts";
+import { submit, takeSubmissionWritten } from "./submit.ts";
+import {
+  considerTakeovers,
+  keepLoading,
+  takeClaimWritten,
+  takeEntries,
+  takeLoaded,
+} from "./takeover.ts";
+import { completeWrite, drainBacklog } from "./writes.ts";
 
+type EventOf<K extends EntryEvent["kind"]> = Extract<EntryEvent, { kind: K }>;
+
+/** Applies one event to the jobs of the entry. */
 export function reduceJobs(
-  _state: EntryState,
-  _event: EntryEvent,
-  _emit: Emit,
+  state: EntryState,
+  event: EntryEvent,
+  emit: Emit,
+): void {
+  const { jobs } = state;
+  const { now } = event;
+  jobs.now = now;
+  jobs.startedAt ??= now;
+  const context: Context = { state, jobs, now, emit };
+  switch (event.kind) {
+    case "tick":
+      return tick(context);
+    case "message":
+      return takeMessage(context, event);
+    case "agentConnected":
+      refreshWorker(context, event.hello.id);
+      return loseParts(
+        context,
+        event.hello.id,
+        (part) => part.incarnation !== event.hello.incarnation,
+      );
+    case "agentLost":
+      refreshWorker(context, event.worker);
+      return loseParts(
+        context,
+        event.worker,
+        (part) => part.incarnation === event.incarnation,
+      );
+    case "jobSubmitted":
+      return submit(context, event);
+    case "jobCancelled":
+      return cancelJob(context, event.job);
+    case "jobWritten":
+      return takeWritten(context, event);
+    case "jobsLoaded":
+      return takeLoaded(context, event);
+    case "leaseRenewed":
+      state.leaseValidUntil = event.validUntil;
+      return;
+    case "entriesSeen":
+      state.entries = event.entries;
+      return takeEntries(context);
+    case "stopRequested":
+      return beginHandover(context);
+  }
+}
+
+function tick(context: Context): void {
+  const { jobs, state, now } = context;
+  if (jobs.configuration !== state.configuration) takeConfiguration(context);
+  for (;;) {
+    const job = jobs.alarms.take(now);
+    if (job === undefined) break;
+    if (jobs.jobs.get(job.record.id) === job) ring(context, job);
+  }
+  if (now >= jobs.nextRound) sweepRuns(context);
+  if (now >= jobs.nextTakeover) considerTakeovers(context);
+  keepLoading(context);
+  drainBacklog(context);
+  dispatch(context);
+}
+
+function ring(context: Context, job: Job): void {
+  const { jobs, now } = context;
+  if (job.wakeAt > now) return;
+  job.wakeAt = Infinity;
+  const { gang } = job;
+  if (gang === undefined) jobs.stale = true;
+  else if (gang.phase === "running") renew(context, job);
+  else if (gang.phase === "stopping") sendStops(context, job);
+  else if (now >= gang.deadline) {
+    abandon(context, job, "the reservation timed out");
+  } else {
+    job.wakeAt = gang.deadline;
+    jobs.alarms.set(gang.deadline, job);
+  }
+}
+
+/** Classes may have become urgent, and quotas may have changed. */
+function takeConfiguration(context: Context): void {
+  const { jobs, state } = context;
+  jobs.configuration = state.configuration;
+  const urgent = new Map(
+    state.configuration?.classes.map((one) => [one.name, one.urgent]),
+  );
+  for (const job of jobs.jobs.values()) {
+    const next = urgent.get(job.record.spec.class) ?? job.urgent;
+    if (next === job.urgent) continue;
+    if (job.phase === "queued") dequeue(context, job);
+    job.urgent = next;
+    if (job.phase === "queued") enqueue(context, job, job.wait);
+  }
+  markFreed(context);
+}
+
+function takeMessage(context: Context, event: EventOf<"message">): void {
+  const { message, worker } = event;
+  switch (message.kind) {
+    case "report":
+      refreshWorker(context, worker);
+      for (const [id, part] of partsOf(context, worker)) {
+        const job = jobOf(context, id, part, event);
+        if (job) takeReport(context, job, part, message.members);
+      }
+      return;
+    case "reserved":
+    case "reserving":
+    case "reserveRefused":
+    case "runState":
+    case "reclaimNotice": {
+      const { job: id } = message.run;
+      const part = context.jobs.parts.get(worker)?.get(id);
+      const job = part && jobOf(context, id, part, event);
+      if (part === undefined || job === undefined) return;
+      if (message.kind === "runState") {
+        return takeRunState(context, job, part, message);
+      }
+      if (message.kind === "reclaimNotice") {
+        return takeReclaim(context, job, part, message);
+      }
+      return takeReservation(context, job, part, message);
+    }
+  }
+}
+
+function partsOf(context: Context, worker: WorkerId): [JobId, Part][] {
+  return [...context.jobs.parts.get(worker) ?? []];
+}
+
+/** A restarted agent may only prove that members have stopped. */
+function jobOf(
+  context: Context,
+  id: JobId,
+  part: Part,
+  event: EventOf<"message">,
+): Job | undefined {
+  const job = context.jobs.jobs.get(id);
+  const stopping = job?.gang?.phase === "stopping";
+  return stopping || part.incarnation === event.incarnation ? job : undefined;
+}
+
+function loseParts(
+  context: Context,
+  worker: WorkerId,
+  isLost: (part: Part) => boolean,
 ): void {
+  for (const [id, part] of partsOf(context, worker)) {
+    const job = context.jobs.jobs.get(id);
+    if (job !== undefined && isLost(part)) losePart(context, job, part);
+  }
+}
+
+function takeWritten(context: Context, event: EventOf<"jobWritten">): void {
+  takeCancelWritten(context, event);
+  const completion = completeWrite(context, event);
+  drainBacklog(context);
+  if (completion === undefined) return;
+  const { job, then, result, current } = completion;
+  const winner = current && { record: current, revision: event.revision };
+  if (then === "accept") {
+    takeSubmissionWritten(context, job, result);
+    return dispatchUrgent(context, job);
+  }
+  if (then === "claim") {
+    takeClaimWritten(context, job, result, winner);
+    return dispatchUrgent(context, job);
+  }
+  if (result === "lost") return lose(context, job, winner);
+  if (then === "start") {
+    takeStartWritten(context, job, result === "stored");
+  } else if (result === "stored") {
+    afterStored(context, job, then === "handover");
+  }
+  if (job.cancelled) cancelOwn(context, job);
+}
+
+/** An ended job is forgotten once its final state is stored. */
+function afterStored(context: Context, job: Job, handedOver: boolean): void {
+  if (handedOver) return takeHandoverWritten(context, job);
+  const written = job.write === undefined && !job.dirty;
+  if (hasEnded(job.record.state) && written) forget(context, job);
 }
--- /dev/null
+++ b/core/entry_reducer/jobs/run.ts
@@ -0,0 +1,230 @@
+/**
+ * Running gangs: renewal of their leases, states of members, stops.
+ *
+ * @module
+ */
+
+import {
+  assertInvariant,
+  GANG_LEASE,
+  GANG_RENEWAL_INTERVAL,
+  Invariant,
+} from "@dragonflyledge/model";
+import type {
+  MemberReport,
+  ReclaimNotice,
+  RunState,
+} from "@dragonflyledge/model";
+import { isLive, LAPSE } from "./capacity.ts";
+import { audit, send, wake } from "./context.ts";
+import type { Context } from "./context.ts";
+import { endingOf, endRun, hasFinished, lose } from "./endings.ts";
+import type { Ending, Gang, Job, Part } from "./state.ts";
+import { abandon } from "./start.ts";
+import { persist } from "./writes.ts";
+
+/** Extends the lease of a gang, if all its members may still hold theirs. */
+export function renew(context: Context, job: Job): void {
+  const { gang } = job;
+  if (gang?.phase !== "running") return;
+  const { now } = context;
+  for (const part of gang.parts.values()) {
+    if (isPartFinished(part)) continue;
+    if (now < part.confirmedAt + GANG_LEASE) continue;
+    const reason = `${part.worker} did not answer`;
+    return stopGang(context, job, endingOf(job, reason, false));
+  }
+  assertWhole(job, gang);
+  gang.leaseSentAt = now;
+  for (const part of gang.parts.values()) {
+    if (isPartFinished(part)) continue;
+    const { run } = gang;
+    send(context, part.worker, { kind: "renew", run, lease: GANG_LEASE });
+  }
+  wake(context, job, now + GANG_RENEWAL_INTERVAL);
+}
+
+function assertWhole(job: Job, gang: Gang): void {
+  let members = 0;
+  for (const part of gang.parts.values()) members += part.members.length;
+  assertInvariant({
+    invariant: Invariant.GangWhole,
+    holds: members === job.record.spec.members,
+    step: "renew",
+    peer: job.record.id,
+    detail: `${members} of ${job.record.spec.members} members are known`,
+  });
+}
+
+function isPartFinished(part: Part): boolean {
+  return part.members.every(({ member }) =>
+    part.states.get(member) === "finished"
+  );
+}
+
+/** Takes the states of all members of a run on one worker. */
+export function takeRunState(
+  context: Context,
+  job: Job,
+  part: Part,
+  message: RunState,
+): void {
+  const { gang } = job;
+  if (gang === undefined) return;
+  if (message.run.epoch > gang.run.epoch) {
+    lose(context, job, undefined);
+    context.emit({ kind: "loadJobs" });
+    return;
+  }
+  if (message.run.epoch < gang.run.epoch || !gang.committed) return;
+  part.confirmedAt = context.now;
+  takeStates(part, message.members);
+  if (gang.phase === "stopping") {
+    const live = message.members.some((member) => isLive(member.state));
+    if (!live) part.gone = true;
+    return endIfGone(context, job, gang);
+  }
+  judge(context, job, gang, part, message.members);
+}
+
+/** Takes the members of a report, which may be older than the run. */
+export function takeReport(
+  context: Context,
+  job: Job,
+  part: Part,
+  members: MemberReport[],
+): void {
+  const { gang } = job;
+  if (gang?.phase !== "running") return;
+  const own = members.filter(({ run }) =>
+    run.job === gang.run.job && run.epoch >= gang.lowestEpoch &&
+    run.epoch <= gang.run.epoch
+  );
+  if (own.length === 0) return;
+  takeStates(part, own);
+  judge(context, job, gang, part, undefined);
+}
+
+function takeStates(part: Part, members: MemberReport[]): void {
+  for (const { member, state } of members) {
+    // An agent may forget a finished member, and never runs it again.
+    if (part.states.get(member) === "finished") continue;
+    part.states.set(member, state);
+  }
+}
+
+/** One member that is not well stops all. */
+function judge(
+  context: Context,
+  job: Job,
+  gang: Gang,
+  part: Part,
+  whole: MemberReport[] | undefined,
+): void {
+  let reason = "";
+  for (const { member } of part.members) {
+    const state = part.states.get(member);
+    if (state === "failed") return failGang(context, job, part, member);
+    const missing = whole !== undefined && state !== "finished" &&
+      !whole.some((report) => report.member === member);
+    if (missing) reason = `member ${member} disappeared from ${part.worker}`;
+    else if (state !== undefined && isEnding(state)) {
+      reason = `member ${member} was stopped by ${part.worker}`;
+    }
+  }
+  if (reason !== "") {
+    return stopGang(context, job, endingOf(job, reason, false));
+  }
+  if (hasFinished(gang)) endRun(context, job);
+}
+
+function isEnding(state: MemberReport["state"]): boolean {
+  return state === "checkpointing" || state === "stopping" ||
+    state === "stopped";
+}
+
+function failGang(
+  context: Context,
+  job: Job,
+  part: Part,
+  member: number,
+): void {
+  const { worker } = part;
+  // Members fail in the wake of the first one, so one worker counts per run.
+  // A worker counts again only if no other was left, which bounds the runs.
+  const failedOn = [...job.record.failedOn, worker];
+  job.record = { ...job.record, failedOn };
+  const reason = `member ${member} failed on ${worker}`;
+  audit(context, job, { kind: "member-failed", worker, reason });
+  stopGang(context, job, endingOf(job, reason, true));
+}
+
+/** Stops all members. The job goes on when all have stopped. */
+export function stopGang(context: Context, job: Job, ending: Ending): void {
+  const { gang } = job;
+  if (gang === undefined) return;
+  if (!gang.committed) return abandon(context, job, ending.reason);
+  if (gang.phase === "stopping") return;
+  gang.phase = "stopping";
+  gang.ending = ending;
+  audit(context, job, { kind: "gang-stopped", reason: ending.reason });
+  if (job.cancelled) {
+    // Another entry that takes the job over must not start it again.
+    job.record = { ...job.record, state: "stopping", reason: "cancelled" };
+    persist(context, job);
+  }
+  for (const part of gang.parts.values()) {
+    if (isPartFinished(part)) part.gone = true;
+  }
+  sendStops(context, job);
+  endIfGone(context, job, gang);
+}
+
+/** Asks again until every member has stopped or its lease has lapsed. */
+export function sendStops(context: Context, job: Job): void {
+  const { gang } = job;
+  if (gang?.phase !== "stopping") return;
+  const lapsesAt = gang.leaseSentAt + LAPSE;
+  if (context.now >= lapsesAt) return endRun(context, job);
+  const checkpoint = gang.ending?.kind === "requeue" &&
+    job.record.spec.revocable;
+  for (const part of gang.parts.values()) {
+    if (part.gone) continue;
+    send(context, part.worker, { kind: "stop", run: gang.run, checkpoint });
+  }
+  job.wakeAt = Infinity;
+  const again = context.now + GANG_RENEWAL_INTERVAL;
+  wake(context, job, Math.min(lapsesAt, again));
+}
+
+function endIfGone(context: Context, job: Job, gang: Gang): void {
+  if (gang.unseen) return;
+  for (const part of gang.parts.values()) if (!part.gone) return;
+  endRun(context, job);
+}
+
+/** The owner of a home takes it back: the whole gang makes room. */
+export function takeReclaim(
+  context: Context,
+  job: Job,
+  part: Part,
+  message: ReclaimNotice,
+): void {
+  const { gang } = job;
+  if (gang === undefined || message.run.epoch !== gang.run.epoch) return;
+  if (gang.phase === "stopping") return;
+  audit(context, job, {
+    kind: "reclaim",
+    worker: part.worker,
+    reason: `reclaimed by ${message.by}`,
+  });
+  const reason = `reclaimed by ${message.by}`;
+  stopGang(context, job, endingOf(job, reason, false));
+}
+
+/** The agent of a part is lost or was restarted. */
+export function losePart(context: Context, job: Job, part: Part): void {
+  const reason = `worker-lost: ${part.worker}`;
+  if (job.gang?.phase === "stopping" || isPartFinished(part)) return;
+  stopGang(context, job, endingOf(job, reason, false));
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/start.ts
@@ -0,0 +1,243 @@
+/**
+ * Start of a gang: reserve on every worker, then commit to all.
+ *
+ * @module
+ */
+
+import {
+  assertInvariant,
+  GANG_LEASE,
+  GANG_RENEWAL_INTERVAL,
+  Invariant,
+  RESERVATION_TIMEOUT,
+} from "@dragonflyledge/model";
+import type {
+  Milliseconds,
+  Reserved,
+  ReserveRefused,
+  Reserving,
+} from "@dragonflyledge/model";
+import type { Plan } from "@dragonflyledge/placement";
+import { isRevocable } from "./capacity.ts";
+import { jittered, log, send, wake } from "./context.ts";
+import type { Context } from "./context.ts";
+import { endJob, handOver, holdParts, releaseParts } from "./endings.ts";
+import { dequeue, enqueue } from "./queue.ts";
+import type { Gang, Job, Part } from "./state.ts";
+import { persist } from "./writes.ts";
+
+/** A reservation outlives the deadline by the time that a commit travels. */
+const reservationSlack: Milliseconds = 500;
+const firstRetryDelay: Milliseconds = 50;
+const longestRetryDelay: Milliseconds = 2000;
+/**
+ * Epochs of runs that were never committed aren't stored one by one. A
+ * takeover skips more epochs than this.
+ */
+const unstoredEpochs = 500;
+
+/** Reserves the first worker of the plan. */
+export function startGang(context: Context, job: Job, plan: Plan): void {
+  const { now } = context;
+  dequeue(context, job);
+  job.phase = "active";
+  job.record = { ...job.record, epoch: plan.run.epoch };
+  const parts = new Map<string, Part>();
+  for (const { worker, members } of plan.workers) {
+    parts.set(worker, {
+      worker,
+      incarnation: context.state.agents.get(worker)?.incarnation ?? 0,
+      members,
+      answer: "none",
+      confirmedAt: now,
+      gone: false,
+      states: new Map(),
+    });
+  }
+  const deadline = now + RESERVATION_TIMEOUT;
+  holdParts(context, job, {
+    run: plan.run,
+    lowestEpoch: plan.run.epoch,
+    parts,
+    phase: "reserving",
+    deadline,
+    committed: false,
+    startedAt: now,
+    leaseSentAt: now,
+    ending: undefined,
+    unseen: false,
+  });
+  if (plan.run.epoch % unstoredEpochs === 0) persist(context, job);
+  wake(context, job, deadline);
+  reserveNext(context, job);
+}
+
+/**
+ * Asks one worker at a time, in the order of their ids, so that of two gangs
+ * that meet, one gets all workers that they share.
+ */
+function reserveNext(context: Context, job: Job): void {
+  const { gang, record: { spec } } = job;
+  if (gang === undefined) return;
+  for (const part of gang.parts.values()) {
+    if (part.answer === "asked") return;
+    if (part.answer !== "none") continue;
+    part.answer = "asked";
+    const sent = send(context, part.worker, {
+      kind: "reserve",
+      run: gang.run,
+      team: spec.team,
+      class: spec.class,
+      urgent: job.urgent,
+      revocable: isRevocable(spec),
+      members: part.members,
+      perMember: spec.perMember,
+      command: spec.command,
+      remaining: gang.deadline - context.now + reservationSlack,
+    });
+    if (!sent) abandon(context, job, `${part.worker} is not connected`);
+    return;
+  }
+  const whole = [...gang.parts.values()].every((part) =>
+    part.answer === "reserved"
+  );
+  if (whole) becomeReady(context, job);
+}
+
+/** Takes an agent's answer to a reservation. */
+export function takeReservation(
+  context: Context,
+  job: Job,
+  part: Part,
+  message: Reserved | Reserving | ReserveRefused,
+): void {
+  const { gang } = job;
+  if (gang?.phase !== "reserving" || message.run.epoch !== gang.run.epoch) {
+    return;
+  }
+  if (message.kind === "reserveRefused") {
+    abandon(context, job, `${part.worker} refused: ${message.reason}`);
+    // A higher epoch on a worker means that another entry owns the job.
+    if (message.reason === "stale-epoch") context.emit({ kind: "loadJobs" });
+    return;
+  }
+  if (part.answer === "reserved") return;
+  part.answer = message.kind;
+  reserveNext(context, job);
+}
+
+/**
+ * All workers are reserved. The start of a non-idempotent job is stored
+ * before the commit, so that no other entry repeats it.
+ */
+function becomeReady(context: Context, job: Job): void {
+  const { gang } = job;
+  if (gang === undefined) return;
+  if (job.record.spec.idempotent) return commit(context, job);
+  if (context.state.leaseValidUntil <= context.now) {
+    return abandon(context, job, "the entry's lease in the store has lapsed");
+  }
+  gang.phase = "recording";
+  job.record = { ...job.record, started: true, state: "running" };
+  persist(context, job, "start");
+}
+
+/** The start of a non-idempotent job was stored, or could not be. */
+export function takeStartWritten(
+  context: Context,
+  job: Job,
+  stored: boolean,
+): void {
+  const { gang } = job;
+  if (gang?.phase !== "recording") {
+    // The run was given up meanwhile, so the job was not started.
+    if (job.phase !== "ended") clearStarted(context, job);
+    return;
+  }
+  if (!stored) return abandon(context, job, "the store did not take the start");
+  const late = context.now >= gang.deadline;
+  const lapsed = context.state.leaseValidUntil <= context.now;
+  if (late || lapsed) {
+    return abandon(context, job, "the start was stored too late");
+  }
+  commit(context, job);
+}
+
+function clearStarted(context: Context, job: Job): void {
+  const { spec, started } = job.record;
+  if (spec.idempotent || !started || job.gang?.committed) return;
+  job.record = { ...job.record, started: false, state: "queued" };
+  persist(context, job);
+}
+
+function commit(context: Context, job: Job): void {
+  const { gang } = job;
+  if (gang === undefined) return;
+  const { now } = context;
+  assertStart(context, job, gang);
+  gang.phase = "running";
+  gang.committed = true;
+  gang.startedAt = now;
+  gang.leaseSentAt = now;
+  for (const part of gang.parts.values()) {
+    part.confirmedAt = now;
+    const { run } = gang;
+    send(context, part.worker, { kind: "commit", run, lease: GANG_LEASE });
+  }
+  job.attempts = 0;
+  if (context.jobs.hold?.job === job.record.id) context.jobs.hold = undefined;
+  if (job.record.spec.idempotent) {
+    job.record = { ...job.record, started: true, state: "running", reason: "" };
+    persist(context, job);
+  }
+  job.wakeAt = Infinity;
+  wake(context, job, now + GANG_RENEWAL_INTERVAL);
+}
+
+function assertStart(context: Context, job: Job, gang: Gang): void {
+  const parts = [...gang.parts.values()];
+  const members = parts.reduce((sum, part) => sum + part.members.length, 0);
+  assertInvariant({
+    invariant: Invariant.GangWhole,
+    holds: members === job.record.spec.members &&
+      parts.every((part) => part.answer === "reserved"),
+    step: "commit",
+    peer: job.record.id,
+    detail: `${members} of ${job.record.spec.members} members are reserved`,
+  });
+  assertInvariant({
+    invariant: Invariant.AtMostOnce,
+    holds: job.record.spec.idempotent ||
+      (!gang.committed && context.state.leaseValidUntil > context.now),
+    step: "commit",
+    peer: job.record.id,
+    detail: "a non-idempotent job needs a valid lease and one commit",
+  });
+}
+
+/** Gives up a run that was never committed, and tries again later. */
+export function abandon(context: Context, job: Job, reason: string): void {
+  const { gang } = job;
+  if (gang === undefined || gang.committed) return;
+  for (const part of gang.parts.values()) {
+    if (part.answer === "none") continue;
+    send(context, part.worker, { kind: "release", run: gang.run });
+  }
+  log(context, "debug", "a start was given up", {
+    job: job.record.id,
+    reason,
+  });
+  releaseParts(context, job);
+  clearStarted(context, job);
+  if (job.cancelled) return endJob(context, job, "cancelled", "cancelled");
+  job.attempts++;
+  const delay = Math.min(
+    longestRetryDelay,
+    firstRetryDelay * 2 ** Math.min(10, job.attempts - 1),
+  );
+  job.notBefore = jittered(context, delay);
+  const { queuedAt } = job;
+  enqueue(context, job, reason);
+  job.queuedAt = queuedAt;
+  if (context.state.stopping) handOver(context, job);
+}
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -4,11 +4,213 @@
  * @module
  */
 
+import type {
+  Configuration,
+  HomesTable,
+  JobId,
+  JobRecord,
+  JobState,
+  MemberState,
+  Milliseconds,
+  RunId,
+  TeamName,
+  WorkerId,
+} from "@dragonflyledge/model";
+import type { HomeIndex, WorkerView } from "@dragonflyledge/placement";
+import { Alarms } from "./alarms.ts";
+
+/** Members of a gang on one worker. */
+export interface Part {
+  worker: WorkerId;
+  incarnation: number;
+  members: { member: number; accelerators: number[] }[];
+  answer: "none" | "asked" | "reserving" | "reserved";
+  /** When the agent last told the state of the members. */
+  confirmedAt: Milliseconds;
+  /** Whether nothing of the run is left here, by proof. */
+  gone: boolean;
+  states: Map<number, MemberState>;
+}
+
+/** What becomes of a job when its gang has stopped. */
+export interface Ending {
+  kind: "requeue" | "failed" | "cancelled" | "unknown";
+  reason: string;
+}
+
+/** One run of a job. */
+export interface Gang {
+  run: RunId;
+  /** Lowest epoch of members that belong to this run, after an adoption. */
+  lowestEpoch: number;
+  /** In ascending order of worker id. */
+  parts: Map<WorkerId, Part>;
+  phase: "reserving" | "recording" | "running" | "stopping";
+  /** A run that has no commit by then is given up. */
+  deadline: Milliseconds;
+  committed: boolean;
+  startedAt: Milliseconds;
+  /** When the lease was last extended. */
+  leaseSentAt: Milliseconds;
+  ending: Ending | undefined;
+  /** Whether members may run where this entry sees none, until the lapse. */
+  unseen: boolean;
+}
+
+/** What follows a write of a record. */
+export type AfterWrite = "none" | "accept" | "start" | "claim" | "handover";
+
+/** A write of a record that has not been answered. */
+export interface Write {
+  id: number;
+  record: JobRecord;
+  then: AfterWrite;
+  sentAt: Milliseconds;
+}
+
+/** A job that this entry owns. */
+export interface Job {
+  record: JobRecord;
+  /** Revision of the stored record, 0 if none is known. */
+  revision: number;
+  phase: "submitting" | "claiming" | "queued" | "active" | "ended";
+  urgent: boolean;
+  /** Accelerators of all members. */
+  need: number;
+  /** Queue level while queued. */
+  level: number;
+  queuedAt: Milliseconds;
+  /** Not placed before this time, after a failed start. */
+  notBefore: Milliseconds;
+  /** Failed starts in a row. */
+  attempts: number;
+  /** Why the job waits, for people. */
+  wait: string;
+  /** Accelerator-milliseconds that earlier runs received. */
+  attained: number;
+  /** No further hold before this time. */
+  holdAfter: Milliseconds;
+  gang: Gang | undefined;
+  cancelled: boolean;
+  /** Owner and state before this entry took the job over. */
+  former: { owner: string; state: JobState } | undefined;
+  write: Write | undefined;
+  /** Whether the record changed after the write was sent. */
+  dirty: boolean;
+  then: AfterWrite;
+  wakeAt: Milliseconds;
+}
+
+/** A record that is to be cancelled though this entry doesn't own the job. */
+export interface Cancel {
+  state: JobState;
+  reason: string;
+  since: Milliseconds;
+  /** Loads of all records since then. */
+  loads: number;
+  write: number;
+  /** Whether the caller was told that the job did not run. */
+  refused: boolean;
+}
+
+/** Workers that are drained for a large gang. */
+export interface Hold {
+  job: JobId;
+  workers: Set<WorkerId>;
+  until: Milliseconds;
+  /** Whether backfilled work has been stopped to make room. */
+  draining: boolean;
+}
+
+/** A run that agents report, from any entry. */
+export interface SeenRun {
+  epoch: number;
+  since: Milliseconds;
+  workers: Set<WorkerId>;
+}
+
 export interface JobsState {
   /** Number of jobs that have not ended. */
-  open: number;
+  readonly open: number;
+  now: Milliseconds;
+  startedAt: Milliseconds | undefined;
+  /** Jobs of this entry. */
+  jobs: Map<JobId, Job>;
+  /** Open records of other entries, as last loaded. */
+  foreign: Map<JobId, { record: JobRecord; revision: number }>;
+  /** Records of jobs that ended lately. */
+  ended: Map<JobId, JobRecord>;
+  cancels: Map<JobId, Cancel>;
+  queues: Map<TeamName, Set<Job>[]>;
+  alarms: Alarms<Job>;
+  parts: Map<WorkerId, Map<JobId, Part>>;
+  views: Map<WorkerId, WorkerView>;
+  runs: Map<JobId, SeenRun>;
+  /** Accelerators held by each team. */
+  held: Map<TeamName, number>;
+  /** Lost workers whose leases have not lapsed yet. */
+  lost: Set<WorkerId>;
+  homes: { table: HomesTable | undefined; index: HomeIndex };
+  /** Grows whenever a gang that didn't fit may fit. */
+  capacityVersion: number;
+  misfits: Map<string, { version: number; reason: string }>;
+  /** Whether a round of placement is due. */
+  stale: boolean;
+  nextRound: Milliseconds;
+  hold: Hold | undefined;
+  /** Observed run times by kind of job. */
+  runTimes: Map<string, Milliseconds>;
+  writes: number;
+  writesInFlight: number;
+  backlog: Set<Job>;
+  writesPausedUntil: Milliseconds;
+  storeDownSince: Milliseconds | undefined;
+  nextLoad: Milliseconds;
+  /** Configuration for which urgency was last determined. */
+  configuration: Configuration | undefined;
+  /** Live entries as last seen, empty before the first time. */
+  presence: string;
+  /** When each owner was first missing in the presence list. */
+  absentSince: Map<string, Milliseconds>;
+  nextTakeover: Milliseconds;
+  handingOver: boolean;
 }
 
 export function createJobsState(): JobsState {
-  return { open: 0 };
+  return {
+    get open() {
+      return this.jobs.size;
+    },
+    now: 0,
+    startedAt: undefined,
+    jobs: new Map(),
+    foreign: new Map(),
+    ended: new Map(),
+    cancels: new Map(),
+    queues: new Map(),
+    alarms: new Alarms(),
+    parts: new Map(),
+    views: new Map(),
+    runs: new Map(),
+    held: new Map(),
+    lost: new Set(),
+    homes: { table: undefined, index: new Map() },
+    capacityVersion: 0,
+    misfits: new Map(),
+    stale: false,
+    nextRound: 0,
+    hold: undefined,
+    runTimes: new Map(),
+    writes: 0,
+    writesInFlight: 0,
+    backlog: new Set(),
+    writesPausedUntil: 0,
+    storeDownSince: undefined,
+    nextLoad: 0,
+    configuration: undefined,
+    presence: "",
+    absentSince: new Map(),
+    nextTakeover: Infinity,
+    handingOver: false,
+  };
 }
--- /dev/null
+++ b/core/entry_reducer/jobs/submit.ts
@@ -0,0 +1,176 @@
+/**
+ * Submission of jobs.
+ *
+ * @module
+ */
+
+import {
+  assertInvariant,
+  Invariant,
+  MAX_GANG_MEMBERS,
+  Reason,
+  SESSION_TIMEOUT,
+} from "@dragonflyledge/model";
+import type {
+  EntryEvent,
+  JobId,
+  JobRecord,
+  JobSpec,
+  WorkClass,
+} from "@dragonflyledge/model";
+import { placeGang } from "@dragonflyledge/placement";
+import { homeIndex, isRevocable, listViews } from "./capacity.ts";
+import type { Context } from "./context.ts";
+import { endJob, handOver } from "./endings.ts";
+import { enqueue } from "./queue.ts";
+import type { Job } from "./state.ts";
+import { isCancelRequest, persist } from "./writes.ts";
+
+type Submitted = Extract<EntryEvent, { kind: "jobSubmitted" }>;
+
+/** Refuses a job, or writes its record; it is accepted once that is stored. */
+export function submit(context: Context, event: Submitted): void {
+  const { state, jobs } = context;
+  if (jobs.jobs.has(event.job)) return;
+  const refusal = refuse(context, event.spec);
+  if (refusal !== undefined) return answer(context, event.job, refusal);
+  const record: JobRecord = {
+    id: event.job,
+    spec: event.spec,
+    submitted: event.submitted,
+    state: "queued",
+    epoch: 1,
+    owner: state.id,
+    ownerIncarnation: state.incarnation,
+    failedOn: [],
+    started: false,
+  };
+  const job = createJob(context, record, 0);
+  jobs.jobs.set(event.job, job);
+  persist(context, job, "accept");
+}
+
+/** A job in the state before its first write. */
+export function createJob(
+  context: Context,
+  record: JobRecord,
+  revision: number,
+): Job {
+  const { spec } = record;
+  return {
+    record,
+    revision,
+    phase: "submitting",
+    urgent: findClass(context, spec)?.urgent ?? false,
+    need: spec.members * spec.perMember.accelerators,
+    level: 0,
+    queuedAt: context.now,
+    notBefore: 0,
+    attempts: 0,
+    wait: "its record is being written",
+    attained: 0,
+    holdAfter: 0,
+    gang: undefined,
+    cancelled: isCancelRequest(record),
+    former: undefined,
+    write: undefined,
+    dirty: false,
+    then: "none",
+    wakeAt: Infinity,
+  };
+}
+
+/** The record of a new job was stored, or may or may not have been. */
+export function takeSubmissionWritten(
+  context: Context,
+  job: Job,
+  result: "stored" | "lost" | "unavailable",
+): void {
+  const { jobs, state, now } = context;
+  const { id } = job.record;
+  if (result !== "stored") {
+    jobs.jobs.delete(id);
+    job.phase = "ended";
+    const lost = result === "lost";
+    answer(context, id, lost ? Reason.OwnershipLost : Reason.StoreUnavailable);
+    if (!lost) {
+      // The record may exist nevertheless: it is cancelled when it is seen.
+      jobs.cancels.set(id, {
+        state: "cancelled",
+        reason: Reason.StoreUnavailable,
+        since: now,
+        loads: 0,
+        write: 0,
+        refused: true,
+      });
+    }
+    return;
+  }
+  assertInvariant({
+    invariant: Invariant.NoLostJob,
+    holds: job.revision > 0,
+    step: "accept job",
+    peer: id,
+    detail: "an accepted job has no stored record",
+  });
+  context.emit({
+    kind: "answerSubmission",
+    job: id,
+    result: { kind: "accepted" },
+  });
+  if (job.cancelled) {
+    return endJob(context, job, "cancelled", Reason.Cancelled);
+  }
+  enqueue(context, job, "waits for the next placement");
+  if (state.stopping) handOver(context, job);
+}
+
+function answer(context: Context, job: JobId, reason: Reason): void {
+  const result = { kind: "not-run" as const, reason };
+  context.emit({ kind: "answerSubmission", job, result });
+}
+
+function findClass(context: Context, spec: JobSpec): WorkClass | undefined {
+  return context.state.configuration?.classes.find((one) =>
+    one.name === spec.class
+  );
+}
+
+function refuse(context: Context, spec: JobSpec): Reason | undefined {
+  const { state } = context;
+  if (state.stopping) return Reason.ShuttingDown;
+  // Without a configuration the store was never read.
+  if (state.configuration === undefined) return Reason.StoreUnavailable;
+  const team = state.configuration.teams.find((one) => one.name === spec.team);
+  if (team === undefined) return Reason.UnknownTeam;
+  const workClass = findClass(context, spec);
+  if (workClass === undefined) return Reason.UnknownClass;
+  if (!isWellFormed(spec)) return Reason.NeverFits;
+  const need = spec.members * spec.perMember.accelerators;
+  if (need > team.acceleratorQuota) return Reason.QuotaExceeded;
+  return neverFits(context, spec, workClass.urgent)
+    ? Reason.NeverFits
+    : undefined;
+}
+
+function isWellFormed({ members, perMember }: JobSpec): boolean {
+  const { accelerators, cores, memoryMiB } = perMember;
+  return Number.isInteger(members) && members >= 1 &&
+    members <= MAX_GANG_MEMBERS &&
+    Number.isInteger(accelerators) && accelerators >= 0 &&
+    cores >= 0 && memoryMiB >= 0;
+}
+
+function neverFits(context: Context, spec: JobSpec, urgent: boolean): boolean {
+  const { jobs, now } = context;
+  // Agents may not have connected yet to an entry that has just started.
+  if (now - (jobs.startedAt ?? now) < SESSION_TIMEOUT) return false;
+  const place = placeGang({
+    spec: { ...spec, revocable: isRevocable(spec) },
+    run: { job: "", epoch: 0 },
+    urgent,
+    workers: listViews(context),
+    homes: homeIndex(context),
+  });
+  return place.isErr() && place.error.kind === "never";
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/takeover.ts
@@ -0,0 +1,189 @@
+/**
+ * Takeover of jobs whose owner is gone.
+ *
+ * @module
+ */
+
+import { ENTRY_LEASE, TAKEOVER_MARGIN } from "@dragonflyledge/model";
+import type {
+  EntryEvent,
+  JobId,
+  JobRecord,
+  Milliseconds,
+} from "@dragonflyledge/model";
+import { adopt } from "./adopt.ts";
+import { applyCancel, cancelOwn, countLoad } from "./cancel.ts";
+import { audit, hasEnded } from "./context.ts";
+import type { Context } from "./context.ts";
+import { handOver, lose } from "./endings.ts";
+import { rendezvous } from "./rendezvous.ts";
+import type { Job } from "./state.ts";
+import { createJob } from "./submit.ts";
+import { isCancelRequest, isOwn, persist } from "./writes.ts";
+
+const loadInterval: Milliseconds = 5000;
+/** An exit may wait for records whose callers were told not-run. */
+const stoppingLoadInterval: Milliseconds = 500;
+const claimsInFlight = 64;
+/**
+ * A takeover continues at the next multiple, above any epoch of starts that
+ * the former owner could not store, so that no two runs share an epoch.
+ */
+const epochStep = 1000;
+
+type Loaded = Extract<EntryEvent, { kind: "jobsLoaded" }>;
+
+/** Asks for all records in a slow cycle. */
+export function keepLoading(context: Context): void {
+  const { jobs, state, now, emit } = context;
+  if (now < jobs.nextLoad) return;
+  const interval = state.stopping ? stoppingLoadInterval : loadInterval;
+  jobs.nextLoad = now + interval * (0.8 + 0.4 * state.random());
+  if (!state.stopping || jobs.cancels.size > 0) emit({ kind: "loadJobs" });
+}
+
+/** Takes the list of live entries. */
+export function takeEntries(context: Context): void {
+  const { jobs, state, emit } = context;
+  const live = state.entries.map((entry) => keyOf(entry.id, entry.incarnation));
+  const presence = live.sort().join("\n");
+  if (presence === jobs.presence) return;
+  jobs.presence = presence;
+  for (const key of live) jobs.absentSince.delete(key);
+  if (!state.stopping) emit({ kind: "loadJobs" });
+  considerTakeovers(context);
+}
+
+function keyOf(id: string, incarnation: number): string {
+  return `${id}/${incarnation}`;
+}
+
+/** Takes all records of the store. */
+export function takeLoaded(context: Context, event: Loaded): void {
+  const { jobs } = context;
+  jobs.storeDownSince = undefined;
+  countLoad(context);
+  const open: Context["jobs"]["foreign"] = new Map();
+  for (const loaded of event.jobs) {
+    const { record, revision } = loaded;
+    applyCancel(context, record.id, record, revision);
+    const job = jobs.jobs.get(record.id);
+    if (job !== undefined) compare(context, job, record, revision);
+    else if (!hasEnded(record.state)) {
+      const known = jobs.foreign.get(record.id);
+      const newer = known === undefined || revision >= known.revision;
+      open.set(record.id, newer ? loaded : known);
+    }
+  }
+  jobs.foreign = open;
+  considerTakeovers(context);
+}
+
+/** Compares an own job with its record. Older revisions are ignored. */
+function compare(
+  context: Context,
+  job: Job,
+  record: JobRecord,
+  revision: number,
+): void {
+  if (revision <= job.revision || job.write !== undefined) return;
+  if (!isOwn(context, record) && !isOwnHandover(job, record)) {
+    return lose(context, job, { record, revision });
+  }
+  job.revision = revision;
+  if (isCancelRequest(record)) cancelOwn(context, job);
+}
+
+function isOwnHandover(job: Job, record: JobRecord): boolean {
+  return job.record.owner === "" && record.owner === "" &&
+    record.epoch === job.record.epoch;
+}
+
+/** Claims the jobs of owners that are gone, if this entry is to have them. */
+export function considerTakeovers(context: Context): void {
+  const { jobs, state, now } = context;
+  jobs.nextTakeover = Infinity;
+  const self = state.entries.find((entry) => entry.id === state.id);
+  // Without presence, or without a lease of its own, an entry cannot tell
+  // whether others are alive.
+  if (self?.incarnation !== state.incarnation || state.stopping) return;
+  if (state.leaseValidUntil <= now) {
+    jobs.nextTakeover = now + TAKEOVER_MARGIN;
+    return;
+  }
+  const nodes = state.entries.map((entry) => entry.id);
+  for (const [id, { record, revision }] of jobs.foreign) {
+    if (jobs.jobs.has(id) || jobs.cancels.get(id)?.refused) continue;
+    if (!isOwnerGone(context, record)) continue;
+    if (rendezvous({ key: id, nodes }) !== state.id) continue;
+    if (jobs.writesInFlight >= claimsInFlight) {
+      jobs.nextTakeover = now;
+      return;
+    }
+    claim(context, id, record, revision);
+  }
+}
+
+function isOwnerGone(context: Context, record: JobRecord): boolean {
+  const { jobs, state, now } = context;
+  // A claim of this entry whose answer was lost has no job.
+  if (record.owner === "" || isOwn(context, record)) return true;
+  const live = state.entries.find((entry) => entry.id === record.owner);
+  if (live?.incarnation === record.ownerIncarnation) return false;
+  const key = keyOf(record.owner, record.ownerIncarnation);
+  const since = jobs.absentSince.get(key) ?? now;
+  jobs.absentSince.set(key, since);
+  // A missing entry's lease has lapsed. One that was replaced by a restart
+  // with the same name may still believe in its lease.
+  const wait = TAKEOVER_MARGIN + (live === undefined ? 0 : ENTRY_LEASE);
+  if (now >= since + wait) return true;
+  jobs.nextTakeover = Math.min(jobs.nextTakeover, since + wait);
+  return false;
+}
+
+function claim(
+  context: Context,
+  id: JobId,
+  record: JobRecord,
+  revision: number,
+): void {
+  const { jobs, state } = context;
+  const seen = Math.max(record.epoch, jobs.runs.get(id)?.epoch ?? 0);
+  const claimed = {
+    ...record,
+    owner: state.id,
+    ownerIncarnation: state.incarnation,
+    epoch: (Math.floor(seen / epochStep) + 1) * epochStep,
+  };
+  const job = createJob(context, claimed, revision);
+  job.phase = "claiming";
+  job.former = { owner: record.owner, state: record.state };
+  jobs.jobs.set(id, job);
+  persist(context, job, "claim");
+}
+
+/** A claim was stored, lost to another entry, or not answered. */
+export function takeClaimWritten(
+  context: Context,
+  job: Job,
+  result: "stored" | "lost" | "unavailable",
+  current: { record: JobRecord; revision: number } | undefined,
+): void {
+  const { jobs } = context;
+  const { id } = job.record;
+  if (result !== "stored") {
+    jobs.jobs.delete(id);
+    job.phase = "ended";
+    if (current === undefined) return;
+    if (hasEnded(current.record.state)) jobs.foreign.delete(id);
+    else jobs.foreign.set(id, current);
+    return;
+  }
+  jobs.foreign.delete(id);
+  const reason = job.former?.owner === ""
+    ? "given up by its owner"
+    : `owner ${job.former?.owner} is gone`;
+  audit(context, job, { kind: "takeover", reason });
+  if (context.state.stopping) return handOver(context, job);
+  adopt(context, job);
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/testing.ts
@@ -0,0 +1,498 @@
+/**
+ * A simulated cluster for tests: entries with the real reducer, agents and a
+ * store reduced to what jobs need, and deliveries in order per connection.
+ *
+ * @module
+ */
+
+import { createRandom } from "@dragonflyledge/model";
+import type {
+  AgentMessage,
+  AuditRecord,
+  Configuration,
+  EntryEffect,
+  EntryEvent,
+  EntryMessage,
+  Hello,
+  HomesTable,
+  JobRecord,
+  JobSpec,
+  MemberReport,
+  Random,
+  Reserve,
+  Team,
+} from "@dragonflyledge/model";
+import { createEntryReducer } from "../reducer.ts";
+import type { EntryReducer } from "../reducer.ts";
+import type { AgentView } from "../state.ts";
+
+interface Run {
+  epoch: number;
+  members: MemberReport[];
+  until: number;
+}
+
+export class Agent {
+  incarnation = 1;
+  up = true;
+  leaving = false;
+  /** Answers nothing while set, as behind a silent connection. */
+  silent = false;
+  runs = new Map<string, Run>();
+  epochs = new Map<string, number>();
+  readonly world: World;
+  readonly id: string;
+  readonly rack: string;
+  readonly accelerators: number;
+
+  constructor(world: World, id: string, rack: string, accelerators: number) {
+    this.world = world;
+    this.id = id;
+    this.rack = rack;
+    this.accelerators = accelerators;
+  }
+
+  get members(): MemberReport[] {
+    return [...this.runs.values()].flatMap((run) => run.members);
+  }
+
+  take(entry: string, message: EntryMessage): void {
+    if (!("run" in message)) return;
+    const { job, epoch } = message.run;
+    const { run } = message;
+    if (epoch < (this.epochs.get(job) ?? 0)) {
+      if (message.kind === "reserve") {
+        this.send(entry, {
+          kind: "reserveRefused",
+          run,
+          reason: "stale-epoch",
+        });
+      }
+      return;
+    }
+    this.epochs.set(job, epoch);
+    if (message.kind === "reserve") return this.reserve(entry, message);
+    const held = this.runs.get(job);
+    if (message.kind === "release") {
+      if (held?.members[0]?.state === "reserved") this.runs.delete(job);
+    }
+    if (message.kind === "stop") this.runs.delete(job);
+    if (message.kind === "commit" && held?.epoch === epoch) {
+      for (const member of held.members) {
+        member.state = "running";
+        this.world.starts.push(`${job}/${member.member}`);
+      }
+      held.until = this.world.now + message.lease;
+    }
+    if (message.kind === "renew" && held) {
+      held.epoch = epoch;
+      held.until = this.world.now + message.lease;
+      held.members.forEach((member) => member.run = run);
+    }
+    const members = this.runs.get(job)?.members ?? [];
+    this.send(entry, {
+      kind: "runState",
+      run,
+      members: structuredClone(members),
+    });
+    this.report();
+  }
+
+  reserve(entry: string, message: Reserve): void {
+    const { run, remaining } = message;
+    const wanted = new Set(message.members.flatMap((one) => one.accelerators));
+    const blockers = this.members.filter((one) =>
+      one.run.job !== run.job && one.accelerators.some((it) => wanted.has(it))
+    );
+    if (blockers.some((one) => !one.revocable)) {
+      this.send(entry, { kind: "reserveRefused", run, reason: "no-capacity" });
+      return;
+    }
+    const grant = () => {
+      for (const { run } of blockers) this.runs.delete(run.job);
+      const members = message.members.map((one) => ({
+        ...message,
+        ...one,
+        state: "reserved" as const,
+      }));
+      const { epoch } = run;
+      this.runs.set(run.job, {
+        epoch,
+        members,
+        until: this.world.now + remaining,
+      });
+      this.send(entry, { kind: "reserved", run });
+      this.report();
+    };
+    if (blockers.length === 0) return grant();
+    this.send(entry, { kind: "reserving", run, remaining: 2000 });
+    for (const { run } of blockers) {
+      this.broadcast({
+        kind: "reclaimNotice",
+        run,
+        remaining: 2000,
+        by: message.team,
+      });
+    }
+    this.world.after(2000, grant);
+  }
+
+  /** Sets the state of all members of a job here, and tells the entries. */
+  end(job: string, state: "finished" | "failed"): void {
+    const run = this.runs.get(job);
+    if (run === undefined) return;
+    for (const member of run.members) member.state = state;
+    this.report();
+    this.runs.delete(job);
+  }
+
+  lapse(): void {
+    for (const [job, run] of this.runs) {
+      if (this.world.now >= run.until) this.runs.delete(job);
+    }
+  }
+
+  report(): void {
+    this.broadcast({
+      kind: "report",
+      worker: this.id,
+      incarnation: this.incarnation,
+      versions: { configuration: 1, homes: 1 },
+      leaving: this.leaving,
+      slotsUsed: 0,
+      slotsByClass: {},
+      members: structuredClone(this.members),
+      usage: { cores: 0, memoryMiB: 0, age: 0 },
+    });
+  }
+
+  broadcast(message: AgentMessage): void {
+    for (const entry of this.world.entries.keys()) this.send(entry, message);
+  }
+
+  send(entry: string, message: AgentMessage): void {
+    if (!this.up || this.silent) return;
+    const { id: worker, incarnation } = this;
+    this.world.deliver(
+      `${worker}>${entry}`,
+      () =>
+        this.world.reduce(entry, {
+          kind: "message",
+          worker,
+          incarnation,
+          message,
+        }),
+    );
+  }
+
+  hello(): Hello {
+    return {
+      kind: "hello",
+      protocol: 1,
+      role: "agent",
+      id: this.id,
+      incarnation: this.incarnation,
+      versions: { configuration: 0, homes: 0 },
+      members: structuredClone(this.members),
+      inventory: {
+        worker: this.id,
+        location: { region: "r", failureDomain: "d", rack: this.rack },
+        capacity: {
+          accelerators: this.accelerators,
+          cores: 32,
+          memoryMiB: 9e5,
+        },
+        service: "s",
+        slots: 8,
+        connections: 64,
+      },
+    };
+  }
+}
+
+type Untimed<E> = E extends { now: number } ? Omit<E, "now"> : never;
+
+export class World {
+  now = 0;
+  entries = new Map<string, EntryReducer>();
+  agents = new Map<string, Agent>();
+  store = new Map<string, { record: JobRecord; revision: number }>();
+  homes: HomesTable | undefined;
+  storeMode: "up" | "down" | "answers-lost" = "up";
+  starts: string[] = [];
+  answers = new Map<string, string>();
+  audits: AuditRecord[] = [];
+  effects: EntryEffect[] = [];
+  readonly random: Random;
+  #queue: { at: number; run: () => void }[] = [];
+  #last = new Map<string, number>();
+  #revision = 0;
+
+  constructor(readonly seed: number, workers: number, accelerators = 8) {
+    this.random = createRandom(seed);
+    for (let index = 0; index < workers; index++) {
+      const id = `w${String(index).padStart(2, "0")}`;
+      const rack = `k${Math.floor(index / 3)}`;
+      this.agents.set(id, new Agent(this, id, rack, accelerators));
+    }
+  }
+
+  addEntry(id: string, incarnation = 1): EntryReducer {
+    const random = createRandom(this.seed + this.entries.size);
+    const reducer = createEntryReducer({ id, incarnation, random });
+    this.entries.set(id, reducer);
+    reducer.state.configuration = configuration;
+    if (this.homes) this.reduce(id, { kind: "homesSeen", homes: this.homes });
+    for (const agent of this.agents.values()) this.connect(id, agent);
+    this.seeEntries();
+    return reducer;
+  }
+
+  /** The entry fails; its lease lapses after `lease`. */
+  failEntry(id: string, lease = 6000): void {
+    this.entries.delete(id);
+    this.after(lease, () => this.seeEntries());
+  }
+
+  failAgent(agent: Agent): void {
+    agent.up = false;
+    const { id: worker, incarnation } = agent;
+    for (const [id, { state }] of this.entries) {
+      const view = state.agents.get(worker);
+      if (view) Object.assign(view, { connected: false, lostAt: this.now });
+      this.reduce(id, { kind: "agentLost", worker, incarnation });
+    }
+  }
+
+  connect(entry: string, agent: Agent): void {
+    const hello = agent.hello();
+    const { state } = this.entry(entry);
+    const { id: worker, incarnation, members } = hello as Required<Hello>;
+    const view: AgentView = {
+      worker,
+      incarnation,
+      inventory: hello.inventory as AgentView["inventory"],
+      connected: true,
+      connectedAt: this.now,
+      lostAt: 0,
+      leaving: false,
+      versions: hello.versions,
+      slotsUsed: 0,
+      slotsByClass: new Map(),
+      slotsPromised: new Map(),
+      members,
+      usage: { cores: 0, memoryMiB: 0, age: 0 },
+      reportedAt: this.now,
+      losses: [],
+      dampedUntil: 0,
+      failures: 0,
+      quarantinedUntil: 0,
+      probing: false,
+    };
+    state.agents.set(worker, view);
+    this.reduce(entry, { kind: "agentConnected", hello });
+  }
+
+  entry(id: string): EntryReducer {
+    const entry = this.entries.get(id);
+    if (entry === undefined) throw new Error(`entry ${id} is not running`);
+    return entry;
+  }
+
+  seeEntries(): void {
+    const entries = [...this.entries].map(([id, { state }]) => ({
+      id,
+      incarnation: state.incarnation,
+      address: "",
+      httpAddress: "",
+    }));
+    for (const id of this.entries.keys()) {
+      this.reduce(id, { kind: "leaseRenewed", validUntil: this.now + 6000 });
+      this.reduce(id, { kind: "entriesSeen", entries });
+    }
+  }
+
+  reduce(id: string, untimed: Untimed<EntryEvent>): void {
+    const entry = this.entries.get(id);
+    if (entry === undefined) return;
+    const event = { ...untimed, now: this.now } as EntryEvent;
+    if (event.kind === "message" && event.message.kind === "report") {
+      const { members, leaving } = event.message;
+      const view = entry.state.agents.get(event.worker);
+      if (view) Object.assign(view, { members, leaving });
+    }
+    for (const effect of entry.reduce(event)) this.perform(id, effect);
+  }
+
+  perform(entry: string, effect: EntryEffect): void {
+    this.effects.push(effect);
+    if (effect.kind === "send") {
+      const agent = this.agents.get(effect.worker);
+      this.deliver(`${entry}>${effect.worker}`, () => {
+        if (!agent?.up || agent.silent) return;
+        if (agent.incarnation !== effect.incarnation) return;
+        agent.take(entry, effect.message);
+      });
+    } else if (effect.kind === "writeJob") this.write(entry, effect);
+    else if (effect.kind === "writeHomes") this.writeHomes(entry, effect.homes);
+    else if (effect.kind === "audit") this.audits.push(effect.record);
+    else if (effect.kind === "loadJobs") {
+      this.deliver(`store>${entry}`, () => {
+        if (this.storeMode !== "up") return;
+        const jobs = structuredClone([...this.store.values()]);
+        this.reduce(entry, { kind: "jobsLoaded", jobs });
+      });
+    } else if (effect.kind === "answerSubmission") {
+      const { result } = effect;
+      const text = result.kind === "accepted" ? "accepted" : result.reason;
+      this.answers.set(effect.job, text);
+    }
+  }
+
+  write(entry: string, effect: Extract<EntryEffect, { kind: "writeJob" }>) {
+    const { record: { id: job }, write } = effect;
+    this.deliver(`store>${entry}`, () => {
+      const found = this.store.get(job);
+      const stored = (found?.revision ?? 0) === effect.revision;
+      if (this.storeMode !== "down" && stored) {
+        const revision = ++this.#revision;
+        this.store.set(job, {
+          record: structuredClone(effect.record),
+          revision,
+        });
+      }
+      const result = this.storeMode !== "up"
+        ? "unavailable" as const
+        : stored
+        ? "stored" as const
+        : "conflict" as const;
+      const revision = this.store.get(job)?.revision ?? 0;
+      const current = result === "conflict" ? found?.record : undefined;
+      this.reduce(entry, {
+        kind: "jobWritten",
+        job,
+        write,
+        result,
+        revision,
+        current,
+      });
+    });
+  }
+
+  writeHomes(entry: string, homes: HomesTable): void {
+    const stored = homes.version === (this.homes?.version ?? 0) + 1;
+    if (stored) this.homes = homes;
+    const result = stored ? "stored" : "conflict";
+    const { version } = homes;
+    this.reduce(entry, { kind: "homesWritten", version, result });
+    for (const id of this.entries.keys()) {
+      if (this.homes) this.reduce(id, { kind: "homesSeen", homes: this.homes });
+    }
+  }
+
+  deliver(link: string, run: () => void): void {
+    const at = Math.max(
+      this.#last.get(link) ?? 0,
+      this.now + 1 + 4 * this.random(),
+    );
+    this.#last.set(link, at);
+    this.#queue.push({ at, run });
+  }
+
+  after(delay: number, run: () => void): void {
+    this.#queue.push({ at: this.now + delay, run });
+  }
+
+  /** Lets time pass; entries tick every 50 ms and renew their leases. */
+  run(time: number): void {
+    const end = this.now + time;
+    while (this.now < end) {
+      const next = this.now - this.now % 50 + 50;
+      for (;;) {
+        this.#queue.sort((a, b) => a.at - b.at);
+        const first = this.#queue[0];
+        if (first === undefined || first.at > next) break;
+        this.#queue.shift();
+        this.now = Math.max(this.now, first.at);
+        first.run();
+      }
+      this.now = next;
+      for (const agent of this.agents.values()) agent.lapse();
+      for (const id of [...this.entries.keys()]) {
+        if (this.storeMode === "up" && this.now % 2000 === 0) {
+          this.reduce(id, {
+            kind: "leaseRenewed",
+            validUntil: this.now + 6000,
+          });
+        }
+        this.reduce(id, { kind: "tick" });
+      }
+    }
+  }
+
+  submit(entry: string, job: string, spec: JobSpec): void {
+    this.reduce(entry, { kind: "jobSubmitted", job, spec, submitted: "" });
+  }
+
+  stateOf(job: string): string | undefined {
+    return this.store.get(job)?.record.state;
+  }
+
+  /** Workers with running members of the job. */
+  running(job: string): Agent[] {
+    return [...this.agents.values()].filter((agent) =>
+      agent.runs.get(job)?.members[0]?.state === "running"
+    );
+  }
+
+  end(job: string, state: "finished" | "failed"): void {
+    for (const agent of this.running(job)) agent.end(job, state);
+  }
+}
+
+const team = (name: string, change: Partial<Team> = {}): Team => ({
+  name,
+  tokenDigests: [],
+  guarantees: [],
+  acceleratorQuota: 64,
+  weight: 1,
+  ...change,
+});
+
+export const configuration: Configuration = {
+  version: 1,
+  services: [],
+  teams: [
+    team("a", {
+      guarantees: [{ accelerators: 8, adjacency: "worker", count: 1 }],
+    }),
+    team("b"),
+    team("c", { acceleratorQuota: 8 }),
+  ],
+  classes: [["batch", false], ["plan", true]].map(([name, urgent]) => ({
+    name: name as string,
+    urgent: urgent as boolean,
+    slotShare: 1,
+    defaultDeadline: 1000,
+    queueLimit: 10,
+  })),
+};
+
+export function buildSpec(
+  members: number,
+  accelerators: number,
+  change: Partial<JobSpec> = {},
+): JobSpec {
+  return {
+    team: "b",
+    class: "batch",
+    members,
+    perMember: { accelerators, cores: 1, memoryMiB: 1 },
+    adjacency: "worker",
+    revocable: true,
+    idempotent: true,
+    declaredRunTime: 60_000,
+    command: "run",
+    ...change,
+  };
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/writes.ts
@@ -0,0 +1,140 @@
+/**
+ * Writes of job records, one at a time per job.
+ *
+ * @module
+ */
+
+import { assertInvariant, Invariant } from "@dragonflyledge/model";
+import type { EntryEvent, JobRecord } from "@dragonflyledge/model";
+import { jittered } from "./context.ts";
+import type { Context } from "./context.ts";
+import type { AfterWrite, Job } from "./state.ts";
+
+/** The store accepts several hundred writes a second in total. */
+const backgroundWrites = 32;
+const retryDelay = 1000;
+
+type Written = Extract<EntryEvent, { kind: "jobWritten" }>;
+
+/** A write that ended. `lost`: another entry owns the job now. */
+export interface Completion {
+  job: Job;
+  then: AfterWrite;
+  result: "stored" | "lost" | "unavailable";
+  /** The record that won, if the job is lost. */
+  current?: JobRecord;
+}
+
+/**
+ * Writes the record. Writes without anything that waits for them may be
+ * delayed and merged.
+ */
+export function persist(
+  context: Context,
+  job: Job,
+  then: AfterWrite = "none",
+): void {
+  if (then !== "none") job.then = then;
+  job.dirty = true;
+  if (job.write !== undefined) return;
+  const waits = then === "none" || then === "handover";
+  if (waits && !mayWrite(context)) context.jobs.backlog.add(job);
+  else startWrite(context, job);
+}
+
+function mayWrite({ jobs, now }: Context): boolean {
+  return jobs.writesInFlight < backgroundWrites &&
+    now >= jobs.writesPausedUntil;
+}
+
+function startWrite(context: Context, job: Job): void {
+  const { jobs, emit, now } = context;
+  jobs.backlog.delete(job);
+  const record = { ...job.record, failedOn: [...job.record.failedOn] };
+  const id = ++jobs.writes;
+  job.write = { id, record, then: job.then, sentAt: now };
+  job.then = "none";
+  job.dirty = false;
+  jobs.writesInFlight++;
+  emit({ kind: "writeJob", write: id, record, revision: job.revision });
+}
+
+/** Starts delayed writes; called on each tick and after each write. */
+export function drainBacklog(context: Context): void {
+  for (const job of context.jobs.backlog) {
+    if (!mayWrite(context)) return;
+    startWrite(context, job);
+  }
+}
+
+/** Takes the result of a write, or returns nothing if the job goes on. */
+export function completeWrite(
+  context: Context,
+  event: Written,
+): Completion | undefined {
+  const { jobs } = context;
+  const job = jobs.jobs.get(event.job);
+  const write = job?.write;
+  if (job === undefined || write?.id !== event.write) return undefined;
+  job.write = undefined;
+  jobs.writesInFlight--;
+  const { then } = write;
+  const unreadable = event.result === "conflict" &&
+    event.current === undefined;
+  if (event.result === "unavailable" || unreadable) {
+    jobs.storeDownSince ??= write.sentAt;
+    jobs.writesPausedUntil = jittered(context, retryDelay);
+    if (then === "none" || then === "handover") persist(context, job, then);
+    return { job, then, result: "unavailable" };
+  }
+  jobs.storeDownSince = undefined;
+  if (event.result === "stored") return takeStored(context, job, event, then);
+  const { current } = event;
+  if (current === undefined) return undefined;
+  if (isSame(current, write.record)) {
+    // The answer of an earlier try of this write was lost.
+    return takeStored(context, job, event, then);
+  }
+  if (!isOwn(context, current)) return { job, then, result: "lost", current };
+  job.revision = Math.max(job.revision, event.revision);
+  if (isCancelRequest(current)) job.cancelled = true;
+  job.then = job.then === "none" ? then : job.then;
+  job.dirty = true;
+  startWrite(context, job);
+  return undefined;
+}
+
+function takeStored(
+  context: Context,
+  job: Job,
+  event: Written,
+  then: AfterWrite,
+): Completion {
+  assertInvariant({
+    invariant: Invariant.VersionForward,
+    holds: event.revision >= job.revision,
+    step: "write job",
+    peer: event.job,
+    detail: `revision ${event.revision} after ${job.revision}`,
+  });
+  job.revision = event.revision;
+  if (job.dirty) persist(context, job, job.then);
+  return { job, then, result: "stored" };
+}
+
+export function isOwn({ state }: Context, record: JobRecord): boolean {
+  return record.owner === state.id &&
+    record.ownerIncarnation === state.incarnation;
+}
+
+/** Another entry asks the owner to cancel the job. */
+export function isCancelRequest(record: JobRecord): boolean {
+  return record.state === "stopping" && record.reason === "cancelled";
+}
+
+function isSame(a: JobRecord, b: JobRecord): boolean {
+  return a.id === b.id && a.state === b.state && a.epoch === b.epoch &&
+    a.owner === b.owner && a.ownerIncarnation === b.ownerIncarnation &&
+    a.started === b.started && a.reason === b.reason &&
+    a.failedOn.length === b.failedOn.length;
+}
--- a/core/entry_reducer/mod.ts
+++ b/core/entry_reducer/mod.ts
@@ -6,4 +6,6 @@
  */
 
 export * from "./reducer.ts";
+export { explainJob } from "./jobs/explain.ts";
+export { jobsSettled } from "./jobs/handover.ts";
 export type { AgentView, EntryState } from "./state.ts";
--- a/core/entry_reducer/reducer.ts
+++ b/core/entry_reducer/reducer.ts
@@ -12,6 +12,8 @@
   Random,
 } from "@dragonflyledge/model";
 import { reduceConfiguration } from "./configuration/reduce.ts";
+import { reduceHomes } from "./homes/reduce.ts";
+import { createHomesState } from "./homes/state.ts";
 import { reduceJobs } from "./jobs/reduce.ts";
 import { createJobsState } from "./jobs/state.ts";
 import { reduceMembers } from "./members/reduce.ts";
@@ -44,6 +46,7 @@
     stopping: false,
     requests: createRequestsState(),
     jobs: createJobsState(),
+    homing: createHomesState(),
   };
   return { state, reduce: (event) => reduceEvent(state, event) };
 }
@@ -57,6 +60,7 @@
   if (event.kind === "stopRequested") state.stopping = true;
   reduceMembers(state, event, emit);
   reduceConfiguration(state, event, emit);
+  reduceHomes(state, event, emit);
   reduceRequests(state, event, emit);
   reduceJobs(state, event, emit);
   return effects;
--- a/core/entry_reducer/state.ts
+++ b/core/entry_reducer/state.ts
@@ -18,6 +18,7 @@
   Versions,
   WorkerId,
 } from "@dragonflyledge/model";
+import type { HomesState } from "./homes/state.ts";
 import type { JobsState } from "./jobs/state.ts";
 import type { RequestsState } from "./requests/state.ts";
 
@@ -62,6 +63,7 @@
   stopping: boolean;
   requests: RequestsState;
   jobs: JobsState;
+  homing: HomesState;
 }
 
 /** Collects the effects of one event. */
--- a/core/model/outcome.ts
+++ b/core/model/outcome.ts
@@ -31,6 +31,7 @@
   QuotaExceeded: "quota-exceeded",
   UnknownService: "unknown-service",
   UnknownClass: "unknown-class",
+  UnknownTeam: "unknown-team",
   KeyReused: "key-reused",
   ConnectionLost: "connection-lost",
   WorkerLost: "worker-lost",
