--- a/core/entry_reducer/reducer.ts
+++ b/core/entry_reducer/reducer.ts
@@ -13,7 +13,10 @@
 } from "@dragonflyledge/model";
 import { reduceConfiguration } from "./configuration/reduce.ts";
 import { createConfigurationState } from "./configuration/state.ts";
+import { reduceHomes } from "./homes/reduce.ts";
+import { createHomesState } from "./homes/state.ts";
 import { reduceJobs } from "./jobs/reduce.ts";
+import { jobsSettled } from "./jobs/handover.ts";
 import { createJobsState } from "./jobs/state.ts";
 import { reduceMembers } from "./members/reduce.ts";
 import { createMembersState } from "./members/state.ts";
@@ -52,6 +55,7 @@
     members: createMembersState(fields.failureDomain ?? ""),
     sharing: createConfigurationState(),
     exited: false,
+    homing: createHomesState(),
   };
   return { state, reduce: (event) => reduceEvent(state, event) };
 }
@@ -65,15 +69,17 @@
   if (event.kind === "stopRequested") state.stopping = true;
   reduceMembers(state, event, emit);
   reduceConfiguration(state, event, emit);
+  reduceHomes(state, event, emit);
   reduceRequests(state, event, emit);
   reduceJobs(state, event, emit);
   emitExit(state, emit);
   return effects;
 }
 
-/** Jobs are not considered yet: `jobsSettled(state)` belongs here too. */
+/** Emits `exit` once, when nothing is left to finish or to hand over. */
 function emitExit(state: EntryState, emit: (effect: EntryEffect) => void) {
-  if (!state.stopping || state.exited || !requestsSettled(state)) return;
+  if (!state.stopping || state.exited) return;
+  if (!requestsSettled(state) || !jobsSettled(state)) return;
   state.exited = true;
   emit({ kind: "exit" });
 }
--- a/core/entry_reducer/state.ts
+++ b/core/entry_reducer/state.ts
@@ -19,6 +19,7 @@
   WorkerId,
 } from "@dragonflyledge/model";
 import type { ConfigurationState } from "./configuration/state.ts";
+import type { HomesState } from "./homes/state.ts";
 import type { JobsState } from "./jobs/state.ts";
 import type { MembersState } from "./members/state.ts";
 import type { RequestsState } from "./requests/state.ts";
@@ -68,6 +69,7 @@
   sharing: ConfigurationState;
   /** Whether the `exit` effect was emitted. */
   exited: boolean;
+  homing: HomesState;
 }
 
 /** Collects the effects of one event. */
