Split declarations and settings problems into modules of their own

Cause: the house style asks for one public function for each module. Change: shape, team, work_class and service are separate modules, and settings problems are; exports of the packages are the same. Conclusion: no behaviour changes.

--- a/config/declare/mod.ts
+++ b/config/declare/mod.ts
@@ -5,6 +5,8 @@
  */
 
 export { configuration, printConfiguration } from "./configuration.ts";
-export { shape, team } from "./team.ts";
+export { service } from "./service.ts";
+export { shape } from "./shape.ts";
+export { team } from "./team.ts";
 export { tokenDigest } from "./token.ts";
-export { service, workClass } from "./work.ts";
+export { workClass } from "./work_class.ts";
--- a/config/declare/team.ts
+++ b/config/declare/team.ts
@@ -1,32 +1,13 @@
 /**
- * Declaration of teams and of the shapes guaranteed to them.
+ * Declaration of teams.
  *
  * @module
  */
 
-import type { Adjacency, Shape, Team } from "@dragonflyledge/model";
-import {
-  guaranteedAccelerators,
-  parseShape,
-  parseTeam,
-} from "@dragonflyledge/schema";
+import type { Shape, Team } from "@dragonflyledge/model";
+import { guaranteedAccelerators, parseTeam } from "@dragonflyledge/schema";
 import { required } from "./declare.ts";
 
-/**
- * Declares a capacity shape. Adjacency `worker` needs a power of two.
- *
- * @throws {StepError} with code `DFL_CONFIGURATION`
- */
-export function shape(fields: {
-  accelerators: number;
-  adjacency: Adjacency;
-  /** 1 if absent. */
-  count?: number;
-}): Shape {
-  const value = { count: 1, ...fields };
-  return required(parseShape({ value, path: "shape" }), "shape");
-}
-
 /**
  * Declares a team. The quota is the sum of the guarantees if absent: then the
  * team borrows nothing. The weight is 1 if absent.
--- a/config/settings/mod.ts
+++ b/config/settings/mod.ts
@@ -5,8 +5,9 @@
  */
 
 export type { HostPort } from "./keys.ts";
-export { formatSettingsProblem, readSettings, settingsError } from "./read.ts";
-export type { SettingsProblem } from "./read.ts";
+export { formatSettingsProblem, settingsError } from "./problem.ts";
+export type { SettingsProblem } from "./problem.ts";
+export { readSettings } from "./read.ts";
 export { listSettings } from "./reference.ts";
 export type { SettingsKey } from "./reference.ts";
 export type { AgentSettings, EntrySettings, Role } from "./sections.ts";
--- a/config/settings/read.ts
+++ b/config/settings/read.ts
@@ -8,22 +8,11 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { z } from "zod";
-import { ErrorCode, StepError } from "@dragonflyledge/model";
 import type { KeyDescription } from "./keys.ts";
+import type { SettingsProblem } from "./problem.ts";
 import { SECTIONS } from "./sections.ts";
 import type { AgentSettings, EntrySettings, Role } from "./sections.ts";
 
-/** One fault of a settings file. */
-export interface SettingsProblem {
-  file: string;
-  /** Empty for a key before the first section. */
-  section: string;
-  /** Empty for a fault of the whole section. */
-  key: string;
-  value: unknown;
-  allowed: string;
-}
-
 type SettingsOf<R extends Role> = R extends "entry" ? EntrySettings
   : AgentSettings;
 type Values = Record<string, Record<string, unknown>>;
@@ -50,27 +39,6 @@
   return err(problems.map((each) => ({ ...each, file: fields.file })));
 }
 
-/** Returns the problem as one line. */
-export function formatSettingsProblem(problem: SettingsProblem): string {
-  const { file, section, key, value, allowed } = problem;
-  const place = `${file}: [${section}]${key === "" ? "" : ` ${key}`}`;
-  const found = value === undefined
-    ? "is missing"
-    : `= ${JSON.stringify(value)} is not allowed`;
-  return `${place} ${found}; allowed: ${allowed}`;
-}
-
-/** Returns all problems as one error with code `DFL_SETTINGS`. */
-export function settingsError(problems: SettingsProblem[]): StepError {
-  return new StepError({
-    code: ErrorCode.Settings,
-    step: "readSettings",
-    peer: problems[0]?.file ?? "",
-    message: problems.map(formatSettingsProblem).join("\n"),
-    hint: "docs/SETTINGS.md lists all keys.",
-  });
-}
-
 /**
  * Parses each section by itself. A repeated key becomes a list, and is
  * refused, since the last value would win silently; `ini` counts repetitions
