Report uncertain submissions as unknown

Cause: a PUT that broke off may have been stored, but the command then ended with code 5, no entry accepted it. Change: code 8 unless it is certain that nothing changed; the read-back goes to the entry that refused, and its own account serves if that fails. Types named Options are renamed to Flags, as the house style asks. Conclusion: exit codes 4 and 5 are true statements.

--- a/cli/command/client.ts
+++ b/cli/command/client.ts
@@ -20,6 +20,8 @@
   headers?: Record<string, string>;
   /** Whether a second execution changes nothing more than the first. */
   repeatable: boolean;
+  /** Entry to try first. */
+  prefer?: string;
   /** Statuses besides 2xx that the caller handles. */
   expected?: number[];
 }
@@ -29,10 +31,12 @@
   entry: string;
   status: number;
   body: unknown;
+  /** An earlier attempt of the call broke off and may have taken effect. */
+  uncertain: boolean;
 }
 
 /** Options of commands that call an entry. */
-export interface RemoteOptions {
+export interface RemoteFlags {
   entry?: string[];
   tokenFile?: string;
   timeout?: number;
@@ -50,13 +54,14 @@
   409: "Conflict",
   413: "Invalid",
   422: "Invalid",
-  503: "Unreachable",
 };
+/** Status that states that nothing was done: another entry may do it. */
+const UNAVAILABLE = 503;
 
 /** Returns a client that tries the entries in the order given. */
 export async function createClient(fields: {
   dependencies: Dependencies;
-  options: RemoteOptions;
+  options: RemoteFlags;
 }): Promise<Client> {
   const { dependencies, options } = fields;
   const entries = findEntries(options, dependencies.environment);
@@ -64,32 +69,52 @@
   const timeout = (options.timeout ?? 10) * SECOND;
   return async (call) => {
     const failures: string[] = [];
-    for (const entry of entries) {
+    let uncertain = false;
+    for (const entry of inOrder(entries, call.prefer)) {
       try {
         const request = toRequest({ call, entry, token, timeout });
         const { status, body } = await dependencies.send(request);
-        // This status states that nothing was done: another entry may do it.
-        if (status === 503 && entry !== entries.at(-1)) {
-          failures.push(`${entry}: ${describe(body)}`);
-          continue;
+        if (status !== UNAVAILABLE) {
+          return judge(call, { entry, status, body, uncertain });
         }
-        return judge(call, { entry, status, body });
+        failures.push(`${entry}: ${describe(body)}`);
       } catch (error) {
-        failures.push(afterFailure(call, entry, error));
+        if (!(error instanceof ExchangeFailure)) throw error;
+        failures.push(`${entry}: ${error.message}`);
+        uncertain ||= error.sent && call.method !== "GET";
+        if (uncertain && !call.repeatable) break;
       }
     }
-    throw new CommandFailure({
-      exit: "Unreachable",
-      code: ErrorCode.Session,
-      step: `${call.method} ${call.path}`,
-      message: `no entry answered: ${failures.join("; ")}`,
-      hint: "Name more entries with --entry, or see whether they run.",
-    });
+    throw refusal(call, failures, uncertain);
   };
 }
 
+function inOrder(entries: string[], first: string | undefined): string[] {
+  if (first === undefined) return entries;
+  return [first, ...entries.filter((entry) => entry !== first)];
+}
+
+function refusal(
+  call: Call,
+  failures: string[],
+  uncertain: boolean,
+): CommandFailure {
+  const tried = failures.join("; ");
+  return new CommandFailure({
+    exit: uncertain ? "Unknown" : "Unreachable",
+    code: ErrorCode.Session,
+    step: `${call.method} ${call.path}`,
+    message: uncertain
+      ? `the command may have taken effect: ${tried}`
+      : `no entry accepted the command: ${tried}`,
+    hint: uncertain
+      ? "Look before you repeat it."
+      : "Name more entries with --entry, or see whether they run.",
+  });
+}
+
 function findEntries(
-  options: RemoteOptions,
+  options: RemoteFlags,
   environment: Dependencies["environment"],
 ): string[] {
   const named = options.entry ??
@@ -105,7 +130,7 @@
 }
 
 async function findToken(
-  options: RemoteOptions,
+  options: RemoteFlags,
   dependencies: Dependencies,
 ): Promise<string> {
   const { tokenFile } = options;
@@ -145,30 +170,14 @@
   return { method: call.method, url, headers, body, timeout };
 }
 
-/** Returns the line to report, or ends the command if it may have run. */
-function afterFailure(call: Call, entry: string, error: unknown): string {
-  if (!(error instanceof ExchangeFailure)) throw error;
-  if (!error.sent || call.repeatable) return `${entry}: ${error.message}`;
-  throw new CommandFailure({
-    exit: "Unknown",
-    code: ErrorCode.Session,
-    step: `${call.method} ${call.path}`,
-    peer: entry,
-    message: `${entry} broke off (${error.message}); the command may have ` +
-      "taken effect",
-    hint: "Look before you repeat it.",
-    cause: error,
-  });
-}
-
 function judge(
   call: Call,
-  answer: { entry: string; status: number; body: string },
+  answer: { entry: string; status: number; body: string; uncertain: boolean },
 ): Answer {
-  const { entry, status } = answer;
+  const { entry, status, uncertain } = answer;
   const good = status >= 200 && status < 300;
   if (good || call.expected?.includes(status)) {
-    return { entry, status, body: parseBody(call, answer) };
+    return { entry, status, uncertain, body: parseBody(call, answer) };
   }
   throw new CommandFailure({
     exit: EXITS[status] ?? "Failure",
--- a/cli/command/commands/audit.ts
+++ b/cli/command/commands/audit.ts
@@ -5,7 +5,7 @@
  */
 
 import { InvalidArgumentError } from "commander";
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { asList, formatTable } from "../output.ts";
 import { show } from "../show.ts";
 import { remote } from "./register.ts";
@@ -14,8 +14,8 @@
 const FILTERS = ["team", "worker", "kind", "since", "until"] as const;
 const KEYS = ["at", "kind", "team", "worker", "job", "actor", "reason"];
 
-type AuditOptions =
-  & RemoteOptions
+type AuditFlags =
+  & RemoteFlags
   & Partial<
     Record<typeof FILTERS[number], string>
   >;
@@ -29,7 +29,7 @@
     .option("--kind <kind>", "changes of one kind")
     .option("--since <time>", "ISO 8601, such as 2026-12-04T08:00Z", parseTime)
     .option("--until <time>", "ISO 8601, such as 2026-12-04T09:00Z", parseTime)
-    .action(async (options: AuditOptions) => {
+    .action(async (options: AuditFlags) => {
       await show({
         dependencies,
         options,
@@ -40,7 +40,7 @@
     });
 };
 
-function auditPath(options: AuditOptions): string {
+function auditPath(options: AuditFlags): string {
   const query = new URLSearchParams();
   for (const filter of FILTERS) {
     const value = options[filter];
--- a/cli/command/commands/config_diff.ts
+++ b/cli/command/commands/config_diff.ts
@@ -6,7 +6,7 @@
 
 import { diffConfigurations, formatChange } from "@dragonflyledge/schema";
 import { createClient } from "../client.ts";
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { fetchConfiguration } from "../current_configuration.ts";
 import { readConfiguration } from "../read_document.ts";
 import { group, remote } from "./register.ts";
@@ -16,7 +16,7 @@
 export const registerConfigDiff: Register = ({ program, dependencies }) => {
   remote(group(program, "config").command("diff <file>"))
     .description("Show how a file differs from the configuration in force.")
-    .action(async (path: string, options: RemoteOptions) => {
+    .action(async (path: string, options: RemoteFlags) => {
       const after = await readConfiguration(path, dependencies);
       const client = await createClient({ dependencies, options });
       const before = await fetchConfiguration(client);
--- a/cli/command/commands/config_history.ts
+++ b/cli/command/commands/config_history.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { asList, formatTable } from "../output.ts";
 import { show } from "../show.ts";
 import { group, remote } from "./register.ts";
@@ -14,7 +14,7 @@
 export const registerConfigHistory: Register = ({ program, dependencies }) => {
   remote(group(program, "config").command("history"))
     .description("List accepted versions with author and time.")
-    .action(async (options: RemoteOptions) => {
+    .action(async (options: RemoteFlags) => {
       const path = "/v1/configuration/history";
       await show({
         dependencies,
--- a/cli/command/commands/config_submit.ts
+++ b/cli/command/commands/config_submit.ts
@@ -8,7 +8,7 @@
 import type { Configuration } from "@dragonflyledge/model";
 import { diffConfigurations, formatChange } from "@dragonflyledge/schema";
 import { createClient } from "../client.ts";
-import type { Answer, Client, RemoteOptions } from "../client.ts";
+import type { Answer, Client, RemoteFlags } from "../client.ts";
 import { fetchConfiguration } from "../current_configuration.ts";
 import { CommandFailure } from "../failure.ts";
 import { asFields, formatValue } from "../output.ts";
@@ -16,7 +16,7 @@
 import { group, parseWhole, remote } from "./register.ts";
 import type { Register } from "./register.ts";
 
-interface SubmitOptions extends RemoteOptions {
+interface SubmitFlags extends RemoteFlags {
   expect: number;
 }
 
@@ -29,7 +29,7 @@
       "version that the change is based on, as config diff shows it",
       parseWhole,
     )
-    .action(async (path: string, options: SubmitOptions) => {
+    .action(async (path: string, options: SubmitFlags) => {
       const document = await readConfiguration(path, dependencies);
       const client = await createClient({ dependencies, options });
       const { version, note } = await submit(client, document, options.expect);
@@ -59,7 +59,10 @@
   if (answer.status !== 409) {
     return { version: asFields(answer.body)["version"], note: "is accepted" };
   }
-  const current = await fetchConfiguration(client);
+  // Other entries may still hold the version before the conflict.
+  const current = await fetchConfiguration(client, answer.entry)
+    .catch(() => undefined);
+  if (current === undefined) throw conflictAsTold(answer, expect);
   const changes = diffConfigurations({ before: current, after: submitted });
   // An earlier attempt may have been stored although its answer was lost.
   if (changes.length === 0 && current.version > expect) {
@@ -68,6 +71,14 @@
   throw conflict(answer, current.version, expect, changes.map(formatChange));
 }
 
+/** Uses what the refusal itself says, if the configuration is not readable. */
+function conflictAsTold(answer: Answer, expect: number): CommandFailure {
+  const { current, differences } = asFields(answer.body);
+  const version = Number(asFields(current)["version"] ?? current);
+  const lines = Array.isArray(differences) ? differences : [];
+  return conflict(answer, version, expect, lines.map(formatValue));
+}
+
 function conflict(
   answer: Answer,
   version: number,
@@ -75,16 +86,22 @@
   differences: string[],
 ): CommandFailure {
   const author = formatValue(asFields(answer.body)["author"]);
+  // Had the earlier attempt been stored, it would be version expect + 1.
+  const uncertain = answer.uncertain && version !== expect + 1;
+  const lines = [
+    `version ${version} by ${author} is in force, not version ${expect}; ` +
+    "your file differs from it:",
+    ...differences,
+  ];
+  if (uncertain) {
+    lines.push(`An earlier attempt may have become version ${expect + 1}.`);
+  }
   return new CommandFailure({
-    exit: "Conflict",
+    exit: uncertain ? "Unknown" : "Conflict",
     code: ErrorCode.ConfigurationConflict,
     step: "submit",
     peer: answer.entry,
-    message: [
-      `version ${version} by ${author} is in force, not version ${expect}; ` +
-      "your file differs from it:",
-      ...differences,
-    ].join("\n"),
+    message: lines.join("\n"),
     hint: `Apply your change to version ${version}, then use --expect ` +
       `${version}.`,
   });
--- a/cli/command/commands/drain.ts
+++ b/cli/command/commands/drain.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { show } from "../show.ts";
 import { remote } from "./register.ts";
 import type { Register } from "./register.ts";
@@ -13,7 +13,7 @@
 export const registerDrain: Register = ({ program, dependencies }) => {
   remote(program.command("drain <worker>"))
     .description("Give a worker no more work and let it finish what it has.")
-    .action(async (worker: string, options: RemoteOptions) => {
+    .action(async (worker: string, options: RemoteFlags) => {
       const path = `/v1/workers/${encodeURIComponent(worker)}/drain`;
       await show({
         dependencies,
--- a/cli/command/commands/jobs_cancel.ts
+++ b/cli/command/commands/jobs_cancel.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { jobPath } from "../job_fields.ts";
 import { show } from "../show.ts";
 import { group, remote } from "./register.ts";
@@ -14,7 +14,7 @@
 export const registerJobsCancel: Register = ({ program, dependencies }) => {
   remote(group(program, "jobs").command("cancel <id>"))
     .description("Cancel a job; its members are stopped.")
-    .action(async (id: string, options: RemoteOptions) => {
+    .action(async (id: string, options: RemoteFlags) => {
       await show({
         dependencies,
         options,
--- a/cli/command/commands/jobs_list.ts
+++ b/cli/command/commands/jobs_list.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { flattenJob } from "../job_fields.ts";
 import { asList, formatTable } from "../output.ts";
 import { show } from "../show.ts";
@@ -17,7 +17,7 @@
 export const registerJobsList: Register = ({ program, dependencies }) => {
   remote(group(program, "jobs").command("list"))
     .description("List jobs.")
-    .action(async (options: RemoteOptions) => {
+    .action(async (options: RemoteFlags) => {
       await show({
         dependencies,
         options,
--- a/cli/command/commands/jobs_show.ts
+++ b/cli/command/commands/jobs_show.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { flattenJob, jobPath } from "../job_fields.ts";
 import { formatFields } from "../output.ts";
 import { show } from "../show.ts";
@@ -15,7 +15,7 @@
 export const registerJobsShow: Register = ({ program, dependencies }) => {
   remote(group(program, "jobs").command("show <id>"))
     .description("Show one job with all fields.")
-    .action(async (id: string, options: RemoteOptions) => {
+    .action(async (id: string, options: RemoteFlags) => {
       await show({
         dependencies,
         options,
--- a/cli/command/commands/jobs_submit.ts
+++ b/cli/command/commands/jobs_submit.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { asFields, formatValue } from "../output.ts";
 import { readJson } from "../read_document.ts";
 import { show } from "../show.ts";
@@ -15,7 +15,7 @@
 export const registerJobsSubmit: Register = ({ program, dependencies }) => {
   remote(group(program, "jobs").command("submit <file>"))
     .description("Submit a job from a JSON file; - reads standard input.")
-    .action(async (file: string, options: RemoteOptions) => {
+    .action(async (file: string, options: RemoteFlags) => {
       const body = await readJson(file, dependencies);
       await show({
         dependencies,
--- a/cli/command/commands/jobs_why.ts
+++ b/cli/command/commands/jobs_why.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { flattenJob, jobPath } from "../job_fields.ts";
 import { formatValue, wrap } from "../output.ts";
 import { show } from "../show.ts";
@@ -15,7 +15,7 @@
 export const registerJobsWhy: Register = ({ program, dependencies }) => {
   remote(group(program, "jobs").command("why <id>"))
     .description("Say why a job waits, runs or ended.")
-    .action(async (id: string, options: RemoteOptions) => {
+    .action(async (id: string, options: RemoteFlags) => {
       await show({
         dependencies,
         options,
--- a/cli/command/commands/status.ts
+++ b/cli/command/commands/status.ts
@@ -4,14 +4,14 @@
  * @module
  */
 
-import type { RemoteOptions } from "../client.ts";
+import type { RemoteFlags } from "../client.ts";
 import { asFields, asList, formatTable, formatValue } from "../output.ts";
 import type { Fields } from "../output.ts";
 import { show } from "../show.ts";
 import { remote } from "./register.ts";
 import type { Register } from "./register.ts";
 
-interface StatusOptions extends RemoteOptions {
+interface StatusFlags extends RemoteFlags {
   workers?: boolean;
 }
 
@@ -29,7 +29,7 @@
   remote(program.command("status"))
     .description("Show teams, workers, entries and versions.")
     .option("--workers", "list every worker")
-    .action(async (options: StatusOptions) => {
+    .action(async (options: StatusFlags) => {
       await show({
         dependencies,
         options,
@@ -39,7 +39,7 @@
     });
 };
 
-function formatStatus(status: Fields, options: StatusOptions): string {
+function formatStatus(status: Fields, options: StatusFlags): string {
   const workers = asList(status["workers"], "workers");
   const teams = asList(status["teams"], "teams");
   const entries = asList(status["entries"], "entries");
--- a/cli/command/current_configuration.ts
+++ b/cli/command/current_configuration.ts
@@ -9,13 +9,15 @@
 import { asFields } from "./output.ts";
 import { checked } from "./read_document.ts";
 
-/** Reads and checks the configuration in force. */
+/** Reads and checks the configuration in force, from `prefer` if it answers. */
 export async function fetchConfiguration(
   client: Client,
+  prefer?: string,
 ): Promise<Configuration> {
   const { body, entry } = await client({
     method: "GET",
     path: "/v1/configuration",
+    prefer,
     repeatable: true,
   });
   return checked(asFields(body)["configuration"], entry);
--- a/cli/command/exit_code.ts
+++ b/cli/command/exit_code.ts
@@ -11,7 +11,7 @@
   Usage: { code: 2, meaning: "Arguments, options or the token are wrong." },
   Invalid: { code: 3, meaning: "A configuration or job was refused." },
   Conflict: { code: 4, meaning: "Another change came first; none was made." },
-  Unreachable: { code: 5, meaning: "No entry accepted the command." },
+  Unreachable: { code: 5, meaning: "No entry accepted it; nothing changed." },
   Denied: { code: 6, meaning: "The token does not permit this." },
   NotFound: { code: 7, meaning: "The job, worker or version is not known." },
   Unknown: { code: 8, meaning: "It is unknown whether it took effect." },
--- a/cli/command/show.ts
+++ b/cli/command/show.ts
@@ -5,13 +5,13 @@
  */
 
 import { createClient } from "./client.ts";
-import type { Call, RemoteOptions } from "./client.ts";
+import type { Call, RemoteFlags } from "./client.ts";
 import type { Dependencies } from "./dependencies.ts";
 
 /** Performs the call and prints the answer as JSON or as text. */
 export async function show(fields: {
   dependencies: Dependencies;
-  options: RemoteOptions;
+  options: RemoteFlags;
   call: Call;
   /** Returns lines for people. */
   format: (body: unknown) => string;
