--- /dev/null
+++ b/core/agent_reducer/leases_test.ts
@@ -0,0 +1,193 @@
+import { test } from "tap";
+import {
+  Agent,
+  connected,
+  found,
+  kinds,
+  only,
+  reserve,
+  sentTo,
+} from "./setup_for_tests.ts";
+
+const renew = (job: string, epoch = 1) => ({
+  kind: "renew" as const,
+  run: { job, epoch },
+  lease: 10_000,
+});
+const stop = (job: string, checkpoint: boolean, epoch = 1) => ({
+  kind: "stop" as const,
+  run: { job, epoch },
+  checkpoint,
+});
+const effectsOf = (agent: Agent, message: Parameters<Agent["send"]>[0]) =>
+  agent.event({ kind: "message", entry: "e1", message });
+const states = (agent: Agent, message: Parameters<Agent["send"]>[0]) =>
+  only(agent.send(message), "runState")[0]?.members.map((one) => one.state);
+
+// Guards against a gang that runs on after its owner was lost.
+test("members stop at once when the lease lapses", (t) => {
+  const agent = connected();
+  agent.run(reserve("j", [[0], [1]]));
+  agent.pass(9000);
+  t.strictSame(kinds(effectsOf(agent, renew("j"))), [
+    "renewTask",
+    "renewTask",
+    "runState",
+  ]);
+  t.strictSame(kinds(agent.pass(9999)), []);
+  agent.now += 1;
+  const late = effectsOf(agent, renew("j"));
+  t.strictSame(kinds(late), ["stopTask", "stopTask", "runState"]);
+  t.match(only(sentTo(late), "runState")[0]?.members, [
+    { state: "stopping" },
+    { state: "stopping" },
+  ]);
+  t.end();
+});
+
+// Guards against two owners of one gang after a takeover.
+test("a higher epoch takes the run over and fences the old owner", (t) => {
+  const agent = connected();
+  agent.run(reserve("j", [[0]]));
+  const effects = effectsOf(agent, renew("j", 2));
+  t.match(effects.find((one) => one.kind === "renewTask"), {
+    task: { run: { epoch: 1 } },
+  });
+  t.match(only(sentTo(effects), "runState"), [
+    { run: { epoch: 2 }, members: [{ run: { epoch: 2 }, state: "running" }] },
+  ]);
+  t.strictSame(states(agent, renew("j", 1)), []);
+  t.strictSame(states(agent, stop("j", false, 1)), []);
+  t.strictSame(states(agent, renew("j", 2)), ["running"]);
+  const task = { run: { job: "j", epoch: 1 }, member: 0 };
+  agent.event({ kind: "taskEnded", task, ending: "failed", cause: "x" });
+  t.strictSame(states(agent, renew("j", 3)), ["failed"], "late renewal");
+  t.end();
+});
+
+// Guards against an owner that never learns how its members ended.
+test("the end of a member is told at once and kept for a while", (t) => {
+  const agent = connected();
+  agent.connect("e2");
+  agent.run(reserve("j", [[0], [1]]));
+  agent.send(renew("j"), "e2");
+  const ended = agent.event({
+    kind: "taskEnded",
+    task: { run: { job: "j", epoch: 1 }, member: 1 },
+    ending: "failed",
+    cause: "exit 1",
+  });
+  t.match(only(sentTo(ended, "e2"), "runState")[0]?.members, [
+    { state: "running" },
+    { state: "failed" },
+  ]);
+  agent.end({ job: "j", epoch: 1 }, "finished");
+  agent.pass(60_000);
+  t.strictSame(states(agent, renew("j")), ["finished", "failed"]);
+  agent.pass(600_000);
+  t.strictSame(states(agent, renew("j")), []);
+  t.end();
+});
+
+// Guards against lost work on a stop, and against a stop without an end.
+test("a stop checkpoints within the grace period if asked", (t) => {
+  const agent = connected();
+  agent.run(reserve("j", [[0]]));
+  agent.run(reserve("k", [[1]]));
+  t.strictSame(kinds(effectsOf(agent, stop("j", true))), [
+    "checkpointTask",
+    "runState",
+  ]);
+  t.strictSame(kinds(effectsOf(agent, stop("k", false))), [
+    "stopTask",
+    "runState",
+  ]);
+  t.strictSame(kinds(agent.pass(2000)), ["stopTask", "stopTask"]);
+  t.strictSame(states(agent, renew("j")), ["stopping"]);
+  t.end();
+});
+
+// Guards against tasks of a restarted agent that nobody accounts for.
+test("found tasks are adopted and stop unless renewed", (t) => {
+  const agent = new Agent();
+  agent.event({
+    kind: "tasksFound",
+    members: [
+      found("j"),
+      found("k", { accelerators: [2], state: "checkpointing" }),
+      found("l", { accelerators: [2] }),
+      found("m", { accelerators: [3], epoch: 1 }),
+      found("m", { accelerators: [4], epoch: 2 }),
+    ],
+  });
+  agent.connect();
+  t.match(
+    Object.fromEntries(agent.core.state.members.map((one) => [
+      `${one.run.job}${one.run.epoch}`,
+      one.state,
+    ])),
+    {
+      j1: "running",
+      k1: "running",
+      l1: "stopping",
+      m1: "stopping",
+      m2: "running",
+    },
+    "surplus and fenced tasks are stopped",
+  );
+  t.match(agent.send(reserve("n", [[0]])), [{ reason: "no-capacity" }]);
+  t.match(agent.send(reserve("j", [[0]])), [{ kind: "runState" }]);
+  agent.now += 5000;
+  t.strictSame(states(agent, renew("j", 2)), ["running"]);
+  agent.pass(5000);
+  t.strictSame(
+    agent.core.state.members.filter((one) => one.state === "running")
+      .map((one) => one.run.job),
+    ["j"],
+  );
+  t.end();
+});
+
+// Guards against tasks beyond the capacity that the state does not know.
+test("an unknown task that started is stopped", (t) => {
+  const agent = connected();
+  const task = { run: { job: "x", epoch: 1 }, member: 0 };
+  t.strictSame(kinds(agent.event({ kind: "taskStarted", task })), ["stopTask"]);
+  agent.run(reserve("j", [[0]]));
+  const known = { run: { job: "j", epoch: 1 }, member: 0 };
+  t.strictSame(kinds(agent.event({ kind: "taskStarted", task: known })), []);
+  t.end();
+});
+
+// Guards against a gang slowed by a single or outdated reading.
+test("deferrable members are throttled after consecutive excess", (t) => {
+  const agent = connected();
+  agent.run(reserve("j", [[0]]));
+  agent.run(reserve("u", [[1]], { urgent: true }));
+  const read = (cores: number, age = 0) => {
+    agent.now += 100;
+    return agent.event({ kind: "usage", cores, memoryMiB: 10, age })
+      .filter((one) => one.kind === "throttleTask" || one.kind === "log");
+  };
+  for (const cores of [8, 8, 3, 8]) t.strictSame(read(cores), []);
+  t.strictSame(read(8, 150), [], "not newer than the last");
+  t.strictSame(read(8), []);
+  const throttled = read(8);
+  t.match(throttled, [{ kind: "log" }, {
+    share: 0.5,
+    task: { run: { job: "j" } },
+  }]);
+  t.equal(throttled.length, 2, "urgent work is spared");
+  t.strictSame(read(8, 100), [], "taken before the throttle");
+  for (const cores of [3, 3]) t.strictSame(read(cores), []);
+  t.match(read(3), [{ kind: "log" }, { share: 1 }]);
+  t.match(
+    effectsOf(agent, {
+      kind: "throttle",
+      run: { job: "u", epoch: 1 },
+      share: 0.3,
+    }),
+    [{ kind: "throttleTask", share: 0.3 }],
+  );
+  t.end();
+});
--- /dev/null
+++ b/core/agent_reducer/random_test.ts
@@ -0,0 +1,322 @@
+import { test } from "tap";
+import fc from "fast-check";
+import type {
+  AgentEffect,
+  AgentMessage,
+  AttemptId,
+  EntryMessage,
+  RunId,
+  TaskId,
+} from "@dragonflyledge/model";
+import { attemptKey } from "./state.ts";
+import {
+  Agent,
+  attempt,
+  configuration,
+  found,
+  homesTable,
+  reserve,
+} from "./setup_for_tests.ts";
+
+interface Task {
+  id: TaskId;
+  accelerators: number[];
+  leaseUntil: number;
+  stopping: boolean;
+  displaced: boolean;
+}
+
+const taskKey = (id: TaskId) => `${id.run.epoch}/${id.run.job}/${id.member}`;
+const key = attemptKey;
+
+/** Worker, endpoint and entries, with their own account of what is true. */
+class World {
+  readonly agent = new Agent();
+  readonly tasks = new Map<string, Task>();
+  readonly calls = new Map<string, AttemptId>();
+  readonly called = new Set<string>();
+  /** Number of the attempt of each request that may have run. */
+  readonly mayHaveRun = new Map<string, string>();
+  readonly denied = new Set<string>();
+  readonly received = new Map<string, Set<number>>();
+  readonly entries = new Set<string>();
+  /** Occurrences of each effect and message. */
+  readonly seen: Record<string, number> = {};
+  reserved: RunId[] = [];
+  leaving = false;
+  exits = 0;
+  steps = 0;
+
+  check(holds: boolean, text: string): void {
+    if (!holds) throw new Error(text);
+  }
+
+  apply(event: Parameters<Agent["event"]>[0]): void {
+    const effects = this.agent.event(event);
+    for (const effect of effects) this.perform(effect);
+    for (const task of this.tasks.values()) {
+      const lapsed = this.agent.now >= task.leaseUntil;
+      this.check(!lapsed || task.stopping, "a task outlives its lease");
+    }
+    this.leaving = this.agent.core.state.leaving;
+    const reports = effects.filter((one) =>
+      one.kind === "send" && one.message.kind === "report"
+    );
+    this.check(reports.length <= this.entries.size, "reports not coalesced");
+  }
+
+  send(entry: string, message: EntryMessage): void {
+    if (!this.entries.has(entry)) return;
+    this.apply({ kind: "message", entry, message });
+  }
+
+  perform(effect: AgentEffect): void {
+    const kind = effect.kind === "send" ? effect.message.kind : effect.kind;
+    this.seen[kind] = (this.seen[kind] ?? 0) + 1;
+    if (effect.kind === "send") this.receive(effect.entry, effect.message);
+    else if (effect.kind === "callEndpoint") this.call(effect.attempt);
+    else if (effect.kind === "startTask") this.start(effect);
+    else if (effect.kind === "renewTask") {
+      const task = this.tasks.get(taskKey(effect.task))!;
+      task.leaseUntil = this.agent.now + effect.lease;
+    } else if (effect.kind === "stopTask") {
+      const task = this.tasks.get(taskKey(effect.task));
+      if (task) task.stopping = true;
+    } else if (effect.kind === "exit") this.exits++;
+  }
+
+  call(id: AttemptId): void {
+    this.check(!this.leaving, "called while leaving");
+    this.check(!this.called.has(key(id)), "an attempt was called twice");
+    this.check(!this.denied.has(key(id)), "a denied attempt was called");
+    this.check(!this.mayHaveRun.has(id.request), "a request ran twice");
+    this.check(this.calls.size < 3, "more calls than slots");
+    this.mayHaveRun.set(id.request, key(id));
+    this.called.add(key(id));
+    this.calls.set(key(id), id);
+  }
+
+  start(effect: AgentEffect & { kind: "startTask" }): void {
+    const { accelerators, run, revocable, team } = effect.report;
+    this.check(!this.leaving, "started while leaving");
+    for (const task of this.tasks.values()) {
+      const shared = task.accelerators.some((one) =>
+        accelerators.includes(one)
+      );
+      this.check(!shared, "an accelerator is used twice");
+      const older = task.id.run.job === run.job &&
+        task.id.run.epoch < run.epoch;
+      this.check(!older, "a job runs under two epochs");
+    }
+    const homes = this.agent.core.state.homes?.homes ?? [];
+    const foreign = homes.some((home) =>
+      home.team !== team &&
+      home.parts.some((part) =>
+        part.accelerators.some((one) => accelerators.includes(one))
+      )
+    );
+    this.check(revocable || !foreign, "a home cannot be reclaimed");
+    this.tasks.set(taskKey(effect.task), {
+      id: effect.task,
+      accelerators,
+      leaseUntil: this.agent.now + effect.lease,
+      stopping: false,
+      displaced: false,
+    });
+    this.check(this.tasks.size * 3 <= 32, "more cores than there are");
+  }
+
+  receive(entry: string, message: AgentMessage): void {
+    this.check(this.entries.has(entry), "sent to a lost entry");
+    const absent = message.kind === "attemptState" &&
+      message.state === "absent";
+    if (message.kind === "attemptRefused" || absent) {
+      const { attempt } = message;
+      const running = this.mayHaveRun.get(attempt.request) === key(attempt);
+      this.check(!running, "a run was denied");
+      this.denied.add(key(attempt));
+    }
+    if (message.kind === "reserved") this.reserved.push(message.run);
+    if (message.kind !== "attemptAnswer") return;
+    const name = `${entry} ${key(message.attempt)}`;
+    const seen = this.received.get(name) ?? new Set();
+    this.received.set(name, seen.add(message.sequence));
+    const whole = !message.last || seen.size === message.sequence + 1;
+    this.check(whole, "an answer has gaps");
+  }
+
+  connect(entry: string): void {
+    this.lose(entry);
+    this.entries.add(entry);
+    for (const effect of this.agent.connect(entry)) this.perform(effect);
+  }
+
+  lose(entry: string): void {
+    if (!this.entries.has(entry)) return;
+    this.apply({ kind: "entryLost", entry });
+    this.entries.delete(entry);
+    // Pieces in flight are lost with the session.
+    for (const name of this.received.keys()) {
+      if (name.startsWith(`${entry} `)) this.received.delete(name);
+    }
+  }
+
+  answer(pick: number, last: boolean): void {
+    const attempt = [...this.calls.values()][pick % this.calls.size];
+    if (attempt === undefined) return;
+    if (last) this.calls.delete(key(attempt));
+    const piece = new Uint8Array(pick % 100_000);
+    const head = { status: 200, contentType: "", piece, last };
+    this.apply({ kind: "endpointAnswer", attempt, ...head });
+  }
+
+  fail(pick: number, sent: boolean): void {
+    const attempt = [...this.calls.values()][pick % this.calls.size];
+    if (attempt === undefined) return;
+    this.calls.delete(key(attempt));
+    // A call whose answer began was sent.
+    const answered = this.agent.core.attempts.get(key(attempt))?.sequence;
+    if (!sent && !answered) this.mayHaveRun.delete(attempt.request);
+    this.apply({ kind: "endpointFailed", attempt, sent, cause: "" });
+  }
+
+  end(pick: number, ending: "finished" | "failed" | "stopped"): void {
+    const task = [...this.tasks.values()][pick % this.tasks.size]?.id;
+    if (task === undefined) return;
+    this.tasks.delete(taskKey(task));
+    this.apply({ kind: "taskEnded", task, ending, cause: "" });
+  }
+}
+
+type Step = [op: number, pick: number, size: number, flag: boolean];
+
+function step(world: World, [op, pick, size, flag]: Step): void {
+  const entry = `e${pick % 3}`;
+  const age = world.steps++;
+  const id = { request: `r${(age >> 4) + pick % 8}`, number: 1 + size % 3 };
+  const run = { job: `j${pick % 6}`, epoch: 1 + (age >> 5) + size % 3 };
+  const first = pick % 8;
+  const lists = Array.from({ length: 1 + size % 2 }, (_, member) => [
+    (first + member) % 8,
+  ]);
+  const tasks = [...world.tasks.values()];
+  const asked = tasks[pick % tasks.length]?.id;
+  const held = world.reserved.at(-1 - pick % 4) ?? run;
+  const live = asked === undefined ? run : {
+    job: asked.run.job,
+    epoch: asked.run.epoch + (size % 8 === 0 ? 1 : 0),
+  };
+  const ask = reserve(run.job, lists, {
+    epoch: run.epoch,
+    team: "abc"[size % 3]!,
+    urgent: size % 5 === 0,
+    revocable: flag,
+    perMember: { accelerators: 1, cores: 3, memoryMiB: 64 },
+  });
+  const steps: (() => void)[] = [
+    () => world.connect(entry),
+    () =>
+      world.send(entry, {
+        ...attempt(id.request, { number: id.number, urgent: flag }),
+        remaining: 200 + size * 10,
+      }),
+    () => world.send(entry, { kind: "cancelAttempt", attempt: id }),
+    () => world.send(entry, { kind: "queryAttempt", attempt: id }),
+    () => world.answer(pick + size, flag),
+    () => world.fail(pick, flag),
+    () => world.send(entry, ask),
+    () => {
+      world.send(entry, ask);
+      world.send(entry, { kind: "commit", run, lease: 10_000 });
+    },
+    () => world.send(entry, { kind: "commit", run: held, lease: 10_000 }),
+    () => world.send(entry, { kind: "renew", run: live, lease: 10_000 }),
+    () => world.send(entry, { kind: "release", run: held }),
+    () => world.send(entry, { kind: "stop", run: live, checkpoint: flag }),
+    () => asked && world.apply({ kind: "taskCheckpointed", task: asked }),
+    () => world.end(pick, flag ? "stopped" : "finished"),
+    () => world.apply({ kind: "tick" }),
+    () => size % 4 === 0 && world.lose(entry),
+    () =>
+      world.send(entry, {
+        kind: "homes",
+        homes: homesTable(size, {
+          a: [first],
+          b: [(first + 1) % 8, (first + 2) % 8],
+        }),
+      }),
+    () =>
+      world.send(entry, {
+        kind: "configuration",
+        configuration: configuration(size),
+      }),
+    () => world.apply({ kind: "usage", cores: size, memoryMiB: 1, age: 5 }),
+    () => age > 900 && size === 7 && world.send(entry, { kind: "drain" }),
+  ];
+  world.agent.now += size % 20 === 0 ? size * 40 : size % 10;
+  steps[op % steps.length]!();
+}
+
+/** Ends everything that runs; a leaving agent must then exit, once. */
+function finish(world: World): void {
+  world.apply({ kind: "stopRequested" });
+  while (world.calls.size > 0) world.answer(0, true);
+  world.agent.now += 5000;
+  world.apply({ kind: "tick" });
+  while (world.tasks.size > 0) world.end(0, "stopped");
+  world.apply({ kind: "stopRequested" });
+  world.check(world.exits === 1, "the agent did not exit once");
+}
+
+const steps = fc.array(
+  fc.tuple(
+    fc.nat(19),
+    fc.nat(1000),
+    fc.nat(100),
+    fc.boolean(),
+  ),
+  { minLength: 1, maxLength: 1500, size: "max" },
+);
+
+// Guards against sequences of events that break a promise of the agent.
+for (const seed of [20261, 20262, 20263]) {
+  test(`random events keep the promises, seed ${seed}`, (t) => {
+    const seen: Record<string, number> = {};
+    const result = fc.check(
+      fc.property(steps, fc.boolean(), (sequence, restarted) => {
+        const world = new World();
+        if (restarted) adoptFound(world);
+        for (const one of sequence) step(world, one);
+        finish(world);
+        for (const [kind, times] of Object.entries(world.seen)) {
+          seen[kind] = (seen[kind] ?? 0) + times;
+        }
+      }),
+      { seed, numRuns: 400 },
+    );
+    t.equal(result.errorInstance, null, JSON.stringify(result.counterexample));
+    t.comment(`seed ${seed}: ${JSON.stringify(seen)}`);
+    for (const kind of ["callEndpoint", "reclaimNotice", "startTask"]) {
+      t.ok(seen[kind]! > 100, `${kind} occurs`);
+    }
+    t.end();
+  });
+}
+
+function adoptFound(world: World): void {
+  const reports = [
+    found("j0"),
+    found("j1", { accelerators: [4], epoch: 2, revocable: false }),
+  ];
+  for (const report of reports) {
+    const id = { run: report.run, member: 0 };
+    world.tasks.set(taskKey(id), {
+      id,
+      accelerators: report.accelerators,
+      leaseUntil: world.agent.now + 10_000,
+      stopping: false,
+      displaced: true,
+    });
+  }
+  world.apply({ kind: "tasksFound", members: reports });
+}
--- /dev/null
+++ b/core/agent_reducer/reclaim_test.ts
@@ -0,0 +1,161 @@
+import { test } from "tap";
+import { connected, kinds, only, reserve, sentTo } from "./setup_for_tests.ts";
+import type { Agent } from "./setup_for_tests.ts";
+
+const outcome = (agent: Agent, message: ReturnType<typeof reserve>) => {
+  const told = agent.send(message, "e2").filter((one) => one.kind !== "report");
+  const last = told.at(-1);
+  return last?.kind === "reserveRefused" ? last.reason : last?.kind;
+};
+
+const task = (job: string, member = 0) => ({
+  run: { job, epoch: 1 },
+  member,
+});
+
+/** A worker whose accelerators 0 and 1 are home to `a`, 2 and 3 to `b`. */
+function lent(): Agent {
+  const agent = connected({ a: [0, 1], b: [2, 3] });
+  agent.connect("e2");
+  return agent;
+}
+
+// Guards against an owner that cannot get its home back in time.
+test("the owner's reservation checkpoints and stops the borrower", (t) => {
+  const agent = lent();
+  agent.run(reserve("lease", [[0], [1]], { team: "b" }));
+  const effects = agent.event({
+    kind: "message",
+    entry: "e2",
+    message: reserve("own", [[0]], { team: "a", revocable: false }),
+  });
+  t.strictSame(kinds(effects), [
+    "reclaimNotice",
+    "checkpointTask",
+    "checkpointTask",
+    "reserving",
+  ]);
+  t.match(only(sentTo(effects), "reclaimNotice"), [{
+    by: "a",
+    remaining: 2000,
+  }]);
+  t.match(only(sentTo(effects, "e2"), "reserving"), [{ remaining: 2000 }]);
+  t.strictSame(
+    kinds(agent.event({ kind: "taskCheckpointed", task: task("lease") })),
+    ["stopTask"],
+    "stopped as soon as checkpointed",
+  );
+  t.strictSame(kinds(agent.pass(1999)), []);
+  t.ok(kinds(agent.pass(1)).includes("stopTask"), "stopped after the grace");
+  t.strictSame(kinds(agent.pass(1000)), ["stopTask", "stopTask"], "repeated");
+  t.match(
+    only(sentTo(agent.end({ job: "lease", epoch: 1 }), "e2"), "reserved"),
+    [
+      { run: { job: "own" } },
+    ],
+  );
+  t.end();
+});
+
+// Guards against capacity taken from work that is entitled to it.
+test("only entitled work may reclaim", (t) => {
+  const urgent = { urgent: true };
+  const cases: [string, object, object, number, string][] = [
+    ["owner from a borrower", { team: "b" }, {}, 0, "reserving"],
+    [
+      "owner from an urgent borrower",
+      { team: "b", ...urgent },
+      {},
+      0,
+      "reserving",
+    ],
+    ["anyone from the owner", {}, { team: "b" }, 0, "no-capacity"],
+    ["owner from its own work", {}, {}, 0, "no-capacity"],
+    ["anyone on nobody's home", { team: "b" }, {}, 4, "no-capacity"],
+    ["urgent from deferrable", { team: "b" }, { ...urgent }, 4, "reserving"],
+    ["urgent from an owner", {}, { team: "b", ...urgent }, 0, "no-capacity"],
+    ["urgent from its own team", {}, { ...urgent }, 0, "reserving"],
+    ["urgent from urgent", urgent, { team: "b", ...urgent }, 4, "no-capacity"],
+    [
+      "urgent from non-revocable",
+      { revocable: false },
+      urgent,
+      4,
+      "no-capacity",
+    ],
+  ];
+  for (const [name, holder, claimant, accelerator, expected] of cases) {
+    const agent = lent();
+    agent.run(reserve("holder", [[accelerator]], holder));
+    const message = reserve("claimant", [[accelerator]], claimant);
+    t.equal(outcome(agent, message), expected, name);
+  }
+  t.end();
+});
+
+// Guards against reclaim on the strength of data that the agent lacks.
+test("without homes or configuration reclaim is conservative", (t) => {
+  const urgent = reserve("u", [[4]], { urgent: true });
+  for (const missing of ["homes", "configuration"] as const) {
+    const agent = lent();
+    agent.run(reserve("other", [[4]], { team: "b" }));
+    agent.run(reserve("same", [[5]], { team: "a" }));
+    agent.core.state[missing] = undefined;
+    t.equal(outcome(agent, urgent), "no-capacity", missing);
+    const own = reserve("v", [[5]], { urgent: true });
+    t.equal(outcome(agent, own), "reserving", "its own team's");
+  }
+  t.end();
+});
+
+// Guards against two reservations that wait for the same accelerator.
+test("a pending reservation keeps others off its accelerators", (t) => {
+  const agent = lent();
+  agent.run(reserve("lease", [[0]], { team: "b" }));
+  t.equal(outcome(agent, reserve("own", [[0], [4]])), "reserving");
+  t.equal(outcome(agent, reserve("more", [[0]])), "no-capacity");
+  t.equal(outcome(agent, reserve("free", [[4]])), "no-capacity");
+  t.equal(outcome(agent, reserve("own", [[0], [4]])), "reserving", "repeated");
+  agent.pass(4000);
+  t.equal(
+    outcome(agent, reserve("later", [[4]])),
+    "reserved",
+    "after the lapse",
+  );
+  t.equal(
+    outcome(agent, reserve("wait", [[0]])),
+    "reserving",
+    "still stopping",
+  );
+  t.end();
+});
+
+// Guards against a borrower's uncommitted reservation that delays the owner.
+test("an uncommitted reservation of a borrower gives way at once", (t) => {
+  const agent = lent();
+  agent.send(reserve("lease", [[0]], { team: "b" }));
+  const effects = agent.event({
+    kind: "message",
+    entry: "e2",
+    message: reserve("own", [[0]]),
+  });
+  t.strictSame(kinds(effects), ["reclaimNotice", "runState", "reserved"]);
+  t.end();
+});
+
+// Guards against a home whose accelerators are free but whose cores are not.
+test("the owner of a whole home also reclaims cores and memory", (t) => {
+  const agent = lent();
+  const perMember = { accelerators: 1, cores: 15, memoryMiB: 64 };
+  agent.run(reserve("old", [[4]], { team: "b", perMember }));
+  agent.pass(10);
+  agent.run(reserve("young", [[5]], { team: "b", perMember }));
+  t.equal(outcome(agent, reserve("c", [[6]], { perMember })), "no-capacity");
+  t.equal(outcome(agent, reserve("own", [[0]], { perMember })), "reserving");
+  t.match(agent.core.state.members.map((one) => [one.run.job, one.state]), [
+    ["old", "running"],
+    ["young", "checkpointing"],
+  ]);
+  t.match(only(sentTo(agent.end(task("young").run), "e2"), "reserved"), [{}]);
+  t.end();
+});
--- /dev/null
+++ b/core/agent_reducer/shutdown_test.ts
@@ -0,0 +1,50 @@
+import { test } from "tap";
+import {
+  attempt,
+  connected,
+  kinds,
+  reserve,
+  sentTo,
+} from "./setup_for_tests.ts";
+import type { Agent } from "./setup_for_tests.ts";
+
+const finish = (agent: Agent) =>
+  agent.event({
+    kind: "endpointAnswer",
+    attempt: { request: "a", number: 1 },
+    status: 200,
+    contentType: "",
+    piece: new Uint8Array(),
+    last: true,
+  });
+
+// Guards against a planned stop that interrupts work or takes in more.
+test("a leaving agent finishes its attempts and stops its members", (t) => {
+  const agent = connected();
+  agent.send(attempt("a"));
+  agent.run(reserve("j", [[0]]));
+  agent.send(reserve("k", [[1]]));
+  const leaving = agent.event({ kind: "stopRequested" });
+  t.strictSame(kinds(leaving), ["checkpointTask", "runState"]);
+  t.match(sentTo(leaving).at(-1), { kind: "report", leaving: true });
+  t.strictSame(kinds(agent.event({ kind: "stopRequested" })), [], "again");
+  t.match(agent.send(attempt("b")), [{ reason: "leaving" }]);
+  t.match(agent.send(reserve("l", [[2]])), [{ reason: "leaving" }]);
+  const commit = { kind: "commit" as const, run: { job: "k", epoch: 1 } };
+  t.match(agent.send({ ...commit, lease: 1 }), [{ members: [] }]);
+  t.notOk(agent.end({ job: "j", epoch: 1 }).some((one) => one.kind === "exit"));
+  t.ok(kinds(finish(agent)).includes("exit"));
+  t.notOk(kinds(agent.pass(100)).includes("exit"), "once");
+  t.end();
+});
+
+// Guards against a drained worker whose process is gone, and a mute worker.
+test("a drain does not exit; a stop waits at most for the leases", (t) => {
+  const agent = connected();
+  agent.run(reserve("j", [[0]]));
+  agent.send({ kind: "drain" });
+  t.equal(agent.reducer.state.leaving, true);
+  agent.pass(20_000);
+  t.ok(kinds(agent.event({ kind: "stopRequested" })).includes("exit"));
+  t.end();
+});
--- /dev/null
+++ b/core/agent_reducer/versions_test.ts
@@ -0,0 +1,106 @@
+import { test } from "tap";
+import {
+  Agent,
+  attempt,
+  configuration,
+  connected,
+  homesTable,
+  kinds,
+  only,
+  reserve,
+  sentTo,
+} from "./setup_for_tests.ts";
+
+const versions = (configuration: number, homes: number) => ({
+  configuration,
+  homes,
+});
+const reports = (effects: Parameters<typeof sentTo>[0], entry = "e1") =>
+  only(sentTo(effects, entry), "report");
+
+// Guards against a configuration that reverts.
+test("only higher versions are accepted", (t) => {
+  const agent = connected();
+  agent.send({ kind: "configuration", configuration: configuration(3) });
+  const old = agent.event({
+    kind: "message",
+    entry: "e1",
+    message: { kind: "configuration", configuration: configuration(2) },
+  });
+  t.match(old, [{ kind: "count", metric: "versions.ignored" }]);
+  agent.send({ kind: "homes", homes: homesTable(1, { z: [0] }) });
+  t.equal(agent.core.state.configuration?.version, 3);
+  t.strictSame(agent.core.state.homes?.homes, []);
+  t.end();
+});
+
+// Guards against a worker or an entry that stays on an old version.
+test("the older side is brought forward", (t) => {
+  const agent = new Agent();
+  t.match(sentTo(agent.connect("e1", versions(2, 1)))[0], {
+    kind: "fetch",
+    versions: versions(0, 0),
+  });
+  agent.connect("e2", versions(2, 1));
+  const seen = (entry: string, peer: ReturnType<typeof versions>) =>
+    sentTo(agent.event({ kind: "peerVersions", entry, versions: peer }), entry);
+  t.strictSame(seen("e2", versions(2, 1)), [], "one fetch at a time");
+  agent.now += 500;
+  t.match(seen("e2", versions(2, 1)), [{ kind: "fetch" }], "after no answer");
+  agent.send({ kind: "configuration", configuration: configuration(2) });
+  agent.send({ kind: "homes", homes: homesTable(1, {}) });
+  t.strictSame(seen("e1", versions(2, 0)), [], "it fetches by itself");
+  agent.now += 1000;
+  t.match(seen("e1", versions(2, 0)), [{ kind: "homes" }], "it still lags");
+  t.match(
+    agent.send({ kind: "fetch", versions: versions(0, 1) }),
+    [{ kind: "configuration" }],
+  );
+  t.end();
+});
+
+// Guards against sessions with all entries, or with none.
+test("an agent dials at most four entries, the same ones each time", (t) => {
+  const agent = connected();
+  const all = ["a", "b", "c", "d", "e", "f"].map((id) => ({ id, address: id }));
+  const dial = (entries: typeof all) =>
+    agent.event({
+      kind: "message",
+      entry: "e1",
+      message: { kind: "entries", entries },
+    }).flatMap((one) => one.kind === "dialEntries" ? [one.entries] : []);
+  const chosen = dial(all)[0]!;
+  t.equal(chosen.length, 4);
+  t.strictSame(dial(all.toReversed()), [], "unchanged");
+  const lost = dial(all.filter((one) => one.id !== chosen[0]!.id))[0]!;
+  t.strictSame(lost.slice(0, 3), chosen.slice(1), "only the lost one changes");
+  t.strictSame(dial([]), []);
+  t.end();
+});
+
+// Guards against entries that bind work to a state that is long gone.
+test("changes are reported at once, slots at most every 20 ms", (t) => {
+  const agent = new Agent();
+  t.equal(reports(agent.connect()).length, 1, "on connect");
+  agent.now += 20;
+  t.match(
+    reports(agent.event({
+      kind: "message",
+      entry: "e1",
+      message: attempt("a"),
+    })),
+    [{ slotsUsed: 1, slotsByClass: { batch: 1 } }],
+  );
+  agent.now += 5;
+  t.strictSame(only(agent.send(attempt("b")), "report"), []);
+  const member = only(agent.send(reserve("j", [[0], [1]])), "report");
+  t.match(member, [{ slotsUsed: 2, members: [{ state: "reserved" }, {}] }]);
+  agent.send(attempt("c", { urgent: true }));
+  t.match(reports(agent.pass(20)), [{ slotsUsed: 3 }], "the tail");
+  t.strictSame(reports(agent.pass(1000)), []);
+  agent.event({ kind: "usage", cores: 4, memoryMiB: 5, age: 7 });
+  agent.pass(3000 - 25);
+  t.match(reports(agent.pass(1000)), [{ usage: { cores: 4, age: 3982 } }]);
+  t.strictSame(kinds(agent.event({ kind: "entryLost", entry: "e1" })), []);
+  t.end();
+});
