--- a/testing/fakes/etcd_server.ts
+++ b/testing/fakes/etcd_server.ts
@@ -79,7 +79,10 @@
     run(memory, fields) {
       const { key, exact } = decodeTarget(fields);
       const { items, at } = memory.read(key, exact);
-      return encodeRange(items, at);
+      const shown = fields.keys_only === true
+        ? items.map((item) => ({ ...item, value: "" }))
+        : items;
+      return encodeRange(shown, at);
     },
   },
   "/v3/kv/txn": {
--- a/testing/fakes/memory_store.ts
+++ b/testing/fakes/memory_store.ts
@@ -137,6 +137,10 @@
     get: async (key) => (await getAt(key)).map((reading) => reading.item),
     list: async (prefix) =>
       (await listAt(prefix)).map((listing) => listing.items),
+    listKeys: async (prefix) =>
+      (await listAt(prefix)).map(({ items }) =>
+        items.map(({ key, revision }) => ({ key, revision }))
+      ),
     write: (writes) =>
       call(
         "write",
--- a/testing/fakes/store_contract.ts
+++ b/testing/fakes/store_contract.ts
@@ -109,6 +109,8 @@
     await store.write(["/b/2", "/b/1", "/b0", "/a/1"].map((k) => put(k, k)));
     const listing = (await store.listAt("/b/"))._unsafeUnwrap();
     t.same(listing.items.map((item: Item) => item.key), ["/b/1", "/b/2"]);
+    const keys = (await store.listKeys("/b/"))._unsafeUnwrap();
+    t.same(keys, listing.items.map(({ key, revision }) => ({ key, revision })));
     const reading = (await store.getAt("/none"))._unsafeUnwrap();
     t.equal(reading.at, listing.at);
   },
