--- a/core/entry_reducer/requests/answer_pieces.ts
+++ b/core/entry_reducer/requests/answer_pieces.ts
@@ -17,6 +17,8 @@
   contentType: string;
   /** Sequence number of the last piece, once it has arrived. */
   last: number | undefined;
+  /** Highest sequence number that has arrived. */
+  highest: number;
 }
 
 export function createAnswerPieces(): AnswerPieces {
@@ -26,6 +28,7 @@
     status: 0,
     contentType: "",
     last: undefined,
+    highest: -1,
   };
 }
 
@@ -34,6 +37,7 @@
   if (answer.pieces.has(message.sequence)) return;
   answer.pieces.set(message.sequence, message.piece);
   answer.size += message.piece.length;
+  answer.highest = Math.max(answer.highest, message.sequence);
   if (message.sequence === 0) {
     answer.status = message.status;
     answer.contentType = message.contentType;
@@ -43,14 +47,16 @@
 
 /** Whether the last piece and all before it have arrived. */
 export function isWhole(answer: AnswerPieces): boolean {
-  return answer.last !== undefined && answer.pieces.size === answer.last + 1;
+  return answer.last !== undefined && answer.highest === answer.last &&
+    answer.pieces.size === answer.last + 1;
 }
 
 /** Joins the pieces of a whole answer. */
 export function joinPieces(answer: AnswerPieces, request: string): Answer {
   const body = new Uint8Array(answer.size);
   let offset = 0;
-  for (let sequence = 0; sequence <= (answer.last ?? -1); sequence++) {
+  let sequence = 0;
+  for (; answer.last !== undefined && sequence <= answer.last; sequence++) {
     const piece = answer.pieces.get(sequence);
     if (piece === undefined) break;
     body.set(piece, offset);
@@ -58,7 +64,7 @@
   }
   assertInvariant({
     invariant: Invariant.AnswerWhole,
-    holds: isWhole(answer) && offset === answer.size,
+    holds: sequence - 1 === answer.last && offset === answer.size,
     step: "answer",
     peer: request,
     detail: `${offset} of ${answer.size} bytes joined, last piece ` +
--- a/core/entry_reducer/requests/attempts.ts
+++ b/core/entry_reducer/requests/attempts.ts
@@ -123,8 +123,10 @@
   const running = request.running!;
   if (running.accepted) return;
   running.accepted = true;
-  const agent = currentAgent(state, running.worker, running.incarnation);
-  if (agent) confirmSlot(state, agent, request.class, now);
+  const agent = state.agents.get(running.worker);
+  if (agent?.incarnation === running.incarnation) {
+    confirmSlot(state, agent, request.class, now);
+  }
   if (request.phase === Phase.Running) {
     wakeRequest(state, request, request.deadline);
   }
