Cancel orphans, notice hanging workers, estimate waits by urgency

Cause: an attempt given up while its agent was away kept its slot after the agent's return; a worker that hangs never failed; deferrable work was admitted at the rate of all freed slots; an answer over the store's value limit could not be settled. Change: such attempts are cancelled on return; work cut off after four times its upper run time counts as a failure if others run it; waits of deferrable work use the slots that deferrable work frees; a too long answer is settled as unknown. Quarantine and damping are logged.

--- a/core/admission/request_queue.ts
+++ b/core/admission/request_queue.ts
@@ -59,7 +59,10 @@
   remove(item: Item): boolean;
   /** Removes and returns the items whose deadline has passed. */
   expire(now: Milliseconds): Item[];
-  /** Requests that would be served before a new one of this team. */
+  /**
+   * Requests of the same urgency that would be served before a new one of
+   * this team.
+   */
   ahead(
     request: QueuedRequest,
     terms: { urgent: boolean; weight: number },
@@ -175,10 +178,7 @@
     },
     ahead(request, { urgent, weight }) {
       const tier = tiers.get(tierKey(request.service, urgent));
-      const before = urgent
-        ? 0
-        : tiers.get(tierKey(request.service, true))?.size ?? 0;
-      return before + aheadInTier(tier, request, weight);
+      return aheadInTier(tier, request, weight);
     },
   };
 }
--- a/core/admission/run_time_estimates.ts
+++ b/core/admission/run_time_estimates.ts
@@ -10,7 +10,7 @@
   ServiceName,
   TeamName,
 } from "@dragonflyledge/model";
-import { MINUTE } from "@dragonflyledge/model";
+import { MINUTE, SECOND } from "@dragonflyledge/model";
 
 /** Work whose run times are alike. */
 export interface WorkKey {
@@ -45,6 +45,8 @@
 const LONG_FACTOR = 8;
 /** Lower than `LONG_FACTOR`, so that work does not alternate. */
 const SHORT_FACTOR = 4;
+/** The comparison reads all series of the service, so it is not made often. */
+const VERDICT_TIME = SECOND / 2;
 
 interface Series {
   key: WorkKey;
@@ -52,6 +54,7 @@
   runTimes: Milliseconds[];
   next: number;
   long: boolean;
+  longUntil: Milliseconds;
   cached: Estimate | undefined;
   /** When the oldest sample of the cached estimate falls out. */
   cachedUntil: Milliseconds;
@@ -88,23 +91,34 @@
     },
     isLong(key, urgent, now) {
       const own = all.get(nameOf(key));
-      const estimate = own && summarise(own, now);
-      if (own === undefined || estimate === undefined) return false;
-      if (estimate.samples < LONG_SAMPLES) return false;
+      if (own === undefined) return false;
+      if (now < own.longUntil) return own.long;
+      own.longUntil = now + VERDICT_TIME;
       const others = [...byService.get(key.service)!.values()]
-        .filter((other) => other !== own && isPeer(own, other, urgent))
-        .map((other) => summarise(other, now))
-        .filter((other) => other !== undefined)
-        .filter((other) => other.samples >= LONG_SAMPLES)
-        .map((other) => other.median).sort((a, b) => a - b);
-      const usual = others[(others.length - 1) >> 1];
-      if (usual === undefined) return own.long = false;
-      const factor = own.long ? SHORT_FACTOR : LONG_FACTOR;
-      return own.long = estimate.median > factor * Math.max(usual, 1);
+        .filter((other) => other !== own && isPeer(own, other, urgent));
+      own.long = isFarAbove(own, others, now);
+      return own.long;
     },
   };
 }
 
+function isFarAbove(
+  own: Series,
+  others: Series[],
+  now: Milliseconds,
+): boolean {
+  const estimate = summarise(own, now);
+  if (estimate === undefined || estimate.samples < LONG_SAMPLES) return false;
+  const medians = others.map((other) => summarise(other, now))
+    .filter((other) => other !== undefined)
+    .filter((other) => other.samples >= LONG_SAMPLES)
+    .map((other) => other.median).sort((a, b) => a - b);
+  const usual = medians[(medians.length - 1) >> 1];
+  if (usual === undefined) return false;
+  const factor = own.long ? SHORT_FACTOR : LONG_FACTOR;
+  return estimate.median > factor * Math.max(usual, 1);
+}
+
 /** Urgent work is compared to the same class only: a class may be slow. */
 function isPeer(own: Series, other: Series, urgent: boolean): boolean {
   return !urgent || other.key.class === own.key.class;
@@ -129,6 +143,7 @@
     runTimes: [],
     next: 0,
     long: false,
+    longUntil: 0,
     cached: undefined,
     cachedUntil: 0,
   };
--- a/core/entry_reducer/members/members_test.ts
+++ b/core/entry_reducer/members/members_test.ts
@@ -137,6 +137,21 @@
   t.end();
 });
 
+// Guards against a worker that accepts everything and never answers.
+test("a worker that hangs is quarantined", (t) => {
+  const h = createHarness(["w1", "w2"], 8);
+  run(h, "s", "w2", 200);
+  h.report("w1");
+  h.report("w2", { slotsUsed: 9 });
+  for (let n = 0; n < 3; n++) {
+    h.request(`r${n}`, { deadline: 1000 });
+    h.reply(`r${n}`, { kind: "attemptAccepted" });
+  }
+  h.at(1000);
+  t.same(eligible(h, 1000), ["w2"]);
+  t.end();
+});
+
 // Guards against a bad kind of work that takes all workers out of service.
 test("work that fails everywhere quarantines nobody", (t) => {
   const h = createHarness(["w1", "w2"], 4);
--- a/core/entry_reducer/members/reduce.ts
+++ b/core/entry_reducer/members/reduce.ts
@@ -10,6 +10,7 @@
   Hello,
   Milliseconds,
   Report,
+  WorkerId,
 } from "@dragonflyledge/model";
 import { MINUTE } from "@dragonflyledge/model";
 import type { AgentView, Emit, EntryState } from "../state.ts";
@@ -35,7 +36,7 @@
       connectAgent(state, event.hello, event.now, emit);
       return;
     case "agentLost":
-      loseAgent(state, event.worker, event.incarnation, event.now);
+      loseAgent(state, event.worker, event.incarnation, event.now, emit);
       return;
     case "message": {
       if (event.message.kind !== "report") return;
@@ -54,14 +55,9 @@
         event.validUntil,
       );
       return;
-    case "drainRequested": {
-      const agent = state.agents.get(event.worker);
-      if (agent?.connected) {
-        const { worker, incarnation } = agent;
-        emit({ kind: "send", worker, incarnation, message: { kind: "drain" } });
-      }
+    case "drainRequested":
+      drainAgent(state, event.worker, emit);
       return;
-    }
   }
 }
 
@@ -139,12 +135,18 @@
   worker: string,
   incarnation: number,
   now: Milliseconds,
+  emit: Emit,
 ): void {
   const agent = currentAgent(state, worker, incarnation);
   if (agent === undefined) return;
   agent.connected = false;
   agent.lostAt = now;
   if (!agent.leaving) dampAgent(agent, now);
+  if (agent.dampedUntil > now) {
+    const fields = { worker, time: agent.dampedUntil - now };
+    const text = "members: excluded a worker whose sessions keep breaking";
+    emit({ kind: "log", level: "warn", text, fields });
+  }
   removeFromService(state, agent, now);
 }
 
@@ -196,6 +198,17 @@
   }
 }
 
+function drainAgent(state: EntryState, worker: WorkerId, emit: Emit): void {
+  const agent = state.agents.get(worker);
+  if (!agent?.connected) {
+    const text = "members: the worker to drain is not connected";
+    emit({ kind: "log", level: "warn", text, fields: { worker } });
+    return;
+  }
+  const { incarnation } = agent;
+  emit({ kind: "send", worker, incarnation, message: { kind: "drain" } });
+}
+
 function sendEntries(state: EntryState, agent: AgentView, emit: Emit): void {
   const entries = state.entries.map(({ id, address }) => ({ id, address }));
   const { worker, incarnation } = agent;
@@ -218,6 +231,7 @@
   for (const [worker, agent] of state.agents) {
     if (!agent.connected && now - agent.lostAt > AGENT_MEMORY) {
       state.agents.delete(worker);
+      state.requests.orphans.delete(worker);
     }
   }
   for (const [work, list] of state.members.successes) {
--- a/core/entry_reducer/members/work_health.ts
+++ b/core/entry_reducer/members/work_health.ts
@@ -6,7 +6,7 @@
 
 import type { Milliseconds, WorkerId } from "@dragonflyledge/model";
 import { MINUTE, SECOND } from "@dragonflyledge/model";
-import type { AgentView, EntryState } from "../state.ts";
+import type { AgentView, Emit, EntryState } from "../state.ts";
 import { reindexAgent } from "./choose_agent.ts";
 import { serviceAgents } from "./state.ts";
 
@@ -37,19 +37,28 @@
   reindexAgent(state, agent, now);
 }
 
-/** Records a failure, which counts only if others run work of this kind. */
+/** Records a failure, and returns whether it counts: others run such work. */
 export function recordFailure(
   state: EntryState,
   agent: AgentView,
   work: string,
   now: Milliseconds,
+  emit: Emit,
+): boolean {
+  const counts = succeedsElsewhere(state, agent.worker, work, now);
+  if (counts) agent.failures++;
+  if (counts && agent.failures >= QUARANTINE_FAILURES) {
+    quarantine(state, agent, now, emit);
+  } else endProbe(state, agent, now);
+  return counts;
+}
+
+function quarantine(
+  state: EntryState,
+  agent: AgentView,
+  now: Milliseconds,
+  emit: Emit,
 ): void {
-  if (!succeedsElsewhere(state, agent.worker, work, now)) {
-    endProbe(state, agent, now);
-    return;
-  }
-  agent.failures++;
-  if (agent.failures < QUARANTINE_FAILURES) return;
   const agents = serviceAgents(state.members, agent.inventory.service);
   agents.failing.add(agent.worker);
   // If most workers fail, the cause is the work or something they share.
@@ -60,6 +69,10 @@
   const level = Math.min(agent.failures - QUARANTINE_FAILURES, 10);
   const time = Math.min(FIRST_QUARANTINE * 2 ** level, QUARANTINE_LIMIT);
   agent.quarantinedUntil = now + time;
+  const { worker, failures } = agent;
+  const text = "members: quarantined a worker that fails what others run";
+  const fields = { worker, failures, time };
+  emit({ kind: "log", level: "warn", text, fields });
   agent.probing = true;
   reindexAgent(state, agent, now);
 }
--- a/core/entry_reducer/requests/attempts.ts
+++ b/core/entry_reducer/requests/attempts.ts
@@ -80,7 +80,7 @@
   request.avoid = worker;
   const agent = currentAgent(state, worker, incarnation);
   if (workerFailed && agent) {
-    recordFailure(state, agent, workOf(request), now);
+    recordFailure(state, agent, workOf(request), now, emit);
   }
   if (cancelling) giveUp(state, request, Reason.DeadlinePassed, now, emit);
   else if (request.request.idempotent && isWanted(request)) {
@@ -97,7 +97,7 @@
 }
 
 /** Work for which a failure on one worker and a success on another compare. */
-function workOf(request: OpenRequest): string {
+export function workOf(request: OpenRequest): string {
   return `${request.service}\0${request.team}\0${request.class}`;
 }
 
@@ -151,7 +151,7 @@
   notRun(state, request, now, emit);
   if (agent === undefined) return;
   if (reason === "unreachable") {
-    recordFailure(state, agent, workOf(request), now);
+    recordFailure(state, agent, workOf(request), now, emit);
   } else if (reason === "leaving") {
     agent.leaving = true;
     reindexAgent(state, agent, now);
@@ -244,7 +244,7 @@
   if (agent && kind === "done") {
     recordSuccess(state, agent, workOf(request), now);
   } else if (agent && whole.status >= 500) {
-    recordFailure(state, agent, workOf(request), now);
+    recordFailure(state, agent, workOf(request), now, emit);
   }
   finishRequest(state, request, { kind, answer: whole }, now, emit);
 }
--- a/core/entry_reducer/requests/claims_test.ts
+++ b/core/entry_reducer/requests/claims_test.ts
@@ -48,6 +48,21 @@
   t.end();
 });
 
+// Guards against a claim that the store cannot hold.
+test("an answer too long for the store is not stored", (t) => {
+  const h = createHarness(["w1"]);
+  h.request("r1", keyed);
+  h.at(5);
+  h.claimed();
+  h.answer("r1", 200, { piece: new Uint8Array(800_000) });
+  t.equal(h.outcome("r1"), "done: 200");
+  t.same(h.settled()[0]!.outcome, {
+    kind: "unknown",
+    reason: "answer-too-long",
+  });
+  t.end();
+});
+
 // Guards against a second run of a key, and against the wrong answer for it.
 test("a repeat gets the stored outcome, other work is refused", (t) => {
   const h = meet(claim({ outcome }));
--- a/core/entry_reducer/requests/dispatch.ts
+++ b/core/entry_reducer/requests/dispatch.ts
@@ -160,6 +160,7 @@
     accepted: false,
     queried: false,
     giveUpAt: Infinity,
+    urgent: request.urgent,
     charge: requests.queue.take(request, cost),
     classSlots: slotLimit({ slots, workClass, long, peak }).ofClass,
     answer: createAnswerPieces(),
@@ -167,7 +168,9 @@
   if (request.attempts === 1) requests.budget.firstAttempt(now);
   const here = requests.byWorker.get(agent.worker) ?? new Set();
   requests.byWorker.set(agent.worker, here.add(request));
-  serviceLoad(requests, request.service).running++;
+  const load = serviceLoad(requests, request.service);
+  load.running++;
+  if (!request.urgent) load.deferrable++;
   promiseSlot(state, agent, request.class, now);
   wakeRequest(state, request, Math.min(now + ACCEPT_TIMEOUT, request.deadline));
   emitAttempt(state, request, now, emit);
--- a/core/entry_reducer/requests/end_attempt.ts
+++ b/core/entry_reducer/requests/end_attempt.ts
@@ -9,7 +9,7 @@
 import { freeSlot } from "../members/slots.ts";
 import { endProbe } from "../members/work_health.ts";
 import type { EntryState } from "../state.ts";
-import type { OpenRequest } from "./state.ts";
+import type { OpenRequest, RunningAttempt } from "./state.ts";
 import { serviceLoad } from "./state.ts";
 
 /** Releases the slot and charges the team for the time used. */
@@ -21,6 +21,7 @@
 ): void {
   const { running } = request;
   if (running === undefined) return;
+  if (ran) keepOrphan(state, request, running);
   request.running = undefined;
   const { byWorker, queue } = state.requests;
   const here = byWorker.get(running.worker);
@@ -29,7 +30,9 @@
   queue.settle(running.charge, ran ? now - running.sentAt : 0);
   const load = serviceLoad(state.requests, request.service);
   load.running--;
+  if (!running.urgent) load.deferrable--;
   if (ran) load.wait.slotFreed(now);
+  if (ran && !running.urgent) load.deferrableWait.slotFreed(now);
   const agent = state.agents.get(running.worker);
   if (agent?.incarnation !== running.incarnation) return;
   const slot = { class: request.class, accepted: running.accepted };
@@ -38,3 +41,19 @@
   // An attempt from before the quarantine does not stand for the probe.
   if (connected && here?.size === 0) endProbe(state, connected, now);
 }
+
+/** The attempt may still hold a slot when its agent comes back. */
+function keepOrphan(
+  state: EntryState,
+  request: OpenRequest,
+  running: RunningAttempt,
+): void {
+  const { worker, incarnation, number } = running;
+  const agent = state.agents.get(worker);
+  if (agent?.incarnation !== incarnation || agent.connected) return;
+  const { orphans } = state.requests;
+  const known = orphans.get(worker);
+  const attempts = known?.incarnation === incarnation ? known.attempts : [];
+  attempts.push({ request: request.id, number });
+  orphans.set(worker, { incarnation, attempts });
+}
--- a/core/entry_reducer/requests/finish.ts
+++ b/core/entry_reducer/requests/finish.ts
@@ -4,13 +4,21 @@
  * @module
  */
 
-import type { Milliseconds, Outcome, Reason } from "@dragonflyledge/model";
-import { assertInvariant, Invariant } from "@dragonflyledge/model";
+import type { Milliseconds, Outcome } from "@dragonflyledge/model";
+import {
+  assertInvariant,
+  Invariant,
+  Reason,
+  STORE_VALUE_LIMIT,
+} from "@dragonflyledge/model";
 import type { Emit, EntryState } from "../state.ts";
 import { endAttempt } from "./end_attempt.ts";
 import { abandonClaim, claimKey, requestClaim } from "./claim_calls.ts";
 import type { OpenRequest } from "./state.ts";
 
+/** Leaves room for an encoding of four bytes for three, and for the claim. */
+const STORED_ANSWER_LIMIT = 0.7 * STORE_VALUE_LIMIT;
+
 /** Gives the request its outcome, and stores it for a claimed key. */
 export function finishRequest(
   state: EntryState,
@@ -27,7 +35,8 @@
   state.requests.open.delete(request.id);
   abandonClaim(state, request, outcome);
   if (request.claim !== undefined) {
-    emit({ kind: "settleClaim", claim: { ...request.claim, outcome } });
+    const claim = { ...request.claim, outcome: storable(outcome) };
+    emit({ kind: "settleClaim", claim });
   }
   emit({ kind: "respond", request: request.id, outcome });
   const tags = { outcome: outcome.kind, class: request.class };
@@ -35,6 +44,13 @@
   endKey(state, request, outcome, now, emit);
 }
 
+/** Repeats cannot be given an answer that the store cannot hold. */
+function storable(outcome: Outcome): Outcome {
+  if (!("answer" in outcome)) return outcome;
+  if (outcome.answer.body.length <= STORED_ANSWER_LIMIT) return outcome;
+  return { kind: "unknown", reason: Reason.AnswerTooLong };
+}
+
 /** Ends a request that has no attempt running: `not-run` only if that is true. */
 export function giveUp(
   state: EntryState,
--- a/core/entry_reducer/requests/queueing.ts
+++ b/core/entry_reducer/requests/queueing.ts
@@ -95,6 +95,7 @@
   };
 }
 
+/** Deferrable work waits for all urgent work, then for its own share. */
 function expectedWait(
   state: EntryState,
   request: OpenRequest,
@@ -103,15 +104,19 @@
   now: Milliseconds,
 ): Milliseconds | undefined {
   const { service, urgent, long } = request;
+  const { queue } = state.requests;
   const load = serviceLoad(state.requests, service);
+  const freeSlots = countFreeAgents(state, service, workClass, long, now);
   const weight = weightOf(state, request);
-  return load.wait.wait({
-    ahead: state.requests.queue.ahead(request, { urgent, weight }),
-    freeSlots: countFreeAgents(state, service, workClass, long, now),
-    running: load.running,
-    estimate,
-    now,
-  });
+  const ahead = queue.ahead(request, { urgent, weight });
+  const terms = { freeSlots, estimate, now };
+  if (urgent) return load.wait.wait({ ...terms, ahead, running: load.running });
+  const running = load.deferrable;
+  const own = load.deferrableWait.wait({ ...terms, ahead, running });
+  const before = queue.sizeOfService(service, true);
+  if (before === 0 || own === undefined) return own;
+  const first = { ...terms, ahead: before - 1, running: load.running };
+  return own + (load.wait.wait(first) ?? 0);
 }
 
 function push(
--- a/core/entry_reducer/requests/requests_test.ts
+++ b/core/entry_reducer/requests/requests_test.ts
@@ -105,6 +105,25 @@
   t.end();
 });
 
+// Guards against deferrable work that is accepted behind a peak of urgent work.
+test("deferrable work also waits for the urgent work ahead of it", (t) => {
+  const refused = (urgentAhead: number) => {
+    const h = createHarness(["w1"], 2);
+    for (const [n, name] of ["now", "later"].entries()) {
+      h.request(`s${n}`, { class: name });
+      h.setTime(100 * (n + 1));
+      h.answer(`s${n}`);
+    }
+    h.request("running", { class: "later" });
+    for (let n = 0; n < 1 + urgentAhead; n++) h.request(`u${n}`);
+    h.request("r1", { class: "later", deadline: 200 + 700 });
+    return h.outcome("r1");
+  };
+  t.equal(refused(2), undefined);
+  t.equal(refused(20), "not-run: deadline-unreachable");
+  t.end();
+});
+
 // Guards against a refusal that is taken for a run or for a faulty worker.
 test("a refused attempt is sent to another agent under a new number", (t) => {
   const h = createHarness(["w1", "w2"]);
--- a/core/entry_reducer/requests/sessions.ts
+++ b/core/entry_reducer/requests/sessions.ts
@@ -46,6 +46,7 @@
   emit: Emit,
 ): void {
   if (currentAgent(state, worker, incarnation) === undefined) return;
+  cancelOrphans(state, worker, incarnation, emit);
   for (const request of [...state.requests.byWorker.get(worker) ?? []]) {
     const running = request.running!;
     if (running.incarnation < incarnation) {
@@ -56,3 +57,19 @@
     }
   }
 }
+
+/** Frees the slots of attempts that were given up while the agent was away. */
+function cancelOrphans(
+  state: EntryState,
+  worker: WorkerId,
+  incarnation: Incarnation,
+  emit: Emit,
+): void {
+  const orphans = state.requests.orphans.get(worker);
+  state.requests.orphans.delete(worker);
+  if (orphans?.incarnation !== incarnation) return;
+  for (const attempt of orphans.attempts) {
+    const message = { kind: "cancelAttempt" as const, attempt };
+    emit({ kind: "send", worker, incarnation, message });
+  }
+}
--- a/core/entry_reducer/requests/sessions_test.ts
+++ b/core/entry_reducer/requests/sessions_test.ts
@@ -12,6 +12,12 @@
   t.not(h.attempt("r1")!.worker, worker);
   h.answer("r1");
   t.equal(h.outcome("r1"), "done: 200");
+  h.connect(worker);
+  t.same(
+    h.sent("cancelAttempt").map((each) => [each.worker, each.message.attempt]),
+    [[worker, { request: "r1", number: 1 }]],
+    "the first attempt gives its slot back",
+  );
   t.end();
 });
 
--- a/core/entry_reducer/requests/state.ts
+++ b/core/entry_reducer/requests/state.ts
@@ -21,6 +21,7 @@
   createWaitEstimate,
 } from "@dragonflyledge/admission";
 import type {
+  AttemptId,
   Claim,
   Incarnation,
   Milliseconds,
@@ -63,6 +64,8 @@
   /** Then an answer that was sent but did not arrive is given up. */
   giveUpAt: Milliseconds;
   charge: Charge;
+  /** Whether it was sent as urgent. */
+  urgent: boolean;
   classSlots: number;
   answer: AnswerPieces;
 }
@@ -97,8 +100,13 @@
 
 /** Load of one service as this entry sees it. */
 export interface ServiceLoad {
+  /** Attempts that may be running, and those of them that are deferrable. */
   running: number;
+  deferrable: number;
+  /** Slots that became free, which urgent work may use. */
   wait: WaitEstimate;
+  /** Slots that became free after deferrable work. */
+  deferrableWait: WaitEstimate;
   peakUntil: Milliseconds;
 }
 
@@ -120,6 +128,8 @@
   timers: IndexedHeap<OpenRequest>;
   queue: RequestQueue<OpenRequest>;
   byWorker: Map<WorkerId, Set<OpenRequest>>;
+  /** Attempts on agents that are away, whose answers nobody awaits. */
+  orphans: Map<WorkerId, { incarnation: Incarnation; attempts: AttemptId[] }>;
   /** Open request that holds a key, by team and key. */
   byKey: Map<string, OpenRequest>;
   claims: ClaimCalls;
@@ -140,6 +150,7 @@
     }),
     queue: createRequestQueue(),
     byWorker: new Map(),
+    orphans: new Map(),
     byKey: new Map(),
     claims: {
       pending: [],
@@ -162,7 +173,13 @@
 ): ServiceLoad {
   let load = requests.loads.get(service);
   if (load === undefined) {
-    load = { running: 0, wait: createWaitEstimate(), peakUntil: 0 };
+    load = {
+      running: 0,
+      deferrable: 0,
+      wait: createWaitEstimate(),
+      deferrableWait: createWaitEstimate(),
+      peakUntil: 0,
+    };
     requests.loads.set(service, load);
   }
   return load;
--- a/core/entry_reducer/requests/timers.ts
+++ b/core/entry_reducer/requests/timers.ts
@@ -8,8 +8,14 @@
 import { Reason, SECOND } from "@dragonflyledge/model";
 import { currentAgent } from "../members/reduce.ts";
 import { serviceAgents } from "../members/state.ts";
-import type { Emit, EntryState } from "../state.ts";
-import { breakAttempt, cancelAttempt, queryAttempt } from "./attempts.ts";
+import type { AgentView, Emit, EntryState } from "../state.ts";
+import { recordFailure } from "../members/work_health.ts";
+import {
+  breakAttempt,
+  cancelAttempt,
+  queryAttempt,
+  workOf,
+} from "./attempts.ts";
 import { failClaim, readClaim } from "./claims.ts";
 import { finishRequest, giveUp } from "./finish.ts";
 import { endBackOff } from "./queueing.ts";
@@ -19,6 +25,8 @@
 
 /** Without any endpoint for this long, requests are refused. */
 const ABSENCE_LIMIT = 3 * SECOND;
+/** Work that takes this many times its upper run time counts as hanging. */
+const HANG_FACTOR = 4;
 const CHECK_INTERVAL = 1 * SECOND;
 
 /** Takes all steps that are due. */
@@ -134,14 +142,33 @@
   emit: Emit,
 ): void {
   const { worker, incarnation, accepted, sentAt } = request.running!;
-  const { estimates } = state.requests;
+  const agent = currentAgent(state, worker, incarnation);
   const elapsed = now - sentAt;
-  const median = estimates.estimate(request, now)?.median ?? 0;
-  // Work that is cut off ran at least this long.
-  if (accepted && elapsed > median) estimates.observe(request, elapsed, now);
+  if (accepted) observeLate(state, request, agent, elapsed, now, emit);
   cancelAttempt(request, emit);
   request.phase = Phase.Cancelling;
-  if (currentAgent(state, worker, incarnation) === undefined) {
+  if (agent === undefined) {
     giveUp(state, request, Reason.DeadlinePassed, now, emit);
   } else wakeRequest(state, request, request.deadline + CANCEL_BOUND);
 }
+
+/** Work that is cut off ran at least this long. */
+function observeLate(
+  state: EntryState,
+  request: OpenRequest,
+  agent: AgentView | undefined,
+  elapsed: Milliseconds,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { estimates } = state.requests;
+  const estimate = estimates.estimate(request, now);
+  // A worker that hangs never answers, so that no error would show it.
+  if (agent && estimate && elapsed > HANG_FACTOR * estimate.upper) {
+    const work = workOf(request);
+    if (recordFailure(state, agent, work, now, emit)) return;
+  }
+  if (elapsed > (estimate?.median ?? 0)) {
+    estimates.observe(request, elapsed, now);
+  }
+}
