--- /dev/null
+++ b/observe/audit/read_audit.ts
@@ -0,0 +1,84 @@
+/**
+ * Reads the audit trail.
+ *
+ * @module
+ */
+
+import { err, ok, type Result } from "neverthrow";
+import type { StepError } from "@dragonflyledge/model";
+import type { KeyRevision, Store } from "@dragonflyledge/store";
+import {
+  type AuditFilter,
+  type AuditLine,
+  matches,
+  parseLines,
+  parseSegmentKey,
+  segmentPrefix,
+} from "./segment.ts";
+
+/**
+ * Returns the records that match, oldest first. Segments outside the time of
+ * the filter are not read; each other one costs a read.
+ *
+ * @param fields.limit most records to return; the latest ones are kept
+ */
+export async function readAudit(
+  { store, prefix, filter = {}, limit = Infinity }: {
+    store: Store;
+    prefix: string;
+    filter?: AuditFilter;
+    limit?: number;
+  },
+): Promise<Result<AuditLine[], StepError>> {
+  const keys = await store.listKeys(segmentPrefix(prefix));
+  if (keys.isErr()) return err(keys.error);
+  const found: AuditLine[] = [];
+  for (const key of selectSegments(prefix, keys.value, filter)) {
+    const item = await store.get(key);
+    if (item.isErr()) return err(item.error);
+    // The segment may have been removed since it was listed.
+    if (!item.value) continue;
+    const lines = parseSegment(item.value.value);
+    found.push(...lines.filter((line) => matches(line, filter)));
+  }
+  found.sort(byTime);
+  return ok(found.slice(Math.max(0, found.length - limit)));
+}
+
+/** Lines in the value of a segment. */
+export function parseSegment(value: string): AuditLine[] {
+  try {
+    return parseLines((JSON.parse(value) as { value?: unknown } | null)?.value);
+  } catch {
+    return [];
+  }
+}
+
+function byTime(left: AuditLine, right: AuditLine): number {
+  if (left.time !== right.time) return left.time < right.time ? -1 : 1;
+  return left.sequence - right.sequence;
+}
+
+/** A segment ends when the next one of the same entry begins. */
+function selectSegments(
+  prefix: string,
+  keys: KeyRevision[],
+  { from, to }: AuditFilter,
+): string[] {
+  const selected: string[] = [];
+  const nextStart = new Map<string, number>();
+  for (const { key } of [...keys].reverse()) {
+    const segment = parseSegmentKey(prefix, key);
+    if (!segment) continue;
+    const end = nextStart.get(segment.entry) ?? Infinity;
+    nextStart.set(segment.entry, segment.start);
+    // A line may be older than its segment: it waited in the buffer.
+    const ended = from !== undefined && end < from.getTime();
+    const later = to !== undefined && segment.start > to.getTime() + slack;
+    if (!ended && !later) selected.push(key);
+  }
+  return selected.reverse();
+}
+
+/** Longest outage of the store for which buffered lines are still found. */
+const slack = 24 * 3600 * 1000;
--- /dev/null
+++ b/observe/audit/segment.ts
@@ -0,0 +1,86 @@
+/**
+ * Form of audit segments in the store.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { type AuditRecord, KIBIBYTE } from "@dragonflyledge/model";
+
+/** A record as it is stored. */
+export interface AuditLine extends AuditRecord {
+  /** ISO 8601, from the entry's wall clock. */
+  time: string;
+  entry: string;
+  /** Position among the records of one start of the entry. */
+  sequence: number;
+  /** Identity of the start, so that sequences of two starts are told apart. */
+  origin: string;
+}
+
+/** Which records are wanted. Absent fields match everything. */
+export interface AuditFilter {
+  team?: string;
+  worker?: string;
+  kind?: string;
+  job?: string;
+  /** First and last time, inclusive. */
+  from?: Date;
+  to?: Date;
+}
+
+/** Size at which a segment is closed. */
+export const SEGMENT_SIZE = 64 * KIBIBYTE;
+
+/** Prefix of all segments of a deployment. */
+export function segmentPrefix(prefix: string): string {
+  return `${prefix}audit/`;
+}
+
+/** Key of a segment; keys are in order of time. */
+export function segmentKey(prefix: string, start: Date, entry: string): string {
+  const name = `${start.toISOString()}-${encodeURIComponent(entry)}`;
+  return segmentPrefix(prefix) + name;
+}
+
+/** Time at which a segment starts, and its entry. */
+export function parseSegmentKey(
+  prefix: string,
+  key: string,
+): { start: number; entry: string } | undefined {
+  const name = key.slice(segmentPrefix(prefix).length);
+  const [, start, entry] =
+    /^(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z)-(.+)$/.exec(name) ?? [];
+  return start && entry ? { start: Date.parse(start), entry } : undefined;
+}
+
+/** Reads the lines of a segment; malformed ones are left out. */
+export function parseLines(value: unknown): AuditLine[] {
+  return Array.isArray(value) ? value.filter(isLine) : [];
+}
+
+function isLine(value: unknown): value is AuditLine {
+  const line = value as Partial<AuditLine> | null;
+  const texts = [line?.kind, line?.team, line?.worker, line?.job, line?.reason];
+  return [...texts, line?.actor, line?.time, line?.entry, line?.origin]
+    .every((text) => typeof text === "string") &&
+    Number.isSafeInteger(line?.sequence) &&
+    typeof line?.detail === "object" && line.detail !== null;
+}
+
+/** Size of a line in a segment. */
+export function lineSize(line: AuditLine): number {
+  return Buffer.byteLength(JSON.stringify(line)) + 1;
+}
+
+/** Whether a line passes the filter. */
+export function matches(line: AuditLine, filter: AuditFilter): boolean {
+  const { team, worker, kind, job, from, to } = filter;
+  const time = Date.parse(line.time);
+  return (team === undefined || line.team === team) &&
+    (worker === undefined || line.worker === worker) &&
+    (kind === undefined || line.kind === kind) &&
+    (job === undefined || line.job === job) &&
+    (from === undefined || time >= from.getTime()) &&
+    (to === undefined || time <= to.getTime());
+}
