Run the whole path: commands entry, agent, dev and demo

Cause: no command started the daemons, and the entry had no records in the store. Change: records over the guarded store; commands for both daemons, for a system on loopback and for a demonstration; operators in the settings; requests are limited to deadlines of 10 minutes, within which agents remember attempts. Before: no path ran end to end.

--- /dev/null
+++ b/cli/command/commands/agent.ts
@@ -0,0 +1,70 @@
+/**
+ * Command `agent`.
+ *
+ * @module
+ */
+
+import { randomInt } from "node:crypto";
+import { startAgent } from "@dragonflyledge/agent";
+import { Part } from "@dragonflyledge/log";
+import { createRandom } from "@dragonflyledge/model";
+import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
+import type { AgentSettings } from "@dragonflyledge/settings";
+import { createObserver } from "../daemon/observer.ts";
+import { readAgentSettings } from "../daemon/read_settings.ts";
+import { runUntilStopped } from "../daemon/run.ts";
+import type { Register } from "./register.ts";
+
+const SEED_LIMIT = 2 ** 32;
+
+/** Adds the command. */
+export const registerAgent: Register = ({ program, dependencies }) => {
+  program.command("agent")
+    .description("Run the agent beside one endpoint.")
+    .argument("<settings>", "INI file")
+    .option("--check", "only check the settings")
+    .action(async (file: string, options: { check?: boolean }) => {
+      const settings = await readAgentSettings(dependencies, file);
+      if (options.check) return dependencies.write(`${file} is valid.\n`);
+      await runAgent(settings);
+    });
+};
+
+async function runAgent(settings: AgentSettings): Promise<void> {
+  const { identity, worker, endpoint, entries } = settings;
+  const observer = createObserver({
+    part: Part.Agent,
+    id: identity.id,
+    level: settings.log.level,
+    metrics: settings.metrics,
+  });
+  const agent = await startAgent({
+    settings: {
+      inventory: {
+        worker: identity.id,
+        location: {
+          region: identity.region,
+          failureDomain: identity.failureDomain,
+          rack: identity.rack,
+        },
+        capacity: {
+          accelerators: worker.accelerators,
+          cores: worker.cores,
+          memoryMiB: worker.memoryMib,
+        },
+        service: endpoint.service,
+        slots: endpoint.slots,
+        connections: endpoint.connections,
+      },
+      seeds: entries.seeds.map(({ host, port }) => `${host}:${port}`),
+      endpointUrl: endpoint.url,
+      workerUrl: worker.url,
+    },
+    clock: createSystemClock(),
+    timer: createSystemTimer(),
+    random: createRandom(randomInt(SEED_LIMIT)),
+    observer,
+  });
+  await runUntilStopped(agent);
+  await observer.close();
+}
--- /dev/null
+++ b/cli/command/commands/demo.ts
@@ -0,0 +1,64 @@
+/**
+ * Command `demo`.
+ *
+ * @module
+ */
+
+import { Part } from "@dragonflyledge/log";
+import { createObserver } from "../daemon/observer.ts";
+import { EXAMPLES } from "../dev/deployments.ts";
+import { runDemo } from "../dev/demo.ts";
+import { DEV_OPERATOR } from "../dev/operator.ts";
+import { submitConfiguration } from "../dev/submit.ts";
+import { startDevSystem } from "../dev/system.ts";
+import { CommandFailure } from "../failure.ts";
+import { formatTable } from "../output.ts";
+import type { Register } from "./register.ts";
+
+const SEED = 1;
+const WORKERS = 11;
+
+/** Adds the command. */
+export const registerDemo: Register = ({ program, dependencies }) => {
+  program.command("demo")
+    .description(
+      "Run an example system, use it once, and say what callers got.",
+    )
+    .action(async () => {
+      const { deployment, configuration } = EXAMPLES.nyabugogo!;
+      const observer = createObserver({
+        part: Part.Cli,
+        id: "demo",
+        level: "error",
+        metrics: { port: 0, prefix: "" },
+      });
+      const system = await startDevSystem({
+        deployment: { ...deployment, workers: WORKERS },
+        operators: [DEV_OPERATOR],
+        observer,
+        seed: SEED,
+        firstHttpPort: 0,
+      });
+      try {
+        const url = system.urls[0]!;
+        await submitConfiguration({ url, configuration });
+        const rows = await runDemo({ urls: system.urls });
+        const keys = ["caller", "work", "entry", "outcome", "told"];
+        dependencies.write(formatTable({ rows: rows.map(toFields), keys }));
+        dependencies.write("\n");
+        const missed = rows.filter((row) => !row.expected).length;
+        dependencies.write(
+          `${rows.length - missed} of ${rows.length} as expected\n`,
+        );
+        if (missed === 0) return;
+        const message = `${missed} callers were told something else`;
+        throw new CommandFailure({ exit: "Failure", step: "demo", message });
+      } finally {
+        await system.stop();
+      }
+    });
+};
+
+function toFields(row: object): Record<string, unknown> {
+  return { ...row };
+}
--- /dev/null
+++ b/cli/command/commands/dev.ts
@@ -0,0 +1,72 @@
+/**
+ * Command `dev`.
+ *
+ * @module
+ */
+
+import { InvalidArgumentError } from "commander";
+import { Part } from "@dragonflyledge/log";
+import { EXAMPLES } from "../dev/deployments.ts";
+import { DEV_OPERATOR, DEV_OPERATOR_TOKEN } from "../dev/operator.ts";
+import { submitConfiguration } from "../dev/submit.ts";
+import { startDevSystem } from "../dev/system.ts";
+import { createObserver } from "../daemon/observer.ts";
+import { runUntilStopped } from "../daemon/run.ts";
+import { parseWhole } from "./register.ts";
+import type { Register } from "./register.ts";
+
+const DEFAULT_PORT = 8080;
+const SEED = 1;
+
+interface DevOptions {
+  example: string;
+  port: number;
+}
+
+/** Adds the command. */
+export const registerDev: Register = ({ program, dependencies }) => {
+  program.command("dev")
+    .description("Run a whole example system on loopback, for trials.")
+    .option("--example <name>", "nyabugogo or sahil", parseExample, "nyabugogo")
+    .option("--port <port>", "first HTTP port", parseWhole, DEFAULT_PORT)
+    .action(async ({ example, port }: DevOptions) => {
+      const { deployment, configuration } = EXAMPLES[example]!;
+      const observer = createObserver({
+        part: Part.Cli,
+        id: "dev",
+        level: "warn",
+        metrics: { port: 0, prefix: "" },
+      });
+      const system = await startDevSystem({
+        deployment,
+        operators: [DEV_OPERATOR],
+        observer,
+        seed: SEED,
+        firstHttpPort: port,
+      });
+      await submitConfiguration({ url: system.urls[0]!, configuration });
+      for (const url of system.urls) dependencies.write(`entry ${url}\n`);
+      dependencies.write(`store ${system.storeUrl}\n`);
+      dependencies.write(`operator token ${DEV_OPERATOR_TOKEN}\n`);
+      let end = () => {};
+      const ended = new Promise<void>((resolve) => {
+        end = resolve;
+      });
+      const stop = () => void system.stop().then(end);
+      await runUntilStopped({ stop: once(stop), ended });
+    });
+};
+
+function parseExample(name: string): string {
+  if (name in EXAMPLES) return name;
+  const names = Object.keys(EXAMPLES).join(", ");
+  throw new InvalidArgumentError(`Write one of: ${names}.`);
+}
+
+function once(task: () => void): () => void {
+  let done = false;
+  return () => {
+    if (!done) task();
+    done = true;
+  };
+}
--- /dev/null
+++ b/cli/command/commands/entry.ts
@@ -0,0 +1,75 @@
+/**
+ * Command `entry`.
+ *
+ * @module
+ */
+
+import { randomInt } from "node:crypto";
+import { createStoreRecords, startEntry } from "@dragonflyledge/entry";
+import { Part } from "@dragonflyledge/log";
+import { createRandom } from "@dragonflyledge/model";
+import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
+import type { EntrySettings } from "@dragonflyledge/settings";
+import { createObserver } from "../daemon/observer.ts";
+import { readEntrySettings } from "../daemon/read_settings.ts";
+import { runUntilStopped } from "../daemon/run.ts";
+import type { Register } from "./register.ts";
+
+const SEED_LIMIT = 2 ** 32;
+
+/** Adds the command. */
+export const registerEntry: Register = ({ program, dependencies }) => {
+  program.command("entry")
+    .description("Run an entry, which callers and agents reach.")
+    .argument("<settings>", "INI file")
+    .option("--check", "only check the settings")
+    .action(async (file: string, options: { check?: boolean }) => {
+      const settings = await readEntrySettings(dependencies, file);
+      if (options.check) return dependencies.write(`${file} is valid.\n`);
+      await runEntry(settings);
+    });
+};
+
+async function runEntry(settings: EntrySettings): Promise<void> {
+  const { identity, listen, limits } = settings;
+  const observer = createObserver({
+    part: Part.Entry,
+    id: identity.id,
+    level: settings.log.level,
+    metrics: settings.metrics,
+  });
+  const clock = createSystemClock();
+  const timer = createSystemTimer();
+  const random = createRandom(randomInt(SEED_LIMIT));
+  const entry = await startEntry({
+    settings: {
+      id: identity.id,
+      host: listen.host,
+      port: listen.port,
+      httpPort: listen.httpPort,
+      advertise: listen.advertise ?? listen.host,
+      bodyLimit: limits.bodyLimit,
+      operators: settings.operators.tokenDigests ?? [],
+    },
+    openRecords: (own) =>
+      createStoreRecords({
+        url: settings.store.url,
+        prefix: settings.store.prefix,
+        id: identity.id,
+        writesPerSecond: limits.storeWrites,
+        readsPerSecond: limits.storeReads,
+        ...own,
+        clock,
+        timer,
+        random,
+        observer,
+      }),
+    clock,
+    timer,
+    random,
+    observer,
+  });
+  if (entry.isErr()) throw entry.error;
+  await runUntilStopped(entry.value);
+  await observer.close();
+}
--- a/cli/command/commands/list.ts
+++ b/cli/command/commands/list.ts
@@ -5,13 +5,17 @@
  * @module
  */
 
+import { registerAgent } from "./agent.ts";
 import { registerAudit } from "./audit.ts";
 import { registerConfigCheck } from "./config_check.ts";
 import { registerConfigDiff } from "./config_diff.ts";
 import { registerConfigHistory } from "./config_history.ts";
 import { registerConfigPrint } from "./config_print.ts";
 import { registerConfigSubmit } from "./config_submit.ts";
+import { registerDemo } from "./demo.ts";
+import { registerDev } from "./dev.ts";
 import { registerDrain } from "./drain.ts";
+import { registerEntry } from "./entry.ts";
 import { registerJobsCancel } from "./jobs_cancel.ts";
 import { registerJobsList } from "./jobs_list.ts";
 import { registerJobsShow } from "./jobs_show.ts";
@@ -34,4 +38,8 @@
   registerJobsCancel,
   registerAudit,
   registerDrain,
+  registerEntry,
+  registerAgent,
+  registerDev,
+  registerDemo,
 ];
--- /dev/null
+++ b/cli/command/dev/deployments.ts
@@ -0,0 +1,48 @@
+/**
+ * The two example deployments, at the sizes of today.
+ *
+ * @module
+ */
+
+import { nyabugogo, sahil } from "@dragonflyledge/examples";
+import { KIBIBYTE } from "@dragonflyledge/model";
+import type { Configuration } from "@dragonflyledge/model";
+import type { Deployment } from "./system.ts";
+
+const MEMORY = 128 * KIBIBYTE;
+
+/** A deployment with its configuration. */
+export interface Example {
+  deployment: Deployment;
+  configuration: Configuration;
+}
+
+/** Examples by name. */
+export const EXAMPLES: Record<string, Example> = {
+  nyabugogo: {
+    configuration: nyabugogo,
+    deployment: {
+      region: "kigali",
+      failureDomains: ["kigali-a", "kigali-b", "kigali-c"],
+      service: "fryer-line-planning",
+      workers: 11,
+      entries: 2,
+      capacity: { accelerators: 8, cores: 32, memoryMiB: MEMORY },
+      slots: 8,
+      connections: 64,
+    },
+  },
+  sahil: {
+    configuration: sahil,
+    deployment: {
+      region: "muscat",
+      failureDomains: ["muscat-a", "muscat-b", "muscat-c", "muscat-d"],
+      service: "kit-ordering",
+      workers: 11,
+      entries: 2,
+      capacity: { accelerators: 8, cores: 64, memoryMiB: MEMORY },
+      slots: 8,
+      connections: 64,
+    },
+  },
+};
--- /dev/null
+++ b/cli/command/dev/submit.ts
@@ -0,0 +1,34 @@
+/**
+ * Submits a configuration to a system that runs for trials.
+ *
+ * @module
+ */
+
+import { request } from "undici";
+import { canonicalJson } from "@dragonflyledge/schema";
+import { ErrorCode, StepError } from "@dragonflyledge/model";
+import type { Configuration } from "@dragonflyledge/model";
+import { DEV_OPERATOR_TOKEN } from "./operator.ts";
+
+/** Submits the first configuration, or throws what the entry answered. */
+export async function submitConfiguration(fields: {
+  url: string;
+  configuration: Configuration;
+}): Promise<void> {
+  const answer = await request(`${fields.url}/v1/configuration`, {
+    method: "PUT",
+    headers: {
+      authorization: `Bearer ${DEV_OPERATOR_TOKEN}`,
+      "if-match": "0",
+    },
+    body: canonicalJson(fields.configuration),
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode === 200) return;
+  throw new StepError({
+    code: ErrorCode.Configuration,
+    step: "submitConfiguration",
+    peer: fields.url,
+    message: `status ${answer.statusCode}: ${text}`,
+  });
+}
--- a/config/schema/document.ts
+++ b/config/schema/document.ts
@@ -5,7 +5,11 @@
  */
 
 import { z } from "zod";
-import { Adjacency, HOUR, KIBIBYTE } from "@dragonflyledge/model";
+import {
+  Adjacency,
+  KIBIBYTE,
+  MAX_REQUEST_DEADLINE,
+} from "@dragonflyledge/model";
 
 /** Requests travel in one frame, with room for the other fields. */
 export const BODY_LIMIT = 512 * KIBIBYTE;
@@ -50,8 +54,8 @@
   slotShare: z.number().positive().max(1).describe(
     "a number above 0 and at most 1",
   ),
-  defaultDeadline: z.int().min(1).max(24 * HOUR).describe(
-    `milliseconds, a whole number from 1 to ${24 * HOUR}`,
+  defaultDeadline: z.int().min(1).max(MAX_REQUEST_DEADLINE).describe(
+    `milliseconds, a whole number from 1 to ${MAX_REQUEST_DEADLINE}`,
   ),
   queueLimit: whole(1, 100000),
 }).describe("a class of work");
--- a/config/settings/keys.ts
+++ b/config/settings/keys.ts
@@ -97,3 +97,29 @@
   const port = Number(match[2]);
   return port >= 1 && port <= 65535 ? { host: match[1], port } : undefined;
 }
+
+/** An operator and the SHA-256 digest of the operator's bearer token. */
+export interface OperatorKey {
+  name: string;
+  tokenDigest: string;
+}
+
+export function operators(meaning: string) {
+  return z.string().transform((text, context): OperatorKey[] => {
+    const list = text.split(",").map((each) => parseOperator(each.trim()));
+    const valid = list.filter((each) => each !== undefined);
+    if (valid.length !== list.length) {
+      context.addIssue({ code: "custom", message: "operator" });
+    }
+    return valid;
+  }).meta({
+    allowed: "name:digest, separated by commas, digests in lower-case hex",
+    meaning,
+  });
+}
+
+function parseOperator(text: string): OperatorKey | undefined {
+  const match = /^([\w.-]+):([0-9a-f]{64})$/.exec(text);
+  if (!match?.[1] || !match[2]) return undefined;
+  return { name: match[1], tokenDigest: match[2] };
+}
--- a/config/settings/mod.ts
+++ b/config/settings/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export type { HostPort } from "./keys.ts";
+export type { HostPort, OperatorKey } from "./keys.ts";
 export { formatSettingsProblem, settingsError } from "./problem.ts";
 export type { SettingsProblem } from "./problem.ts";
 export { readSettings } from "./read.ts";
--- a/config/settings/sections.ts
+++ b/config/settings/sections.ts
@@ -11,6 +11,7 @@
   host,
   name,
   oneOf,
+  operators,
   port,
   prefix,
   url,
@@ -61,6 +62,10 @@
     "store-reads": whole(1, 10000, "Most reads from the store a second")
       .default(200),
   }),
+  operators: z.strictObject({
+    "token-digests": operators("Operators and digests of their bearer tokens")
+      .optional(),
+  }),
   log,
   metrics,
 });
--- a/core/agent_reducer/answers.ts
+++ b/core/agent_reducer/answers.ts
@@ -6,6 +6,7 @@
 
 import {
   ANSWER_PIECE_SIZE,
+  MAX_REQUEST_DEADLINE,
   MEBIBYTE,
   MINUTE,
   SECOND,
@@ -19,7 +20,7 @@
 /** Size of all kept answers together. */
 export const ANSWER_BUDGET = 8 * MEBIBYTE;
 /** How long the outcome of an attempt is kept: longer than any deadline. */
-export const ATTEMPT_RETENTION = 10 * MINUTE;
+export const ATTEMPT_RETENTION = MAX_REQUEST_DEADLINE + MINUTE;
 
 type AnswerEvent = Extract<AgentEvent, { kind: "endpointAnswer" }>;
 
--- a/core/agent_reducer/tombstones.ts
+++ b/core/agent_reducer/tombstones.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import { MINUTE } from "@dragonflyledge/model";
+import { MAX_REQUEST_DEADLINE, MINUTE } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 
 /** Longer than any deadline, so that no late attempt outlives its tombstone. */
-export const TOMBSTONE_RETENTION = 10 * MINUTE;
+export const TOMBSTONE_RETENTION = MAX_REQUEST_DEADLINE + MINUTE;
 
 // 8 Mbit: one million tombstones in one period falsely refuse about 2% of
 // attempts, ten thousand refuse none that could be measured.
--- a/core/model/limits.ts
+++ b/core/model/limits.ts
@@ -34,6 +34,8 @@
 export const CONFIGURATION_TARGET = 4 * SECOND;
 export const LEAVING_TARGET = 3 * SECOND;
 export const WORKER_LOSS_DELAY = 10 * SECOND;
+/** Agents remember attempts for longer than this. */
+export const MAX_REQUEST_DEADLINE = 10 * MINUTE;
 export const CLAIM_RETENTION = 24 * HOUR;
 export const MAX_ENTRIES_PER_AGENT = 4;
 export const MAX_GANG_MEMBERS = 64;
--- a/daemons/entry/http/configuration_api.ts
+++ b/daemons/entry/http/configuration_api.ts
@@ -19,7 +19,8 @@
   EntryEvent,
   Inventory,
 } from "@dragonflyledge/model";
-import type { ConfigurationRecord, Records } from "../records.ts";
+import type { ConfigurationRecord } from "@dragonflyledge/store";
+import type { Records } from "../records.ts";
 import { json, problem } from "./server.ts";
 import type { HttpAnswer, HttpRequest, Route } from "./server.ts";
 
@@ -41,7 +42,7 @@
     const known = fields.configuration();
     const stored = read.unwrapOr(undefined);
     if (stored || known === undefined) return stored;
-    return { configuration: known, author: "", accepted: "" };
+    return { configuration: known, actor: "", submitted: "" };
   }
 
   function guard(
@@ -59,9 +60,9 @@
   async function read(): Promise<HttpAnswer> {
     const record = await current();
     if (!record) return problem(404, "no configuration has been submitted");
-    const { configuration, author, accepted } = record;
+    const { configuration, actor: author, submitted } = record;
     const revision = configuration.version;
-    return json(200, { configuration, revision, author, accepted });
+    return json(200, { configuration, revision, author, submitted });
   }
 
   async function submit(
@@ -81,16 +82,17 @@
     if (fields.inventories().length > 0 && misfit.isErr()) {
       return json(409, { problems: misfit.error.map(formatProblem) });
     }
-    const accepted = clock.date().toISOString();
-    const record = { configuration: parsed, author, accepted };
+    const submitted = clock.date().toISOString();
+    const record = { configuration: parsed, actor: author, submitted };
     const before = await records.readConfiguration();
-    const result = await records.submitConfiguration({ record, expected });
+    const result = await records.submitConfiguration(record);
     if (result.isErr()) {
       const { code, message } = result.error;
-      return json(503, { outcome: "unknown", error: { code, message } });
+      // The write may have taken effect, which status 503 would deny.
+      return json(502, { outcome: "unknown", error: { code, message } });
     }
     if (result.value.kind === "conflict") {
-      return conflict(parsed, result.value.current);
+      return conflict(parsed, result.value.winner);
     }
     audit(author, before.unwrapOr(undefined)?.configuration, parsed);
     const now = clock.now();
@@ -110,8 +112,8 @@
       : [];
     return json(409, {
       current: current?.configuration.version ?? 0,
-      author: current?.author ?? "",
-      accepted: current?.accepted ?? "",
+      author: current?.actor ?? "",
+      submitted: current?.submitted ?? "",
       differences,
     });
   }
@@ -139,12 +141,13 @@
   async function history(): Promise<HttpAnswer> {
     const listed = await records.listConfigurations();
     if (listed.isErr()) return problem(503, listed.error.message);
-    const versions = listed.value.map((record) => ({
+    const history = listed.value.map((record, index) => ({
       version: record.configuration.version,
-      author: record.author,
-      accepted: record.accepted,
+      author: record.actor,
+      at: record.submitted,
+      changes: describeChanges(listed.value[index - 1], record),
     }));
-    return json(200, { versions });
+    return json(200, { history });
   }
 
   const path = "/v1/configuration";
@@ -155,6 +158,17 @@
   ];
 }
 
+function describeChanges(
+  before: ConfigurationRecord | undefined,
+  after: ConfigurationRecord,
+): string {
+  if (!before) return "first version";
+  return diffConfigurations({
+    before: before.configuration,
+    after: after.configuration,
+  }).map(formatChange).join("; ");
+}
+
 /** Returns the configuration, or a sentence for each problem. */
 function parseBody(
   body: Uint8Array,
--- a/daemons/entry/http/operator_api.ts
+++ b/daemons/entry/http/operator_api.ts
@@ -5,7 +5,8 @@
  */
 
 import type { Clock, EntryEvent } from "@dragonflyledge/model";
-import type { AuditFilter, Records } from "../records.ts";
+import type { AuditFilter } from "@dragonflyledge/audit";
+import type { Records } from "../records.ts";
 import { json, problem } from "./server.ts";
 import type { HttpAnswer, HttpRequest, Route } from "./server.ts";
 
@@ -34,11 +35,8 @@
   async function audit(request: HttpRequest): Promise<HttpAnswer> {
     const refusal = denied(request);
     if (refusal) return refusal;
-    const filter: AuditFilter = {};
-    for (const name of ["team", "worker", "kind", "since", "until"] as const) {
-      const value = request.query.get(name);
-      if (value !== null) filter[name] = value;
-    }
+    const filter = readFilter(request.query);
+    if (typeof filter === "string") return problem(400, filter);
     const listed = await records.readAudit(filter);
     if (listed.isErr()) return problem(503, listed.error.message);
     return json(200, { records: listed.value });
@@ -68,3 +66,21 @@
     { method: "GET", pattern: "/livez", handler: () => json(200, {}) },
   ];
 }
+
+/** Returns the filter, or a sentence that says what is wrong with it. */
+function readFilter(query: URLSearchParams): AuditFilter | string {
+  const filter: AuditFilter = {};
+  for (const name of ["team", "worker", "kind", "job"] as const) {
+    const value = query.get(name);
+    if (value !== null) filter[name] = value;
+  }
+  const times = [["since", "from"], ["until", "to"]] as const;
+  for (const [name, field] of times) {
+    const value = query.get(name);
+    if (value === null) continue;
+    const time = new Date(value);
+    if (Number.isNaN(time.getTime())) return `${name} must be an ISO 8601 time`;
+    filter[field] = time;
+  }
+  return filter;
+}
--- a/daemons/entry/http/request_api.ts
+++ b/daemons/entry/http/request_api.ts
@@ -5,7 +5,11 @@
  */
 
 import { createHash } from "node:crypto";
-import { OutcomeKind, Reason } from "@dragonflyledge/model";
+import {
+  MAX_REQUEST_DEADLINE,
+  OutcomeKind,
+  Reason,
+} from "@dragonflyledge/model";
 import type {
   Clock,
   Configuration,
@@ -20,7 +24,6 @@
 import { problem } from "./server.ts";
 import type { HttpAnswer, HttpRequest, Route } from "./server.ts";
 
-const LONGEST_DEADLINE: Milliseconds = 10 * 60 * 1000;
 const LONGEST_KEY = 200;
 const KEY_PATTERN = /^[\x21-\x7e]+$/;
 
@@ -99,7 +102,7 @@
     }
     const deadline = readDeadline(http, workClass.defaultDeadline);
     if (deadline === undefined) {
-      const range = `1 to ${LONGEST_DEADLINE}`;
+      const range = `1 to ${MAX_REQUEST_DEADLINE}`;
       return problem(400, `x-deadline-ms must be a number from ${range}`);
     }
     const idempotent = readFlag(http.headers["x-idempotent"]);
@@ -158,7 +161,7 @@
   const header = http.headers["x-deadline-ms"];
   if (header === undefined) return fallback;
   const value = Number(header);
-  return value >= 1 && value <= LONGEST_DEADLINE ? value : undefined;
+  return value >= 1 && value <= MAX_REQUEST_DEADLINE ? value : undefined;
 }
 
 function readFlag(header: unknown): boolean | undefined {
--- a/daemons/entry/mod.ts
+++ b/daemons/entry/mod.ts
@@ -7,11 +7,5 @@
 
 export { startEntry } from "./entry.ts";
 export type { Entry, EntrySettings, OpenRecords, Operator } from "./entry.ts";
-export type {
-  AuditFilter,
-  ConfigurationRecord,
-  JobWrite,
-  Records,
-  StoredJob,
-  Submission,
-} from "./records.ts";
+export type { Records } from "./records.ts";
+export { createStoreRecords } from "./store_records.ts";
--- a/daemons/entry/records.ts
+++ b/daemons/entry/records.ts
@@ -5,6 +5,14 @@
  */
 
 import type { Result } from "neverthrow";
+import type { AuditFilter, AuditLine } from "@dragonflyledge/audit";
+import type {
+  ConfigurationRecord,
+  HomesWriteResult,
+  JobWriteResult,
+  StoredJob,
+  SubmissionResult,
+} from "@dragonflyledge/store";
 import type {
   AuditRecord,
   Claim,
@@ -12,35 +20,19 @@
   Configuration,
   EntryPresence,
   HomesTable,
-  JobRecord,
   Milliseconds,
   StepError,
 } from "@dragonflyledge/model";
 
-/** A job record with the revision of its last change. */
-export interface StoredJob {
-  record: JobRecord;
-  revision: number;
-}
-
-/** What became of a write of a job record. */
-export type JobWrite =
-  | { kind: "stored"; revision: number }
-  | { kind: "conflict"; current: StoredJob | undefined };
-
-/** An accepted configuration with who submitted it and when. */
-export interface ConfigurationRecord {
-  configuration: Configuration;
-  author: string;
-  /** ISO 8601. */
-  accepted: string;
+/** What an entry learns from the store while it runs. */
+export interface RecordHandlers {
+  onConfiguration: (configuration: Configuration) => void;
+  onHomes: (homes: HomesTable) => void;
+  onEntries: (entries: EntryPresence[]) => void;
+  /** The own lease is valid until the given time. */
+  onLease: (validUntil: Milliseconds) => void;
 }
 
-/** What became of a submitted configuration. */
-export type Submission =
-  | { kind: "stored" }
-  | { kind: "conflict"; current: ConfigurationRecord | undefined };
-
 /** Typed access to the store. Errors are `DFL_STORE_...`. */
 export interface Records {
   createClaims(claims: Claim[]): Promise<Result<ClaimResult[], StepError>>;
@@ -48,41 +40,23 @@
   readClaim(
     fields: { team: string; key: string },
   ): Promise<Result<Claim | undefined, StepError>>;
-  writeJob(
-    fields: { record: JobRecord; revision: number },
-  ): Promise<Result<JobWrite, StepError>>;
+  writeJob(job: StoredJob): Promise<Result<JobWriteResult, StepError>>;
   readJob(job: string): Promise<Result<StoredJob | undefined, StepError>>;
   listJobs(): Promise<Result<StoredJob[], StepError>>;
   readConfiguration(): Promise<
     Result<ConfigurationRecord | undefined, StepError>
   >;
   submitConfiguration(
-    fields: { record: ConfigurationRecord; expected: number },
-  ): Promise<Result<Submission, StepError>>;
+    record: ConfigurationRecord,
+  ): Promise<Result<SubmissionResult, StepError>>;
   listConfigurations(): Promise<Result<ConfigurationRecord[], StepError>>;
   writeHomes(
     homes: HomesTable,
-  ): Promise<Result<"stored" | "conflict", StepError>>;
+  ): Promise<Result<HomesWriteResult, StepError>>;
   /** Follows the configuration, the homes table and the presence of entries. */
-  follow(handlers: {
-    onConfiguration: (configuration: Configuration) => void;
-    onHomes: (homes: HomesTable) => void;
-    onEntries: (entries: EntryPresence[]) => void;
-    onLease: (validUntil: Milliseconds) => void;
-  }): void;
+  follow(handlers: RecordHandlers): void;
   appendAudit(record: AuditRecord): void;
-  readAudit(filter: AuditFilter): Promise<Result<unknown[], StepError>>;
+  readAudit(filter: AuditFilter): Promise<Result<AuditLine[], StepError>>;
   /** Gives up the presence and flushes what is buffered. */
   close(): Promise<void>;
 }
-
-/** Which records of the audit trail to read; absent fields match all. */
-export interface AuditFilter {
-  team?: string;
-  worker?: string;
-  kind?: string;
-  /** ISO 8601. */
-  since?: string;
-  /** ISO 8601. */
-  until?: string;
-}
--- a/daemons/entry/store_effects.ts
+++ b/daemons/entry/store_effects.ts
@@ -159,7 +159,7 @@
       kind: "homesWritten",
       now: clock.now(),
       version: effect.homes.version,
-      result: result.unwrapOr("unavailable" as const),
+      result: result.isOk() ? result.value.kind : "unavailable",
     });
   }
 
--- a/daemons/runtime/system_time.ts
+++ b/daemons/runtime/system_time.ts
@@ -12,11 +12,18 @@
   return { now: () => performance.now(), date: () => new Date() };
 }
 
-/** Timers of the event loop. */
-export function createSystemTimer(): Timer {
+/**
+ * Timers of the event loop.
+ *
+ * @param fields.background whether the process may end before they expire
+ */
+export function createSystemTimer(
+  fields: { background?: boolean } = {},
+): Timer {
   return {
     after: (delay, task) => {
       const handle = setTimeout(task, delay);
+      if (fields.background) handle.unref();
       return () => clearTimeout(handle);
     },
   };
--- a/examples/nyabugogo/configuration.ts
+++ b/examples/nyabugogo/configuration.ts
@@ -75,7 +75,7 @@
       name: "recipe-tuning",
       urgent: false,
       slotShare: 0.25,
-      defaultDeadline: 3600 * SECOND,
+      defaultDeadline: 600 * SECOND,
       queueLimit: 50,
     }),
   ],
--- a/examples/sahil/configuration.ts
+++ b/examples/sahil/configuration.ts
@@ -76,7 +76,7 @@
       name: "forecast",
       urgent: false,
       slotShare: 0.25,
-      defaultDeadline: 3600 * SECOND,
+      defaultDeadline: 600 * SECOND,
       queueLimit: 50,
     }),
   ],
