--- a/core/agent_reducer/answers.ts
+++ b/core/agent_reducer/answers.ts
@@ -52,8 +52,10 @@
 
   /** Makes room by dropping answers that were sent, oldest first. */
   function makeRoom(size: number): boolean {
+    if (bytes + size <= ANSWER_BUDGET) return true;
     for (const record of kept) {
-      if (bytes + size <= ANSWER_BUDGET) break;
+      // Room for many pieces at once, since each search starts at the front.
+      if (bytes + size <= ANSWER_BUDGET * 7 / 8) break;
       if (record.answer?.complete && !record.behind) discard(record);
     }
     return bytes + size <= ANSWER_BUDGET;
--- a/core/agent_reducer/attempts.ts
+++ b/core/agent_reducer/attempts.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { SECOND } from "@dragonflyledge/model";
 import type {
   AgentEvent,
   Attempt,
@@ -19,11 +20,14 @@
 
 /**
  * Attempts that are remembered at a time. At the bound new attempts are
- * refused, so that none is forgotten early: about 16 MB, and 218 attempts a
+ * refused, so that none is forgotten early: about 40 MB, and 218 attempts a
  * second over the retention time.
  */
 export const ATTEMPT_LIMIT = 131_072;
 
+/** A sweep skips the deleted front of a map, too slow for each event. */
+const SWEEP_INTERVAL = 1 * SECOND;
+
 type FailedEvent = Extract<AgentEvent, { kind: "endpointFailed" }>;
 
 /** Decides over attempts and follows their endpoint calls. */
@@ -40,6 +44,7 @@
 /** Creates the attempts part of the reducer. */
 export function createAttempts(fields: { core: Core }): Attempts {
   const { core } = fields;
+  let sweptAt = -Infinity;
   const answers = createAnswers({ core, settle });
 
   /** Ends the call of an attempt and frees its slot. */
@@ -93,7 +98,7 @@
     const record = createRecord(entry, attempt, core.now);
     core.attempts.set(record.key, record);
     core.calling.add(record);
-    core.requests.set(record.id.request, record);
+    if (!attempt.idempotent) core.requests.set(record.id.request, record);
     core.slotsChanged = true;
     send(core, entry, { kind: "attemptAccepted", attempt: record.id });
     core.effects.push({
@@ -175,6 +180,8 @@
         sendBroken(core, record, "The attempt's time ran out.");
         count(core, "attempts.expired");
       }
+      if (core.now - sweptAt < SWEEP_INTERVAL) return;
+      sweptAt = core.now;
       answers.sweep();
       core.tombstones.sweep(core.now);
       forgetOld(core);
--- a/core/agent_reducer/invariants.ts
+++ b/core/agent_reducer/invariants.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import { assertInvariant, Invariant, MemberState } from "@dragonflyledge/model";
+import {
+  assertInvariant,
+  Invariant,
+  MemberState,
+  SECOND,
+} from "@dragonflyledge/model";
 import type { AgentEffect, AgentEvent } from "@dragonflyledge/model";
 import { ATTEMPT_RETENTION } from "./answers.ts";
 import { localHomes } from "./homes.ts";
@@ -29,6 +34,7 @@
   let leaving = false;
   let versions = versionsOf(core);
   let step = "";
+  let forgotAt = -Infinity;
 
   function check(invariant: Invariant, holds: boolean, detail: string): void {
     const peer = core.state.inventory.worker;
@@ -71,6 +77,8 @@
   }
 
   function forgetCalls(): void {
+    if (core.now - forgotAt < SECOND) return;
+    forgotAt = core.now;
     for (const [key, at] of calls) {
       if (core.now - at < ATTEMPT_RETENTION) return;
       calls.delete(key);
--- a/core/agent_reducer/state.ts
+++ b/core/agent_reducer/state.ts
@@ -134,7 +134,7 @@
   readonly attempts: Map<string, AttemptRecord>;
   /** Attempts whose endpoint call has not ended. */
   readonly calling: Set<AttemptRecord>;
-  /** Last attempt of each request that runs or may have run here. */
+  /** Attempt of each non-idempotent request that runs or may have run. */
   readonly requests: Map<RequestId, AttemptRecord>;
   readonly tombstones: Tombstones;
   /** Runs that hold or await capacity, by `runKey`. */
