--- /dev/null
+++ b/core/entry_reducer/requests/attempt_calls.ts
@@ -0,0 +1,37 @@
+/**
+ * What the entry asks agents about attempts.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { SESSION_TIMEOUT } from "@dragonflyledge/model";
+import type { Emit, EntryState } from "../state.ts";
+import type { OpenRequest } from "./state.ts";
+import { Phase } from "./state.ts";
+import { wakeRequest } from "./wake.ts";
+
+/** Asks the agent what became of the attempt. */
+export function queryAttempt(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { worker, incarnation, number } = request.running!;
+  request.running!.queried = true;
+  const attempt = { request: request.id, number };
+  const message = { kind: "queryAttempt" as const, attempt };
+  emit({ kind: "send", worker, incarnation, message });
+  if (request.phase !== Phase.Running) return;
+  const at = Math.min(now + SESSION_TIMEOUT / 3, request.deadline);
+  wakeRequest(state, request, at);
+}
+
+/** Cancels the attempt, or keeps it from running if it has not arrived. */
+export function cancelAttempt(request: OpenRequest, emit: Emit): void {
+  const { worker, incarnation, number } = request.running!;
+  const attempt = { request: request.id, number };
+  const message = { kind: "cancelAttempt" as const, attempt };
+  emit({ kind: "send", worker, incarnation, message });
+}
--- a/core/entry_reducer/requests/attempts.ts
+++ b/core/entry_reducer/requests/attempts.ts
@@ -25,6 +25,8 @@
   isWhole,
   joinPieces,
 } from "./answer_pieces.ts";
+import { cancelAttempt, queryAttempt } from "./attempt_calls.ts";
+import { breakAttempt, isWanted, workOf } from "./break_attempt.ts";
 import { endAttempt } from "./end_attempt.ts";
 import { finishRequest, giveUp } from "./finish.ts";
 import { backOff, requeueRequest } from "./queueing.ts";
@@ -65,42 +67,6 @@
   }
 }
 
-/** Ends an attempt without proof that it did not run. */
-export function breakAttempt(
-  state: EntryState,
-  request: OpenRequest,
-  workerFailed: boolean,
-  now: Milliseconds,
-  emit: Emit,
-): void {
-  const { worker, incarnation } = request.running!;
-  const cancelling = request.phase === Phase.Cancelling;
-  endAttempt(state, request, now);
-  request.mayHaveRun = true;
-  request.avoid = worker;
-  const agent = currentAgent(state, worker, incarnation);
-  if (workerFailed && agent) {
-    recordFailure(state, agent, workOf(request), now, emit);
-  }
-  if (cancelling) giveUp(state, request, Reason.DeadlinePassed, now, emit);
-  else if (request.request.idempotent && isWanted(request)) {
-    backOff(state, request, true, now);
-  } else {
-    const reason = workerFailed ? Reason.ConnectionLost : Reason.WorkerLost;
-    giveUp(state, request, reason, now, emit);
-  }
-}
-
-/** A request without a key is of no use once its caller has left. */
-export function isWanted(request: OpenRequest): boolean {
-  return !request.callerLeft || request.request.idempotencyKey !== undefined;
-}
-
-/** Work for which a failure on one worker and a success on another compare. */
-export function workOf(request: OpenRequest): string {
-  return `${request.service}\0${request.team}\0${request.class}`;
-}
-
 function findRunning(
   state: EntryState,
   event: MessageEvent,
@@ -279,28 +245,3 @@
       return breakAttempt(state, request, false, now, emit);
   }
 }
-
-/** Asks the agent what became of the attempt. */
-export function queryAttempt(
-  state: EntryState,
-  request: OpenRequest,
-  now: Milliseconds,
-  emit: Emit,
-): void {
-  const { worker, incarnation, number } = request.running!;
-  request.running!.queried = true;
-  const attempt = { request: request.id, number };
-  const message = { kind: "queryAttempt" as const, attempt };
-  emit({ kind: "send", worker, incarnation, message });
-  if (request.phase !== Phase.Running) return;
-  const at = Math.min(now + SESSION_TIMEOUT / 3, request.deadline);
-  wakeRequest(state, request, at);
-}
-
-/** Cancels the attempt, or keeps it from running if it has not arrived. */
-export function cancelAttempt(request: OpenRequest, emit: Emit): void {
-  const { worker, incarnation, number } = request.running!;
-  const attempt = { request: request.id, number };
-  const message = { kind: "cancelAttempt" as const, attempt };
-  emit({ kind: "send", worker, incarnation, message });
-}
--- a/core/entry_reducer/requests/dispatch.ts
+++ b/core/entry_reducer/requests/dispatch.ts
@@ -5,12 +5,7 @@
  */
 
 import { slotLimit } from "@dragonflyledge/admission";
-import type {
-  Milliseconds,
-  Service,
-  ServiceName,
-  WorkClass,
-} from "@dragonflyledge/model";
+import type { Milliseconds, Service, ServiceName } from "@dragonflyledge/model";
 import {
   assertInvariant,
   Invariant,
@@ -43,38 +38,46 @@
   emit: Emit,
 ): void {
   const { queue } = state.requests;
-  const chosen = new Map<string, AgentView | undefined>();
-  const choose = (request: OpenRequest) => {
-    const workClass = classOf(state, request);
-    if (workClass === undefined) return undefined;
-    const variant = `${request.long} ${request.class}`;
-    if (!chosen.has(variant)) {
-      const { avoid, long } = request;
-      const terms = { state, service, workClass, long, avoid, now };
-      chosen.set(variant, chooseAgent(terms));
-    }
-    return chosen.get(variant);
-  };
-  /** The agent drawn for all may be the one that this request must avoid. */
-  const chooseOther = (request: OpenRequest, agent: AgentView) => {
-    const { avoid, long } = request;
-    if (agent.worker !== avoid) return agent;
-    const workClass = classOf(state, request)!;
-    const terms = { state, service, workClass, long, avoid, now };
-    return chooseAgent(terms) ?? agent;
-  };
   dropUnknown(state, service, now, emit);
+  const choice = createChoice(state, service, now);
   while (true) {
-    const request = queue.next(service, (each) => choose(each) !== undefined);
+    const request = queue.next(service, choice.exists);
     if (request === undefined) break;
-    const agent = chooseOther(request, choose(request)!);
-    const workClass = classOf(state, request)!;
-    sendAttempt(state, request, agent, workClass, now, emit);
-    forget(chosen);
+    sendAttempt(state, request, choice.take(request), now, emit);
   }
   if (queue.sizeOfService(service, true) > 0) startPeak(state, service, now);
 }
 
+/** Agents drawn during one dispatch, one for each class, long or not. */
+function createChoice(
+  state: EntryState,
+  service: ServiceName,
+  now: Milliseconds,
+) {
+  const drawn = new Map<string, AgentView | undefined>();
+  const draw = (request: OpenRequest): AgentView | undefined => {
+    const workClass = classOf(state, request);
+    if (workClass === undefined) return undefined;
+    const { avoid, long } = request;
+    return chooseAgent({ state, service, workClass, long, avoid, now });
+  };
+  const find = (request: OpenRequest): AgentView | undefined => {
+    const variant = `${request.long} ${request.class}`;
+    if (!drawn.has(variant)) drawn.set(variant, draw(request));
+    return drawn.get(variant);
+  };
+  return {
+    exists: (request: OpenRequest) => find(request) !== undefined,
+    take(request: OpenRequest): AgentView {
+      const agent = find(request)!;
+      // Variants without an agent have none after this either.
+      for (const [variant, each] of drawn) if (each) drawn.delete(variant);
+      // The one drawn for all may be the one that this request must avoid.
+      return agent.worker === request.avoid ? draw(request) ?? agent : agent;
+    },
+  };
+}
+
 /** Ends peaks during which no urgent work has waited for some time. */
 export function endPeaks(state: EntryState, now: Milliseconds): void {
   for (const [service, load] of state.requests.loads) {
@@ -97,13 +100,6 @@
   resetVariants(state, service);
 }
 
-/** Variants without an agent have none after a dispatch either. */
-function forget(chosen: Map<string, AgentView | undefined>): void {
-  for (const [variant, agent] of chosen) {
-    if (agent !== undefined) chosen.delete(variant);
-  }
-}
-
 /** Ends queued requests whose service or class was removed meanwhile. */
 function dropUnknown(
   state: EntryState,
@@ -139,7 +135,6 @@
   state: EntryState,
   request: OpenRequest,
   agent: AgentView,
-  workClass: WorkClass,
   now: Milliseconds,
   emit: Emit,
 ): void {
@@ -148,6 +143,7 @@
   const estimate = requests.estimates.estimate(request, now);
   const cost = estimate?.median ?? UNKNOWN_RUN_TIME;
   const { long } = request;
+  const workClass = classOf(state, request)!;
   const { peak } = serviceAgents(state.members, request.service);
   const { slots } = agent.inventory;
   request.attempts++;
--- a/core/entry_reducer/requests/leave.ts
+++ b/core/entry_reducer/requests/leave.ts
@@ -7,7 +7,8 @@
 import type { Milliseconds, RequestId } from "@dragonflyledge/model";
 import { Reason } from "@dragonflyledge/model";
 import type { Emit, EntryState } from "../state.ts";
-import { cancelAttempt, isWanted } from "./attempts.ts";
+import { cancelAttempt } from "./attempt_calls.ts";
+import { isWanted } from "./break_attempt.ts";
 import { finishRequest, giveUp } from "./finish.ts";
 import { Phase } from "./state.ts";
 
--- a/core/entry_reducer/requests/sessions.ts
+++ b/core/entry_reducer/requests/sessions.ts
@@ -11,7 +11,8 @@
 } from "@dragonflyledge/model";
 import { currentAgent } from "../members/reduce.ts";
 import type { Emit, EntryState } from "../state.ts";
-import { breakAttempt, queryAttempt } from "./attempts.ts";
+import { queryAttempt } from "./attempt_calls.ts";
+import { breakAttempt } from "./break_attempt.ts";
 import { Phase } from "./state.ts";
 import { wakeRequest } from "./wake.ts";
 
--- a/core/entry_reducer/requests/timers.ts
+++ b/core/entry_reducer/requests/timers.ts
@@ -10,12 +10,8 @@
 import { serviceAgents } from "../members/state.ts";
 import type { AgentView, Emit, EntryState } from "../state.ts";
 import { recordFailure } from "../members/work_health.ts";
-import {
-  breakAttempt,
-  cancelAttempt,
-  queryAttempt,
-  workOf,
-} from "./attempts.ts";
+import { cancelAttempt, queryAttempt } from "./attempt_calls.ts";
+import { breakAttempt, workOf } from "./break_attempt.ts";
 import { failClaim, readClaim } from "./claims.ts";
 import { finishRequest, giveUp } from "./finish.ts";
 import { endBackOff } from "./queueing.ts";
