Keep requests queued after refusals by full agents

Cause: entries compete for each freed slot, and the losers left the queue for a growing backoff. Change: busy and class-limit refusals put the request back at once; the agent counts as full until its next report. Conclusion: refusals by full agents cost a round trip and no outcome.

--- a/core/entry_reducer/requests/attempts.ts
+++ b/core/entry_reducer/requests/attempts.ts
@@ -114,6 +114,10 @@
   }
   const { reason } = message;
   const agent = currentAgent(state, running.worker, running.incarnation);
+  // Entries compete for each freed slot. With backoff, the losers would leave
+  // the queue and starve; the agent counts as full until its next report.
+  const isFull = reason === "busy" || reason === "class-limit";
+  if (!isFull) request.refusals++;
   notRun(state, request, now, emit);
   if (agent === undefined) return;
   if (reason === "unreachable") {
@@ -121,7 +125,7 @@
   } else if (reason === "leaving") {
     agent.leaving = true;
     reindexAgent(state, agent, now);
-  } else if (reason === "busy" || reason === "class-limit") {
+  } else if (isFull) {
     const full = {
       class: request.class,
       limit: running.classSlots,
@@ -142,7 +146,6 @@
   const cancelling = request.phase === Phase.Cancelling;
   endAttempt(state, request, now, false);
   request.avoid = worker;
-  request.refusals++;
   if (cancelling) giveUp(state, request, Reason.DeadlinePassed, now, emit);
   else if (!isWanted(request)) {
     giveUp(state, request, Reason.Cancelled, now, emit);
--- a/core/entry_reducer/requests/requests_test.ts
+++ b/core/entry_reducer/requests/requests_test.ts
@@ -139,6 +139,19 @@
   t.end();
 });
 
+// Guards against requests that starve because they often met a full agent.
+test("a request stays queued after any number of busy refusals", (t) => {
+  const h = createHarness(["w1"], 1);
+  h.request("r1");
+  for (let n = 0; n < 8; n++) {
+    h.refuse("r1", "busy");
+    t.equal(h.sent("attempt").length, n + 1, "not before a report");
+    h.report("w1");
+    t.equal(h.sent("attempt").length, n + 2, "at once after a report");
+  }
+  t.end();
+});
+
 // Guards against new work for an agent that says that it leaves.
 test("a leaving agent receives nothing more", (t) => {
   const h = createHarness(["w1"]);
