Pass over agents that do not answer for a second

Cause: a silent agent is lost only after 3 s; until then it keeps requests whose deadline is shorter and receives new ones. Change: after 1 s without an answer to an attempt, the agent gets no new work until it is heard; idempotent work goes elsewhere within the retry budget. Conclusion: only work that must not run twice waits for a silent agent.

--- a/core/entry_reducer/members/choose_agent.ts
+++ b/core/entry_reducer/members/choose_agent.ts
@@ -20,6 +20,7 @@
 /** Whether the agent may receive new work at all. */
 export function isEligible(agent: AgentView, now: Milliseconds): boolean {
   return agent.connected && !agent.leaving && agent.dampedUntil <= now &&
+    (agent.silentUntil ?? 0) <= now &&
     (agent.quarantinedUntil === 0 ||
       (agent.quarantinedUntil <= now && agent.probing));
 }
--- a/core/entry_reducer/members/reduce.ts
+++ b/core/entry_reducer/members/reduce.ts
@@ -16,6 +16,7 @@
 import type { AgentView, Emit, EntryState } from "../state.ts";
 import { isEligible, reindexAgent } from "./choose_agent.ts";
 import { dampAgent } from "./damping.ts";
+import { hearAgent } from "./silence.ts";
 import { serviceAgents } from "./state.ts";
 
 /** Agents that stay away for longer are forgotten; most VMs never return. */
@@ -39,11 +40,11 @@
       loseAgent(state, event.worker, event.incarnation, event.now, emit);
       return;
     case "message": {
-      if (event.message.kind !== "report") return;
-      const agent = currentAgent(state, event.worker, event.incarnation);
-      if (agent !== undefined) {
-        applyReport(state, agent, event.message, event.now);
-      }
+      const { message, now, worker, incarnation } = event;
+      const agent = currentAgent(state, worker, incarnation);
+      if (agent === undefined) return;
+      hearAgent(state, agent, now);
+      if (message.kind === "report") applyReport(state, agent, message, now);
       return;
     }
     case "entriesSeen":
--- a/core/entry_reducer/requests/sessions_test.ts
+++ b/core/entry_reducer/requests/sessions_test.ts
@@ -21,6 +21,26 @@
   t.end();
 });
 
+// Guards against work that waits, and more that follows, on a silent agent.
+test("an agent that does not answer for 1 s is passed over", (t) => {
+  const h = createHarness(["w1", "w2"], 1);
+  h.request("r1", { idempotent: true });
+  h.request("r2");
+  h.request("r3");
+  const { worker } = h.attempt("r1")!;
+  const other = h.attempt("r2")!.worker;
+  h.reply("r2", { kind: "attemptAccepted" });
+  h.at(1000);
+  t.equal(h.sent("cancelAttempt")[0]?.worker, worker);
+  t.notOk(h.attempt("r3"), "the silent agent has a free slot now");
+  h.at(1100);
+  h.answer("r2");
+  t.equal(h.sent("attempt").filter((each) => each.worker === other).length, 2);
+  h.at(2000);
+  t.ok(h.attempt("r1")!.message.attempt.number === 2 && h.attempt("r3"));
+  t.end();
+});
+
 // Guards against retries beyond the budget, and "not run" after an attempt.
 test("retries wait for the budget and end at the deadline as unknown", (t) => {
   const h = createHarness(["w1"], 40);
--- a/core/entry_reducer/requests/timers.ts
+++ b/core/entry_reducer/requests/timers.ts
@@ -9,6 +9,7 @@
 import { currentAgent } from "../members/reduce.ts";
 import { serviceAgents } from "../members/state.ts";
 import type { AgentView, Emit, EntryState } from "../state.ts";
+import { excludeSilent } from "../members/silence.ts";
 import { recordFailure } from "../members/work_health.ts";
 import { cancelAttempt, queryAttempt } from "./attempt_calls.ts";
 import { breakAttempt, workOf } from "./break_attempt.ts";
@@ -127,10 +128,31 @@
   } else if (now >= running.giveUpAt) {
     breakAttempt(state, request, true, now, emit);
   } else if (!running.accepted || running.queried) {
-    queryAttempt(state, request, now, emit);
+    resolveSilence(state, request, now, emit);
   } else wakeRequest(state, request, request.deadline);
 }
 
+/**
+ * An agent that is silent is noticed long before its session times out. Work
+ * that may run twice goes elsewhere; other work waits for an answer.
+ */
+function resolveSilence(
+  state: EntryState,
+  request: OpenRequest,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const { worker, incarnation } = request.running!;
+  const agent = currentAgent(state, worker, incarnation);
+  if (agent) excludeSilent(state, agent, now);
+  if (!request.request.idempotent) {
+    queryAttempt(state, request, now, emit);
+    return;
+  }
+  cancelAttempt(request, emit);
+  breakAttempt(state, request, false, now, emit);
+}
+
 function stopLate(
   state: EntryState,
   request: OpenRequest,
--- a/core/entry_reducer/state.ts
+++ b/core/entry_reducer/state.ts
@@ -44,6 +44,8 @@
   losses: Milliseconds[];
   /** No new work before this time. */
   dampedUntil: Milliseconds;
+  /** No new work before this time unless the agent says something. */
+  silentUntil?: Milliseconds;
   /** Consecutive failures of work that others run. */
   failures: number;
   quarantinedUntil: Milliseconds;
