Compare run times within a class only

Cause: deferrable work was compared to all work of the service. Change: a team's work is compared to that of other teams in the same class. Conclusion: the operator's slotShare holds for classes declared deferrable.

--- a/core/admission/run_time_estimates.ts
+++ b/core/admission/run_time_estimates.ts
@@ -32,8 +32,8 @@
   observe(key: WorkKey, runTime: Milliseconds, now: Milliseconds): void;
   /** Falls back to the class, then to the service; undefined if unknown. */
   estimate(key: WorkKey, now: Milliseconds): Estimate | undefined;
-  /** Whether the team's class runs far longer than what it is compared to. */
-  isLong(key: WorkKey, urgent: boolean, now: Milliseconds): boolean;
+  /** Whether the team's work runs far longer than that of others in its class. */
+  isLong(key: WorkKey, now: Milliseconds): boolean;
 }
 
 /** Samples kept for each key; older ones are overwritten. */
@@ -89,13 +89,13 @@
       }
       return undefined;
     },
-    isLong(key, urgent, now) {
+    isLong(key, now) {
       const own = all.get(nameOf(key));
       if (own === undefined) return false;
       if (now < own.longUntil) return own.long;
       own.longUntil = now + VERDICT_TIME;
       const others = [...byService.get(key.service)!.values()]
-        .filter((other) => other !== own && isPeer(own, other, urgent));
+        .filter((other) => other !== own && other.key.class === key.class);
       own.long = isFarAbove(own, others, now);
       return own.long;
     },
@@ -119,11 +119,6 @@
   return estimate.median > factor * Math.max(usual, 1);
 }
 
-/** Urgent work is compared to the same class only: a class may be slow. */
-function isPeer(own: Series, other: Series, urgent: boolean): boolean {
-  return !urgent || other.key.class === own.key.class;
-}
-
 function widen(key: WorkKey): WorkKey[] {
   return [
     key,
--- a/core/entry_reducer/requests/queueing.ts
+++ b/core/entry_reducer/requests/queueing.ts
@@ -144,7 +144,7 @@
   now: Milliseconds,
 ): void {
   const { estimates } = state.requests;
-  request.long = estimates.isLong(request, workClass.urgent, now);
+  request.long = estimates.isLong(request, now);
   request.urgent = workClass.urgent && !request.long;
 }
 
