Start nothing after a pause before the records are read again

Cause: with pauses of entries in the random test, a paused entry started jobs again that another entry had taken over meanwhile. With shutdowns in it, an entry exited while a record whose caller was told not-run was unresolved, because the store had been down before. Change: after a gap of 4 s between events, or after its lease lapsed, an entry gives up reservations and starts nothing until the records are loaded; a shutdown tries the store for 2 s before it counts as unavailable; an urgent job over quota makes deferrable gangs of its team stop; rounds of placement that find nothing are spaced out, and only members that leave trigger new searches.

--- a/core/entry_reducer/jobs/cancel.ts
+++ b/core/entry_reducer/jobs/cancel.ts
@@ -33,7 +33,8 @@
     refused: false,
   });
   const foreign = jobs.foreign.get(id);
-  if (foreign === undefined) context.emit({ kind: "loadJobs" });
+  // A wave of cancellations leads to one load.
+  if (foreign === undefined) jobs.nextLoad = Math.min(jobs.nextLoad, now + 100);
   else applyCancel(context, id, foreign.record, foreign.revision);
 }
 
--- a/core/entry_reducer/jobs/capacity.ts
+++ b/core/entry_reducer/jobs/capacity.ts
@@ -221,11 +221,15 @@
   };
 }
 
+/** Figures of usage change all the time, so only members that left count. */
 function gainedRoom(former: WorkerView, view: WorkerView): boolean {
   if (view.available && !former.available) return true;
-  if (view.free.cores > former.free.cores) return true;
-  if (view.free.memoryMiB > former.free.memoryMiB) return true;
-  return view.held.length < former.held.length;
+  const held = new Set(view.held.map(keyOf));
+  return former.held.some((member) => !held.has(keyOf(member)));
+}
+
+function keyOf({ run, member }: HeldMember): string {
+  return `${run.job}\n${run.epoch}\n${member}`;
 }
 
 function count(context: Context, view: WorkerView, sign: 1 | -1): void {
--- a/core/entry_reducer/jobs/chaos_test.ts
+++ b/core/entry_reducer/jobs/chaos_test.ts
@@ -1,6 +1,7 @@
 import { test } from "tap";
 import fc from "fast-check";
 import { hasEnded } from "./context.ts";
+import { jobsSettled } from "./handover.ts";
 import { buildSpec, World } from "./testing.ts";
 import type { Agent } from "./testing.ts";
 
@@ -57,9 +58,26 @@
       if (entries.length > 1) world.failEntry(entry);
       else world.addEntry(pick % 2 ? "e1" : "e3", ++this.#incarnation);
     }
+    if (kind === "pause" && entries.length > 1 && mayFail(world, entry)) {
+      world.pauseEntry(entry, 20 * pick);
+    }
+    if (kind === "shutdown") this.shutDown(entry);
     world.run(wait);
   }
 
+  shutDown(entry: string): void {
+    const { world } = this;
+    if (world.storeMode !== "up" && !mayFail(world, entry)) return;
+    world.reduce(entry, { kind: "stopRequested" });
+    const deadline = world.now + 10_000;
+    while (!jobsSettled(world.entry(entry).state)) {
+      if (world.now > deadline) throw new Error(`${entry} doesn't settle`);
+      world.run(100);
+    }
+    world.failEntry(entry, 0);
+    if (world.entries.size === 0) world.addEntry("e4", ++this.#incarnation);
+  }
+
   submit(entry: string, pick: number): void {
     const job = `j${this.specs.size}`;
     const spec = buildSpec(1 + pick % 3, 8, {
@@ -141,7 +159,7 @@
   const action = fc.record({
     kind: fc.constantFrom(
       ...["submit", "submit", "submit", "cancel", "finish", "fail"],
-      ...["agent", "silent", "store", "entry"],
+      ...["agent", "silent", "store", "entry", "shutdown", "pause"],
     ),
     pick: fc.nat(1000),
     wait: fc.constantFrom(10, 100, 1000, 5000, 12_000),
--- a/core/entry_reducer/jobs/context.ts
+++ b/core/entry_reducer/jobs/context.ts
@@ -63,6 +63,12 @@
   context.emit({ kind: "log", level, text: `jobs: ${text}`, fields });
 }
 
+/** Asks for all records. */
+export function requestLoad({ jobs, emit }: Context): void {
+  jobs.loading = true;
+  emit({ kind: "loadJobs" });
+}
+
 /** Wakes the job at the given time unless it is to be woken earlier. */
 export function wake(context: Context, job: Job, at: Milliseconds): void {
   if (job.wakeAt <= at && job.wakeAt > context.now) return;
--- a/core/entry_reducer/jobs/dispatch.ts
+++ b/core/entry_reducer/jobs/dispatch.ts
@@ -13,6 +13,7 @@
   isRevocable,
   listViews,
   lostWork,
+  markFreed,
 } from "./capacity.ts";
 import type { Context } from "./context.ts";
 import { isShort } from "./estimates.ts";
@@ -20,11 +21,16 @@
 import { listCandidates } from "./queue.ts";
 import { startGang } from "./start.ts";
 import type { Job } from "./state.ts";
+import { yieldQuota } from "./yield_quota.ts";
 
 /** A round without a change picks up what only time changes. */
 const roundInterval = 1000;
 /** Searches without result in one round; a search scans all workers. */
 const misfitsPerRound = 16;
+/** Pause per search without result; a search takes up to 3 ms at 860 workers. */
+const misfitPause = 25;
+/** Usage changes without an event that frees capacity. */
+const refreshInterval = 10_000;
 const misfitLimit = 5000;
 /** Workers on which a job failed are used again if it waits for this long. */
 const exclusionTime = 5000;
@@ -33,7 +39,13 @@
 export function dispatch(context: Context): void {
   const { jobs, state, now } = context;
   if (state.stopping || state.configuration === undefined) return;
+  if (jobs.unverified > 0) return;
+  if (now < jobs.earliestRound) return;
   if (!jobs.stale && now < jobs.nextRound) return;
+  if (now >= jobs.nextRefresh) {
+    jobs.nextRefresh = now + refreshInterval;
+    markFreed(context);
+  }
   listViews(context);
   homeIndex(context);
   jobs.stale = false;
@@ -49,12 +61,15 @@
     jobs.stale = true;
     break;
   }
+  jobs.earliestRound = now + misfits * misfitPause;
   updateHold(context, waiting);
 }
 
 /** Places one job, for urgent work that cannot wait for a round. */
 export function dispatchUrgent(context: Context, job: Job): void {
-  if (context.state.stopping || !job.urgent || job.phase !== "queued") return;
+  const { state, jobs } = context;
+  if (state.stopping || jobs.unverified > 0) return;
+  if (!job.urgent || job.phase !== "queued") return;
   listViews(context);
   tryStart(context, job);
 }
@@ -70,6 +85,7 @@
   const held = heldBy(context, spec.team);
   if (held + job.need > quota) {
     job.wait = `the team holds ${held} of its quota of ${quota} accelerators`;
+    if (job.urgent) yieldQuota(context, job, held + job.need - quota);
     return "skipped";
   }
   if (!spec.idempotent && state.leaseValidUntil <= now) {
--- a/core/entry_reducer/jobs/handover.ts
+++ b/core/entry_reducer/jobs/handover.ts
@@ -19,8 +19,8 @@
 /** Gives up all jobs. Running gangs continue under their lease. */
 export function beginHandover(context: Context): void {
   const { jobs } = context;
-  if (jobs.handingOver) return;
-  jobs.handingOver = true;
+  if (jobs.stoppingSince !== undefined) return;
+  jobs.stoppingSince = context.now;
   jobs.hold = undefined;
   jobs.nextLoad = context.now;
   for (const job of [...jobs.jobs.values()]) {
@@ -60,5 +60,7 @@
   for (const job of jobs.jobs.values()) {
     silentSince = Math.min(silentSince, job.write?.sentAt ?? Infinity);
   }
-  return jobs.now > silentSince + storePatience;
+  // The store may have recovered since its last answer, so it is tried again.
+  const since = Math.max(silentSince, jobs.stoppingSince ?? jobs.now);
+  return jobs.now > since + storePatience;
 }
--- a/core/entry_reducer/jobs/jobs_test.ts
+++ b/core/entry_reducer/jobs/jobs_test.ts
@@ -185,6 +185,19 @@
   t.end();
 });
 
+// Guards against urgent work that waits for deferrable work of its own team.
+test("deferrable work leaves the quota to urgent work of its team", (t) => {
+  const world = settle(3);
+  const spec = buildSpec(1, 8, { team: "c" });
+  world.submit("e1", "slow", spec);
+  world.run(1000);
+  world.submit("e1", "now", { ...spec, class: "plan" });
+  world.run(4100);
+  t.equal(world.running("now").length, 1);
+  t.equal(world.running("slow").length, 0);
+  t.end();
+});
+
 // Guards against a large gang that small work keeps from starting.
 test("a large gang that waits gets a hold, which is drained", (t) => {
   const world = settle(2);
--- a/core/entry_reducer/jobs/reduce.ts
+++ b/core/entry_reducer/jobs/reduce.ts
@@ -4,11 +4,12 @@
  * @module
  */
 
+import { ENTRY_RENEWAL_INTERVAL } from "@dragonflyledge/model";
 import type { EntryEvent, JobId, WorkerId } from "@dragonflyledge/model";
 import type { Emit, EntryState } from "../state.ts";
 import { cancelJob, cancelOwn, takeCancelWritten } from "./cancel.ts";
 import { markFreed, refreshWorker, sweepRuns } from "./capacity.ts";
-import { hasEnded } from "./context.ts";
+import { hasEnded, requestLoad } from "./context.ts";
 import type { Context } from "./context.ts";
 import { dispatch, dispatchUrgent } from "./dispatch.ts";
 import { forget, lose } from "./endings.ts";
@@ -34,6 +35,9 @@
 } from "./takeover.ts";
 import { completeWrite, drainBacklog } from "./writes.ts";
 
+/** Ticks are much closer; a longer gap means that the process was paused. */
+const pauseLimit = 2 * ENTRY_RENEWAL_INTERVAL;
+
 type EventOf<K extends EntryEvent["kind"]> = Extract<EntryEvent, { kind: K }>;
 
 /** Applies one event to the jobs of the entry. */
@@ -44,9 +48,11 @@
 ): void {
   const { jobs } = state;
   const { now } = event;
-  jobs.now = now;
-  jobs.startedAt ??= now;
   const context: Context = { state, jobs, now, emit };
+  jobs.startedAt ??= now;
+  const paused = now - jobs.now > pauseLimit && jobs.now > 0;
+  jobs.now = now;
+  if (paused) distrust(context);
   switch (event.kind) {
     case "tick":
       return tick(context);
@@ -75,6 +81,8 @@
     case "jobsLoaded":
       return takeLoaded(context, event);
     case "leaseRenewed":
+      if (jobs.leaseValidUntil <= now) distrust(context);
+      jobs.leaseValidUntil = event.validUntil;
       state.leaseValidUntil = event.validUntil;
       return;
     case "entriesSeen":
@@ -85,6 +93,19 @@
   }
 }
 
+/** Other entries may have taken jobs over, so records are read first. */
+function distrust(context: Context): void {
+  const { jobs } = context;
+  // An answer that was on its way before the pause says nothing.
+  jobs.unverified = jobs.loading ? 2 : 1;
+  for (const job of [...jobs.jobs.values()]) {
+    if (job.gang?.committed === false) {
+      abandon(context, job, "the entry was paused");
+    }
+  }
+  requestLoad(context);
+}
+
 function tick(context: Context): void {
   const { jobs, state, now } = context;
   if (jobs.configuration !== state.configuration) takeConfiguration(context);
--- a/core/entry_reducer/jobs/run.ts
+++ b/core/entry_reducer/jobs/run.ts
@@ -16,7 +16,7 @@
   RunState,
 } from "@dragonflyledge/model";
 import { isLive, LAPSE } from "./capacity.ts";
-import { audit, send, wake } from "./context.ts";
+import { audit, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
 import { endingOf, endRun, hasFinished, lose } from "./endings.ts";
 import type { Ending, Gang, Job, Part } from "./state.ts";
@@ -73,7 +73,7 @@
   if (gang === undefined) return;
   if (message.run.epoch > gang.run.epoch) {
     lose(context, job, undefined);
-    context.emit({ kind: "loadJobs" });
+    requestLoad(context);
     return;
   }
   if (message.run.epoch < gang.run.epoch || !gang.committed) return;
--- a/core/entry_reducer/jobs/start.ts
+++ b/core/entry_reducer/jobs/start.ts
@@ -19,7 +19,7 @@
 } from "@dragonflyledge/model";
 import type { Plan } from "@dragonflyledge/placement";
 import { isRevocable } from "./capacity.ts";
-import { jittered, log, send, wake } from "./context.ts";
+import { jittered, log, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
 import { endJob, handOver, holdParts, releaseParts } from "./endings.ts";
 import { dequeue, enqueue } from "./queue.ts";
@@ -118,7 +118,7 @@
   if (message.kind === "reserveRefused") {
     abandon(context, job, `${part.worker} refused: ${message.reason}`);
     // A higher epoch on a worker means that another entry owns the job.
-    if (message.reason === "stale-epoch") context.emit({ kind: "loadJobs" });
+    if (message.reason === "stale-epoch") requestLoad(context);
     return;
   }
   if (part.answer === "reserved") return;
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -157,6 +157,9 @@
   /** Whether a round of placement is due. */
   stale: boolean;
   nextRound: Milliseconds;
+  /** No round before this time, which bounds the share of time they take. */
+  earliestRound: Milliseconds;
+  nextRefresh: Milliseconds;
   hold: Hold | undefined;
   /** Observed run times by kind of job. */
   runTimes: Map<string, Milliseconds>;
@@ -166,6 +169,16 @@
   writesPausedUntil: Milliseconds;
   storeDownSince: Milliseconds | undefined;
   nextLoad: Milliseconds;
+  /** Own lease as of the last renewal. */
+  leaseValidUntil: Milliseconds;
+  /**
+   * Whether other entries may own jobs of this one, because it was paused or
+   * its lease lapsed. Nothing starts until the records have been loaded this
+   * many times.
+   */
+  unverified: number;
+  /** Whether a load was asked for and not answered. */
+  loading: boolean;
   /** Configuration for which urgency was last determined. */
   configuration: Configuration | undefined;
   /** Live entries as last seen, empty before the first time. */
@@ -173,7 +186,7 @@
   /** When each owner was first missing in the presence list. */
   absentSince: Map<string, Milliseconds>;
   nextTakeover: Milliseconds;
-  handingOver: boolean;
+  stoppingSince: Milliseconds | undefined;
 }
 
 export function createJobsState(): JobsState {
@@ -199,6 +212,8 @@
     misfits: new Map(),
     stale: false,
     nextRound: 0,
+    earliestRound: 0,
+    nextRefresh: 0,
     hold: undefined,
     runTimes: new Map(),
     writes: 0,
@@ -207,10 +222,13 @@
     writesPausedUntil: 0,
     storeDownSince: undefined,
     nextLoad: 0,
+    leaseValidUntil: Infinity,
+    unverified: 0,
+    loading: false,
     configuration: undefined,
     presence: "",
     absentSince: new Map(),
     nextTakeover: Infinity,
-    handingOver: false,
+    stoppingSince: undefined,
   };
 }
--- a/core/entry_reducer/jobs/submit.ts
+++ b/core/entry_reducer/jobs/submit.ts
@@ -16,6 +16,7 @@
   JobId,
   JobRecord,
   JobSpec,
+  Milliseconds,
   WorkClass,
 } from "@dragonflyledge/model";
 import { placeGang } from "@dragonflyledge/placement";
@@ -26,6 +27,9 @@
 import type { Job } from "./state.ts";
 import { isCancelRequest, persist } from "./writes.ts";
 
+/** Refused records are looked for soon; a wave of refusals loads once. */
+const refusedLoadDelay: Milliseconds = 500;
+
 type Submitted = Extract<EntryEvent, { kind: "jobSubmitted" }>;
 
 /** Refuses a job, or writes its record; it is accepted once that is stored. */
@@ -95,6 +99,7 @@
     answer(context, id, lost ? Reason.OwnershipLost : Reason.StoreUnavailable);
     if (!lost) {
       // The record may exist nevertheless: it is cancelled when it is seen.
+      jobs.nextLoad = Math.min(jobs.nextLoad, now + refusedLoadDelay);
       jobs.cancels.set(id, {
         state: "cancelled",
         reason: Reason.StoreUnavailable,
--- a/core/entry_reducer/jobs/takeover.ts
+++ b/core/entry_reducer/jobs/takeover.ts
@@ -13,7 +13,7 @@
 } from "@dragonflyledge/model";
 import { adopt } from "./adopt.ts";
 import { applyCancel, cancelOwn, countLoad } from "./cancel.ts";
-import { audit, hasEnded } from "./context.ts";
+import { audit, hasEnded, requestLoad } from "./context.ts";
 import type { Context } from "./context.ts";
 import { handOver, lose } from "./endings.ts";
 import { rendezvous } from "./rendezvous.ts";
@@ -35,22 +35,22 @@
 
 /** Asks for all records in a slow cycle. */
 export function keepLoading(context: Context): void {
-  const { jobs, state, now, emit } = context;
+  const { jobs, state, now } = context;
   if (now < jobs.nextLoad) return;
   const interval = state.stopping ? stoppingLoadInterval : loadInterval;
   jobs.nextLoad = now + interval * (0.8 + 0.4 * state.random());
-  if (!state.stopping || jobs.cancels.size > 0) emit({ kind: "loadJobs" });
+  if (!state.stopping || jobs.cancels.size > 0) requestLoad(context);
 }
 
 /** Takes the list of live entries. */
 export function takeEntries(context: Context): void {
-  const { jobs, state, emit } = context;
+  const { jobs, state } = context;
   const live = state.entries.map((entry) => keyOf(entry.id, entry.incarnation));
   const presence = live.sort().join("\n");
   if (presence === jobs.presence) return;
   jobs.presence = presence;
   for (const key of live) jobs.absentSince.delete(key);
-  if (!state.stopping) emit({ kind: "loadJobs" });
+  if (!state.stopping) requestLoad(context);
   considerTakeovers(context);
 }
 
@@ -62,6 +62,10 @@
 export function takeLoaded(context: Context, event: Loaded): void {
   const { jobs } = context;
   jobs.storeDownSince = undefined;
+  jobs.loading = false;
+  jobs.unverified = Math.max(0, jobs.unverified - 1);
+  if (jobs.unverified > 0) requestLoad(context);
+  jobs.stale = true;
   countLoad(context);
   const open: Context["jobs"]["foreign"] = new Map();
   for (const loaded of event.jobs) {
--- a/core/entry_reducer/jobs/testing.ts
+++ b/core/entry_reducer/jobs/testing.ts
@@ -246,6 +246,7 @@
   readonly random: Random;
   #queue: { at: number; run: () => void }[] = [];
   #last = new Map<string, number>();
+  #late = new Map<string, Untimed<EntryEvent>[]>();
   #revision = 0;
 
   constructor(readonly seed: number, workers: number, accelerators = 8) {
@@ -274,6 +275,27 @@
     this.after(lease, () => this.seeEntries());
   }
 
+  /** The entry's process stops for a while; its sessions are closed. */
+  pauseEntry(id: string, time: number): void {
+    const entry = this.entry(id);
+    this.failEntry(id);
+    const late: Untimed<EntryEvent>[] = [];
+    this.#late.set(id, late);
+    this.after(time, () => {
+      this.#late.delete(id);
+      if (this.entries.has(id)) return;
+      this.entries.set(id, entry);
+      for (const event of late) this.reduce(id, event);
+      for (const { id: worker, incarnation } of this.agents.values()) {
+        const view = entry.state.agents.get(worker);
+        if (view) Object.assign(view, { connected: false, lostAt: this.now });
+        this.reduce(id, { kind: "agentLost", worker, incarnation });
+      }
+      for (const agent of this.agents.values()) this.connect(id, agent);
+      this.after(500, () => this.seeEntries());
+    });
+  }
+
   /** The connections of an agent go silent, and are closed after 3 s. */
   silence(agent: Agent): void {
     agent.silent = true;
@@ -355,6 +377,8 @@
 
   reduce(id: string, untimed: Untimed<EntryEvent>): void {
     const entry = this.entries.get(id);
+    // The shell answers each write, also after a pause.
+    if (untimed.kind === "jobWritten") this.#late.get(id)?.push(untimed);
     if (entry === undefined) return;
     const event = { ...untimed, now: this.now } as EntryEvent;
     if (event.kind === "message" && event.message.kind === "report") {
