Bound the cost of placement searches

Cause: with 2,000 waiting jobs on 860 full workers, a tick after a member left took 5.1 ms, most of it searches that could not succeed. Change: placeGang skips tiers that add no accelerators; the entry skips the search on idle workers for jobs that were accepted. Tests for the order of waiting jobs and for the end of a hold.

--- a/core/entry_reducer/jobs/dispatch.ts
+++ b/core/entry_reducer/jobs/dispatch.ts
@@ -121,6 +121,7 @@
     homes: homeIndex(context),
     excluded: listExcluded(context, job),
     lostWork: (run: RunId) => lostWork(context, run.job),
+    knownToFit: true,
   });
   return place.isOk() ? place.value : place.error;
 }
--- a/core/entry_reducer/jobs/jobs_test.ts
+++ b/core/entry_reducer/jobs/jobs_test.ts
@@ -222,3 +222,45 @@
   t.equal(world.entry("e1").state.jobs.hold, undefined);
   t.end();
 });
+
+// Guards against a hold that keeps capacity idle for good.
+test("a hold ends after ten minutes", (t) => {
+  const world = settle(2);
+  const fixed = buildSpec(1, 4, { team: "a", revocable: false });
+  world.submit("e1", "blocks", fixed);
+  world.run(100);
+  world.submit("e1", "large", buildSpec(2, 8, { team: "a" }));
+  world.run(62_000);
+  t.equal(world.entry("e1").state.jobs.hold?.job, "large");
+  world.submit("e1", "late", fixed);
+  world.run(500_000);
+  t.equal(world.running("late").length, 0);
+  world.run(110_000);
+  t.equal(world.running("late").length, 1);
+  t.end();
+});
+
+// Guards against urgent work behind other work, owners behind borrowers, and
+// one team that takes all capacity.
+test("urgent work comes first, then owners, then the team with least", (t) => {
+  const world = settle(3);
+  const spec = (team: string, change = {}) =>
+    buildSpec(1, 8, { team, ...change });
+  for (const job of ["b1", "b2"]) world.submit("e1", job, spec("b"));
+  world.submit("e1", "a1", spec("a", { class: "plan", revocable: false }));
+  world.run(500);
+  const queued = { b3: "b", c1: "c", a2: "a" };
+  for (const [job, team] of Object.entries(queued)) {
+    world.submit("e1", job, spec(team));
+  }
+  world.submit("e1", "b4", spec("b", { class: "plan", revocable: false }));
+  world.run(5000);
+  t.equal(world.running("b4").length, 1, "urgent work preempts");
+  world.end("a1", "finished");
+  world.run(100);
+  t.equal(world.running("a2").length, 1, "the owner's home is free again");
+  world.end("b4", "finished");
+  world.run(100);
+  t.equal(world.running("c1").length, 1, "team c holds least");
+  t.end();
+});
--- a/core/placement/place_gang.ts
+++ b/core/placement/place_gang.ts
@@ -37,6 +37,8 @@
   excluded?: ReadonlySet<WorkerId>;
   /** Work of a whole gang that is lost if it is stopped. */
   lostWork?: (run: RunId) => number;
+  /** Skips the search on idle workers; the answer is never `never` then. */
+  knownToFit?: boolean;
 }): Result<Plan, NoPlace> {
   const { spec, run, urgent, homes, excluded } = fields;
   const gang = { spec, urgent };
@@ -48,8 +50,12 @@
   const levels = candidates.map((view) =>
     listLevels({ view, homes, gang, idle: false })
   );
+  const present = new Set<Level>(levels.flatMap((found) => found.levels));
+  // Members without accelerators fit at any level alike.
+  if (spec.perMember.accelerators === 0) present.clear();
   let found = 0;
   for (const limit of tiers) {
+    if (limit !== Level.OwnFree && !present.has(limit)) continue;
     const slots = candidates.map((view, index) =>
       slotsOf(view, levels[index], gang, limit, false)
     );
@@ -57,7 +63,7 @@
     if (packing.isOk()) return ok(buildPlan({ run, packing: packing.value }));
     found = Math.max(found, packing.error);
   }
-  if (!fitsIdle(workers, homes, gang)) {
+  if (!fields.knownToFit && !fitsIdle(workers, homes, gang)) {
     return err({ kind: "never", reason: `${describe(spec)} fits no worker` });
   }
   const reason = `${describe(spec)}; ${found} of ${spec.members} fit now`;
