--- a/config/settings/mod.ts
+++ b/config/settings/mod.ts
@@ -4,4 +4,10 @@
  * @module
  */
 
-export {};
+export type { HostPort } from "./keys.ts";
+export { formatSettingsProblem, settingsError } from "./problem.ts";
+export type { SettingsProblem } from "./problem.ts";
+export { readSettings } from "./read.ts";
+export { listSettings } from "./reference.ts";
+export type { SettingsKey } from "./reference.ts";
+export type { AgentSettings, EntrySettings, Role } from "./sections.ts";
--- a/core/entry_reducer/reducer.ts
+++ b/core/entry_reducer/reducer.ts
@@ -12,12 +12,16 @@
   Random,
 } from "@dragonflyledge/model";
 import { reduceConfiguration } from "./configuration/reduce.ts";
+import { createConfigurationState } from "./configuration/state.ts";
 import { reduceHomes } from "./homes/reduce.ts";
 import { createHomesState } from "./homes/state.ts";
 import { reduceJobs } from "./jobs/reduce.ts";
+import { jobsSettled } from "./jobs/handover.ts";
 import { createJobsState } from "./jobs/state.ts";
 import { reduceMembers } from "./members/reduce.ts";
+import { createMembersState } from "./members/state.ts";
 import { reduceRequests } from "./requests/reduce.ts";
+import { requestsSettled } from "./requests/settled.ts";
 import { createRequestsState } from "./requests/state.ts";
 import type { EntryState } from "./state.ts";
 
@@ -33,6 +37,8 @@
   id: EntryId;
   incarnation: Incarnation;
   random: Random;
+  /** Agents in the same one are preferred on equal load. */
+  failureDomain?: string;
 }): EntryReducer {
   const state: EntryState = {
     id: fields.id,
@@ -46,6 +52,9 @@
     stopping: false,
     requests: createRequestsState(),
     jobs: createJobsState(),
+    members: createMembersState(fields.failureDomain ?? ""),
+    sharing: createConfigurationState(),
+    exited: false,
     homing: createHomesState(),
   };
   return { state, reduce: (event) => reduceEvent(state, event) };
@@ -63,5 +72,14 @@
   reduceHomes(state, event, emit);
   reduceRequests(state, event, emit);
   reduceJobs(state, event, emit);
+  emitExit(state, emit);
   return effects;
 }
+
+/** Emits `exit` once, when nothing is left to finish or to hand over. */
+function emitExit(state: EntryState, emit: (effect: EntryEffect) => void) {
+  if (!state.stopping || state.exited) return;
+  if (!requestsSettled(state) || !jobsSettled(state)) return;
+  state.exited = true;
+  emit({ kind: "exit" });
+}
--- a/daemons/agent/mod.ts
+++ b/daemons/agent/mod.ts
@@ -1,7 +1,9 @@
 /**
- * Agent daemon beside one endpoint: forwards requests and runs tasks on the worker.
+ * Agent daemon beside one endpoint: forwards requests and runs tasks on the
+ * worker.
  *
  * @module
  */
 
-export {};
+export { startAgent } from "./agent.ts";
+export type { Agent, AgentSettings } from "./agent.ts";
--- /dev/null
+++ b/daemons/agent/worker_client.ts
@@ -0,0 +1,299 @@
+/**
+ * Starts and stops tasks on the worker over HTTP.
+ *
+ * @module
+ */
+
+import { Agent as Connections, request } from "undici";
+import { SECOND } from "@dragonflyledge/model";
+import type {
+  AgentEffect,
+  AgentEvent,
+  Clock,
+  MemberReport,
+  Milliseconds,
+  TaskId,
+  Timer,
+} from "@dragonflyledge/model";
+import type { Observer } from "@dragonflyledge/runtime";
+
+const CALL_TIMEOUT: Milliseconds = 2 * SECOND;
+/** The worker answers a poll for events after at most this time. */
+const POLL_TIMEOUT: Milliseconds = 30 * SECOND;
+const POLL_RETRY_DELAY: Milliseconds = 500;
+const USAGE_INTERVAL: Milliseconds = 5 * SECOND;
+/** A renewal or stop is tried this often before the task's lease decides. */
+const CALL_ATTEMPTS = 3;
+
+/** An effect that concerns a task. */
+export type TaskEffect = Extract<
+  AgentEffect,
+  {
+    kind:
+      | "startTask"
+      | "renewTask"
+      | "checkpointTask"
+      | "throttleTask"
+      | "stopTask";
+  }
+>;
+
+/** Calls one worker. */
+export interface WorkerClient {
+  /** Tasks that run on the worker; none if it does not answer. */
+  findTasks(): Promise<MemberReport[]>;
+  perform(effect: TaskEffect): void;
+  /** Starts to follow the endings of tasks and the usage. */
+  watch(): void;
+  close(): void;
+}
+
+/** A task's end as the worker tells it. */
+interface TaskEnding {
+  number: number;
+  task: string;
+  ending: string;
+  cause: string;
+}
+
+/** Answer of the worker with an error status. */
+class WorkerRefusal extends Error {
+  readonly status: number;
+
+  constructor(status: number, message: string) {
+    super(message);
+    this.status = status;
+  }
+}
+
+const CONFLICT = 409;
+const NOT_FOUND = 404;
+
+/** Creates a client of the worker at `url`. */
+export function createWorkerClient(fields: {
+  url: string;
+  clock: Clock;
+  timer: Timer;
+  dispatch: (event: AgentEvent) => void;
+  observer: Observer;
+}): WorkerClient {
+  const { clock, timer, dispatch, observer } = fields;
+  const connections = new Connections({ keepAliveTimeout: 4 * SECOND });
+  const cancels = new Map<string, () => void>();
+  let closed = false;
+  let lastEvent = 0;
+
+  async function call(
+    method: "GET" | "PUT" | "POST",
+    path: string,
+    body?: unknown,
+    timeout = CALL_TIMEOUT,
+  ): Promise<unknown> {
+    const answer = await request(fields.url + path, {
+      method,
+      dispatcher: connections,
+      headers: { "content-type": "application/json" },
+      body: body === undefined ? undefined : JSON.stringify(body),
+      headersTimeout: timeout,
+      bodyTimeout: timeout,
+    });
+    const text = await answer.body.text();
+    if (answer.statusCode >= 400) {
+      throw new Error(
+        `${method} ${path}: status ${answer.statusCode}: ${text}`,
+      );
+    }
+    return text === "" ? undefined : JSON.parse(text);
+  }
+
+  /** Returns whether the worker carried out the call. */
+  async function callTask(
+    task: TaskId,
+    action: string,
+    body: unknown,
+  ): Promise<boolean> {
+    for (let tries = 1; tries <= CALL_ATTEMPTS; tries++) {
+      try {
+        await call("POST", `${taskPath(task)}/${action}`, body);
+        return true;
+      } catch (cause) {
+        report(`could not ${action} a task`, task, cause);
+        if (cause instanceof WorkerRefusal) return false;
+      }
+    }
+    return false;
+  }
+
+  async function start(
+    effect: Extract<TaskEffect, { kind: "startTask" }>,
+  ): Promise<void> {
+    const { report: member, perMember, command, lease, task } = effect;
+    const body = { report: member, perMember, command, leaseMs: lease };
+    let reason = "";
+    for (let tries = 1; tries <= CALL_ATTEMPTS; tries++) {
+      try {
+        await call("PUT", taskPath(task), body);
+        return dispatch({ kind: "taskStarted", now: clock.now(), task });
+      } catch (cause) {
+        // An earlier try may have started it before its answer was lost.
+        if (isStatus(cause, CONFLICT)) {
+          return dispatch({ kind: "taskStarted", now: clock.now(), task });
+        }
+        reason = (cause as Error).message;
+        report("could not start a task", task, cause);
+      }
+    }
+    // It may run although no try was answered, so it is stopped first.
+    await callTask(task, "stop", {});
+    end(task, "failed", reason);
+  }
+
+  /** A task that the worker does not know has ended. */
+  async function stop(task: TaskId): Promise<void> {
+    for (let tries = 1; tries <= CALL_ATTEMPTS; tries++) {
+      try {
+        await call("POST", `${taskPath(task)}/stop`, {});
+        return;
+      } catch (cause) {
+        if (isStatus(cause, NOT_FOUND)) return end(task, "stopped", "absent");
+        report("could not stop a task", task, cause);
+      }
+    }
+  }
+
+  async function checkpoint(task: TaskId): Promise<void> {
+    try {
+      await call("POST", `${taskPath(task)}/checkpoint`, {});
+      dispatch({ kind: "taskCheckpointed", now: clock.now(), task });
+    } catch (cause) {
+      report("could not checkpoint a task", task, cause);
+    }
+  }
+
+  function perform(effect: TaskEffect): void {
+    switch (effect.kind) {
+      case "startTask":
+        void start(effect);
+        return;
+      case "renewTask":
+        void callTask(effect.task, "renew", { leaseMs: effect.lease });
+        return;
+      case "checkpointTask":
+        void checkpoint(effect.task);
+        return;
+      case "throttleTask":
+        void callTask(effect.task, "throttle", { share: effect.share });
+        return;
+      case "stopTask":
+        void stop(effect.task);
+    }
+  }
+
+  function end(
+    task: TaskId,
+    ending: "finished" | "failed" | "stopped",
+    cause: string,
+  ): void {
+    dispatch({ kind: "taskEnded", now: clock.now(), task, ending, cause });
+  }
+
+  async function findTasks(): Promise<MemberReport[]> {
+    try {
+      const answer = await call("GET", "/tasks") as {
+        tasks: { report: MemberReport }[];
+      };
+      return answer.tasks.map((task) => task.report);
+    } catch (cause) {
+      const text = (cause as Error).message;
+      observer.log("warn", "could not list the worker's tasks", { text });
+      return [];
+    }
+  }
+
+  /** Follows endings by long polls; the worker numbers its events. */
+  async function pollEvents(): Promise<void> {
+    if (closed) return;
+    try {
+      const path = `/events?after=${lastEvent}`;
+      const answer = await call("GET", path, undefined, POLL_TIMEOUT) as {
+        endings: TaskEnding[];
+      };
+      for (const ending of answer.endings) takeEnding(ending);
+      later("events", 0, pollEvents);
+    } catch {
+      later("events", POLL_RETRY_DELAY, pollEvents);
+    }
+  }
+
+  function takeEnding(ending: TaskEnding): void {
+    lastEvent = Math.max(lastEvent, ending.number);
+    const task = parseTask(ending.task);
+    if (task === undefined) return;
+    if (ending.ending === "finished") return end(task, "finished", "");
+    if (ending.ending === "failed") return end(task, "failed", ending.cause);
+    end(task, "stopped", ending.ending);
+  }
+
+  async function pollUsage(): Promise<void> {
+    if (closed) return;
+    try {
+      const usage = await call("GET", "/usage") as {
+        cores: number;
+        memoryMiB: number;
+        ageMs: number;
+      };
+      const { cores, memoryMiB, ageMs: age } = usage;
+      dispatch({ kind: "usage", now: clock.now(), cores, memoryMiB, age });
+    } catch {
+      observer.count("worker.unreachable", 1, {});
+    }
+    later("usage", USAGE_INTERVAL, pollUsage);
+  }
+
+  function later(
+    name: string,
+    delay: Milliseconds,
+    task: () => Promise<void>,
+  ): void {
+    if (closed) return;
+    cancels.set(name, timer.after(delay, () => void task()));
+  }
+
+  function report(text: string, task: TaskId, cause: unknown): void {
+    const reason = (cause as Error).message;
+    observer.log("warn", text, { task: formatTask(task), reason });
+  }
+
+  return {
+    findTasks,
+    perform,
+    watch: () => {
+      void pollEvents();
+      void pollUsage();
+    },
+    close: () => {
+      closed = true;
+      for (const cancel of cancels.values()) cancel();
+      void connections.destroy();
+    },
+  };
+}
+
+function isStatus(cause: unknown, status: number): boolean {
+  return cause instanceof WorkerRefusal && cause.status === status;
+}
+
+function taskPath(task: TaskId): string {
+  return `/tasks/${encodeURIComponent(formatTask(task))}`;
+}
+
+function formatTask(task: TaskId): string {
+  return `${task.run.job}.${task.run.epoch}.${task.member}`;
+}
+
+function parseTask(id: string): TaskId | undefined {
+  const match = /^(.+)\.(\d+)\.(\d+)$/.exec(id);
+  if (!match) return undefined;
+  const run = { job: match[1]!, epoch: Number(match[2]) };
+  return { run, member: Number(match[3]) };
+}
--- /dev/null
+++ b/daemons/entry/http/authentication.ts
@@ -0,0 +1,49 @@
+/**
+ * Finds the team or the operator that a bearer token belongs to.
+ *
+ * @module
+ */
+
+import { createHash, timingSafeEqual } from "node:crypto";
+import { Buffer } from "node:buffer";
+import type { Configuration, TeamName } from "@dragonflyledge/model";
+
+const SCHEME = /^Bearer +(\S+)$/i;
+
+/** Returns the SHA-256 digest of the bearer token, or undefined if none. */
+export function readTokenDigest(
+  header: string | undefined,
+): string | undefined {
+  const token = SCHEME.exec(header ?? "")?.[1];
+  if (token === undefined) return undefined;
+  return createHash("sha256").update(token).digest("hex");
+}
+
+/** Returns the team that holds the token, or undefined. */
+export function findTeam(fields: {
+  header: string | undefined;
+  configuration: Configuration | undefined;
+}): TeamName | undefined {
+  const digest = readTokenDigest(fields.header);
+  if (digest === undefined) return undefined;
+  return fields.configuration?.teams
+    .find((team) => team.tokenDigests.some((known) => equal(known, digest)))
+    ?.name;
+}
+
+/** Whether the token is an operator's. */
+export function isOperator(fields: {
+  header: string | undefined;
+  digests: string[];
+}): boolean {
+  const digest = readTokenDigest(fields.header);
+  if (digest === undefined) return false;
+  return fields.digests.some((known) => equal(known, digest));
+}
+
+/** Compares in constant time, so that timing tells nothing about a digest. */
+function equal(left: string, right: string): boolean {
+  const first = Buffer.from(left, "hex");
+  const second = Buffer.from(right, "hex");
+  return first.length === second.length && timingSafeEqual(first, second);
+}
--- /dev/null
+++ b/daemons/runtime/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * System clock and timers, and the loop that runs a reducer.
+ *
+ * @module
+ */
+
+export * from "./loop.ts";
+export type { Observer } from "./observer.ts";
+export * from "./system_time.ts";
--- a/testing/fakes/mod.ts
+++ b/testing/fakes/mod.ts
@@ -4,4 +4,14 @@
  * @module
  */
 
-export {};
+export * from "./etcd_server.ts";
+export type { Listening } from "./http.ts";
+export * from "./manual_clock.ts";
+export * from "./memory_model.ts";
+export * from "./memory_store.ts";
+export * from "./system_timer.ts";
+export * from "./store_contract.ts";
+export * from "./endpoint_server.ts";
+export * from "./relay.ts";
+export * from "./worker_server.ts";
+export * from "./worker_tasks.ts";
