Fit jobs to the members reducer and to agents

Change: availability, quarantine and its probes come from members/; an empty run state ends an uncommitted start; a homes table written by another entry is checked by the entry that wins the rendezvous. Conclusion: jobs rely on one account of the members.

--- a/core/entry_reducer/homes/reduce.ts
+++ b/core/entry_reducer/homes/reduce.ts
@@ -107,6 +107,8 @@
     homing.losses.shift();
     homing.dirty = true;
   }
+  // A table of another entry may be based on fewer workers.
+  if (homing.checked !== state.homes) homing.dirty = true;
   if (!homing.dirty || homing.writing !== undefined) return;
   if (now < homing.notBefore || state.stopping) return;
   if (configuration === undefined) return;
@@ -118,6 +120,7 @@
   }
   if (isWaiting(state, now)) return;
   homing.dirty = false;
+  homing.checked = previous;
   const inventories: Inventory[] = [];
   for (const agent of state.agents.values()) {
     if (isPresent(agent, now)) inventories.push(agent.inventory);
--- a/core/entry_reducer/homes/state.ts
+++ b/core/entry_reducer/homes/state.ts
@@ -16,6 +16,8 @@
   losses: Milliseconds[];
   /** Workers that are known to leave. */
   leaving: Set<WorkerId>;
+  /** The table for which homes were last checked. */
+  checked: HomesTable | undefined;
   /** The table that is being written. */
   writing: HomesTable | undefined;
 }
@@ -27,6 +29,7 @@
     notBefore: 0,
     losses: [],
     leaving: new Set(),
+    checked: undefined,
     writing: undefined,
   };
 }
--- a/core/entry_reducer/jobs/adopt.ts
+++ b/core/entry_reducer/jobs/adopt.ts
@@ -63,7 +63,7 @@
         accelerators,
       })),
       answer: "reserved",
-      confirmedAt: agent.reportedAt,
+      confirmedAt: Math.max(agent.reportedAt, agent.connectedAt),
       gone: false,
       states: new Map(members.map(({ member, state }) => [member, state])),
     });
--- a/core/entry_reducer/jobs/capacity.ts
+++ b/core/entry_reducer/jobs/capacity.ts
@@ -22,6 +22,7 @@
   HomeIndex,
   WorkerView,
 } from "@dragonflyledge/placement";
+import { isEligible } from "../members/choose_agent.ts";
 import type { AgentView } from "../state.ts";
 import type { Context } from "./context.ts";
 import type { Part } from "./state.ts";
@@ -65,7 +66,7 @@
   const held = lapsed ? [] : listHeld(context, agent);
   const view: WorkerView = {
     inventory: agent.inventory,
-    available: isAvailable(agent, now),
+    available: isEligible(agent, now),
     held,
     free: freeOf(agent, held),
   };
@@ -80,11 +81,6 @@
   context.jobs.stale = true;
 }
 
-export function isAvailable(agent: AgentView, now: Milliseconds): boolean {
-  return agent.connected && !agent.leaving && now >= agent.dampedUntil &&
-    now >= agent.quarantinedUntil;
-}
-
 /** Views of all workers, with their availability at this time. */
 export function listViews(context: Context): Iterable<WorkerView> {
   const { jobs, state, now } = context;
@@ -94,7 +90,7 @@
       refreshWorker(context, worker);
       continue;
     }
-    const available = isAvailable(agent, now);
+    const available = isEligible(agent, now);
     if (available && !view.available) markFreed(context);
     view.available = available;
   }
--- a/core/entry_reducer/jobs/endings.ts
+++ b/core/entry_reducer/jobs/endings.ts
@@ -11,10 +11,11 @@
   Reason,
 } from "@dragonflyledge/model";
 import type { JobId, JobState } from "@dragonflyledge/model";
+import { endProbe, recordSuccess } from "../members/work_health.ts";
 import { refreshWorker } from "./capacity.ts";
 import { audit, hasEnded, log, send } from "./context.ts";
 import type { Context } from "./context.ts";
-import { observeRunTime } from "./estimates.ts";
+import { kindOf, observeRunTime } from "./estimates.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import type { Ending, Gang, Job } from "./state.ts";
 import { isOwn, persist } from "./writes.ts";
@@ -41,6 +42,8 @@
     const parts = context.jobs.parts.get(worker);
     parts?.delete(job.record.id);
     if (parts?.size === 0) context.jobs.parts.delete(worker);
+    const agent = context.state.agents.get(worker);
+    if (agent !== undefined) endProbe(context.state, agent, context.now);
     refreshWorker(context, worker);
   }
 }
@@ -52,6 +55,7 @@
   const held = context.now - gang.startedAt;
   if (gang.committed) job.attained += held * job.need;
   const succeeded = hasFinished(gang);
+  if (succeeded) recordSuccesses(context, job, gang);
   const ending = gang.ending ?? { kind: "requeue", reason: "" };
   releaseParts(context, job);
   if (succeeded) {
@@ -66,6 +70,15 @@
   }
 }
 
+function recordSuccesses(context: Context, job: Job, gang: Gang): void {
+  const { state, now } = context;
+  for (const worker of gang.parts.keys()) {
+    const agent = state.agents.get(worker);
+    const kind = kindOf(job.record.spec);
+    if (agent !== undefined) recordSuccess(state, agent, kind, now);
+  }
+}
+
 /** Whether every member of the gang has finished. */
 export function hasFinished(gang: Gang): boolean {
   if (gang.parts.size === 0) return false;
--- a/core/entry_reducer/jobs/estimates.ts
+++ b/core/entry_reducer/jobs/estimates.ts
@@ -13,8 +13,9 @@
 /** Work under this run time may backfill capacity that is being drained. */
 const shortRunTime: Milliseconds = 30_000;
 
-function kindOf(spec: JobSpec): string {
-  return `${spec.team}\n${spec.class}\n${spec.command}`;
+/** Jobs of one kind are expected to behave alike. */
+export function kindOf(spec: JobSpec): string {
+  return `job\n${spec.team}\n${spec.class}\n${spec.command}`;
 }
 
 /** Takes the run time of a gang that succeeded. */
--- a/core/entry_reducer/jobs/reduce.ts
+++ b/core/entry_reducer/jobs/reduce.ts
@@ -59,11 +59,9 @@
     case "message":
       return takeMessage(context, event);
     case "agentConnected":
-      refreshWorker(context, event.hello.id);
-      return loseParts(
+      return takeConnected(
         context,
-        event.hello.id,
-        (part) => part.incarnation !== event.hello.incarnation,
+        event.hello.inventory?.worker ?? event.hello.id,
       );
     case "agentLost":
       refreshWorker(context, event.worker);
@@ -83,10 +81,8 @@
     case "leaseRenewed":
       if (jobs.leaseValidUntil <= now) distrust(context);
       jobs.leaseValidUntil = event.validUntil;
-      state.leaseValidUntil = event.validUntil;
       return;
     case "entriesSeen":
-      state.entries = event.entries;
       return takeEntries(context);
     case "stopRequested":
       return beginHandover(context);
@@ -200,6 +196,13 @@
   return stopping || part.incarnation === event.incarnation ? job : undefined;
 }
 
+/** A restarted agent has lost the reservations, and lists what still runs. */
+function takeConnected(context: Context, worker: WorkerId): void {
+  const agent = context.state.agents.get(worker);
+  refreshWorker(context, worker);
+  loseParts(context, worker, (part) => part.incarnation !== agent?.incarnation);
+}
+
 function loseParts(
   context: Context,
   worker: WorkerId,
--- a/core/entry_reducer/jobs/run.ts
+++ b/core/entry_reducer/jobs/run.ts
@@ -15,10 +15,12 @@
   ReclaimNotice,
   RunState,
 } from "@dragonflyledge/model";
+import { recordFailure } from "../members/work_health.ts";
 import { isLive, LAPSE } from "./capacity.ts";
 import { audit, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
 import { endingOf, endRun, hasFinished, lose } from "./endings.ts";
+import { kindOf } from "./estimates.ts";
 import type { Ending, Gang, Job, Part } from "./state.ts";
 import { abandon } from "./start.ts";
 import { persist } from "./writes.ts";
@@ -76,7 +78,15 @@
     requestLoad(context);
     return;
   }
-  if (message.run.epoch < gang.run.epoch || !gang.committed) return;
+  if (message.run.epoch < gang.run.epoch) return;
+  if (!gang.committed) {
+    // The agent dropped the reservation, for an owner or because it leaves.
+    const dropped = part.answer !== "none" && message.members.length === 0;
+    if (dropped) {
+      abandon(context, job, `${part.worker} dropped its reservation`);
+    }
+    return;
+  }
   part.confirmedAt = context.now;
   takeStates(part, message.members);
   if (gang.phase === "stopping") {
@@ -158,6 +168,11 @@
   // A worker counts again only if no other was left, which bounds the runs.
   const failedOn = [...job.record.failedOn, worker];
   job.record = { ...job.record, failedOn };
+  const agent = context.state.agents.get(worker);
+  if (agent !== undefined) {
+    const { state, now, emit } = context;
+    recordFailure(state, agent, kindOf(job.record.spec), now, emit);
+  }
   const reason = `member ${member} failed on ${worker}`;
   audit(context, job, { kind: "member-failed", worker, reason });
   stopGang(context, job, endingOf(job, reason, true));
--- a/core/entry_reducer/jobs/start.ts
+++ b/core/entry_reducer/jobs/start.ts
@@ -18,6 +18,7 @@
   Reserving,
 } from "@dragonflyledge/model";
 import type { Plan } from "@dragonflyledge/placement";
+import { reindexAgent } from "../members/choose_agent.ts";
 import { isRevocable } from "./capacity.ts";
 import { jittered, log, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
@@ -44,9 +45,15 @@
   job.record = { ...job.record, epoch: plan.run.epoch };
   const parts = new Map<string, Part>();
   for (const { worker, members } of plan.workers) {
+    const agent = context.state.agents.get(worker);
+    // A quarantined worker gets one piece of work as a probe.
+    if (agent !== undefined && agent.quarantinedUntil > 0) {
+      agent.probing = false;
+      reindexAgent(context.state, agent, now);
+    }
     parts.set(worker, {
       worker,
-      incarnation: context.state.agents.get(worker)?.incarnation ?? 0,
+      incarnation: agent?.incarnation ?? 0,
       members,
       answer: "none",
       confirmedAt: now,
