Pass over workers that refuse a reservation

Cause: in a trial with the real agent reducer, a job asked the same worker again and again; that agent had no homes table yet and refused each time. Change: after a refusal the next search leaves the worker out, unless nothing else fits. Conclusion: one misinformed agent does not block a job.

--- a/core/entry_reducer/jobs/dispatch.ts
+++ b/core/entry_reducer/jobs/dispatch.ts
@@ -98,7 +98,7 @@
     job.wait = known.reason;
     return "skipped";
   }
-  const place = findPlace(context, job);
+  const place = findPlace(context, job, listExcluded(context, job));
   if ("kind" in place) {
     job.wait = place.reason;
     if (jobs.misfits.size > misfitLimit) jobs.misfits.clear();
@@ -110,8 +110,15 @@
   return "started";
 }
 
-function findPlace(context: Context, job: Job): Plan | NoPlace {
+function findPlace(
+  context: Context,
+  job: Job,
+  excluded: Set<WorkerId>,
+): Plan | NoPlace {
   const { jobs } = context;
+  const { refusedBy } = job;
+  // An agent may refuse again and again, for instance with an older table.
+  const avoid = refusedBy !== undefined && !excluded.has(refusedBy);
   const { id, spec, epoch } = job.record;
   const place = placeGang({
     spec: { ...spec, revocable: isRevocable(spec) },
@@ -119,11 +126,14 @@
     urgent: job.urgent,
     workers: jobs.views.values(),
     homes: homeIndex(context),
-    excluded: listExcluded(context, job),
+    excluded: avoid ? new Set([...excluded, refusedBy]) : excluded,
     lostWork: (run: RunId) => lostWork(context, run.job),
     knownToFit: true,
   });
-  return place.isOk() ? place.value : place.error;
+  if (place.isOk()) return place.value;
+  if (!avoid) return place.error;
+  job.refusedBy = undefined;
+  return findPlace(context, job, excluded);
 }
 
 function mayReuse({ now }: Context, job: Job): boolean {
--- a/core/entry_reducer/jobs/jobs_test.ts
+++ b/core/entry_reducer/jobs/jobs_test.ts
@@ -264,3 +264,18 @@
   t.equal(world.running("c1").length, 1, "team c holds least");
   t.end();
 });
+
+// Guards against a job that asks the same refusing agent for ever.
+test("a worker that refuses is passed over", (t) => {
+  const world = settle(3);
+  const spec = buildSpec(1, 8, { team: "a", revocable: false });
+  const home = world.homes?.homes[0]?.parts[0]?.worker ?? "";
+  const agent = world.agents.get(home);
+  if (agent === undefined) throw new Error("no home was assigned");
+  agent.reserve = (entry, { run }) =>
+    agent.send(entry, { kind: "reserveRefused", run, reason: "not-revocable" });
+  world.submit("e1", "j", spec);
+  world.run(1000);
+  t.equal(world.running("j").length, 1);
+  t.end();
+});
--- a/core/entry_reducer/jobs/start.ts
+++ b/core/entry_reducer/jobs/start.ts
@@ -123,6 +123,7 @@
     return;
   }
   if (message.kind === "reserveRefused") {
+    job.refusedBy = part.worker;
     abandon(context, job, `${part.worker} refused: ${message.reason}`);
     // A higher epoch on a worker means that another entry owns the job.
     if (message.reason === "stale-epoch") requestLoad(context);
@@ -192,6 +193,7 @@
     send(context, part.worker, { kind: "commit", run, lease: GANG_LEASE });
   }
   job.attempts = 0;
+  job.refusedBy = undefined;
   if (context.jobs.hold?.job === job.record.id) context.jobs.hold = undefined;
   if (job.record.spec.idempotent) {
     job.record = { ...job.record, started: true, state: "running", reason: "" };
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -82,6 +82,8 @@
   queuedAt: Milliseconds;
   /** Not placed before this time, after a failed start. */
   notBefore: Milliseconds;
+  /** Worker that refused the last start; others are tried before it. */
+  refusedBy: WorkerId | undefined;
   /** Failed starts in a row. */
   attempts: number;
   /** Why the job waits, for people. */
--- a/core/entry_reducer/jobs/submit.ts
+++ b/core/entry_reducer/jobs/submit.ts
@@ -70,6 +70,7 @@
     level: 0,
     queuedAt: context.now,
     notBefore: 0,
+    refusedBy: undefined,
     attempts: 0,
     wait: "its record is being written",
     attained: 0,
--- a/core/placement/assign_homes_test.ts
+++ b/core/placement/assign_homes_test.ts
@@ -104,6 +104,13 @@
         version: 2,
       });
       if (first.unplaced.length === 0) t.same(again.homes, first.homes);
+      const third = assignHomes({
+        configuration,
+        inventories,
+        previous: again,
+        version: 3,
+      });
+      t.same(third.homes, again.homes, "a table without a change is kept");
       const left = inventories.filter((_, index) => index !== gone);
       const last = assignHomes({
         configuration,
