Assert cores and memory of each plan

Cause: the plan's check of within-capacity covered accelerators only, and explainJob told "waits for 0 workers" for a run of which nothing is seen. Change: the check covers cores and memory; the explanation names the lease.

--- a/core/entry_reducer/jobs/explain.ts
+++ b/core/entry_reducer/jobs/explain.ts
@@ -42,7 +42,8 @@
   }
   if (gang.phase === "recording") return "starting: waits for the store";
   if (gang.phase === "running") return `running on ${parts.length} workers`;
-  const left = parts.filter((part) => !part.gone).length;
   const reason = gang.ending?.reason ?? "";
+  if (gang.unseen) return `stopping: ${reason}; waits for the lease to lapse`;
+  const left = parts.filter((part) => !part.gone).length;
   return `stopping: ${reason}; waits for ${left} workers or their lease`;
 }
--- a/core/entry_reducer/jobs/takeover_test.ts
+++ b/core/entry_reducer/jobs/takeover_test.ts
@@ -81,6 +81,7 @@
 test("a new entry resumes all jobs after the loss of all entries", (t) => {
   const world = settlePair(2);
   world.submit("e1", "j1", buildSpec(1, 8, { team: "a" }));
+  world.run(500);
   world.submit("e2", "j2", buildSpec(2, 8, { team: "a" }));
   world.run(1000);
   world.failEntry("e1", 0);
--- a/core/placement/build_plan.ts
+++ b/core/placement/build_plan.ts
@@ -5,13 +5,18 @@
  */
 
 import { assertInvariant, Invariant } from "@dragonflyledge/model";
-import type { RunId } from "@dragonflyledge/model";
+import type { Resources, RunId } from "@dragonflyledge/model";
 import type { Packing } from "./pack.ts";
 import type { Plan, PlannedWorker } from "./worker_view.ts";
 
 /** Numbers the members and groups them by worker. */
-export function buildPlan(fields: { run: RunId; packing: Packing }): Plan {
-  const { run, packing } = fields;
+export function buildPlan(fields: {
+  run: RunId;
+  packing: Packing;
+  /** Needs of each member. */
+  needs: Resources;
+}): Plan {
+  const { run, packing, needs } = fields;
   const workers = new Map<string, PlannedWorker>();
   packing.slots.forEach((slot, member) => {
     const { worker, capacity } = slot.view.inventory;
@@ -20,7 +25,7 @@
     planned.members.push({ member, accelerators: slot.accelerators });
     if (slot.runs.length > 0) planned.reclaims = true;
     workers.set(worker, planned);
-    assertWithin(planned, capacity.accelerators);
+    assertWithin(planned, needs, capacity);
   });
   const sorted = [...workers.values()].sort((a, b) =>
     a.worker < b.worker ? -1 : 1
@@ -28,14 +33,22 @@
   return { run, workers: sorted, victims: packing.victims };
 }
 
-function assertWithin(planned: PlannedWorker, accelerators: number): void {
+function assertWithin(
+  planned: PlannedWorker,
+  needs: Resources,
+  capacity: Resources,
+): void {
   const used = planned.members.flatMap((member) => member.accelerators);
+  const count = planned.members.length;
   assertInvariant({
     invariant: Invariant.WithinCapacity,
     holds: new Set(used).size === used.length &&
-      used.every((index) => index < accelerators),
+      used.length === count * needs.accelerators &&
+      used.every((index) => index < capacity.accelerators) &&
+      count * needs.cores <= capacity.cores &&
+      count * needs.memoryMiB <= capacity.memoryMiB,
     step: "place",
     peer: planned.worker,
-    detail: `accelerators ${used.join(",")} of ${accelerators}`,
+    detail: `${count} members on accelerators ${used.join(",")}`,
   });
 }
--- a/core/placement/place_gang.ts
+++ b/core/placement/place_gang.ts
@@ -60,7 +60,13 @@
       slotsOf(view, levels[index], gang, limit, false)
     );
     const packing = pack({ spec, workers: slots, lostWork });
-    if (packing.isOk()) return ok(buildPlan({ run, packing: packing.value }));
+    if (packing.isOk()) {
+      return ok(buildPlan({
+        run,
+        packing: packing.value,
+        needs: spec.perMember,
+      }));
+    }
     found = Math.max(found, packing.error);
   }
   if (!fields.knownToFit && !fitsIdle(workers, homes, gang)) {
