Search once for a burst of equal submissions

Cause: each submission searched all workers for a place on idle ones. Change: the answer is kept for 1 s per team and shape; the key is shared with the rounds of placement.

--- a/core/entry_reducer/jobs/dispatch.ts
+++ b/core/entry_reducer/jobs/dispatch.ts
@@ -19,6 +19,7 @@
 import { isShort } from "./estimates.ts";
 import { updateHold } from "./hold.ts";
 import { listCandidates } from "./queue.ts";
+import { shapeKey } from "./shape_key.ts";
 import { startGang } from "./start.ts";
 import type { Job } from "./state.ts";
 import { yieldQuota } from "./yield_quota.ts";
@@ -163,17 +164,6 @@
 /** Jobs with equal keys fit or don't fit alike. */
 function keyOf(context: Context, job: Job): string {
   const { spec, failedOn } = job.record;
-  const { accelerators, cores, memoryMiB } = spec.perMember;
-  return [
-    spec.team,
-    spec.members,
-    accelerators,
-    cores,
-    memoryMiB,
-    spec.adjacency,
-    isRevocable(spec),
-    job.urgent,
-    passesHold(context, job),
-    ...failedOn,
-  ].join("\n");
+  const shape = shapeKey(spec, job.urgent);
+  return [shape, passesHold(context, job), ...failedOn].join("\n");
 }
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -156,6 +156,8 @@
   /** Grows whenever a gang that didn't fit may fit. */
   capacityVersion: number;
   misfits: Map<string, { version: number; reason: string }>;
+  /** Whether gangs would fit on idle workers, for gangs submitted lately. */
+  fits: { until: Milliseconds; never: Map<string, boolean> };
   /** Whether a round of placement is due. */
   stale: boolean;
   nextRound: Milliseconds;
@@ -212,6 +214,7 @@
     homes: { table: undefined, index: new Map() },
     capacityVersion: 0,
     misfits: new Map(),
+    fits: { until: 0, never: new Map() },
     stale: false,
     nextRound: 0,
     earliestRound: 0,
--- a/core/entry_reducer/jobs/submit.ts
+++ b/core/entry_reducer/jobs/submit.ts
@@ -24,12 +24,16 @@
 import type { Context } from "./context.ts";
 import { endJob, handOver } from "./endings.ts";
 import { enqueue } from "./queue.ts";
+import { shapeKey } from "./shape_key.ts";
 import type { Job } from "./state.ts";
 import { isCancelRequest, persist } from "./writes.ts";
 
 /** Refused records are looked for soon; a wave of refusals loads once. */
 const refusedLoadDelay: Milliseconds = 500;
 
+/** Bursts are of few kinds of jobs; a search takes 1 to 3 ms. */
+const fitsTime: Milliseconds = 1000;
+
 type Submitted = Extract<EntryEvent, { kind: "jobSubmitted" }>;
 
 /** Refuses a job, or writes its record; it is accepted once that is stored. */
@@ -171,6 +175,12 @@
   const { jobs, now } = context;
   // Agents may not have connected yet to an entry that has just started.
   if (now - (jobs.startedAt ?? now) < SESSION_TIMEOUT) return false;
+  if (now >= jobs.fits.until) {
+    jobs.fits = { until: now + fitsTime, never: new Map() };
+  }
+  const key = shapeKey(spec, urgent);
+  const known = jobs.fits.never.get(key);
+  if (known !== undefined) return known;
   const place = placeGang({
     spec: { ...spec, revocable: isRevocable(spec) },
     run: { job: "", epoch: 0 },
@@ -178,5 +188,7 @@
     workers: listViews(context),
     homes: homeIndex(context),
   });
-  return place.isErr() && place.error.kind === "never";
+  const never = place.isErr() && place.error.kind === "never";
+  jobs.fits.never.set(key, never);
+  return never;
 }
