Adopt gangs of which some members have finished

Cause: agents report members that hold capacity, so a gang with a straggler looked incomplete to the entry that took it over, which stopped the straggler. Change: the taker asks the workers where it has seen members of the run for 1 s; agents tell finished members when asked to renew. Conclusion: stragglers survive the loss of their entry, unless the next entry started after the others had finished.

--- a/core/entry_reducer/jobs/adopt.ts
+++ b/core/entry_reducer/jobs/adopt.ts
@@ -4,22 +4,31 @@
  * @module
  */
 
-import { Reason, WORKER_LOSS_DELAY } from "@dragonflyledge/model";
-import type { MemberReport, WorkerId } from "@dragonflyledge/model";
+import { GANG_LEASE, Reason, WORKER_LOSS_DELAY } from "@dragonflyledge/model";
+import type {
+  MemberReport,
+  Milliseconds,
+  WorkerId,
+} from "@dragonflyledge/model";
+import type { AgentView } from "../state.ts";
 import { LAPSE } from "./capacity.ts";
+import { send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
-import { endingOf, holdParts } from "./endings.ts";
+import { endingOf, holdParts, isWhole } from "./endings.ts";
 import { enqueue } from "./queue.ts";
 import { renew, stopGang } from "./run.ts";
 import type { Gang, Job, Part } from "./state.ts";
 
+const askingTime: Milliseconds = 1000;
+
 /** Continues a run that is whole; stops what is left of any other. */
 export function adopt(context: Context, job: Job): void {
   const { now } = context;
   const parts = findParts(context, job);
   const clean = job.former?.state === "queued" && job.former.owner === "";
   const none = parts.size === 0 && (clean || knowsAllWorkers(context));
-  if (none && !job.record.started && !job.cancelled) {
+  const former = listFormer(context, job, parts);
+  if (none && former.length === 0 && !job.record.started && !job.cancelled) {
     job.record = { ...job.record, state: "queued" };
     return enqueue(context, job, "was taken over");
   }
@@ -33,6 +42,7 @@
     startedAt: now,
     leaseSentAt: now,
     ending: undefined,
+    askingUntil: undefined,
     unseen: !knowsAllWorkers(context),
   };
   const reason = job.cancelled ? Reason.Cancelled : Reason.OwnershipLost;
@@ -44,9 +54,45 @@
     if (!job.cancelled) return renew(context, job);
   }
   if (none) gang.unseen = false;
+  if (!job.cancelled && former.length > 0) {
+    return askFormer(context, job, gang, former);
+  }
   stopGang(context, job, ending);
 }
 
+/** Workers without members now that had some: those may have finished. */
+function listFormer(
+  context: Context,
+  job: Job,
+  parts: Map<WorkerId, Part>,
+): AgentView[] {
+  const workers = context.jobs.runs.get(job.record.id)?.former ?? [];
+  return [...workers].flatMap((worker) => {
+    const agent = context.state.agents.get(worker);
+    return agent?.connected && !parts.has(worker) ? [agent] : [];
+  });
+}
+
+/** Agents remember members that have ended, and tell when asked to renew. */
+function askFormer(
+  context: Context,
+  job: Job,
+  gang: Gang,
+  former: AgentView[],
+): void {
+  for (const agent of former) {
+    gang.parts.set(agent.worker, createPart(context, agent, []));
+  }
+  holdParts(context, job, gang);
+  gang.askingUntil = context.now + askingTime;
+  const { run } = gang;
+  for (const { worker } of gang.parts.values()) {
+    send(context, worker, { kind: "renew", run, lease: GANG_LEASE });
+  }
+  job.wakeAt = Infinity;
+  wake(context, job, gang.askingUntil);
+}
+
 function findParts(context: Context, job: Job): Map<WorkerId, Part> {
   const parts = new Map<WorkerId, Part>();
   const workers = context.jobs.runs.get(job.record.id)?.workers ?? [];
@@ -55,40 +101,36 @@
     if (agent === undefined || !agent.connected) continue;
     const members = membersOf(agent.members, job);
     if (members.length === 0) continue;
-    parts.set(worker, {
-      worker,
-      incarnation: agent.incarnation,
-      members: members.map(({ member, accelerators }) => ({
-        member,
-        accelerators,
-      })),
-      answer: "reserved",
-      confirmedAt: Math.max(agent.reportedAt, agent.connectedAt),
-      gone: false,
-      states: new Map(members.map(({ member, state }) => [member, state])),
-    });
+    parts.set(worker, createPart(context, agent, members));
   }
   return parts;
 }
 
+function createPart(
+  { now }: Context,
+  agent: AgentView,
+  members: MemberReport[],
+): Part {
+  return {
+    worker: agent.worker,
+    incarnation: agent.incarnation,
+    members: members.map(({ member, accelerators }) => ({
+      member,
+      accelerators,
+    })),
+    answer: "reserved",
+    confirmedAt: Math.min(now, Math.max(agent.reportedAt, agent.connectedAt)),
+    gone: false,
+    states: new Map(members.map(({ member, state }) => [member, state])),
+  };
+}
+
 function membersOf(members: MemberReport[], job: Job): MemberReport[] {
   return members.filter(({ run, state }) =>
     run.job === job.record.id && state !== "stopped" && state !== "failed"
   );
 }
 
-function isWhole(job: Job, gang: Gang): boolean {
-  const running = new Set<number>();
-  let count = 0;
-  for (const part of gang.parts.values()) {
-    for (const [member, state] of part.states) {
-      count++;
-      if (state === "running" || state === "finished") running.add(member);
-    }
-  }
-  return running.size === job.record.spec.members && count === running.size;
-}
-
 function lowestEpoch(
   context: Context,
   job: Job,
--- a/core/entry_reducer/jobs/capacity.ts
+++ b/core/entry_reducer/jobs/capacity.ts
@@ -25,7 +25,7 @@
 import { isEligible } from "../members/choose_agent.ts";
 import type { AgentView } from "../state.ts";
 import type { Context } from "./context.ts";
-import type { Part } from "./state.ts";
+import type { Part, SeenRun } from "./state.ts";
 
 /**
  * Time after the last extension of a lease when its members have stopped: a
@@ -35,6 +35,9 @@
 export const LAPSE: Milliseconds = GANG_LEASE + SESSION_TIMEOUT +
   RECLAIM_GRACE;
 
+/** A takeover asks the workers of a run that has finished on some of them. */
+const seenTime: Milliseconds = 30_000;
+
 /** Older figures of usage say little about the present. */
 const usageAgeLimit = 15_000;
 
@@ -236,10 +239,15 @@
     jobs.held.set(team, before + sign * accelerators.length);
     const seen = jobs.runs.get(run.job);
     if (sign > 0) {
-      const next = seen ?? { epoch: 0, since: now, workers: new Set() };
-      if (run.epoch > next.epoch) next.since = now;
-      next.epoch = Math.max(next.epoch, run.epoch);
+      const next = seen ?? createSeen(now);
+      if (run.epoch > next.epoch) {
+        next.since = now;
+        next.epoch = run.epoch;
+        next.former = new Set(next.workers);
+      }
       next.workers.add(worker);
+      next.former.add(worker);
+      next.lastSeen = now;
       jobs.runs.set(run.job, next);
     } else if (seen !== undefined) {
       seen.workers.delete(worker);
@@ -247,10 +255,22 @@
   }
 }
 
-/** Drops runs that no worker has; called in a slow cycle. */
+function createSeen(now: Milliseconds): SeenRun {
+  return {
+    epoch: 0,
+    since: now,
+    workers: new Set(),
+    former: new Set(),
+    lastSeen: now,
+  };
+}
+
+/** Drops runs that no worker has had for a while; called in a slow cycle. */
 export function sweepRuns(context: Context): void {
-  for (const [job, seen] of context.jobs.runs) {
-    if (seen.workers.size === 0) context.jobs.runs.delete(job);
+  const { jobs, now } = context;
+  for (const [job, seen] of jobs.runs) {
+    const old = now > seen.lastSeen + seenTime;
+    if (seen.workers.size === 0 && old) jobs.runs.delete(job);
   }
   for (const worker of [...context.jobs.lost]) refreshWorker(context, worker);
 }
--- a/core/entry_reducer/jobs/endings.ts
+++ b/core/entry_reducer/jobs/endings.ts
@@ -90,10 +90,23 @@
   return true;
 }
 
+/** Whether every member is known, and runs or has finished. */
+export function isWhole(job: Job, gang: Gang): boolean {
+  const running = new Set<number>();
+  let count = 0;
+  for (const part of gang.parts.values()) {
+    for (const [member, state] of part.states) {
+      count++;
+      if (state === "running" || state === "finished") running.add(member);
+    }
+  }
+  return running.size === job.record.spec.members && count === running.size;
+}
+
 /** What follows when a run is lost. Non-idempotent work never runs again. */
 export function endingOf(job: Job, reason: string, failed: boolean): Ending {
-  const started = job.gang?.committed === true || job.record.started;
-  if (!job.record.spec.idempotent && started) {
+  // For such work, the record says so before the commit.
+  if (!job.record.spec.idempotent && job.record.started) {
     return { kind: failed ? "failed" : "unknown", reason };
   }
   const { failedOn } = job.record;
--- a/core/entry_reducer/jobs/run.ts
+++ b/core/entry_reducer/jobs/run.ts
@@ -9,6 +9,7 @@
   GANG_LEASE,
   GANG_RENEWAL_INTERVAL,
   Invariant,
+  Reason,
 } from "@dragonflyledge/model";
 import type {
   MemberReport,
@@ -19,7 +20,7 @@
 import { isLive, LAPSE } from "./capacity.ts";
 import { audit, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
-import { endingOf, endRun, hasFinished, lose } from "./endings.ts";
+import { endingOf, endRun, hasFinished, isWhole, lose } from "./endings.ts";
 import { kindOf } from "./estimates.ts";
 import type { Ending, Gang, Job, Part } from "./state.ts";
 import { abandon } from "./start.ts";
@@ -30,6 +31,10 @@
   const { gang } = job;
   if (gang?.phase !== "running") return;
   const { now } = context;
+  if (gang.askingUntil !== undefined) {
+    // Not all members were found in time.
+    return stopGang(context, job, endingOf(job, Reason.OwnershipLost, false));
+  }
   for (const part of gang.parts.values()) {
     if (isPartFinished(part)) continue;
     if (now < part.confirmedAt + GANG_LEASE) continue;
@@ -94,6 +99,16 @@
     if (!live) part.gone = true;
     return endIfGone(context, job, gang);
   }
+  if (gang.askingUntil !== undefined) {
+    part.members = message.members.map(({ member, accelerators }) => ({
+      member,
+      accelerators,
+    }));
+    if (!isWhole(job, gang)) return;
+    gang.askingUntil = undefined;
+    gang.unseen = false;
+    renew(context, job);
+  }
   judge(context, job, gang, part, message.members);
 }
 
@@ -105,7 +120,7 @@
   members: MemberReport[],
 ): void {
   const { gang } = job;
-  if (gang?.phase !== "running") return;
+  if (gang?.phase !== "running" || gang.askingUntil !== undefined) return;
   const own = members.filter(({ run }) =>
     run.job === gang.run.job && run.epoch >= gang.lowestEpoch &&
     run.epoch <= gang.run.epoch
--- a/core/entry_reducer/jobs/start.ts
+++ b/core/entry_reducer/jobs/start.ts
@@ -72,6 +72,7 @@
     startedAt: now,
     leaseSentAt: now,
     ending: undefined,
+    askingUntil: undefined,
     unseen: false,
   });
   if (plan.run.epoch % unstoredEpochs === 0) persist(context, job);
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -53,6 +53,8 @@
   /** When the lease was last extended. */
   leaseSentAt: Milliseconds;
   ending: Ending | undefined;
+  /** While the agents of an adopted gang are asked for finished members. */
+  askingUntil: Milliseconds | undefined;
   /** Whether members may run where this entry sees none, until the lapse. */
   unseen: boolean;
 }
@@ -128,7 +130,11 @@
 export interface SeenRun {
   epoch: number;
   since: Milliseconds;
+  /** Workers that hold members now. */
   workers: Set<WorkerId>;
+  /** Workers that have held members of this epoch. */
+  former: Set<WorkerId>;
+  lastSeen: Milliseconds;
 }
 
 export interface JobsState {
--- a/core/entry_reducer/jobs/takeover_test.ts
+++ b/core/entry_reducer/jobs/takeover_test.ts
@@ -55,6 +55,24 @@
   t.end();
 });
 
+// Guards against a gang that is stopped because some members have finished.
+test("a gang of which a part has finished is adopted", (t) => {
+  const world = settlePair(3);
+  world.submit("e1", "j", buildSpec(2, 8));
+  world.run(1000);
+  world.running("j")[0]?.end("j", "finished");
+  world.run(1000);
+  world.failEntry("e1");
+  world.run(20_000);
+  t.equal(world.store.get("j")?.record.owner, "e2");
+  t.equal(world.running("j").length, 1);
+  world.end("j", "finished");
+  world.run(1000);
+  t.equal(world.stateOf("j"), "succeeded");
+  t.equal(world.starts.length, 2);
+  t.end();
+});
+
 // Guards against an incomplete gang that is adopted, and a non-idempotent job
 // that runs again after a loss.
 test("what is left of a broken gang is stopped before a new start", (t) => {
--- a/core/entry_reducer/jobs/testing.ts
+++ b/core/entry_reducer/jobs/testing.ts
@@ -41,6 +41,8 @@
   runs = new Map<string, Run>();
   epochs = new Map<string, number>();
   released = new Set<string>();
+  /** Members that have ended, which a renewal is told. */
+  ended = new Map<string, MemberReport[]>();
   readonly world: World;
   readonly id: string;
   readonly rack: string;
@@ -80,6 +82,7 @@
     }
     if (message.kind === "stop") this.runs.delete(job);
     if (message.kind === "commit" && held?.epoch === epoch) {
+      this.world.forgetEnded(job, epoch);
       for (const member of held.members) {
         member.state = "running";
         this.world.starts.push(`${job}/${member.member}`);
@@ -91,7 +94,7 @@
       held.until = this.world.now + message.lease;
       held.members.forEach((member) => member.run = run);
     }
-    const members = this.runs.get(job)?.members ?? [];
+    const members = this.runs.get(job)?.members ?? this.ended.get(job) ?? [];
     this.send(entry, {
       kind: "runState",
       run,
@@ -120,6 +123,7 @@
         state: "reserved" as const,
       }));
       const { epoch } = run;
+      this.ended.delete(run.job);
       this.runs.set(run.job, {
         epoch,
         members,
@@ -162,6 +166,7 @@
     for (const member of run.members) member.state = state;
     this.report();
     this.runs.delete(job);
+    this.ended.set(job, run.members);
   }
 
   lapse(): void {
@@ -508,6 +513,14 @@
     return this.store.get(job)?.record.state;
   }
 
+  /** Members that ended in an earlier run say nothing about this one. */
+  forgetEnded(job: string, epoch: number): void {
+    for (const { ended } of this.agents.values()) {
+      const former = ended.get(job)?.[0]?.run.epoch ?? epoch;
+      if (former < epoch) ended.delete(job);
+    }
+  }
+
   /** Workers with running members of the job. */
   running(job: string): Agent[] {
     return [...this.agents.values()].filter((agent) =>
