--- a/core/entry_reducer/homes/state.ts
+++ b/core/entry_reducer/homes/state.ts
@@ -6,6 +6,7 @@
 
 import type { HomesTable, Milliseconds, WorkerId } from "@dragonflyledge/model";
 
+/** What decides when homes are computed again. */
 export interface HomesState {
   startedAt: Milliseconds | undefined;
   /** Whether the workers or the configuration may have changed. */
@@ -22,6 +23,7 @@
   writing: HomesTable | undefined;
 }
 
+/** The state of an entry that has just started. */
 export function createHomesState(): HomesState {
   return {
     startedAt: undefined,
--- a/core/entry_reducer/jobs/capacity.ts
+++ b/core/entry_reducer/jobs/capacity.ts
@@ -129,6 +129,7 @@
   return (context.now - seen.since) * Math.max(1, accelerators);
 }
 
+/** What a job of any entry needs, if its record is known. */
 export function specOf(context: Context, job: JobId): JobSpec | undefined {
   const { jobs } = context;
   return (jobs.jobs.get(job) ?? jobs.foreign.get(job))?.record.spec;
--- a/core/entry_reducer/jobs/context.ts
+++ b/core/entry_reducer/jobs/context.ts
@@ -15,6 +15,7 @@
 import type { Emit, EntryState } from "../state.ts";
 import type { Job, JobsState } from "./state.ts";
 
+/** State, time and effects of the event that is being handled. */
 export interface Context {
   state: EntryState;
   jobs: JobsState;
@@ -35,6 +36,7 @@
   return true;
 }
 
+/** Records a change of a job in the audit trail. */
 export function audit(
   context: Context,
   job: Job,
@@ -54,6 +56,7 @@
   });
 }
 
+/** Writes a log line with the prefix of this component. */
 export function log(
   context: Context,
   level: LogLevel,
@@ -81,6 +84,7 @@
   return context.now + delay * (0.5 + context.state.random());
 }
 
+/** Whether the state is final. */
 export function hasEnded(state: JobState): boolean {
   return state === "succeeded" || state === "failed" ||
     state === "cancelled" || state === "unknown";
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -137,6 +137,7 @@
   lastSeen: Milliseconds;
 }
 
+/** Everything that an entry knows about jobs. */
 export interface JobsState {
   /** Number of jobs that have not ended. */
   readonly open: number;
@@ -199,6 +200,7 @@
   stoppingSince: Milliseconds | undefined;
 }
 
+/** The state of an entry that has just started. */
 export function createJobsState(): JobsState {
   return {
     get open() {
--- a/core/entry_reducer/jobs/testing.ts
+++ b/core/entry_reducer/jobs/testing.ts
@@ -32,6 +32,7 @@
   until: number;
 }
 
+/** An agent with tasks that run until they are told to end. */
 export class Agent {
   incarnation = 1;
   up = true;
@@ -235,6 +236,7 @@
 
 type Untimed<E> = E extends { now: number } ? Omit<E, "now"> : never;
 
+/** Entries, agents and the store, with one clock. */
 export class World {
   now = 0;
   entries = new Map<string, EntryReducer>();
@@ -542,6 +544,7 @@
   ...change,
 });
 
+/** Team a is guaranteed one worker, team c has a small quota. */
 export const configuration: Configuration = {
   version: 1,
   services: [],
@@ -561,6 +564,7 @@
   })),
 };
 
+/** A deferrable job of team b that may be stopped and repeated. */
 export function buildSpec(
   members: number,
   accelerators: number,
--- a/core/entry_reducer/jobs/writes.ts
+++ b/core/entry_reducer/jobs/writes.ts
@@ -126,6 +126,7 @@
   return { job, then, result: "stored" };
 }
 
+/** Whether the record names this process as its owner. */
 export function isOwn({ state }: Context, record: JobRecord): boolean {
   return record.owner === state.id &&
     record.ownerIncarnation === state.incarnation;
--- a/core/placement/list_slots.ts
+++ b/core/placement/list_slots.ts
@@ -18,6 +18,7 @@
   Preempted: 4,
   Unusable: 5,
 } as const;
+/** One of the levels; lower is better. */
 export type Level = typeof Level[keyof typeof Level];
 
 /** The gang to be placed. */
--- a/core/placement/testing.ts
+++ b/core/placement/testing.ts
@@ -27,6 +27,7 @@
   }));
 }
 
+/** Views of idle workers, but for the members given by worker. */
 export function buildViews(
   inventories: Inventory[],
   held: Record<string, HeldMember[]> = {},
@@ -42,6 +43,7 @@
   });
 }
 
+/** A member of a revocable, deferrable gang. */
 export function buildHeld(
   job: string,
   team: string,
@@ -62,6 +64,7 @@
   };
 }
 
+/** A gang of team a that may be stopped and repeated. */
 export function buildSpec(
   members: number,
   accelerators: number,
