--- a/core/entry_reducer/jobs/cancel.ts
+++ b/core/entry_reducer/jobs/cancel.ts
@@ -33,7 +33,8 @@
     refused: false,
   });
   const foreign = jobs.foreign.get(id);
-  if (foreign === undefined) context.emit({ kind: "loadJobs" });
+  // A wave of cancellations leads to one load.
+  if (foreign === undefined) jobs.nextLoad = Math.min(jobs.nextLoad, now + 100);
   else applyCancel(context, id, foreign.record, foreign.revision);
 }
 
@@ -89,7 +90,10 @@
   const cancel = jobs.cancels.get(event.job);
   if (cancel === undefined || cancel.write !== event.write) return;
   cancel.write = 0;
-  if (event.result === "stored") jobs.cancels.delete(event.job);
+  if (event.result === "stored") {
+    jobs.cancels.delete(event.job);
+    if (cancel.refused) jobs.foreign.delete(event.job);
+  }
   if (event.result !== "conflict" || event.current === undefined) return;
   applyCancel(context, event.job, event.current, event.revision);
 }
--- a/core/entry_reducer/jobs/capacity.ts
+++ b/core/entry_reducer/jobs/capacity.ts
@@ -22,9 +22,10 @@
   HomeIndex,
   WorkerView,
 } from "@dragonflyledge/placement";
+import { isEligible } from "../members/choose_agent.ts";
 import type { AgentView } from "../state.ts";
 import type { Context } from "./context.ts";
-import type { Part } from "./state.ts";
+import type { Part, SeenRun } from "./state.ts";
 
 /**
  * Time after the last extension of a lease when its members have stopped: a
@@ -34,6 +35,9 @@
 export const LAPSE: Milliseconds = GANG_LEASE + SESSION_TIMEOUT +
   RECLAIM_GRACE;
 
+/** A takeover asks the workers of a run that has finished on some of them. */
+const seenTime: Milliseconds = 30_000;
+
 /** Older figures of usage say little about the present. */
 const usageAgeLimit = 15_000;
 
@@ -65,7 +69,7 @@
   const held = lapsed ? [] : listHeld(context, agent);
   const view: WorkerView = {
     inventory: agent.inventory,
-    available: isAvailable(agent, now),
+    available: isEligible(agent, now),
     held,
     free: freeOf(agent, held),
   };
@@ -80,11 +84,6 @@
   context.jobs.stale = true;
 }
 
-export function isAvailable(agent: AgentView, now: Milliseconds): boolean {
-  return agent.connected && !agent.leaving && now >= agent.dampedUntil &&
-    now >= agent.quarantinedUntil;
-}
-
 /** Views of all workers, with their availability at this time. */
 export function listViews(context: Context): Iterable<WorkerView> {
   const { jobs, state, now } = context;
@@ -94,7 +93,7 @@
       refreshWorker(context, worker);
       continue;
     }
-    const available = isAvailable(agent, now);
+    const available = isEligible(agent, now);
     if (available && !view.available) markFreed(context);
     view.available = available;
   }
@@ -130,6 +129,7 @@
   return (context.now - seen.since) * Math.max(1, accelerators);
 }
 
+/** What a job of any entry needs, if its record is known. */
 export function specOf(context: Context, job: JobId): JobSpec | undefined {
   const { jobs } = context;
   return (jobs.jobs.get(job) ?? jobs.foreign.get(job))?.record.spec;
@@ -221,11 +221,15 @@
   };
 }
 
+/** Figures of usage change all the time, so only members that left count. */
 function gainedRoom(former: WorkerView, view: WorkerView): boolean {
   if (view.available && !former.available) return true;
-  if (view.free.cores > former.free.cores) return true;
-  if (view.free.memoryMiB > former.free.memoryMiB) return true;
-  return view.held.length < former.held.length;
+  const held = new Set(view.held.map(keyOf));
+  return former.held.some((member) => !held.has(keyOf(member)));
+}
+
+function keyOf({ run, member }: HeldMember): string {
+  return `${run.job}\n${run.epoch}\n${member}`;
 }
 
 function count(context: Context, view: WorkerView, sign: 1 | -1): void {
@@ -236,10 +240,15 @@
     jobs.held.set(team, before + sign * accelerators.length);
     const seen = jobs.runs.get(run.job);
     if (sign > 0) {
-      const next = seen ?? { epoch: 0, since: now, workers: new Set() };
-      if (run.epoch > next.epoch) next.since = now;
-      next.epoch = Math.max(next.epoch, run.epoch);
+      const next = seen ?? createSeen(now);
+      if (run.epoch > next.epoch) {
+        next.since = now;
+        next.epoch = run.epoch;
+        next.former = new Set(next.workers);
+      }
       next.workers.add(worker);
+      next.former.add(worker);
+      next.lastSeen = now;
       jobs.runs.set(run.job, next);
     } else if (seen !== undefined) {
       seen.workers.delete(worker);
@@ -247,10 +256,22 @@
   }
 }
 
-/** Drops runs that no worker has; called in a slow cycle. */
+function createSeen(now: Milliseconds): SeenRun {
+  return {
+    epoch: 0,
+    since: now,
+    workers: new Set(),
+    former: new Set(),
+    lastSeen: now,
+  };
+}
+
+/** Drops runs that no worker has had for a while; called in a slow cycle. */
 export function sweepRuns(context: Context): void {
-  for (const [job, seen] of context.jobs.runs) {
-    if (seen.workers.size === 0) context.jobs.runs.delete(job);
+  const { jobs, now } = context;
+  for (const [job, seen] of jobs.runs) {
+    const old = now > seen.lastSeen + seenTime;
+    if (seen.workers.size === 0 && old) jobs.runs.delete(job);
   }
   for (const worker of [...context.jobs.lost]) refreshWorker(context, worker);
 }
--- a/core/entry_reducer/jobs/dispatch.ts
+++ b/core/entry_reducer/jobs/dispatch.ts
@@ -13,18 +13,25 @@
   isRevocable,
   listViews,
   lostWork,
+  markFreed,
 } from "./capacity.ts";
 import type { Context } from "./context.ts";
 import { isShort } from "./estimates.ts";
 import { updateHold } from "./hold.ts";
 import { listCandidates } from "./queue.ts";
+import { shapeKey } from "./shape_key.ts";
 import { startGang } from "./start.ts";
 import type { Job } from "./state.ts";
+import { yieldQuota } from "./yield_quota.ts";
 
 /** A round without a change picks up what only time changes. */
 const roundInterval = 1000;
 /** Searches without result in one round; a search scans all workers. */
 const misfitsPerRound = 16;
+/** Pause per search without result; a search takes up to 3 ms at 860 workers. */
+const misfitPause = 25;
+/** Usage changes without an event that frees capacity. */
+const refreshInterval = 10_000;
 const misfitLimit = 5000;
 /** Workers on which a job failed are used again if it waits for this long. */
 const exclusionTime = 5000;
@@ -33,7 +40,13 @@
 export function dispatch(context: Context): void {
   const { jobs, state, now } = context;
   if (state.stopping || state.configuration === undefined) return;
+  if (jobs.unverified > 0) return;
+  if (now < jobs.earliestRound) return;
   if (!jobs.stale && now < jobs.nextRound) return;
+  if (now >= jobs.nextRefresh) {
+    jobs.nextRefresh = now + refreshInterval;
+    markFreed(context);
+  }
   listViews(context);
   homeIndex(context);
   jobs.stale = false;
@@ -49,12 +62,15 @@
     jobs.stale = true;
     break;
   }
+  jobs.earliestRound = now + misfits * misfitPause;
   updateHold(context, waiting);
 }
 
 /** Places one job, for urgent work that cannot wait for a round. */
 export function dispatchUrgent(context: Context, job: Job): void {
-  if (context.state.stopping || !job.urgent || job.phase !== "queued") return;
+  const { state, jobs } = context;
+  if (state.stopping || jobs.unverified > 0) return;
+  if (!job.urgent || job.phase !== "queued") return;
   listViews(context);
   tryStart(context, job);
 }
@@ -70,6 +86,7 @@
   const held = heldBy(context, spec.team);
   if (held + job.need > quota) {
     job.wait = `the team holds ${held} of its quota of ${quota} accelerators`;
+    if (job.urgent) yieldQuota(context, job, held + job.need - quota);
     return "skipped";
   }
   if (!spec.idempotent && state.leaseValidUntil <= now) {
@@ -82,7 +99,7 @@
     job.wait = known.reason;
     return "skipped";
   }
-  const place = findPlace(context, job);
+  const place = findPlace(context, job, listExcluded(context, job));
   if ("kind" in place) {
     job.wait = place.reason;
     if (jobs.misfits.size > misfitLimit) jobs.misfits.clear();
@@ -94,8 +111,15 @@
   return "started";
 }
 
-function findPlace(context: Context, job: Job): Plan | NoPlace {
+function findPlace(
+  context: Context,
+  job: Job,
+  excluded: Set<WorkerId>,
+): Plan | NoPlace {
   const { jobs } = context;
+  const { refusedBy } = job;
+  // An agent may refuse again and again, for instance with an older table.
+  const avoid = refusedBy !== undefined && !excluded.has(refusedBy);
   const { id, spec, epoch } = job.record;
   const place = placeGang({
     spec: { ...spec, revocable: isRevocable(spec) },
@@ -103,10 +127,14 @@
     urgent: job.urgent,
     workers: jobs.views.values(),
     homes: homeIndex(context),
-    excluded: listExcluded(context, job),
+    excluded: avoid ? new Set([...excluded, refusedBy]) : excluded,
     lostWork: (run: RunId) => lostWork(context, run.job),
+    knownToFit: true,
   });
-  return place.isOk() ? place.value : place.error;
+  if (place.isOk()) return place.value;
+  if (!avoid) return place.error;
+  job.refusedBy = undefined;
+  return findPlace(context, job, excluded);
 }
 
 function mayReuse({ now }: Context, job: Job): boolean {
@@ -136,17 +164,6 @@
 /** Jobs with equal keys fit or don't fit alike. */
 function keyOf(context: Context, job: Job): string {
   const { spec, failedOn } = job.record;
-  const { accelerators, cores, memoryMiB } = spec.perMember;
-  return [
-    spec.team,
-    spec.members,
-    accelerators,
-    cores,
-    memoryMiB,
-    spec.adjacency,
-    isRevocable(spec),
-    job.urgent,
-    passesHold(context, job),
-    ...failedOn,
-  ].join("\n");
+  const shape = shapeKey(spec, job.urgent);
+  return [shape, passesHold(context, job), ...failedOn].join("\n");
 }
--- a/core/entry_reducer/jobs/run.ts
+++ b/core/entry_reducer/jobs/run.ts
@@ -9,16 +9,19 @@
   GANG_LEASE,
   GANG_RENEWAL_INTERVAL,
   Invariant,
+  Reason,
 } from "@dragonflyledge/model";
 import type {
   MemberReport,
   ReclaimNotice,
   RunState,
 } from "@dragonflyledge/model";
+import { recordFailure } from "../members/work_health.ts";
 import { isLive, LAPSE } from "./capacity.ts";
-import { audit, send, wake } from "./context.ts";
+import { audit, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
-import { endingOf, endRun, hasFinished, lose } from "./endings.ts";
+import { endingOf, endRun, hasFinished, isWhole, lose } from "./endings.ts";
+import { kindOf } from "./estimates.ts";
 import type { Ending, Gang, Job, Part } from "./state.ts";
 import { abandon } from "./start.ts";
 import { persist } from "./writes.ts";
@@ -28,6 +31,10 @@
   const { gang } = job;
   if (gang?.phase !== "running") return;
   const { now } = context;
+  if (gang.askingUntil !== undefined) {
+    // Not all members were found in time.
+    return stopGang(context, job, endingOf(job, Reason.OwnershipLost, false));
+  }
   for (const part of gang.parts.values()) {
     if (isPartFinished(part)) continue;
     if (now < part.confirmedAt + GANG_LEASE) continue;
@@ -73,10 +80,18 @@
   if (gang === undefined) return;
   if (message.run.epoch > gang.run.epoch) {
     lose(context, job, undefined);
-    context.emit({ kind: "loadJobs" });
+    requestLoad(context);
+    return;
+  }
+  if (message.run.epoch < gang.run.epoch) return;
+  if (!gang.committed) {
+    // The agent dropped the reservation, for an owner or because it leaves.
+    const dropped = part.answer !== "none" && message.members.length === 0;
+    if (dropped) {
+      abandon(context, job, `${part.worker} dropped its reservation`);
+    }
     return;
   }
-  if (message.run.epoch < gang.run.epoch || !gang.committed) return;
   part.confirmedAt = context.now;
   takeStates(part, message.members);
   if (gang.phase === "stopping") {
@@ -84,6 +99,16 @@
     if (!live) part.gone = true;
     return endIfGone(context, job, gang);
   }
+  if (gang.askingUntil !== undefined) {
+    part.members = message.members.map(({ member, accelerators }) => ({
+      member,
+      accelerators,
+    }));
+    if (!isWhole(job, gang)) return;
+    gang.askingUntil = undefined;
+    gang.unseen = false;
+    renew(context, job);
+  }
   judge(context, job, gang, part, message.members);
 }
 
@@ -95,7 +120,7 @@
   members: MemberReport[],
 ): void {
   const { gang } = job;
-  if (gang?.phase !== "running") return;
+  if (gang?.phase !== "running" || gang.askingUntil !== undefined) return;
   const own = members.filter(({ run }) =>
     run.job === gang.run.job && run.epoch >= gang.lowestEpoch &&
     run.epoch <= gang.run.epoch
@@ -127,7 +152,11 @@
     if (state === "failed") return failGang(context, job, part, member);
     const missing = whole !== undefined && state !== "finished" &&
       !whole.some((report) => report.member === member);
+    // The worker may take some time to start it, but the others run already.
+    const idle = state === "reserved" &&
+      context.now > gang.startedAt + GANG_LEASE;
     if (missing) reason = `member ${member} disappeared from ${part.worker}`;
+    else if (idle) reason = `member ${member} did not start on ${part.worker}`;
     else if (state !== undefined && isEnding(state)) {
       reason = `member ${member} was stopped by ${part.worker}`;
     }
@@ -154,6 +183,11 @@
   // A worker counts again only if no other was left, which bounds the runs.
   const failedOn = [...job.record.failedOn, worker];
   job.record = { ...job.record, failedOn };
+  const agent = context.state.agents.get(worker);
+  if (agent !== undefined) {
+    const { state, now, emit } = context;
+    recordFailure(state, agent, kindOf(job.record.spec), now, emit);
+  }
   const reason = `member ${member} failed on ${worker}`;
   audit(context, job, { kind: "member-failed", worker, reason });
   stopGang(context, job, endingOf(job, reason, true));
--- a/core/entry_reducer/jobs/submit.ts
+++ b/core/entry_reducer/jobs/submit.ts
@@ -16,6 +16,7 @@
   JobId,
   JobRecord,
   JobSpec,
+  Milliseconds,
   WorkClass,
 } from "@dragonflyledge/model";
 import { placeGang } from "@dragonflyledge/placement";
@@ -23,9 +24,16 @@
 import type { Context } from "./context.ts";
 import { endJob, handOver } from "./endings.ts";
 import { enqueue } from "./queue.ts";
+import { shapeKey } from "./shape_key.ts";
 import type { Job } from "./state.ts";
 import { isCancelRequest, persist } from "./writes.ts";
 
+/** Refused records are looked for soon; a wave of refusals loads once. */
+const refusedLoadDelay: Milliseconds = 500;
+
+/** Bursts are of few kinds of jobs; a search takes 1 to 3 ms. */
+const fitsTime: Milliseconds = 1000;
+
 type Submitted = Extract<EntryEvent, { kind: "jobSubmitted" }>;
 
 /** Refuses a job, or writes its record; it is accepted once that is stored. */
@@ -66,6 +74,7 @@
     level: 0,
     queuedAt: context.now,
     notBefore: 0,
+    refusedBy: undefined,
     attempts: 0,
     wait: "its record is being written",
     attained: 0,
@@ -95,6 +104,7 @@
     answer(context, id, lost ? Reason.OwnershipLost : Reason.StoreUnavailable);
     if (!lost) {
       // The record may exist nevertheless: it is cancelled when it is seen.
+      jobs.nextLoad = Math.min(jobs.nextLoad, now + refusedLoadDelay);
       jobs.cancels.set(id, {
         state: "cancelled",
         reason: Reason.StoreUnavailable,
@@ -165,6 +175,12 @@
   const { jobs, now } = context;
   // Agents may not have connected yet to an entry that has just started.
   if (now - (jobs.startedAt ?? now) < SESSION_TIMEOUT) return false;
+  if (now >= jobs.fits.until) {
+    jobs.fits = { until: now + fitsTime, never: new Map() };
+  }
+  const key = shapeKey(spec, urgent);
+  const known = jobs.fits.never.get(key);
+  if (known !== undefined) return known;
   const place = placeGang({
     spec: { ...spec, revocable: isRevocable(spec) },
     run: { job: "", epoch: 0 },
@@ -172,5 +188,7 @@
     workers: listViews(context),
     homes: homeIndex(context),
   });
-  return place.isErr() && place.error.kind === "never";
+  const never = place.isErr() && place.error.kind === "never";
+  jobs.fits.never.set(key, never);
+  return never;
 }
--- a/core/entry_reducer/jobs/takeover.ts
+++ b/core/entry_reducer/jobs/takeover.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { ENTRY_LEASE, TAKEOVER_MARGIN } from "@dragonflyledge/model";
+import { TAKEOVER_MARGIN } from "@dragonflyledge/model";
 import type {
   EntryEvent,
   JobId,
@@ -13,7 +13,7 @@
 } from "@dragonflyledge/model";
 import { adopt } from "./adopt.ts";
 import { applyCancel, cancelOwn, countLoad } from "./cancel.ts";
-import { audit, hasEnded } from "./context.ts";
+import { audit, hasEnded, requestLoad } from "./context.ts";
 import type { Context } from "./context.ts";
 import { handOver, lose } from "./endings.ts";
 import { rendezvous } from "./rendezvous.ts";
@@ -35,22 +35,22 @@
 
 /** Asks for all records in a slow cycle. */
 export function keepLoading(context: Context): void {
-  const { jobs, state, now, emit } = context;
+  const { jobs, state, now } = context;
   if (now < jobs.nextLoad) return;
   const interval = state.stopping ? stoppingLoadInterval : loadInterval;
   jobs.nextLoad = now + interval * (0.8 + 0.4 * state.random());
-  if (!state.stopping || jobs.cancels.size > 0) emit({ kind: "loadJobs" });
+  if (!state.stopping || jobs.cancels.size > 0) requestLoad(context);
 }
 
 /** Takes the list of live entries. */
 export function takeEntries(context: Context): void {
-  const { jobs, state, emit } = context;
+  const { jobs, state } = context;
   const live = state.entries.map((entry) => keyOf(entry.id, entry.incarnation));
   const presence = live.sort().join("\n");
   if (presence === jobs.presence) return;
   jobs.presence = presence;
   for (const key of live) jobs.absentSince.delete(key);
-  if (!state.stopping) emit({ kind: "loadJobs" });
+  if (!state.stopping) requestLoad(context);
   considerTakeovers(context);
 }
 
@@ -62,6 +62,10 @@
 export function takeLoaded(context: Context, event: Loaded): void {
   const { jobs } = context;
   jobs.storeDownSince = undefined;
+  jobs.loading = false;
+  jobs.unverified = Math.max(0, jobs.unverified - 1);
+  if (jobs.unverified > 0) requestLoad(context);
+  jobs.stale = true;
   countLoad(context);
   const open: Context["jobs"]["foreign"] = new Map();
   for (const loaded of event.jobs) {
@@ -115,7 +119,8 @@
   for (const [id, { record, revision }] of jobs.foreign) {
     if (jobs.jobs.has(id) || jobs.cancels.get(id)?.refused) continue;
     if (!isOwnerGone(context, record)) continue;
-    if (rendezvous({ key: id, nodes }) !== state.id) continue;
+    const winner = rendezvous({ key: id, nodes }) === state.id;
+    if (!winner && !isOwn(context, record)) continue;
     if (jobs.writesInFlight >= claimsInFlight) {
       jobs.nextTakeover = now;
       return;
@@ -133,11 +138,11 @@
   const key = keyOf(record.owner, record.ownerIncarnation);
   const since = jobs.absentSince.get(key) ?? now;
   jobs.absentSince.set(key, since);
-  // A missing entry's lease has lapsed. One that was replaced by a restart
-  // with the same name may still believe in its lease.
-  const wait = TAKEOVER_MARGIN + (live === undefined ? 0 : ENTRY_LEASE);
-  if (now >= since + wait) return true;
-  jobs.nextTakeover = Math.min(jobs.nextTakeover, since + wait);
+  // Presence ends when the lease has lapsed, and another incarnation replaces
+  // a process that has ended, so only the margin is left to wait.
+  const due = since + TAKEOVER_MARGIN;
+  if (now >= due) return true;
+  jobs.nextTakeover = Math.min(jobs.nextTakeover, due);
   return false;
 }
 
