--- /dev/null
+++ b/testing/replay/cluster/cluster.ts
@@ -0,0 +1,192 @@
+/**
+ * Entries, agents and fakes of one deployment in virtual time.
+ *
+ * @module
+ */
+
+import { assignHomes } from "@dragonflyledge/placement";
+import type {
+  EntryEvent,
+  Milliseconds,
+  Versions,
+  WorkerId,
+} from "@dragonflyledge/model";
+import { LOCAL_ONE_WAY } from "../deployment.ts";
+import type { Deployment } from "../deployment.ts";
+import type { EventHeap } from "../event_heap.ts";
+import { note } from "../record.ts";
+import type { RunRecord } from "../record.ts";
+import { createMachine, startAgent } from "./agent_process.ts";
+import type { AgentProcess, Machine } from "./agent_process.ts";
+import { startEntry } from "./entry_process.ts";
+import type { EntryProcess } from "./entry_process.ts";
+import { createSessions } from "./sessions.ts";
+import type { Sessions } from "./sessions.ts";
+import { createStore } from "./store.ts";
+import type { Store } from "./store.ts";
+import { answerBody } from "./endpoint.ts";
+
+const DIAL_INTERVAL: Milliseconds = 500;
+
+/** A deployment that runs in virtual time. */
+export interface Cluster {
+  readonly heap: EventHeap;
+  readonly record: RunRecord;
+  readonly deployment: Deployment;
+  readonly store: Store;
+  readonly sessions: Sessions;
+  readonly machines: Map<WorkerId, Machine>;
+  /** Live and dead entries by id. */
+  readonly entries: Map<string, EntryProcess>;
+  /** Delivers an event of a caller to the next live entry, and names it. */
+  submit(event: (now: Milliseconds) => EntryEvent): EntryProcess | undefined;
+  restartAgent(worker: WorkerId): void;
+  restartEntry(id: string): void;
+  /** The entry dies at once; callers notice. */
+  killEntry(id: string): void;
+}
+
+/** Creates and starts a cluster. */
+export function createCluster(fields: {
+  heap: EventHeap;
+  record: RunRecord;
+  deployment: Deployment;
+  seed: number;
+}): Cluster {
+  const { heap, record, deployment, seed } = fields;
+  const { configuration, inventories, oneWay, domains } = deployment;
+  const homes = assignHomes({ configuration, inventories, version: 1 });
+  const store = createStore({ heap, configuration, homes });
+  const sessions = createSessions({
+    heap,
+    delay: (from, to) => from === to ? LOCAL_ONE_WAY : oneWay,
+  });
+  const entries = new Map<string, EntryProcess>();
+  const machines = new Map<WorkerId, Machine>();
+  const progress = new Map<string, number[]>();
+  let incarnations = 0;
+  let nextEntry = 0;
+
+  function onVersions(id: string, versions: Versions): void {
+    const list = record.versions.get(id) ?? [];
+    record.versions.set(id, list);
+    list.push(versions.configuration);
+  }
+
+  function createEntry(id: string, index: number): void {
+    const entry = startEntry({
+      heap,
+      id,
+      incarnation: ++incarnations,
+      domain: domains[index % domains.length]!,
+      seed: seed * 1000 + incarnations,
+      store,
+      sessions,
+      onVersions,
+      onExit: (ended) => sessions.end(ended.id, false),
+      respond: (request, outcome) =>
+        heap.after(deployment.clientOneWay, () => {
+          note(record, request, heap.now, `outcome ${outcome.kind} from ${id}`);
+          record.requests.get(request)?.outcomes
+            .push({ at: heap.now, outcome });
+          if (outcome.kind !== "done" && outcome.kind !== "failed") return;
+          checkAnswer(record, request, outcome.answer.body);
+        }),
+      answerSubmission: ({ job, result }) => {
+        note(record, job, heap.now, `submission ${result.kind}`);
+        const known = record.jobs.get(job);
+        if (known) known.answer = result;
+      },
+    });
+    entries.set(id, entry);
+  }
+
+  function createAgent(machine: Machine): void {
+    const agent = startAgent({
+      heap,
+      machine,
+      incarnation: ++incarnations,
+      onVersions,
+      send: sessions.toEntry,
+      onExit: (ended) => sessions.end(ended.id, false),
+    });
+    dialAll(agent);
+    agent.process.repeat(DIAL_INTERVAL, () => dialAll(agent));
+  }
+
+  function dialAll(agent: AgentProcess): void {
+    for (const entry of entries.values()) {
+      if (!entry.process.alive || sessions.isOpen(agent, entry.id)) continue;
+      sessions.dial(agent, entry);
+    }
+  }
+
+  function killEntry(id: string): void {
+    const entry = entries.get(id);
+    if (!entry?.process.alive) return;
+    entry.process.alive = false;
+    sessions.end(id, false);
+    for (const request of record.requests.values()) {
+      if (request.entry === entryName(entry) && !request.outcomes.length) {
+        request.entryDied = true;
+      }
+    }
+  }
+
+  for (let index = 0; index < deployment.entries; index++) {
+    createEntry(`e${index + 1}`, index);
+  }
+  for (const inventory of inventories) {
+    const machine = createMachine({ heap, inventory, record, progress });
+    machines.set(inventory.worker, machine);
+    createAgent(machine);
+  }
+
+  return {
+    heap,
+    record,
+    deployment,
+    store,
+    sessions,
+    machines,
+    entries,
+    killEntry,
+    submit(event) {
+      const live = [...entries.values()].filter((entry) =>
+        entry.process.alive && !entry.reducer.state.stopping
+      );
+      const entry = live[nextEntry++ % Math.max(1, live.length)];
+      if (entry === undefined) return undefined;
+      heap.after(
+        deployment.clientOneWay,
+        () => entry.process.perform(() => entry.dispatch(event(heap.now))),
+      );
+      return entry;
+    },
+    restartAgent(worker) {
+      const machine = machines.get(worker)!;
+      const { agent } = machine;
+      if (agent) {
+        agent.process.alive = false;
+        sessions.end(worker, false);
+      }
+      createAgent(machine);
+    },
+    restartEntry(id) {
+      killEntry(id);
+      createEntry(id, [...entries.keys()].indexOf(id));
+    },
+  };
+}
+
+/** Name of one incarnation of an entry. */
+export function entryName(entry: { id: string; incarnation: number }): string {
+  return `${entry.id}#${entry.incarnation}`;
+}
+
+function checkAnswer(record: RunRecord, request: string, body: Uint8Array) {
+  const expected = new TextDecoder().decode(answerBody(request));
+  const text = new TextDecoder().decode(body);
+  if (text === expected) return;
+  record.faults.push(`answer-whole: ${request} was answered with "${text}"`);
+}
--- /dev/null
+++ b/testing/replay/cluster/store.ts
@@ -0,0 +1,177 @@
+/**
+ * A fake store: maps in memory behind a delay, with outages.
+ *
+ * @module
+ */
+
+import { ENTRY_LEASE } from "@dragonflyledge/model";
+import type {
+  Claim,
+  ClaimResult,
+  Configuration,
+  EntryPresence,
+  HomesTable,
+  JobRecord,
+  Milliseconds,
+} from "@dragonflyledge/model";
+import type { EventHeap } from "../event_heap.ts";
+
+export type StoreMode = "up" | "slow" | "down" | "losing";
+
+/** A stored job with its revision. */
+export interface StoredJob {
+  record: JobRecord;
+  revision: number;
+}
+
+/** What the store holds. */
+export interface Contents {
+  configuration: Configuration;
+  homes: HomesTable | undefined;
+  presence: Map<string, EntryPresence & { validUntil: Milliseconds }>;
+  claims: Map<string, Claim>;
+  jobs: Map<string, StoredJob>;
+  revision: number;
+}
+
+/** A fake store. */
+export interface Store {
+  mode: StoreMode;
+  readonly contents: Contents;
+  /**
+   * Applies an operation after the way to the store; `done` gets its result,
+   * or nothing if the store did not answer.
+   */
+  call<Result>(
+    apply: (contents: Contents) => Result,
+    done: (result: Result | undefined) => void,
+  ): void;
+  /** Calls back, after a delay, whenever configuration, homes or presence changes. */
+  watch(changed: () => void): void;
+  changed(): void;
+}
+
+const ONE_WAY: Milliseconds = 1.5;
+const SLOW_ONE_WAY: Milliseconds = 400;
+/** The caller gives up after this time, or reads a lost answer back. */
+const TIMEOUT: Milliseconds = 900;
+const WATCH_DELAY: Milliseconds = 5;
+const SWEEP_INTERVAL: Milliseconds = 250;
+
+/** Creates a store with a configuration and a homes table. */
+export function createStore(fields: {
+  heap: EventHeap;
+  configuration: Configuration;
+  homes?: HomesTable;
+}): Store {
+  const { heap, configuration, homes } = fields;
+  const watchers: (() => void)[] = [];
+  let calls = 0;
+  const contents: Contents = {
+    configuration,
+    homes,
+    presence: new Map(),
+    claims: new Map(),
+    jobs: new Map(),
+    revision: 1,
+  };
+
+  function changed(): void {
+    for (const watcher of watchers) {
+      heap.after(WATCH_DELAY, () => {
+        if (store.mode !== "down") watcher();
+      });
+    }
+  }
+
+  function sweep(): void {
+    for (const [id, entry] of contents.presence) {
+      if (heap.now < entry.validUntil) continue;
+      contents.presence.delete(id);
+      changed();
+    }
+    heap.after(SWEEP_INTERVAL, sweep);
+  }
+
+  const store: Store = {
+    mode: "up",
+    contents,
+    changed,
+    watch: (watcher) => watchers.push(watcher),
+    call(apply, done) {
+      const oneWay = store.mode === "slow" ? SLOW_ONE_WAY : ONE_WAY;
+      // Every second lost answer cannot be read back in time either.
+      const lost = store.mode === "losing";
+      const unread = lost && calls++ % 2 === 0;
+      heap.after(oneWay, () => {
+        if (store.mode === "down") {
+          heap.after(TIMEOUT, () => done(undefined));
+          return;
+        }
+        const result = apply(contents);
+        if (unread) heap.after(TIMEOUT, () => done(undefined));
+        else heap.after(lost ? TIMEOUT / 2 : oneWay, () => done(result));
+      });
+    },
+  };
+  heap.after(SWEEP_INTERVAL, sweep);
+  return store;
+}
+
+/** Renews the lease of an entry, which creates it if it has lapsed. */
+export function renewPresence(
+  store: Store,
+  contents: Contents,
+  entry: EntryPresence,
+  now: Milliseconds,
+): void {
+  const known = contents.presence.get(entry.id);
+  contents.presence.set(entry.id, { ...entry, validUntil: now + ENTRY_LEASE });
+  if (known?.incarnation !== entry.incarnation) store.changed();
+}
+
+/** Creates claims, or returns those that are there. */
+export function applyClaims(contents: Contents, claims: Claim[]) {
+  return claims.map((claim): ClaimResult => {
+    const key = claimKey(claim.team, claim.key);
+    const known = contents.claims.get(key);
+    if (known?.request === claim.request && known.entry === claim.entry) {
+      return { kind: "created" };
+    }
+    if (known) return { kind: "existing", claim: known };
+    contents.claims.set(key, claim);
+    return { kind: "created" };
+  });
+}
+
+/** Key of a claim. */
+export function claimKey(team: string, key: string): string {
+  return `${team}/${key}`;
+}
+
+/** Writes a job record if its revision is current. */
+export function applyJob(
+  contents: Contents,
+  record: JobRecord,
+  revision: number,
+): {
+  result: "stored" | "conflict";
+  revision: number;
+  current: JobRecord | undefined;
+} {
+  const known = contents.jobs.get(record.id);
+  if ((known?.revision ?? 0) !== revision) {
+    return {
+      result: "conflict",
+      revision: known?.revision ?? 0,
+      current: structuredClone(known?.record),
+    };
+  }
+  contents.revision++;
+  const stored = {
+    record: structuredClone(record),
+    revision: contents.revision,
+  };
+  contents.jobs.set(record.id, stored);
+  return { result: "stored", revision: stored.revision, current: undefined };
+}
--- a/testing/replay/mod.ts
+++ b/testing/replay/mod.ts
@@ -4,4 +4,8 @@
  * @module
  */
 
-export {};
+export * from "./deployment.ts";
+export * from "./event_heap.ts";
+export * from "./record.ts";
+export * from "./replay.ts";
+export * from "./trace/trace.ts";
--- /dev/null
+++ b/testing/replay/record.ts
@@ -0,0 +1,126 @@
+/**
+ * What the fakes saw during a run, for measures and global checks.
+ *
+ * @module
+ */
+
+import type {
+  EntryId,
+  JobId,
+  JobSpec,
+  Milliseconds,
+  Outcome,
+  Reason,
+  RequestId,
+  WorkerId,
+} from "@dragonflyledge/model";
+
+/** One call that an endpoint began to serve. */
+export interface Execution {
+  request: RequestId;
+  worker: WorkerId;
+  start: Milliseconds;
+  /** Infinite while it runs. */
+  end: Milliseconds;
+  ending: "running" | "done" | "failed" | "aborted" | "lost";
+}
+
+/** One request as its caller and the endpoints saw it. */
+export interface RequestRecord {
+  id: RequestId;
+  team: string;
+  class: string;
+  urgent: boolean;
+  client: number;
+  idempotent: boolean;
+  idempotencyKey?: string;
+  entry: EntryId;
+  sentAt: Milliseconds;
+  /** Absolute time. */
+  deadline: Milliseconds;
+  runTime: Milliseconds;
+  callerLeft: boolean;
+  /** The entry ended before it answered. */
+  entryDied: boolean;
+  outcomes: { at: Milliseconds; outcome: Outcome }[];
+  executions: Execution[];
+}
+
+/** One stay of a gang member on a worker. */
+export interface Stay {
+  job: JobId;
+  epoch: number;
+  member: number;
+  worker: WorkerId;
+  accelerators: number[];
+  start: Milliseconds;
+  end: Milliseconds;
+  ending: "running" | "finished" | "failed" | "stopped" | "lease" | "lost";
+  leaseUntil: Milliseconds;
+}
+
+/** One job as its caller and the workers saw it. */
+export interface JobEntry {
+  id: JobId;
+  spec: JobSpec;
+  runTime: Milliseconds;
+  /** Asks for capacity within the guarantee of its team. */
+  owner: boolean;
+  submittedAt: Milliseconds;
+  cancelledAt: Milliseconds;
+  answer?: { kind: "accepted" } | { kind: "not-run"; reason: Reason };
+  /** When the store or the baseline held an end state. */
+  endedAt: Milliseconds;
+  state: string;
+  stays: Stay[];
+}
+
+/** One look at the fragmentation of free capacity. */
+export interface CapacitySample {
+  at: Milliseconds;
+  largestGang: number;
+  placeableGuarantees: number;
+}
+
+/** Everything that was seen. */
+export interface RunRecord {
+  requests: Map<RequestId, RequestRecord>;
+  jobs: Map<JobId, JobEntry>;
+  samples: CapacitySample[];
+  /** Configuration versions in force by process, in order. */
+  versions: Map<string, number[]>;
+  /** Violations that a fake saw while they happened. */
+  faults: string[];
+  /** Last lines about each request or job. */
+  lines: Map<string, string[]>;
+  /** End of the run. */
+  endedAt: Milliseconds;
+}
+
+const LINES_KEPT = 40;
+
+/** Creates an empty record. */
+export function createRecord(): RunRecord {
+  return {
+    requests: new Map(),
+    jobs: new Map(),
+    samples: [],
+    versions: new Map(),
+    faults: [],
+    lines: new Map(),
+    endedAt: 0,
+  };
+}
+
+/** Adds a line to the trace of one subject. */
+export function note(
+  record: RunRecord,
+  subject: string,
+  now: Milliseconds,
+  text: string,
+): void {
+  let lines = record.lines.get(subject);
+  if (lines === undefined) record.lines.set(subject, lines = []);
+  lines.push(`${now.toFixed(1)} ${text}`);
+  if (lines.length > LINES_KEPT) lines.shift();
+}
--- /dev/null
+++ b/testing/replay/sample_capacity.ts
@@ -0,0 +1,75 @@
+/**
+ * Samples of free capacity as the workers really use it.
+ *
+ * @module
+ */
+
+import { fragmentation } from "@dragonflyledge/placement";
+import type { HeldMember, WorkerView } from "@dragonflyledge/placement";
+import type {
+  HomesTable,
+  Inventory,
+  Milliseconds,
+} from "@dragonflyledge/model";
+import type { Cluster } from "./cluster/mod.ts";
+import type { RunRecord, Stay } from "./record.ts";
+
+/** Size of one member for which fragmentation is measured. */
+const MEMBER_ACCELERATORS = 4;
+
+/** Adds a sample of the present time to the record. */
+export function sampleCapacity(cluster: Cluster): void {
+  const { heap, record, store, machines } = cluster;
+  const inventories = [...machines.values()]
+    .filter((each) => each.agent?.process.alive)
+    .map((each) => each.inventory);
+  const homes = store.contents.homes;
+  record.samples.push(sample({ record, inventories, homes, now: heap.now }));
+}
+
+/** Measures the capacity that running members leave free. */
+export function sample(fields: {
+  record: RunRecord;
+  inventories: Inventory[];
+  homes: HomesTable | undefined;
+  now: Milliseconds;
+}) {
+  const { record, inventories, homes, now } = fields;
+  const held = new Map<string, HeldMember[]>();
+  for (const job of record.jobs.values()) {
+    for (const stay of job.stays) {
+      if (stay.end <= now) continue;
+      const list = held.get(stay.worker) ?? [];
+      held.set(stay.worker, list);
+      list.push(toHeld(stay, job.spec));
+    }
+  }
+  const workers: WorkerView[] = inventories.map((inventory) => ({
+    inventory,
+    available: true,
+    held: held.get(inventory.worker) ?? [],
+    free: inventory.capacity,
+  }));
+  const memberAccelerators = MEMBER_ACCELERATORS;
+  return {
+    at: now,
+    ...fragmentation({ workers, homes, memberAccelerators }),
+  };
+}
+
+function toHeld(
+  stay: Stay,
+  spec: { team: string; class: string; revocable: boolean },
+): HeldMember {
+  return {
+    run: { job: stay.job, epoch: stay.epoch },
+    member: stay.member,
+    team: spec.team,
+    class: spec.class,
+    urgent: false,
+    revocable: spec.revocable,
+    accelerators: stay.accelerators,
+    cores: 0,
+    memoryMiB: 0,
+  };
+}
--- /dev/null
+++ b/testing/replay/trace/trace.ts
@@ -0,0 +1,178 @@
+/**
+ * Traces: what callers and operators do, and how long work really takes.
+ *
+ * @module
+ */
+
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import type { Adjacency, JobSpec, Milliseconds } from "@dragonflyledge/model";
+
+/** A request as its caller sends it. */
+export interface TraceRequest {
+  at: Milliseconds;
+  team: string;
+  class: string;
+  runTime: Milliseconds;
+  deadline: Milliseconds;
+  idempotent: boolean;
+  client: number;
+}
+
+/** A job as its caller submits it. */
+export interface TraceJob {
+  at: Milliseconds;
+  spec: JobSpec;
+  runTime: Milliseconds;
+  /** The capacity asked for is within the free guarantee of the team. */
+  owner: boolean;
+}
+
+/** Kinds of steps that are no work. */
+export type StepKind =
+  | "cancelRequest"
+  | "cancelJob"
+  | "fail"
+  | "heal"
+  | "leave";
+
+/** A cancellation, or a change of a worker. */
+export interface TraceStep {
+  at: Milliseconds;
+  kind: StepKind;
+  /** Index of the request or job, or of the worker. */
+  target: number;
+}
+
+/** A recorded trace. */
+export interface Trace {
+  name: string;
+  scenario: string;
+  deployment: string;
+  seed: number;
+  duration: Milliseconds;
+  /** Time span of the peak, or of the whole trace. */
+  peak: [Milliseconds, Milliseconds];
+  requests: TraceRequest[];
+  jobs: TraceJob[];
+  steps: TraceStep[];
+}
+
+/** Bounds that the outcomes of a trace are stated to keep. */
+export interface Expected {
+  atLeast: Record<string, number>;
+  atMost: Record<string, number>;
+}
+
+type Row = (string | number)[];
+
+const directory = new URL("../../traces/", import.meta.url);
+
+/** Writes a trace as a line of heading and one line for each event. */
+export function formatTrace(trace: Trace): string {
+  const { name, scenario, deployment, seed, duration, peak } = trace;
+  const names = [
+    ...new Set([
+      ...trace.requests.flatMap((each) => [each.team, each.class]),
+      ...trace.jobs.flatMap((each) => [each.spec.team, each.spec.class]),
+    ]),
+  ];
+  const index = (text: string) => names.indexOf(text);
+  const heading = { name, scenario, deployment, seed, duration, peak, names };
+  const rows: Row[] = [
+    ...trace.requests.map((each): Row => [
+      "r",
+      each.at,
+      index(each.team),
+      index(each.class),
+      each.runTime,
+      each.deadline,
+      Number(each.idempotent),
+      each.client,
+    ]),
+    ...trace.jobs.map(({ at, spec, runTime, owner }): Row => [
+      "j",
+      at,
+      index(spec.team),
+      index(spec.class),
+      spec.members,
+      spec.perMember.accelerators,
+      spec.perMember.cores,
+      spec.perMember.memoryMiB,
+      spec.adjacency,
+      Number(spec.revocable),
+      Number(spec.idempotent),
+      spec.declaredRunTime,
+      runTime,
+      Number(owner),
+    ]),
+    ...trace.steps.map((each): Row => ["s", each.at, each.kind, each.target]),
+  ];
+  return [heading, ...rows].map((row) => JSON.stringify(row)).join("\n") + "\n";
+}
+
+/** Reads a trace. */
+export function parseTrace(text: string): Trace {
+  const [first, ...lines] = text.trimEnd().split("\n");
+  const { names, ...heading } = JSON.parse(first!);
+  const rows = lines.map((line) => JSON.parse(line));
+  const of = (kind: string) => rows.filter((row) => row[0] === kind);
+  return {
+    ...heading,
+    requests: of("r").map((row): TraceRequest => ({
+      at: row[1],
+      team: names[row[2]],
+      class: names[row[3]],
+      runTime: row[4],
+      deadline: row[5],
+      idempotent: row[6] === 1,
+      client: row[7],
+    })),
+    jobs: of("j").map((row) => parseJob(row, names)),
+    steps: of("s").map((row): TraceStep => ({
+      at: row[1],
+      kind: row[2],
+      target: row[3],
+    })),
+  };
+}
+
+function parseJob(row: (string & number)[], names: string[]): TraceJob {
+  return {
+    at: row[1]!,
+    runTime: row[12]!,
+    owner: row[13] === 1,
+    spec: {
+      team: names[row[2]!]!,
+      class: names[row[3]!]!,
+      members: row[4]!,
+      perMember: {
+        accelerators: row[5]!,
+        cores: row[6]!,
+        memoryMiB: row[7]!,
+      },
+      adjacency: `${row[8]!}` as Adjacency,
+      revocable: row[9] === 1,
+      idempotent: row[10] === 1,
+      declaredRunTime: row[11]!,
+      command: "train",
+    },
+  };
+}
+
+/** Names of all recorded traces. */
+export function listTraces(): string[] {
+  return readdirSync(directory)
+    .filter((file) => file.endsWith(".ndjson"))
+    .map((file) => file.slice(0, -".ndjson".length))
+    .sort();
+}
+
+/** Reads a recorded trace with its expected outcomes. */
+export function readTrace(name: string): { trace: Trace; expected: Expected } {
+  const file = new URL(`${name}.ndjson`, directory);
+  const beside = new URL(`${name}.expected.json`, directory);
+  const expected = existsSync(beside)
+    ? JSON.parse(readFileSync(beside, "utf8"))
+    : { atLeast: {}, atMost: {} };
+  return { trace: parseTrace(readFileSync(file, "utf8")), expected };
+}
