--- /dev/null
+++ b/testing/replay/baselines/jobs.ts
@@ -0,0 +1,225 @@
+/**
+ * Placement of gangs in the baselines, without guarantees or preemption.
+ *
+ * @module
+ */
+
+import {
+  MAX_WORKER_FAILURES_PER_JOB,
+  RESERVATION_TIMEOUT,
+} from "@dragonflyledge/model";
+import type { Inventory, Milliseconds } from "@dragonflyledge/model";
+import { START_TIME } from "../cluster/worker.ts";
+import type { EventHeap } from "../event_heap.ts";
+import type { JobEntry, Stay } from "../record.ts";
+
+/** How a baseline places gangs. */
+export interface JobPolicy {
+  /** Order in which workers are tried for each member. */
+  order: "first" | "least-loaded";
+  /** Whether a job that does not fit lets later ones pass. */
+  backfill: boolean;
+}
+
+/** Places jobs. */
+export interface JobScheduler {
+  submit(job: JobEntry): void;
+  cancel(job: JobEntry): void;
+  setFailing(worker: string, failing: boolean): void;
+  leave(worker: string): void;
+}
+
+interface Host {
+  inventory: Inventory;
+  free: boolean[];
+  cores: number;
+  memoryMiB: number;
+  failing: boolean;
+  leaving: boolean;
+}
+
+const FAILURE_TIME: Milliseconds = 50;
+
+/** Creates a scheduler over idle workers. */
+export function createJobScheduler(fields: {
+  heap: EventHeap;
+  inventories: Inventory[];
+  policy: JobPolicy;
+}): JobScheduler {
+  const { heap, policy } = fields;
+  const hosts = fields.inventories.map((inventory): Host => ({
+    inventory,
+    free: Array<boolean>(inventory.capacity.accelerators).fill(true),
+    cores: inventory.capacity.cores,
+    memoryMiB: inventory.capacity.memoryMiB,
+    failing: false,
+    leaving: false,
+  }));
+  const queue: JobEntry[] = [];
+  const failures = new Map<JobEntry, number>();
+
+  function place(): void {
+    for (let index = 0; index < queue.length;) {
+      const job = queue[index]!;
+      const placed = placeJob(hosts, job, policy.order);
+      if (placed) {
+        queue.splice(index, 1);
+        start(job, placed);
+      } else if (policy.backfill) index++;
+      else return;
+    }
+  }
+
+  function start(job: JobEntry, placed: Placed[]): void {
+    const stays = placed.map(({ host, accelerators }, member): Stay => ({
+      job: job.id,
+      epoch: 1,
+      member,
+      worker: host.inventory.worker,
+      accelerators,
+      start: heap.now,
+      end: Infinity,
+      ending: "running",
+      leaseUntil: Infinity,
+    }));
+    job.stays.push(...stays);
+    job.state = "running";
+    const failing = placed.some(({ host }) => host.failing);
+    const time = START_TIME + (failing ? FAILURE_TIME : job.runTime);
+    heap.after(time, () => {
+      if (stays[0]!.ending !== "running") return;
+      end(job, stays, placed, failing ? "failed" : "finished");
+    });
+    stops.set(job, () => end(job, stays, placed, "stopped"));
+  }
+
+  const stops = new Map<JobEntry, () => void>();
+
+  function end(
+    job: JobEntry,
+    stays: Stay[],
+    placed: Placed[],
+    ending: "finished" | "failed" | "stopped",
+  ): void {
+    stops.delete(job);
+    for (const stay of stays) {
+      stay.end = heap.now;
+      stay.ending = ending;
+    }
+    for (const { host, accelerators } of placed) {
+      for (const one of accelerators) host.free[one] = true;
+      host.cores += job.spec.perMember.cores;
+      host.memoryMiB += job.spec.perMember.memoryMiB;
+    }
+    conclude(job, ending);
+    place();
+  }
+
+  function conclude(
+    job: JobEntry,
+    ending: "finished" | "failed" | "stopped",
+  ): void {
+    const failed = (failures.get(job) ?? 0) + 1;
+    if (ending === "failed" && failed < MAX_WORKER_FAILURES_PER_JOB) {
+      failures.set(job, failed);
+      queue.push(job);
+      return;
+    }
+    job.state = ending === "finished"
+      ? "succeeded"
+      : ending === "failed"
+      ? "failed"
+      : "cancelled";
+    if (ending === "finished") job.endedAt = heap.now;
+  }
+
+  const hostOf = (worker: string) =>
+    hosts.find((each) => each.inventory.worker === worker)!;
+
+  return {
+    submit(job) {
+      job.answer = { kind: "accepted" };
+      queue.push(job);
+      place();
+    },
+    cancel(job) {
+      const index = queue.indexOf(job);
+      if (index >= 0) {
+        queue.splice(index, 1);
+        job.state = "cancelled";
+        place();
+      } else stops.get(job)?.();
+    },
+    setFailing: (worker, failing) => {
+      hostOf(worker).failing = failing;
+    },
+    leave: (worker) => {
+      hostOf(worker).leaving = true;
+      heap.after(RESERVATION_TIMEOUT, place);
+    },
+  };
+}
+
+interface Placed {
+  host: Host;
+  accelerators: number[];
+}
+
+/** Takes capacity for all members, or none. */
+function placeJob(
+  hosts: Host[],
+  job: JobEntry,
+  order: JobPolicy["order"],
+): Placed[] | undefined {
+  const racks = job.spec.adjacency === "rack"
+    ? [...new Set(hosts.map((each) => each.inventory.location.rack))]
+    : [undefined];
+  for (const rack of racks) {
+    const usable = hosts.filter((host) =>
+      rack === undefined || host.inventory.location.rack === rack
+    );
+    const placed = placeOn(usable, job, order);
+    if (placed) return placed;
+  }
+  return undefined;
+}
+
+function placeOn(
+  hosts: Host[],
+  job: JobEntry,
+  order: JobPolicy["order"],
+): Placed[] | undefined {
+  const { members, perMember } = job.spec;
+  const placed: Placed[] = [];
+  const count = (host: Host) => host.free.filter((free) => free).length;
+  for (let member = 0; member < members; member++) {
+    const fitting = hosts.filter((host) =>
+      !host.leaving && count(host) >= perMember.accelerators &&
+      host.cores >= perMember.cores && host.memoryMiB >= perMember.memoryMiB
+    );
+    if (order === "least-loaded") fitting.sort((a, b) => count(b) - count(a));
+    const host = fitting[0];
+    if (host === undefined) {
+      for (const each of placed) giveBack(each, job);
+      return undefined;
+    }
+    placed.push(take(host, job));
+  }
+  return placed;
+}
+
+function take(host: Host, job: JobEntry): Placed {
+  const { perMember } = job.spec;
+  const accelerators = host.free.flatMap((free, index) => free ? [index] : [])
+    .slice(0, perMember.accelerators);
+  for (const one of accelerators) host.free[one] = false;
+  host.cores -= perMember.cores;
+  host.memoryMiB -= perMember.memoryMiB;
+  return { host, accelerators };
+}
+
+function giveBack({ host, accelerators }: Placed, job: JobEntry): void {
+  for (const one of accelerators) host.free[one] = true;
+  host.cores += job.spec.perMember.cores;
+  host.memoryMiB += job.spec.perMember.memoryMiB;
+}
