--- a/testing/replay/cluster/cluster.ts
+++ b/testing/replay/cluster/cluster.ts
@@ -7,6 +7,7 @@
 import { assignHomes } from "@dragonflyledge/placement";
 import type {
   EntryEvent,
+  Inventory,
   Milliseconds,
   Versions,
   WorkerId,
@@ -41,6 +42,11 @@
   /** Delivers an event of a caller to the next live entry, and names it. */
   submit(event: (now: Milliseconds) => EntryEvent): EntryProcess | undefined;
   restartAgent(worker: WorkerId): void;
+  /** Endpoint, worker and agent are gone; no session is reset. */
+  loseMachine(worker: WorkerId): void;
+  /** Puts an empty machine with a new agent in the place of another. */
+  replaceMachine(worker: WorkerId): void;
+  pauseEntry(id: string, duration: Milliseconds): void;
   restartEntry(id: string): void;
   /** The entry dies at once; callers notice. */
   killEntry(id: string): void;
@@ -136,12 +142,22 @@
   for (let index = 0; index < deployment.entries; index++) {
     createEntry(`e${index + 1}`, index);
   }
-  for (const inventory of inventories) {
+  function createMachineOf(inventory: Inventory): void {
     const machine = createMachine({ heap, inventory, record, progress });
     machines.set(inventory.worker, machine);
     createAgent(machine);
   }
 
+  function loseMachine(worker: WorkerId): void {
+    const machine = machines.get(worker)!;
+    if (machine.agent) machine.agent.process.alive = false;
+    machine.endpoint.end();
+    machine.worker.end();
+    sessions.end(worker, true);
+  }
+
+  for (const inventory of inventories) createMachineOf(inventory);
+
   return {
     heap,
     record,
@@ -151,6 +167,18 @@
     machines,
     entries,
     killEntry,
+    loseMachine,
+    replaceMachine(worker) {
+      loseMachine(worker);
+      createMachineOf(machines.get(worker)!.inventory);
+    },
+    pauseEntry(id, duration) {
+      const entry = entries.get(id)!;
+      if (heap.now < entry.process.pausedUntil) return;
+      entry.process.pausedUntil = heap.now + duration;
+      const name = entryName(entry);
+      record.pauses.set(name, (record.pauses.get(name) ?? 0) + duration);
+    },
     submit(event) {
       const live = [...entries.values()].filter((entry) =>
         entry.process.alive && !entry.reducer.state.stopping
@@ -184,9 +212,14 @@
   return `${entry.id}#${entry.incarnation}`;
 }
 
+/** A repeat gets the answer of the first request with its key. */
 function checkAnswer(record: RunRecord, request: string, body: Uint8Array) {
-  const expected = new TextDecoder().decode(answerBody(request));
   const text = new TextDecoder().decode(body);
-  if (text === expected) return;
+  const key = record.requests.get(request)?.idempotencyKey;
+  const accepted = key === undefined ? [request] : record.keys.get(key) ?? [];
+  const whole = accepted.some((id) =>
+    new TextDecoder().decode(answerBody(id)) === text
+  );
+  if (whole) return;
   record.faults.push(`answer-whole: ${request} was answered with "${text}"`);
 }
--- a/testing/replay/cluster/entry_process.ts
+++ b/testing/replay/cluster/entry_process.ts
@@ -61,6 +61,7 @@
     failureDomain: domain,
   });
   const process = createProcess(heap);
+  let seenChanges = 0;
   const address = `${id}:1`;
   const presence: EntryPresence = {
     id,
@@ -211,9 +212,11 @@
     );
   }
 
+  /** An older reading that comes after a newer one is ignored. */
   function readShared(): void {
     store.call(
       (contents) => ({
+        changes: contents.changes,
         configuration: contents.configuration,
         homes: contents.homes,
         entries: [...contents.presence.values()].map((each) => ({
@@ -226,6 +229,8 @@
       (read) => {
         if (read === undefined) return;
         process.perform(() => {
+          if (read.changes < seenChanges) return;
+          seenChanges = read.changes;
           const { configuration, homes, entries } = structuredClone(read);
           const now = heap.now;
           dispatch({ kind: "configurationSeen", now, configuration });
--- a/testing/replay/cluster/store.ts
+++ b/testing/replay/cluster/store.ts
@@ -32,6 +32,8 @@
   claims: Map<string, Claim>;
   jobs: Map<string, StoredJob>;
   revision: number;
+  /** Number of changes of configuration, homes and presence. */
+  changes: number;
 }
 
 /** A fake store. */
@@ -74,9 +76,11 @@
     claims: new Map(),
     jobs: new Map(),
     revision: 1,
+    changes: 0,
   };
 
   function changed(): void {
+    contents.changes++;
     for (const watcher of watchers) {
       heap.after(WATCH_DELAY, () => {
         if (store.mode !== "down") watcher();
--- a/testing/replay/measure/measures_test.ts
+++ b/testing/replay/measure/measures_test.ts
@@ -35,6 +35,7 @@
     sentAt: 4000,
     deadline: 6000,
     runTime: 500,
+    delivered: true,
     callerLeft: false,
     entryDied: false,
     outcomes: [],
--- a/testing/replay/record.ts
+++ b/testing/replay/record.ts
@@ -39,6 +39,8 @@
   /** Absolute time. */
   deadline: Milliseconds;
   runTime: Milliseconds;
+  /** Whether it reached its entry before that ended. */
+  delivered: boolean;
   callerLeft: boolean;
   /** The entry ended before it answered. */
   entryDied: boolean;
@@ -93,6 +95,10 @@
   faults: string[];
   /** Last lines about each request or job. */
   lines: Map<string, string[]>;
+  /** Requests of each idempotency key. */
+  keys: Map<string, RequestId[]>;
+  /** Time for which each entry was paused. */
+  pauses: Map<string, Milliseconds>;
   /** End of the run. */
   endedAt: Milliseconds;
 }
@@ -108,6 +114,8 @@
     versions: new Map(),
     faults: [],
     lines: new Map(),
+    keys: new Map(),
+    pauses: new Map(),
     endedAt: 0,
   };
 }
--- a/testing/replay/replay.ts
+++ b/testing/replay/replay.ts
@@ -106,6 +106,7 @@
     sentAt: now,
     deadline: now + request.deadline,
     runTime: request.runTime,
+    delivered: false,
     callerLeft: false,
     entryDied: false,
     outcomes: [],
@@ -126,23 +127,30 @@
   const urgent = deployment.configuration.classes
     .find((each) => each.name === request.class)?.urgent ?? false;
   const created = recordRequest({ record, request, id, now: heap.now, urgent });
-  created.idempotencyKey = request.key;
-  const entry = cluster.submit((now) => ({
-    kind: "requestArrived",
-    now,
-    fingerprint: request.key ?? id,
-    request: {
-      id,
-      service: deployment.service,
-      team: request.team,
-      class: request.class,
-      deadline: now + request.deadline,
-      idempotent: request.idempotent,
-      idempotencyKey: request.key,
-      contentType: "text/plain",
-      body: new Uint8Array(0),
-    },
-  }));
+  if (request.key !== undefined) {
+    created.idempotencyKey = request.key;
+    const same = record.keys.get(request.key) ?? [];
+    record.keys.set(request.key, [...same, id]);
+  }
+  const entry = cluster.submit((now) => {
+    created.delivered = true;
+    return {
+      kind: "requestArrived",
+      now,
+      fingerprint: request.key ?? id,
+      request: {
+        id,
+        service: deployment.service,
+        team: request.team,
+        class: request.class,
+        deadline: now + request.deadline,
+        idempotent: request.idempotent,
+        idempotencyKey: request.key,
+        contentType: "text/plain",
+        body: new Uint8Array(0),
+      },
+    };
+  });
   if (entry === undefined) created.entryDied = true;
   else created.entry = entryName(entry);
   note(record, id, heap.now, `sent to ${created.entry}`);
--- /dev/null
+++ b/testing/replay/soak/checks.ts
@@ -0,0 +1,228 @@
+/**
+ * Global checks over what the fakes recorded.
+ *
+ * @module
+ */
+
+import {
+  GANG_LEASE,
+  Invariant,
+  RECLAIM_GRACE,
+  SECOND,
+  URGENT_START_TARGET,
+} from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { startTimeOf } from "../measure/measures.ts";
+import type { JobEntry, RequestRecord, RunRecord } from "../record.ts";
+
+/** One violated invariant. */
+export interface Violation {
+  invariant: string;
+  /** Request, job or process that it concerns. */
+  subject: string;
+  detail: string;
+}
+
+/** A check over the record of a whole run. */
+export type Check = (record: RunRecord) => Violation[];
+
+/** Time after its deadline by which a request must have its outcome. */
+export const REQUEST_BOUND: Milliseconds = 5 * SECOND;
+/** A partial gang ends by its lease; then its members need time to stop. */
+export const GANG_BOUND: Milliseconds = GANG_LEASE + RECLAIM_GRACE + SECOND;
+
+const END_STATES = ["succeeded", "failed", "cancelled", "unknown"];
+
+/** A request that is not idempotent runs once, and so does its key. */
+export const checkAtMostOnce: Check = (record) => {
+  const groups = new Map<string, RequestRecord[]>();
+  for (const request of record.requests.values()) {
+    if (request.idempotent) continue;
+    const key = request.idempotencyKey ?? request.id;
+    groups.set(key, [...groups.get(key) ?? [], request]);
+  }
+  return [...groups.values()].flatMap((requests) => {
+    const runs = requests.flatMap((each) => each.executions);
+    if (runs.length <= 1) return [];
+    const where = runs.map((run) => `${run.request} on ${run.worker}`);
+    return violation(
+      Invariant.AtMostOnce,
+      requests[0]!.id,
+      `ran ${runs.length} times: ${where.join(", ")}`,
+    );
+  });
+};
+
+/** What was reported as not run did not run, before or after. */
+export const checkNotRun: Check = (record) => [
+  ...[...record.requests.values()].flatMap((request) => {
+    const said = request.outcomes.some(({ outcome }) =>
+      outcome.kind === "not-run"
+    );
+    if (!said || request.executions.length === 0) return [];
+    const { worker, start } = request.executions[0]!;
+    const detail = `ran on ${worker} at ${start.toFixed(1)}`;
+    return violation(Invariant.NotRunTrue, request.id, detail);
+  }),
+  ...[...record.jobs.values()].flatMap((job) => {
+    const said = job.answer?.kind === "not-run";
+    if (!said || job.stays.length === 0) return [];
+    const detail = `started on ${job.stays[0]!.worker}`;
+    return violation(Invariant.NotRunTrue, job.id, detail);
+  }),
+];
+
+/** Each request has one outcome, or its entry died. */
+export const checkOneOutcome: Check = (record) =>
+  [...record.requests.values()].flatMap((request) => {
+    const count = request.outcomes.length;
+    if (count === 1 || (count === 0 && isExcused(request))) return [];
+    return violation(Invariant.OneOutcome, request.id, `${count} outcomes`);
+  });
+
+/** Each request ends by its deadline and a bound, and the pauses of its entry. */
+export const checkDeadlines: Check = (record) =>
+  [...record.requests.values()].flatMap((request) => {
+    const pause = record.pauses.get(request.entry) ?? 0;
+    const limit = request.deadline + REQUEST_BOUND + pause;
+    const at = request.outcomes[0]?.at ?? record.endedAt;
+    const excused = request.outcomes.length === 0 && isExcused(request);
+    if (at <= limit || excused) return [];
+    const detail = `ended ${(at - request.deadline).toFixed(0)} ms late`;
+    return violation(Invariant.NoEndlessWait, request.id, detail);
+  });
+
+/** No gang runs partially beyond its lease, and no member runs twice. */
+export const checkGangs: Check = (record) =>
+  [...record.jobs.values()].flatMap((job) => [
+    ...checkPartial(job, record.endedAt),
+    ...checkTwice(job),
+    ...checkRepeated(job),
+  ]);
+
+/** An accepted job is in the store, ends, and succeeds only as a whole. */
+export const checkJobs: Check = (record) =>
+  [...record.jobs.values()].flatMap((job) => {
+    if (job.answer?.kind !== "accepted") return [];
+    if (job.state === "") {
+      return violation(Invariant.NoLostJob, job.id, "not in the store");
+    }
+    if (!END_STATES.includes(job.state)) {
+      const detail = `still ${job.state} at the end`;
+      return violation(Invariant.NoEndlessWait, job.id, detail);
+    }
+    if (job.state !== "succeeded" || finishedWhole(job)) return [];
+    const detail = "succeeded, but not all members finished";
+    return violation(Invariant.GangWhole, job.id, detail);
+  });
+
+/** No process goes back to an older configuration. */
+export const checkVersions: Check = (record) =>
+  [...record.versions].flatMap(([process, versions]) => {
+    const back = versions.findIndex((version, index) =>
+      index > 0 && version < versions[index - 1]!
+    );
+    if (back < 0) return [];
+    const detail = `version ${versions[back - 1]} became ${versions[back]}`;
+    return violation(Invariant.VersionForward, process, detail);
+  });
+
+/** Owners that asked after all faults had healed started in time. */
+export const checkOwners: Check = (record) =>
+  [...record.jobs.values()].flatMap((job) => {
+    if (!job.owner) return [];
+    const time = startTimeOf(job);
+    if (time <= URGENT_START_TARGET) return [];
+    const detail = `its owner's work started after ${time} ms`;
+    return violation(Invariant.GuaranteeReclaimable, job.id, detail);
+  });
+
+/** What a fake saw while it happened: capacity and answers. */
+export const checkFaults: Check = (record) =>
+  record.faults.flatMap((fault) => {
+    const [invariant = "", detail = ""] = fault.split(/: (.*)/s);
+    const subject = /\b[rj]\d+\b/.exec(detail)?.[0] ?? "";
+    return violation(invariant, subject, detail);
+  });
+
+/** All checks. */
+export const checks: readonly Check[] = [
+  checkAtMostOnce,
+  checkNotRun,
+  checkOneOutcome,
+  checkDeadlines,
+  checkGangs,
+  checkJobs,
+  checkVersions,
+  checkOwners,
+  checkFaults,
+];
+
+/** Nobody waits for the answer, or its entry is gone with the connection. */
+function isExcused(request: RequestRecord): boolean {
+  return request.entryDied || request.callerLeft || !request.delivered;
+}
+
+function violation(
+  invariant: string,
+  subject: string,
+  detail: string,
+): Violation[] {
+  return [{ invariant, subject, detail }];
+}
+
+function checkPartial(job: JobEntry, end: Milliseconds): Violation[] {
+  const changes = job.stays
+    .flatMap((stay) =>
+      [[stay.start, 1], [Math.min(stay.end, end), -1]] as const
+    )
+    .sort((left, right) => left[0] - right[0] || left[1] - right[1]);
+  let running = 0;
+  let since: Milliseconds | undefined;
+  for (const [at, change] of changes) {
+    running += change;
+    const partial = running > 0 && running < job.spec.members;
+    if (partial) since ??= at;
+    else if (since !== undefined) {
+      if (at - since > GANG_BOUND) {
+        const detail = `partial from ${since.toFixed(0)} to ${at.toFixed(0)}`;
+        return violation(Invariant.GangWhole, job.id, detail);
+      }
+      since = undefined;
+    }
+  }
+  return [];
+}
+
+function checkTwice(job: JobEntry): Violation[] {
+  const last = new Map<number, Milliseconds>();
+  const sorted = job.stays.toSorted((left, right) => left.start - right.start);
+  for (const stay of sorted) {
+    if (stay.start < (last.get(stay.member) ?? -Infinity)) {
+      const detail = `member ${stay.member} runs twice from ` +
+        `${stay.start.toFixed(0)} on ${stay.worker}`;
+      return violation(Invariant.GangWhole, job.id, detail);
+    }
+    last.set(stay.member, stay.end);
+  }
+  return [];
+}
+
+function checkRepeated(job: JobEntry): Violation[] {
+  const epochs = new Set(job.stays.map((stay) => stay.epoch));
+  if (job.spec.idempotent || epochs.size <= 1) return [];
+  const detail = `was started in epochs ${[...epochs].join(", ")}`;
+  return violation(Invariant.AtMostOnce, job.id, detail);
+}
+
+function finishedWhole(job: JobEntry): boolean {
+  const finished = new Map<number, Set<number>>();
+  for (const stay of job.stays) {
+    if (stay.ending !== "finished") continue;
+    const members = finished.get(stay.epoch) ?? new Set();
+    finished.set(stay.epoch, members.add(stay.member));
+  }
+  return [...finished.values()].some((members) =>
+    members.size === job.spec.members
+  );
+}
--- /dev/null
+++ b/testing/replay/soak/soak_test.ts
@@ -0,0 +1,29 @@
+import { test } from "tap";
+import { formatResult } from "./format_result.ts";
+import { runSoak } from "./soak.ts";
+
+const EVENTS = 1500;
+const SEEDS = [2, 6, 9];
+
+// Guards against invariants that break under pairs of random faults.
+for (const seed of SEEDS) {
+  test(`a soak with seed ${seed} breaks no invariant`, (t) => {
+    const result = runSoak({ seed, events: EVENTS });
+    t.comment(formatResult(result));
+    t.same(result.violations, []);
+    const { requests } = result.record;
+    t.ok(requests.size > EVENTS / 2);
+    t.ok(Object.keys(result.faults).length > 3, "several kinds of fault");
+    t.end();
+  });
+}
+
+// Guards against a soak that cannot be repeated from its seed.
+test("the same seed gives the same soak", (t) => {
+  const [first, second] = [1, 2].map(() =>
+    runSoak({ seed: 3, events: 500 }).record
+  );
+  t.same([...first!.requests.values()], [...second!.requests.values()]);
+  t.same([...first!.jobs.values()], [...second!.jobs.values()]);
+  t.end();
+});
