Keep a handover whose preceding write was not answered

A job that was handed over while the write of its start was under way stayed marked as changed, without a write, when the store did not answer. The entry then never exited and its jobs had no owner that acted.

--- a/core/entry_reducer/jobs/writes.ts
+++ b/core/entry_reducer/jobs/writes.ts
@@ -84,7 +84,9 @@
   if (event.result === "unavailable" || unreadable) {
     jobs.storeDownSince ??= write.sentAt;
     jobs.writesPausedUntil = jittered(context, retryDelay);
-    if (then === "none" || then === "handover") persist(context, job, then);
+    // Changes that waited for this write must not wait for another one.
+    const again = then === "none" || then === "handover";
+    if (again || job.dirty) persist(context, job, again ? then : "none");
     return { job, then, result: "unavailable" };
   }
   jobs.storeDownSince = undefined;
