Resume an own claim whose answer was lost

An entry that claimed a job and got no answer left the job to the entry that the hash prefers. That one saw a live owner and did nothing, so the job was never run.

--- a/core/entry_reducer/jobs/lost_answers_test.ts
+++ b/core/entry_reducer/jobs/lost_answers_test.ts
@@ -1,4 +1,5 @@
 import { test } from "tap";
+import { rendezvous } from "./rendezvous.ts";
 import { buildSpec, World } from "./testing.ts";
 
 // Guards against an entry that never exits: the handover of a job waited for
@@ -27,3 +28,35 @@
   t.same(world.starts, []);
   t.end();
 });
+
+// Guards against a job without an entry: its owner is alive but has forgotten
+// the claim whose answer was lost, and another entry is to have it. Found by
+// `npm run soak -- --seed 25 --events 4000`.
+test("an entry resumes its own claim although another is preferred", (t) => {
+  const world = new World(21, 2);
+  const names = Array.from({ length: 100 }, (_, index) => `j${index}`);
+  const prefers = (key: string, nodes: string[]) => rendezvous({ key, nodes });
+  const job = names.find((name) => prefers(name, ["e1", "e3"]) === "e3")!;
+  world.addEntry("e1");
+  world.addEntry("e2");
+  world.run(4000);
+  world.submit("e2", job, buildSpec(1, 8));
+  world.run(500);
+  world.failEntry("e2");
+  // The claim is written while no answer arrives.
+  const loseAnswers = () => {
+    if (world.entry("e1").state.jobs.jobs.has(job)) {
+      world.storeMode = "answers-lost";
+    }
+  };
+  for (let delay = 0; delay < 12_000; delay++) world.after(delay, loseAnswers);
+  world.run(12_000);
+  t.equal(world.store.get(job)?.record.owner, "e1", "the claim was written");
+  t.notOk(world.entry("e1").state.jobs.jobs.has(job));
+  world.addEntry("e3");
+  world.storeMode = "up";
+  world.run(30_000);
+  const { jobs } = world.entry("e1").state.jobs;
+  t.ok(jobs.has(job), "the owner knows its job");
+  t.end();
+});
--- a/core/entry_reducer/jobs/takeover.ts
+++ b/core/entry_reducer/jobs/takeover.ts
@@ -115,7 +115,10 @@
   for (const [id, { record, revision }] of jobs.foreign) {
     if (jobs.jobs.has(id) || jobs.cancels.get(id)?.refused) continue;
     if (!isOwnerGone(context, record)) continue;
-    if (rendezvous({ key: id, nodes }) !== state.id) continue;
+    // No other entry claims a job whose owner, this entry, is alive.
+    const claimable = isOwn(context, record) ||
+      rendezvous({ key: id, nodes }) === state.id;
+    if (!claimable) continue;
     if (jobs.writesInFlight >= claimsInFlight) {
       jobs.nextTakeover = now;
       return;
