--- a/core/entry_reducer/jobs/endings.ts
+++ b/core/entry_reducer/jobs/endings.ts
@@ -51,7 +51,7 @@
   if (gang === undefined) return;
   const held = context.now - gang.startedAt;
   if (gang.committed) job.attained += held * job.need;
-  const succeeded = hasFinished(gang);
+  const succeeded = hasFinished(job, gang);
   const ending = gang.ending ?? { kind: "requeue", reason: "" };
   releaseParts(context, job);
   if (succeeded) {
@@ -66,15 +66,16 @@
   }
 }
 
-/** Whether every member of the gang has finished. */
-export function hasFinished(gang: Gang): boolean {
-  if (gang.parts.size === 0) return false;
+/** Whether every member of the job has finished, not only those that are known. */
+export function hasFinished(job: Job, gang: Gang): boolean {
+  let finished = 0;
   for (const part of gang.parts.values()) {
     for (const { member } of part.members) {
       if (part.states.get(member) !== "finished") return false;
+      finished++;
     }
   }
-  return true;
+  return finished === job.record.spec.members;
 }
 
 /** What follows when a run is lost. Non-idempotent work never runs again. */
--- a/core/entry_reducer/jobs/lost_answers_test.ts
+++ b/core/entry_reducer/jobs/lost_answers_test.ts
@@ -60,3 +60,36 @@
   t.ok(jobs.has(job), "the owner knows its job");
   t.end();
 });
+
+// Guards against a success that some members never had: a takeover that saw
+// only one member took the end of that one for the end of the gang. Found by
+// `npm run soak -- --seed 259 --events 4000`.
+test("a partly adopted gang does not succeed when its rest finishes", (t) => {
+  const world = new World(21, 2);
+  world.addEntry("e1");
+  world.addEntry("e2");
+  world.run(4000);
+  world.submit("e2", "j", buildSpec(2, 8));
+  world.run(500);
+  const [lost, left] = world.running("j");
+  t.ok(lost && left, "the gang runs on two workers");
+  const { take } = left!;
+  left!.take = (entry, message) => {
+    if (message.kind !== "stop") return take.call(left, entry, message);
+    // The member finishes within the grace period before it is stopped.
+    const { run } = message;
+    const members = left!.members.map((member) => ({
+      ...member,
+      run,
+      state: "finished" as const,
+    }));
+    left!.runs.delete("j");
+    left!.send(entry, { kind: "runState", run, members });
+  };
+  world.failEntry("e2");
+  lost!.runs.delete("j");
+  world.failAgent(lost!);
+  world.run(60_000);
+  t.not(world.stateOf("j"), "succeeded");
+  t.end();
+});
--- a/core/entry_reducer/jobs/run.ts
+++ b/core/entry_reducer/jobs/run.ts
@@ -135,7 +135,7 @@
   if (reason !== "") {
     return stopGang(context, job, endingOf(job, reason, false));
   }
-  if (hasFinished(gang)) endRun(context, job);
+  if (hasFinished(job, gang)) endRun(context, job);
 }
 
 function isEnding(state: MemberReport["state"]): boolean {
