--- /dev/null
+++ b/testing/replay/slopes/timing.ts
@@ -0,0 +1,50 @@
+/**
+ * Processor time and memory of operations.
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+
+const BATCHES = 15;
+const MEMORY_TRIES = 5;
+/** Several copies, so that the noise of the heap is small beside them. */
+const MEMORY_COPIES = 6;
+
+/** Microseconds of one call: the median over batches, after a warm-up. */
+export function timeOf(calls: number, call: (index: number) => void): number {
+  const times: number[] = [];
+  let index = 0;
+  for (let batch = 0; batch <= BATCHES; batch++) {
+    const start = process.hrtime.bigint();
+    for (let count = 0; count < calls; count++) call(index++);
+    const time = Number(process.hrtime.bigint() - start) / 1000 / calls;
+    if (batch > 0) times.push(time);
+  }
+  return times.sort((a, b) => a - b)[BATCHES >> 1]!;
+}
+
+/**
+ * Bytes of heap that what `create` returns holds: the median of some tries,
+ * after one that has the code compiled.
+ */
+export function memoryOf(create: () => unknown): number {
+  const collect = garbageCollector();
+  create();
+  const sizes = Array.from({ length: MEMORY_TRIES }, () => {
+    collect();
+    const before = process.memoryUsage().heapUsed;
+    const kept = Array.from({ length: MEMORY_COPIES }, create);
+    collect();
+    const after = process.memoryUsage().heapUsed;
+    return (after - before) / kept.length;
+  });
+  return sizes.sort((a, b) => a - b)[MEMORY_TRIES >> 1]!;
+}
+
+function garbageCollector(): () => void {
+  setFlagsFromString("--expose-gc");
+  return runInNewContext("gc");
+}
