Tell a fenced owner of the epoch that fences it

An owner that resumed after a takeover renewed its old epoch, was told that this epoch has no members, took that for the proof that they were gone, and started the gang again beside its successor. The agent now answers renewals and stops with the states of the highest epoch, which the entry already takes for the loss of its ownership.

--- a/core/agent_reducer/leases.ts
+++ b/core/agent_reducer/leases.ts
@@ -82,7 +82,7 @@
           extend(run, boundedLease(message.lease));
         }
       }
-      runs.tell(entry, message.run);
+      runs.tellCurrent(entry, message.run);
     },
     stop(entry, message) {
       const run = takeOver(message)
@@ -96,7 +96,7 @@
           reservations.settle();
         }
       }
-      runs.tell(entry, message.run);
+      runs.tellCurrent(entry, message.run);
     },
     throttle(message) {
       const run = core.runs.get(runKey(message.run));
--- a/core/agent_reducer/leases_test.ts
+++ b/core/agent_reducer/leases_test.ts
@@ -56,8 +56,15 @@
   t.match(only(sentTo(effects), "runState"), [
     { run: { epoch: 2 }, members: [{ run: { epoch: 2 }, state: "running" }] },
   ]);
-  t.strictSame(states(agent, renew("j", 1)), []);
-  t.strictSame(states(agent, stop("j", false, 1)), []);
+  // Empty states would prove to the old owner that the members are gone, and
+  // it would start the gang again. It has to learn that it was fenced off.
+  for (const message of [renew("j", 1), stop("j", false, 1)]) {
+    const stale = effectsOf(agent, message);
+    t.strictSame(kinds(stale), ["runState"]);
+    t.match(only(sentTo(stale), "runState"), [
+      { run: { epoch: 2 }, members: [{ run: { epoch: 2 }, state: "running" }] },
+    ]);
+  }
   t.strictSame(states(agent, renew("j", 2)), ["running"]);
   const task = { run: { job: "j", epoch: 1 }, member: 0 };
   agent.event({ kind: "taskEnded", task, ending: "failed", cause: "x" });
--- a/core/agent_reducer/runs.ts
+++ b/core/agent_reducer/runs.ts
@@ -47,12 +47,17 @@
   noteEpoch(id: RunId): boolean;
   /** Sends the states of the members of a run. */
   tell(entry: EntryId, id: RunId): void;
+  /**
+   * Answers an owner that renews or stops a run. One with a fenced epoch is
+   * told of the higher one, since the members may run under that.
+   */
+  tellCurrent(entry: EntryId, id: RunId): void;
 }
 
 /** Creates the operations on the table of runs. */
 export function createRuns(fields: { core: Core }): Runs {
   const { core } = fields;
-  return {
+  const runs: Runs = {
     add(entry, message) {
       const run = createRun(entry, message, core.now);
       core.runs.set(runKey(run.id), run);
@@ -101,7 +106,12 @@
         : run.members.map((member) => ({ ...member.report }));
       send(core, entry, { kind: "runState", run: id, members });
     },
+    tellCurrent(entry, { job, epoch: asked }) {
+      const known = core.epochs.get(job)?.epoch ?? asked;
+      runs.tell(entry, { job, epoch: Math.max(asked, known) });
+    },
   };
+  return runs;
 }
 
 function noteEpoch(core: Core, id: RunId): boolean {
