--- a/core/agent_reducer/attempts_test.ts
+++ b/core/agent_reducer/attempts_test.ts
@@ -1,4 +1,5 @@
 import { test } from "tap";
+import { ATTEMPT_RETENTION } from "./answers.ts";
 import { ATTEMPT_LIMIT } from "./attempts.ts";
 import {
   Agent,
@@ -100,8 +101,8 @@
   t.equal(agent.reason(attempt("a")), "tombstoned");
   agent.pass(599_000);
   t.equal(agent.reason(attempt("c")), "tombstoned");
-  agent.pass(600_000);
-  agent.pass(600_000);
+  agent.pass(ATTEMPT_RETENTION);
+  agent.pass(ATTEMPT_RETENTION);
   t.equal(agent.reason(attempt("b")), undefined, "forgotten");
   t.end();
 });
@@ -235,7 +236,7 @@
   }
   t.equal(agent.reason(attempt("b")), "busy");
   t.equal(stateOf(agent, "a"), "done");
-  agent.pass(600_000);
+  agent.pass(ATTEMPT_RETENTION);
   t.equal(agent.core.attempts.size, 0);
   t.equal(agent.reason(attempt("c")), undefined);
   t.end();
--- a/core/agent_reducer/leases_test.ts
+++ b/core/agent_reducer/leases_test.ts
@@ -44,8 +44,15 @@
   t.match(only(sentTo(effects), "runState"), [
     { run: { epoch: 2 }, members: [{ run: { epoch: 2 }, state: "running" }] },
   ]);
-  t.equal(states(agent, renew("j", 1)), "");
-  t.equal(states(agent, stop("j")), "");
+  // Empty states would prove to the old owner that the members are gone, and
+  // it would start the gang again. It has to learn that it was fenced off.
+  for (const message of [renew("j", 1), stop("j")]) {
+    t.match(agent.send(message), [{
+      kind: "runState",
+      run: { epoch: 2 },
+      members: [{ run: { epoch: 2 }, state: "running" }],
+    }]);
+  }
   t.equal(states(agent, renew("j", 2)), "running");
   const task = { run: { job: "j", epoch: 1 }, member: 0 };
   agent.event({ kind: "taskEnded", task, ending: "failed", cause: "x" });
