Send every metric of the table

Cause: a comparison of the names that reducers count with the table found none in common but store.calls; the rest arrived as metrics.unknown, and the gauges were never sent. Ruled out: a fault of the sender, which passes its test with every name. Conclusion: alarms can rely on docs/METRICS.md.

--- a/core/entry_reducer/jobs/endings.ts
+++ b/core/entry_reducer/jobs/endings.ts
@@ -153,9 +153,14 @@
   audit(context, job, { kind: "job-ended", reason: reason || state });
   context.emit({
     kind: "count",
-    metric: "jobs.ended",
+    metric: "jobs.outcomes",
     value: 1,
-    tags: { state, team: job.record.spec.team },
+    tags: {
+      kind: state,
+      reason,
+      team: job.record.spec.team,
+      class: job.record.spec.class,
+    },
   });
   persist(context, job);
 }
--- a/core/entry_reducer/jobs/run.ts
+++ b/core/entry_reducer/jobs/run.ts
@@ -252,6 +252,12 @@
     worker: part.worker,
     reason: `reclaimed by ${message.by}`,
   });
+  context.emit({
+    kind: "count",
+    metric: "jobs.preempted",
+    value: 1,
+    tags: { team: job.record.spec.team, by: message.by },
+  });
   const reason = `reclaimed by ${message.by}`;
   stopGang(context, job, endingOf(job, reason, false));
 }
--- a/core/entry_reducer/jobs/start.ts
+++ b/core/entry_reducer/jobs/start.ts
@@ -184,6 +184,13 @@
   if (gang === undefined) return;
   const { now } = context;
   assertStart(context, job, gang);
+  const { team, class: name } = job.record.spec;
+  context.emit({
+    kind: "count",
+    metric: "jobs.queue_wait",
+    value: now - job.queuedAt,
+    tags: { team, class: name },
+  });
   gang.phase = "running";
   gang.committed = true;
   gang.startedAt = now;
--- a/core/entry_reducer/jobs/takeover.ts
+++ b/core/entry_reducer/jobs/takeover.ts
@@ -189,6 +189,7 @@
     ? "given up by its owner"
     : `owner ${job.former?.owner} is gone`;
   audit(context, job, { kind: "takeover", reason });
+  context.emit({ kind: "count", metric: "jobs.takeovers", value: 1, tags: {} });
   if (context.state.stopping) return handOver(context, job);
   adopt(context, job);
 }
--- a/core/entry_reducer/requests/arrive.ts
+++ b/core/entry_reducer/requests/arrive.ts
@@ -29,7 +29,7 @@
   const { now } = event;
   const { open, byKey } = state.requests;
   if (open.has(event.request.id)) return;
-  const request = openRequest(event.request, event.fingerprint);
+  const request = openRequest(event.request, event.fingerprint, event.now);
   open.set(request.id, request);
   const key = claimKey(request.request);
   const holder = key === undefined ? undefined : byKey.get(key);
@@ -83,7 +83,11 @@
   return { kind: "not-run", reason };
 }
 
-function openRequest(request: WorkRequest, fingerprint: string): OpenRequest {
+function openRequest(
+  request: WorkRequest,
+  fingerprint: string,
+  now: Milliseconds,
+): OpenRequest {
   return {
     id: request.id,
     service: request.service,
@@ -92,6 +96,7 @@
     deadline: request.deadline,
     request,
     fingerprint,
+    arrivedAt: now,
     phase: Phase.Backoff,
     wakeAt: request.deadline,
     urgent: false,
--- a/core/entry_reducer/requests/attempts.ts
+++ b/core/entry_reducer/requests/attempts.ts
@@ -50,7 +50,8 @@
   const request = findRunning(state, event, message.attempt);
   if (request === undefined) {
     const tags = { message: message.kind };
-    emit({ kind: "count", metric: "late_messages", value: 1, tags });
+    const metric = "requests.late_answers_dropped";
+    emit({ kind: "count", metric, value: 1, tags });
     return;
   }
   switch (message.kind) {
--- a/core/entry_reducer/requests/dispatch.ts
+++ b/core/entry_reducer/requests/dispatch.ts
@@ -169,9 +169,25 @@
   if (!request.urgent) load.deferrable++;
   promiseSlot(state, agent, request.class, now);
   wakeRequest(state, request, Math.min(now + ACCEPT_TIMEOUT, request.deadline));
+  countAttempt(request, now, emit);
   emitAttempt(state, request, now, emit);
 }
 
+function countAttempt(
+  request: OpenRequest,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  if (request.attempts > 1) {
+    const tags = { service: request.service };
+    emit({ kind: "count", metric: "requests.retries", value: 1, tags });
+    return;
+  }
+  const tags = { team: request.team, class: request.class };
+  const value = now - request.arrivedAt;
+  emit({ kind: "count", metric: "requests.queue_wait", value, tags });
+}
+
 function emitAttempt(
   state: EntryState,
   request: OpenRequest,
--- a/core/entry_reducer/requests/finish.ts
+++ b/core/entry_reducer/requests/finish.ts
@@ -39,11 +39,28 @@
     emit({ kind: "settleClaim", claim });
   }
   emit({ kind: "respond", request: request.id, outcome });
-  const tags = { outcome: outcome.kind, class: request.class };
-  emit({ kind: "count", metric: "requests", value: 1, tags });
+  countOutcome(request, outcome, now, emit);
   endKey(state, request, outcome, now, emit);
 }
 
+function countOutcome(
+  request: OpenRequest,
+  outcome: Outcome,
+  now: Milliseconds,
+  emit: Emit,
+): void {
+  const tags = { team: request.team, class: request.class };
+  const reason = "reason" in outcome ? outcome.reason : "";
+  emit({
+    kind: "count",
+    metric: "requests.outcomes",
+    value: 1,
+    tags: { ...tags, kind: outcome.kind, reason },
+  });
+  const value = now - request.arrivedAt;
+  emit({ kind: "count", metric: "requests.completion_time", value, tags });
+}
+
 /** Repeats cannot be given an answer that the store cannot hold. */
 function storable(outcome: Outcome): Outcome {
   if (!("answer" in outcome)) return outcome;
--- a/core/entry_reducer/requests/requests_test.ts
+++ b/core/entry_reducer/requests/requests_test.ts
@@ -217,7 +217,7 @@
   h.answer("r1");
   h.answer("r1");
   const counts = h.effects.filter((effect) =>
-    effect.kind === "count" && effect.metric === "late_messages"
+    effect.kind === "count" && effect.metric === "requests.late_answers_dropped"
   );
   t.equal(counts.length, 2);
   t.end();
--- a/core/entry_reducer/requests/state.ts
+++ b/core/entry_reducer/requests/state.ts
@@ -74,6 +74,7 @@
 export interface OpenRequest extends QueuedRequest {
   readonly request: WorkRequest;
   readonly fingerprint: string;
+  readonly arrivedAt: Milliseconds;
   phase: Phase;
   wakeAt: Milliseconds;
   /** Treated as urgent: its class is, and it was not observed to be long. */
--- a/daemons/entry/agent_sessions.ts
+++ b/daemons/entry/agent_sessions.ts
@@ -66,6 +66,9 @@
       step: error.step,
       reason: error.message,
     });
+    if (error.step === "heartbeat") {
+      observer.count("sessions.heartbeats_missed", 1, { role: "agent" });
+    }
     if (!session || sessions.get(session.peer.id) !== session) return;
     sessions.delete(session.peer.id);
     handlers.onLost(session.peer.id, session.peer.incarnation);
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -21,7 +21,7 @@
   Timer,
   Versions,
 } from "@dragonflyledge/model";
-import { createLoop } from "@dragonflyledge/runtime";
+import { createLoop, reportFailure } from "@dragonflyledge/runtime";
 import type { Observer } from "@dragonflyledge/runtime";
 import { acceptAgents } from "./agent_sessions.ts";
 import { readTokenDigest } from "./http/authentication.ts";
@@ -34,6 +34,7 @@
 import { createJobLookup } from "./job_lookup.ts";
 import type { Records } from "./records.ts";
 import { describeStatus } from "./status.ts";
+import { startGauges } from "./gauges.ts";
 import { createStoreEffects } from "./store_effects.ts";
 
 const TICK_INTERVAL: Milliseconds = 10;
@@ -91,6 +92,7 @@
   const loop = createLoop<EntryEvent, EntryEffect>({
     reduce: reducer.reduce,
     perform,
+    onFailure: (error) => reportFailure(observer, error),
   });
   const { dispatch } = loop;
   let cancelTick = () => {};
@@ -199,6 +201,7 @@
     onLease: (validUntil) =>
       dispatch({ kind: "leaseRenewed", now: clock.now(), validUntil }),
   });
+  const gauges = startGauges({ state, records, clock, timer, observer });
   tick();
   observer.log("info", "entry started", {
     entry: settings.id,
@@ -263,6 +266,7 @@
     await new Promise<void>((resolve) => timer.after(NOT_READY_TIME, resolve));
     cancelTick();
     store.close();
+    gauges.stop();
     await server.close();
     await sessions.close();
     await records.close();
--- a/daemons/entry/records.ts
+++ b/daemons/entry/records.ts
@@ -7,6 +7,7 @@
 import type { Result } from "neverthrow";
 import type { AuditFilter, AuditLine } from "@dragonflyledge/audit";
 import type {
+  BreakerState,
   ConfigurationRecord,
   HomesWriteResult,
   JobWriteResult,
@@ -33,6 +34,12 @@
   onLease: (validUntil: Milliseconds) => void;
 }
 
+/** What the store cost so far. */
+export interface StoreFigures {
+  calls: Record<string, number>;
+  breaker: BreakerState;
+}
+
 /** Typed access to the store. Errors are `DFL_STORE_...`. */
 export interface Records {
   createClaims(claims: Claim[]): Promise<Result<ClaimResult[], StepError>>;
@@ -57,6 +64,8 @@
   follow(handlers: RecordHandlers): void;
   appendAudit(record: AuditRecord): void;
   readAudit(filter: AuditFilter): Promise<Result<AuditLine[], StepError>>;
+  /** Calls to the store since the start by operation, and its breaker. */
+  figures(): StoreFigures;
   /** Gives up the presence and flushes what is buffered. */
   close(): Promise<void>;
 }
--- a/daemons/entry/status.ts
+++ b/daemons/entry/status.ts
@@ -70,7 +70,8 @@
   };
 }
 
-function workerState(agent: AgentView, now: Milliseconds): string {
+/** Why the worker gets no work, or that it is ready. */
+export function workerState(agent: AgentView, now: Milliseconds): string {
   if (!agent.connected) return "lost";
   if (agent.leaving) return "leaving";
   if (agent.quarantinedUntil > now) return "quarantined";
@@ -90,7 +91,7 @@
 }
 
 /** Owner of each accelerator that belongs to a home, by worker. */
-function ownersByWorker(
+export function ownersByWorker(
   homes: HomesTable | undefined,
 ): Map<string, Map<number, TeamName>> {
   const owners = new Map<string, Map<number, TeamName>>();
@@ -104,7 +105,8 @@
   return owners;
 }
 
-function countHeld(
+/** Accelerators that the team holds, borrows from others and lends. */
+export function countHeld(
   agents: AgentView[],
   owners: Map<string, Map<number, TeamName>>,
   team: TeamName,
--- a/daemons/entry/store_records.ts
+++ b/daemons/entry/store_records.ts
@@ -156,6 +156,11 @@
     listConfigurations: () => configurations.history(),
     writeHomes: (table) => homes.write(table),
     follow,
+    figures: () => {
+      const { get, list, write, lease, watch } = store.counters;
+      const calls = { get, list, write, lease, watch };
+      return { calls, breaker: store.breakerState() };
+    },
     appendAudit: (record) => audit.record(record),
     readAudit: (filter) => readAudit({ store, prefix, filter }),
     close,
--- a/daemons/runtime/loop.ts
+++ b/daemons/runtime/loop.ts
@@ -16,19 +16,29 @@
 export function createLoop<Event, Effect>(fields: {
   reduce: (event: Event) => Effect[];
   perform: (effect: Effect) => void;
+  /** Told of an error of the reducer before it is thrown. */
+  onFailure?: (error: unknown) => void;
 }): Loop<Event> {
   const waiting: Event[] = [];
   let running = false;
 
   function drain(): void {
     for (let index = 0; index < waiting.length; index++) {
-      for (const effect of fields.reduce(waiting[index]!)) {
-        fields.perform(effect);
-      }
+      for (const effect of reduce(waiting[index]!)) fields.perform(effect);
     }
     waiting.length = 0;
   }
 
+  /** The state is not trusted after an error, so that the process must end. */
+  function reduce(event: Event): Effect[] {
+    try {
+      return fields.reduce(event);
+    } catch (error) {
+      fields.onFailure?.(error);
+      throw error;
+    }
+  }
+
   function dispatch(event: Event): void {
     waiting.push(event);
     if (running) return;
--- a/daemons/runtime/loop_test.ts
+++ b/daemons/runtime/loop_test.ts
@@ -15,3 +15,18 @@
   t.same(performed, ["a1", "a2", "b1", "b2"]);
   t.end();
 });
+
+// Guards against a process that goes on with a state it cannot trust.
+test("an error of the reducer is reported and thrown", (t) => {
+  const failures: unknown[] = [];
+  const loop = createLoop<string, string>({
+    reduce: () => {
+      throw new Error("broken");
+    },
+    perform: () => t.fail("no effect may be performed"),
+    onFailure: (error) => failures.push(error),
+  });
+  t.throws(() => loop.dispatch("a"), /broken/);
+  t.equal(failures.length, 1);
+  t.end();
+});
--- a/daemons/runtime/mod.ts
+++ b/daemons/runtime/mod.ts
@@ -6,4 +6,5 @@
 
 export * from "./loop.ts";
 export type { Observer } from "./observer.ts";
+export * from "./report_failure.ts";
 export * from "./system_time.ts";
--- /dev/null
+++ b/daemons/runtime/report_failure.ts
@@ -0,0 +1,18 @@
+/**
+ * Reports an error of a reducer.
+ *
+ * @module
+ */
+
+import { StepError } from "@dragonflyledge/model";
+import type { Observer } from "./observer.ts";
+
+/** Logs the error, and counts it if an invariant was violated. */
+export function reportFailure(observer: Observer, error: unknown): void {
+  const known = error instanceof StepError;
+  const step = known ? error.step : "reduce";
+  const peer = known ? error.peer : "";
+  const reason = error instanceof Error ? error.message : String(error);
+  observer.log("error", "The reducer failed.", { step, peer, reason });
+  observer.count("invariants.violated", 1, { step });
+}
