--- a/core/agent_reducer/answers.ts
+++ b/core/agent_reducer/answers.ts
@@ -6,6 +6,7 @@
 
 import {
   ANSWER_PIECE_SIZE,
+  MAX_REQUEST_DEADLINE,
   MEBIBYTE,
   MINUTE,
   SECOND,
@@ -19,7 +20,7 @@
 /** Size of all kept answers together. */
 export const ANSWER_BUDGET = 8 * MEBIBYTE;
 /** How long the outcome of an attempt is kept: longer than any deadline. */
-export const ATTEMPT_RETENTION = 10 * MINUTE;
+export const ATTEMPT_RETENTION = MAX_REQUEST_DEADLINE + MINUTE;
 
 type AnswerEvent = Extract<AgentEvent, { kind: "endpointAnswer" }>;
 
@@ -52,8 +53,10 @@
 
   /** Makes room by dropping answers that were sent, oldest first. */
   function makeRoom(size: number): boolean {
+    if (bytes + size <= ANSWER_BUDGET) return true;
     for (const record of kept) {
-      if (bytes + size <= ANSWER_BUDGET) break;
+      // Room for many pieces at once, since each search starts at the front.
+      if (bytes + size <= ANSWER_BUDGET * 7 / 8) break;
       if (record.answer?.complete && !record.behind) discard(record);
     }
     return bytes + size <= ANSWER_BUDGET;
--- a/core/agent_reducer/setup_for_tests.ts
+++ b/core/agent_reducer/setup_for_tests.ts
@@ -4,15 +4,14 @@
  * @module
  */
 
-import { createRandom } from "@dragonflyledge/model";
 import type {
   AgentEffect,
   AgentEvent,
   AgentMessage,
   Attempt,
-  Configuration,
+  ConfigurationUpdate,
   EntryMessage,
-  HomesTable,
+  HomesUpdate,
   MemberReport,
   Reserve,
   RunId,
@@ -53,9 +52,25 @@
     return effects;
   }
 
+  /** Delivers a message and returns all effects. */
+  deliver(message: EntryMessage, entry = "e1"): AgentEffect[] {
+    return this.event({ kind: "message", entry, message });
+  }
+
   /** Delivers a message and returns the messages sent to that entry. */
   send(message: EntryMessage, entry = "e1"): AgentMessage[] {
-    return sentTo(this.event({ kind: "message", entry, message }), entry);
+    return sentTo(this.deliver(message, entry), entry);
+  }
+
+  /** Kinds of the effects of a message. */
+  kinds(message: EntryMessage, entry = "e1"): string {
+    return kinds(this.deliver(message, entry));
+  }
+
+  /** Reason of the refusal of a message, if it is refused. */
+  reason(message: EntryMessage, entry = "e1"): string | undefined {
+    const refusal = this.send(message, entry).find((one) => "reason" in one);
+    return refusal && "reason" in refusal ? refusal.reason : undefined;
   }
 
   /** Lets time pass and ticks. */
@@ -65,22 +80,15 @@
   }
 
   connect(entry = "e1", versions = { configuration: 0, homes: 0 }) {
-    const hello = {
-      kind: "hello" as const,
-      protocol: 1,
-      role: "entry" as const,
-      id: entry,
-      incarnation: 1,
-      versions,
-    };
+    const peer = { role: "entry" as const, id: entry, incarnation: 1 };
+    const hello = { kind: "hello" as const, protocol: 1, ...peer, versions };
     return this.event({ kind: "entryConnected", entry, hello });
   }
 
   /** Reserves and commits a run, which must be possible at once. */
   run(message: Reserve, entry = "e1"): AgentEffect[] {
     this.send(message, entry);
-    const commit = { kind: "commit" as const, run: message.run, lease: 10_000 };
-    return this.event({ kind: "message", entry, message: commit });
+    return this.deliver(commit(message.run.job, message.run.epoch), entry);
   }
 
   /** Reports that all tasks of a run have ended. */
@@ -103,30 +111,27 @@
 export function connected(homes: Record<string, number[]> = {}): Agent {
   const agent = new Agent();
   agent.connect();
-  agent.send({ kind: "configuration", configuration: configuration(1) });
-  agent.send({ kind: "homes", homes: homesTable(1, homes) });
+  agent.send(configuration(1));
+  agent.send(homesTable(1, homes));
   return agent;
 }
 
-export function configuration(version: number): Configuration {
-  return { version, teams: [], classes: [], services: [] };
+export function configuration(version: number): ConfigurationUpdate {
+  const lists = { teams: [], classes: [], services: [] };
+  return { kind: "configuration", configuration: { version, ...lists } };
 }
 
 export function homesTable(
   version: number,
-  homes: Record<string, number[]>,
-): HomesTable {
-  return {
-    version,
-    configurationVersion: 1,
-    unplaced: [],
-    homes: Object.entries(homes).map(([team, accelerators]) => ({
-      team,
-      shape: 0,
-      instance: 0,
-      parts: [{ worker: "w1", accelerators }],
-    })),
-  };
+  byTeam: Record<string, number[]>,
+): HomesUpdate {
+  const homes = Object.entries(byTeam).map(([team, accelerators]) => {
+    const elsewhere = { worker: "w2", accelerators: [0, 1, 2, 3, 4, 5, 6, 7] };
+    const parts = [{ worker: "w1", accelerators }, elsewhere];
+    return { team, shape: 0, instance: 0, parts };
+  });
+  const table = { version, configurationVersion: 1, unplaced: [], homes };
+  return { kind: "homes", homes: table };
 }
 
 export function sentTo(effects: AgentEffect[], entry = "e1"): AgentMessage[] {
@@ -136,13 +141,29 @@
 }
 
 /** Kinds of effects, without logs and counts; messages by their own kind. */
-export function kinds(effects: AgentEffect[]): string[] {
+export function kinds(effects: AgentEffect[]): string {
   return effects
     .filter((effect) => effect.kind !== "log" && effect.kind !== "count")
     .map((effect) => effect.kind === "send" ? effect.message.kind : effect.kind)
-    .filter((kind) => kind !== "report");
+    .filter((kind) => kind !== "report")
+    .join(" ");
+}
+
+/** States of the members in the answer to a message. */
+export function states(agent: Agent, message: EntryMessage): string {
+  const answers = only(agent.send(message), "runState");
+  return answers[0]!.members.map((member) => member.state).join(" ");
 }
 
+const runMessage =
+  <Kind extends string, More>(kind: Kind, more: More) =>
+  (job: string, epoch = 1) => ({ kind, run: { job, epoch }, ...more });
+export const commit = runMessage("commit", { lease: 10_000 });
+export const renew = runMessage("renew", { lease: 10_000 });
+export const release = runMessage("release", {});
+export const stop = runMessage("stop", { checkpoint: false });
+export const checkpoint = runMessage("stop", { checkpoint: true });
+
 /** Messages of one kind. */
 export function only<Kind extends AgentMessage["kind"]>(
   messages: AgentMessage[],
@@ -154,6 +175,8 @@
   >[];
 }
 
+const deferrable = { team: "a", class: "batch", urgent: false };
+
 export function attempt(
   request: string,
   changes: Partial<Attempt> & { number?: number } = {},
@@ -165,9 +188,7 @@
     incarnation: 1,
     service: "plan",
     path: "/",
-    team: "a",
-    class: "batch",
-    urgent: false,
+    ...deferrable,
     classSlots: 2,
     remaining: 5000,
     idempotent: false,
@@ -187,9 +208,7 @@
   return {
     kind: "reserve",
     run: { job, epoch },
-    team: "a",
-    class: "batch",
-    urgent: false,
+    ...deferrable,
     revocable: true,
     members: accelerators.map((list, member) => ({
       member,
@@ -214,14 +233,10 @@
   return {
     run: { job, epoch },
     member: 0,
-    team: "a",
-    class: "batch",
-    urgent: false,
+    ...deferrable,
     revocable: true,
     accelerators: [0, 1],
     state: "running",
     ...rest,
   };
 }
-
-export { createRandom };
--- a/core/entry_reducer/homes/state.ts
+++ b/core/entry_reducer/homes/state.ts
@@ -6,6 +6,7 @@
 
 import type { HomesTable, Milliseconds, WorkerId } from "@dragonflyledge/model";
 
+/** What decides when homes are computed again. */
 export interface HomesState {
   startedAt: Milliseconds | undefined;
   /** Whether the workers or the configuration may have changed. */
@@ -16,10 +17,13 @@
   losses: Milliseconds[];
   /** Workers that are known to leave. */
   leaving: Set<WorkerId>;
+  /** The table for which homes were last checked. */
+  checked: HomesTable | undefined;
   /** The table that is being written. */
   writing: HomesTable | undefined;
 }
 
+/** The state of an entry that has just started. */
 export function createHomesState(): HomesState {
   return {
     startedAt: undefined,
@@ -27,6 +31,7 @@
     notBefore: 0,
     losses: [],
     leaving: new Set(),
+    checked: undefined,
     writing: undefined,
   };
 }
--- a/core/entry_reducer/jobs/jobs_test.ts
+++ b/core/entry_reducer/jobs/jobs_test.ts
@@ -185,6 +185,19 @@
   t.end();
 });
 
+// Guards against urgent work that waits for deferrable work of its own team.
+test("deferrable work leaves the quota to urgent work of its team", (t) => {
+  const world = settle(3);
+  const spec = buildSpec(1, 8, { team: "c" });
+  world.submit("e1", "slow", spec);
+  world.run(1000);
+  world.submit("e1", "now", { ...spec, class: "plan" });
+  world.run(4100);
+  t.equal(world.running("now").length, 1);
+  t.equal(world.running("slow").length, 0);
+  t.end();
+});
+
 // Guards against a large gang that small work keeps from starting.
 test("a large gang that waits gets a hold, which is drained", (t) => {
   const world = settle(2);
@@ -209,3 +222,60 @@
   t.equal(world.entry("e1").state.jobs.hold, undefined);
   t.end();
 });
+
+// Guards against a hold that keeps capacity idle for good.
+test("a hold ends after ten minutes", (t) => {
+  const world = settle(2);
+  const fixed = buildSpec(1, 4, { team: "a", revocable: false });
+  world.submit("e1", "blocks", fixed);
+  world.run(100);
+  world.submit("e1", "large", buildSpec(2, 8, { team: "a" }));
+  world.run(62_000);
+  t.equal(world.entry("e1").state.jobs.hold?.job, "large");
+  world.submit("e1", "late", fixed);
+  world.run(500_000);
+  t.equal(world.running("late").length, 0);
+  world.run(110_000);
+  t.equal(world.running("late").length, 1);
+  t.end();
+});
+
+// Guards against urgent work behind other work, owners behind borrowers, and
+// one team that takes all capacity.
+test("urgent work comes first, then owners, then the team with least", (t) => {
+  const world = settle(3);
+  const spec = (team: string, change = {}) =>
+    buildSpec(1, 8, { team, ...change });
+  for (const job of ["b1", "b2"]) world.submit("e1", job, spec("b"));
+  world.submit("e1", "a1", spec("a", { class: "plan", revocable: false }));
+  world.run(500);
+  const queued = { b3: "b", c1: "c", a2: "a" };
+  for (const [job, team] of Object.entries(queued)) {
+    world.submit("e1", job, spec(team));
+  }
+  world.submit("e1", "b4", spec("b", { class: "plan", revocable: false }));
+  world.run(5000);
+  t.equal(world.running("b4").length, 1, "urgent work preempts");
+  world.end("a1", "finished");
+  world.run(100);
+  t.equal(world.running("a2").length, 1, "the owner's home is free again");
+  world.end("b4", "finished");
+  world.run(100);
+  t.equal(world.running("c1").length, 1, "team c holds least");
+  t.end();
+});
+
+// Guards against a job that asks the same refusing agent for ever.
+test("a worker that refuses is passed over", (t) => {
+  const world = settle(3);
+  const spec = buildSpec(1, 8, { team: "a", revocable: false });
+  const home = world.homes?.homes[0]?.parts[0]?.worker ?? "";
+  const agent = world.agents.get(home);
+  if (agent === undefined) throw new Error("no home was assigned");
+  agent.reserve = (entry, { run }) =>
+    agent.send(entry, { kind: "reserveRefused", run, reason: "not-revocable" });
+  world.submit("e1", "j", spec);
+  world.run(1000);
+  t.equal(world.running("j").length, 1);
+  t.end();
+});
--- a/core/entry_reducer/jobs/start.ts
+++ b/core/entry_reducer/jobs/start.ts
@@ -18,8 +18,9 @@
   Reserving,
 } from "@dragonflyledge/model";
 import type { Plan } from "@dragonflyledge/placement";
+import { reindexAgent } from "../members/choose_agent.ts";
 import { isRevocable } from "./capacity.ts";
-import { jittered, log, send, wake } from "./context.ts";
+import { jittered, log, requestLoad, send, wake } from "./context.ts";
 import type { Context } from "./context.ts";
 import { endJob, handOver, holdParts, releaseParts } from "./endings.ts";
 import { dequeue, enqueue } from "./queue.ts";
@@ -44,9 +45,15 @@
   job.record = { ...job.record, epoch: plan.run.epoch };
   const parts = new Map<string, Part>();
   for (const { worker, members } of plan.workers) {
+    const agent = context.state.agents.get(worker);
+    // A quarantined worker gets one piece of work as a probe.
+    if (agent !== undefined && agent.quarantinedUntil > 0) {
+      agent.probing = false;
+      reindexAgent(context.state, agent, now);
+    }
     parts.set(worker, {
       worker,
-      incarnation: context.state.agents.get(worker)?.incarnation ?? 0,
+      incarnation: agent?.incarnation ?? 0,
       members,
       answer: "none",
       confirmedAt: now,
@@ -65,6 +72,7 @@
     startedAt: now,
     leaseSentAt: now,
     ending: undefined,
+    askingUntil: undefined,
     unseen: false,
   });
   if (plan.run.epoch % unstoredEpochs === 0) persist(context, job);
@@ -116,9 +124,10 @@
     return;
   }
   if (message.kind === "reserveRefused") {
+    job.refusedBy = part.worker;
     abandon(context, job, `${part.worker} refused: ${message.reason}`);
     // A higher epoch on a worker means that another entry owns the job.
-    if (message.reason === "stale-epoch") context.emit({ kind: "loadJobs" });
+    if (message.reason === "stale-epoch") requestLoad(context);
     return;
   }
   if (part.answer === "reserved") return;
@@ -185,6 +194,7 @@
     send(context, part.worker, { kind: "commit", run, lease: GANG_LEASE });
   }
   job.attempts = 0;
+  job.refusedBy = undefined;
   if (context.jobs.hold?.job === job.record.id) context.jobs.hold = undefined;
   if (job.record.spec.idempotent) {
     job.record = { ...job.record, started: true, state: "running", reason: "" };
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -53,6 +53,8 @@
   /** When the lease was last extended. */
   leaseSentAt: Milliseconds;
   ending: Ending | undefined;
+  /** While the agents of an adopted gang are asked for finished members. */
+  askingUntil: Milliseconds | undefined;
   /** Whether members may run where this entry sees none, until the lapse. */
   unseen: boolean;
 }
@@ -82,6 +84,8 @@
   queuedAt: Milliseconds;
   /** Not placed before this time, after a failed start. */
   notBefore: Milliseconds;
+  /** Worker that refused the last start; others are tried before it. */
+  refusedBy: WorkerId | undefined;
   /** Failed starts in a row. */
   attempts: number;
   /** Why the job waits, for people. */
@@ -126,9 +130,14 @@
 export interface SeenRun {
   epoch: number;
   since: Milliseconds;
+  /** Workers that hold members now. */
   workers: Set<WorkerId>;
+  /** Workers that have held members of this epoch. */
+  former: Set<WorkerId>;
+  lastSeen: Milliseconds;
 }
 
+/** Everything that an entry knows about jobs. */
 export interface JobsState {
   /** Number of jobs that have not ended. */
   readonly open: number;
@@ -154,9 +163,14 @@
   /** Grows whenever a gang that didn't fit may fit. */
   capacityVersion: number;
   misfits: Map<string, { version: number; reason: string }>;
+  /** Whether gangs would fit on idle workers, for gangs submitted lately. */
+  fits: { until: Milliseconds; never: Map<string, boolean> };
   /** Whether a round of placement is due. */
   stale: boolean;
   nextRound: Milliseconds;
+  /** No round before this time, which bounds the share of time they take. */
+  earliestRound: Milliseconds;
+  nextRefresh: Milliseconds;
   hold: Hold | undefined;
   /** Observed run times by kind of job. */
   runTimes: Map<string, Milliseconds>;
@@ -166,6 +180,16 @@
   writesPausedUntil: Milliseconds;
   storeDownSince: Milliseconds | undefined;
   nextLoad: Milliseconds;
+  /** Own lease as of the last renewal. */
+  leaseValidUntil: Milliseconds;
+  /**
+   * Whether other entries may own jobs of this one, because it was paused or
+   * its lease lapsed. Nothing starts until the records have been loaded this
+   * many times.
+   */
+  unverified: number;
+  /** Whether a load was asked for and not answered. */
+  loading: boolean;
   /** Configuration for which urgency was last determined. */
   configuration: Configuration | undefined;
   /** Live entries as last seen, empty before the first time. */
@@ -173,9 +197,10 @@
   /** When each owner was first missing in the presence list. */
   absentSince: Map<string, Milliseconds>;
   nextTakeover: Milliseconds;
-  handingOver: boolean;
+  stoppingSince: Milliseconds | undefined;
 }
 
+/** The state of an entry that has just started. */
 export function createJobsState(): JobsState {
   return {
     get open() {
@@ -197,8 +222,11 @@
     homes: { table: undefined, index: new Map() },
     capacityVersion: 0,
     misfits: new Map(),
+    fits: { until: 0, never: new Map() },
     stale: false,
     nextRound: 0,
+    earliestRound: 0,
+    nextRefresh: 0,
     hold: undefined,
     runTimes: new Map(),
     writes: 0,
@@ -207,10 +235,13 @@
     writesPausedUntil: 0,
     storeDownSince: undefined,
     nextLoad: 0,
+    leaseValidUntil: Infinity,
+    unverified: 0,
+    loading: false,
     configuration: undefined,
     presence: "",
     absentSince: new Map(),
     nextTakeover: Infinity,
-    handingOver: false,
+    stoppingSince: undefined,
   };
 }
--- a/core/entry_reducer/jobs/testing.ts
+++ b/core/entry_reducer/jobs/testing.ts
@@ -32,6 +32,7 @@
   until: number;
 }
 
+/** An agent with tasks that run until they are told to end. */
 export class Agent {
   incarnation = 1;
   up = true;
@@ -40,6 +41,9 @@
   silent = false;
   runs = new Map<string, Run>();
   epochs = new Map<string, number>();
+  released = new Set<string>();
+  /** Members that have ended, which a renewal is told. */
+  ended = new Map<string, MemberReport[]>();
   readonly world: World;
   readonly id: string;
   readonly rack: string;
@@ -74,10 +78,12 @@
     if (message.kind === "reserve") return this.reserve(entry, message);
     const held = this.runs.get(job);
     if (message.kind === "release") {
+      this.released.add(`${job}/${epoch}`);
       if (held?.members[0]?.state === "reserved") this.runs.delete(job);
     }
     if (message.kind === "stop") this.runs.delete(job);
     if (message.kind === "commit" && held?.epoch === epoch) {
+      this.world.forgetEnded(job, epoch);
       for (const member of held.members) {
         member.state = "running";
         this.world.starts.push(`${job}/${member.member}`);
@@ -89,7 +95,7 @@
       held.until = this.world.now + message.lease;
       held.members.forEach((member) => member.run = run);
     }
-    const members = this.runs.get(job)?.members ?? [];
+    const members = this.runs.get(job)?.members ?? this.ended.get(job) ?? [];
     this.send(entry, {
       kind: "runState",
       run,
@@ -104,11 +110,13 @@
     const blockers = this.members.filter((one) =>
       one.run.job !== run.job && one.accelerators.some((it) => wanted.has(it))
     );
-    if (blockers.some((one) => !one.revocable)) {
+    if (!blockers.every((one) => this.mayReclaim(one, message))) {
       this.send(entry, { kind: "reserveRefused", run, reason: "no-capacity" });
       return;
     }
     const grant = () => {
+      if (this.epochs.get(run.job) !== run.epoch || !this.up) return;
+      if (this.released.has(`${run.job}/${run.epoch}`)) return;
       for (const { run } of blockers) this.runs.delete(run.job);
       const members = message.members.map((one) => ({
         ...message,
@@ -116,6 +124,7 @@
         state: "reserved" as const,
       }));
       const { epoch } = run;
+      this.ended.delete(run.job);
       this.runs.set(run.job, {
         epoch,
         members,
@@ -137,6 +146,20 @@
     this.world.after(2000, grant);
   }
 
+  mayReclaim(held: MemberReport, message: Reserve): boolean {
+    const outranks = message.urgent && !held.urgent;
+    const homes = this.world.homes?.homes ?? [];
+    return held.revocable && held.accelerators.every((index) => {
+      const owner = homes.find((home) =>
+        home.parts.some((part) =>
+          part.worker === this.id && part.accelerators.includes(index)
+        )
+      )?.team;
+      if (owner === undefined) return outranks;
+      return owner === message.team && (held.team !== owner || outranks);
+    });
+  }
+
   /** Sets the state of all members of a job here, and tells the entries. */
   end(job: string, state: "finished" | "failed"): void {
     const run = this.runs.get(job);
@@ -144,6 +167,7 @@
     for (const member of run.members) member.state = state;
     this.report();
     this.runs.delete(job);
+    this.ended.set(job, run.members);
   }
 
   lapse(): void {
@@ -212,6 +236,7 @@
 
 type Untimed<E> = E extends { now: number } ? Omit<E, "now"> : never;
 
+/** Entries, agents and the store, with one clock. */
 export class World {
   now = 0;
   entries = new Map<string, EntryReducer>();
@@ -223,9 +248,12 @@
   answers = new Map<string, string>();
   audits: AuditRecord[] = [];
   effects: EntryEffect[] = [];
+  /** Called after each tick. */
+  check = () => {};
   readonly random: Random;
   #queue: { at: number; run: () => void }[] = [];
   #last = new Map<string, number>();
+  #late = new Map<string, Untimed<EntryEvent>[]>();
   #revision = 0;
 
   constructor(readonly seed: number, workers: number, accelerators = 8) {
@@ -254,8 +282,49 @@
     this.after(lease, () => this.seeEntries());
   }
 
+  /** The entry's process stops for a while; its sessions are closed. */
+  pauseEntry(id: string, time: number): void {
+    const entry = this.entry(id);
+    this.failEntry(id);
+    const late: Untimed<EntryEvent>[] = [];
+    this.#late.set(id, late);
+    this.after(time, () => {
+      this.#late.delete(id);
+      if (this.entries.has(id)) return;
+      this.entries.set(id, entry);
+      for (const event of late) this.reduce(id, event);
+      for (const { id: worker, incarnation } of this.agents.values()) {
+        const view = entry.state.agents.get(worker);
+        if (view) Object.assign(view, { connected: false, lostAt: this.now });
+        this.reduce(id, { kind: "agentLost", worker, incarnation });
+      }
+      for (const agent of this.agents.values()) this.connect(id, agent);
+      this.after(500, () => this.seeEntries());
+    });
+  }
+
+  /** The connections of an agent go silent, and are closed after 3 s. */
+  silence(agent: Agent): void {
+    agent.silent = true;
+    this.after(3000, () => agent.silent && this.lose(agent));
+  }
+
+  /** The agent runs, or runs again, and connects to all entries. */
+  reconnect(agent: Agent): void {
+    if (!agent.up) {
+      agent.incarnation++;
+      agent.runs.clear();
+    }
+    Object.assign(agent, { silent: false, up: true });
+    for (const entry of this.entries.keys()) this.connect(entry, agent);
+  }
+
   failAgent(agent: Agent): void {
     agent.up = false;
+    this.lose(agent);
+  }
+
+  lose(agent: Agent): void {
     const { id: worker, incarnation } = agent;
     for (const [id, { state }] of this.entries) {
       const view = state.agents.get(worker);
@@ -265,6 +334,7 @@
   }
 
   connect(entry: string, agent: Agent): void {
+    if (!agent.up || agent.silent) return;
     const hello = agent.hello();
     const { state } = this.entry(entry);
     const { id: worker, incarnation, members } = hello as Required<Hello>;
@@ -314,12 +384,15 @@
 
   reduce(id: string, untimed: Untimed<EntryEvent>): void {
     const entry = this.entries.get(id);
+    // The shell answers each write, also after a pause.
+    if (untimed.kind === "jobWritten") this.#late.get(id)?.push(untimed);
     if (entry === undefined) return;
     const event = { ...untimed, now: this.now } as EntryEvent;
     if (event.kind === "message" && event.message.kind === "report") {
       const { members, leaving } = event.message;
       const view = entry.state.agents.get(event.worker);
-      if (view) Object.assign(view, { members, leaving });
+      const reportedAt = this.now;
+      if (view) Object.assign(view, { members, leaving, reportedAt });
     }
     for (const effect of entry.reduce(event)) this.perform(id, effect);
   }
@@ -417,7 +490,10 @@
         first.run();
       }
       this.now = next;
-      for (const agent of this.agents.values()) agent.lapse();
+      for (const agent of this.agents.values()) {
+        agent.lapse();
+        if (this.now % 5000 === 0) agent.report();
+      }
       for (const id of [...this.entries.keys()]) {
         if (this.storeMode === "up" && this.now % 2000 === 0) {
           this.reduce(id, {
@@ -427,6 +503,7 @@
         }
         this.reduce(id, { kind: "tick" });
       }
+      this.check();
     }
   }
 
@@ -438,6 +515,14 @@
     return this.store.get(job)?.record.state;
   }
 
+  /** Members that ended in an earlier run say nothing about this one. */
+  forgetEnded(job: string, epoch: number): void {
+    for (const { ended } of this.agents.values()) {
+      const former = ended.get(job)?.[0]?.run.epoch ?? epoch;
+      if (former < epoch) ended.delete(job);
+    }
+  }
+
   /** Workers with running members of the job. */
   running(job: string): Agent[] {
     return [...this.agents.values()].filter((agent) =>
@@ -459,6 +544,7 @@
   ...change,
 });
 
+/** Team a is guaranteed one worker, team c has a small quota. */
 export const configuration: Configuration = {
   version: 1,
   services: [],
@@ -478,6 +564,7 @@
   })),
 };
 
+/** A deferrable job of team b that may be stopped and repeated. */
 export function buildSpec(
   members: number,
   accelerators: number,
--- a/core/entry_reducer/requests/requests_test.ts
+++ b/core/entry_reducer/requests/requests_test.ts
@@ -1,5 +1,5 @@
 import { test } from "tap";
-import { configuration, createHarness } from "../test_support.ts";
+import { answer, configuration, createHarness } from "../test_support.ts";
 
 const bytes = (...values: number[]) => new Uint8Array(values);
 
@@ -139,6 +139,19 @@
   t.end();
 });
 
+// Guards against requests that starve because they often met a full agent.
+test("a request stays queued after any number of busy refusals", (t) => {
+  const h = createHarness(["w1"], 1);
+  h.request("r1");
+  for (let n = 0; n < 8; n++) {
+    h.refuse("r1", "busy");
+    t.equal(h.sent("attempt").length, n + 1, "not before a report");
+    h.report("w1");
+    t.equal(h.sent("attempt").length, n + 2, "at once after a report");
+  }
+  t.end();
+});
+
 // Guards against new work for an agent that says that it leaves.
 test("a leaving agent receives nothing more", (t) => {
   const h = createHarness(["w1"]);
@@ -199,16 +212,7 @@
   h.request("r1");
   const { worker, message } = h.attempt("r1")!;
   h.refuse("r1", "busy");
-  const late = {
-    kind: "attemptAnswer" as const,
-    attempt: message.attempt,
-    status: 200,
-    contentType: "",
-    sequence: 0,
-    last: true,
-    piece: bytes(9),
-  };
-  h.say(worker, late);
+  h.say(worker, answer(message.attempt, {}));
   t.equal(h.outcome("r1"), undefined);
   h.answer("r1");
   h.answer("r1");
