--- a/daemons/entry/agent_sessions.ts
+++ b/daemons/entry/agent_sessions.ts
@@ -54,11 +54,9 @@
     const worker = session.peer.id;
     const previous = sessions.get(worker);
     sessions.set(worker, session);
-    // The newer session wins, since the older one may have gone silent.
-    if (previous) {
-      previous.close("replaced by a newer session");
-      handlers.onLost(worker, previous.peer.incarnation);
-    }
+    // The newer session wins, since the older one may have gone silent. The
+    // agent is not lost meanwhile, so that its attempts are only queried.
+    previous?.close("replaced by a newer session");
     handlers.onConnected(session.peer);
   }
 
