Recognise refusals of the worker in the agent

Cause: the worker client threw a plain Error for error statuses, but looked for WorkerRefusal, so status 409 on a repeated start and 404 on a stop were never recognised: a started task was failed and stopped after a lost answer, and a member whose task was gone never ended. Both new tests fail before the change and pass after it.

--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -99,7 +99,8 @@
     });
     const text = await answer.body.text();
     if (answer.statusCode >= 400) {
-      throw new Error(
+      throw new WorkerRefusal(
+        answer.statusCode,
         `${method} ${path}: status ${answer.statusCode}: ${text}`,
       );
     }
--- /dev/null
+++ b/daemons/agent/worker_client_test.ts
@@ -0,0 +1,56 @@
+import { test } from "tap";
+import { createWorkerServer } from "@dragonflyledge/fakes";
+import type { AgentEvent, MemberReport, TaskId } from "@dragonflyledge/model";
+import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
+import { createWorkerClient } from "./worker_client.ts";
+
+const TASK: TaskId = { run: { job: "job-1", epoch: 1 }, member: 0 };
+
+/** A client whose events a test waits for. */
+async function open() {
+  const worker = await createWorkerServer();
+  const waiting: ((event: AgentEvent) => void)[] = [];
+  const client = createWorkerClient({
+    url: worker.url,
+    clock: createSystemClock(),
+    timer: createSystemTimer(),
+    dispatch: (event) => waiting.shift()?.(event),
+    observer: { log: () => {}, count: () => {} },
+  });
+  const next = () =>
+    new Promise<AgentEvent>((resolve) => waiting.push(resolve));
+  return { worker, client, next };
+}
+
+const START = {
+  kind: "startTask",
+  task: TASK,
+  report: {} as MemberReport,
+  perMember: { accelerators: 1, cores: 1, memoryMiB: 1 },
+  command: "forever",
+  lease: 10_000,
+} as const;
+
+// Guards against a member that never ends because the worker forgot its task.
+test("a task that the worker does not know has ended", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  const ended = next();
+  client.perform({ kind: "stopTask", task: TASK });
+  t.match(await ended, { kind: "taskEnded", ending: "stopped" });
+});
+
+// Guards against a task that is failed and stopped although it runs, because
+// the answer to its start was lost.
+test("a task that runs already has been started", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  for (const round of ["first", "repeated"]) {
+    const started = next();
+    client.perform(START);
+    t.match(await started, { kind: "taskStarted" }, round);
+  }
+  t.equal(worker.tasks().length, 1);
+});
