Answer a misfit with 422, and apply the connections setting

Cause: status 409 for a configuration that does not fit made the command line report a conflict with version NaN. The setting limits.connections was read and ignored; the server used a constant.

--- a/cli/command/commands/entry.ts
+++ b/cli/command/commands/entry.ts
@@ -49,6 +49,7 @@
       httpPort: listen.httpPort,
       advertise: listen.advertise ?? listen.host,
       bodyLimit: limits.bodyLimit,
+      connections: limits.connections,
       operators: settings.operators.tokenDigests ?? [],
     },
     openRecords: (own) =>
--- a/cli/command/dev/system.ts
+++ b/cli/command/dev/system.ts
@@ -26,6 +26,7 @@
 
 const HOST = "127.0.0.1";
 const BODY_LIMIT = 512 * KIBIBYTE;
+const CONNECTION_LIMIT = 1024;
 const WORKERS_PER_RACK = 3;
 
 /** Sizes of a system. */
@@ -93,6 +94,7 @@
         httpPort: firstHttpPort === 0 ? 0 : firstHttpPort + index,
         advertise: HOST,
         bodyLimit: BODY_LIMIT,
+        connections: CONNECTION_LIMIT,
         operators: fields.operators,
       },
       openRecords: (own) =>
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -55,6 +55,8 @@
   /** Address that others use to reach this process. */
   advertise: string;
   bodyLimit: number;
+  /** Most HTTP connections at the same time. */
+  connections: number;
   operators: Operator[];
 }
 
@@ -158,6 +160,7 @@
     host: settings.host,
     port: settings.httpPort,
     bodyLimit: settings.bodyLimit,
+    connections: settings.connections,
     routes: [
       ...requests.routes,
       ...jobs.routes,
--- a/daemons/entry/http/configuration_api.ts
+++ b/daemons/entry/http/configuration_api.ts
@@ -80,7 +80,8 @@
       inventories: fields.inventories(),
     });
     if (fields.inventories().length > 0 && misfit.isErr()) {
-      return json(409, { problems: misfit.error.map(formatProblem) });
+      // Status 409 would say that another change came first.
+      return json(422, { problems: misfit.error.map(formatProblem) });
     }
     const submitted = clock.date().toISOString();
     const record = { configuration: parsed, actor: author, submitted };
--- a/daemons/entry/http/server.ts
+++ b/daemons/entry/http/server.ts
@@ -17,7 +17,6 @@
 const HEADERS_TIMEOUT: Milliseconds = 5 * SECOND;
 const BODY_TIMEOUT: Milliseconds = 30 * SECOND;
 const KEEP_ALIVE: Milliseconds = 5 * SECOND;
-const CONNECTION_LIMIT = 4096;
 
 /** A request whose body has been read. */
 export interface HttpRequest {
@@ -63,6 +62,8 @@
   port: number;
   routes: Route[];
   bodyLimit: number;
+  /** Further connections are closed at once. */
+  connections: number;
 }): Promise<Result<HttpServer, StepError>> {
   const server = createServer({
     maxHeaderSize: HEADER_LIMIT,
@@ -70,7 +71,7 @@
     requestTimeout: BODY_TIMEOUT,
     keepAliveTimeout: KEEP_ALIVE,
   });
-  server.maxConnections = CONNECTION_LIMIT;
+  server.maxConnections = fields.connections;
   let closing = false;
   server.on("request", (incoming, response) => {
     handle({ ...fields, incoming, response, closing: () => closing })
