--- a/cli/command/client.ts
+++ b/cli/command/client.ts
@@ -10,7 +10,7 @@
 import type { Dependencies, HttpRequest } from "./dependencies.ts";
 import type { ExitName } from "./exit_code.ts";
 import { CommandFailure } from "./failure.ts";
-import { oneLine } from "./output.ts";
+import { formatValue, oneLine } from "./output.ts";
 
 /** One call; `repeatable` ones may reach several entries. */
 export interface Call {
@@ -54,6 +54,7 @@
   409: "Conflict",
   413: "Invalid",
   422: "Invalid",
+  502: "Unknown",
 };
 /** Status that states that nothing was done: another entry may do it. */
 const UNAVAILABLE = 503;
@@ -205,11 +206,14 @@
   }
 }
 
-/** Returns the message, reason and hint of an error body as one line. */
+/** Returns the message, reason, hint and problems of an error as one line. */
 function describe(body: string): string {
   try {
-    const { message, reason, hint } = JSON.parse(body);
-    const parts = [message, reason, hint].filter((each) => each);
+    const value = JSON.parse(body);
+    const { message, reason, hint } = { ...value, ...value.error };
+    const problems = Array.isArray(value.problems) ? value.problems : [];
+    const parts = [message, reason, hint, ...problems.map(formatValue)]
+      .filter((each) => each);
     if (parts.length > 0) return oneLine(parts.join(". "));
   } catch {
     // Other bodies are shown as they are.
--- a/cli/command/program_test.ts
+++ b/cli/command/program_test.ts
@@ -227,6 +227,28 @@
   t.match(await run(line, same), { code: 0, output: /7 holds this document/ });
 });
 
+// Guards against a refusal that is taken for another operator's change.
+test("a configuration that does not fit is refused with reasons", async (t) => {
+  const misfit = await serve(t, {
+    "PUT /v1/configuration": [422, { problems: ["teams[lab]: no room"] }],
+  });
+  const line = "config submit c.json --expect 7 --entry";
+  t.match(await run(`${line} ${misfit.url}`, FILES), {
+    code: 3,
+    errors: /teams\[lab\]: no room/,
+  });
+  const lost = await serve(t, {
+    "PUT /v1/configuration": [502, {
+      outcome: "unknown",
+      error: { code: "DFL_STORE_UNAVAILABLE", message: "the store is away" },
+    }],
+  });
+  t.match(await run(`${line} ${lost.url}`, FILES), {
+    code: 8,
+    errors: /the store is away/,
+  });
+});
+
 // Guards against a command that fails because one entry is down.
 test("the next entry is tried if one is down or refuses", async (t) => {
   const dead = await deadEntry();
