--- a/testing/fakes/endpoint_server.ts
+++ b/testing/fakes/endpoint_server.ts
@@ -27,6 +27,7 @@
   /** From the header `x-request-id`. */
   request: string;
   path: string;
+  body: string;
   started: Milliseconds;
   /** Absent while it runs, and if the caller left before its end. */
   ended?: Milliseconds;
@@ -76,6 +77,7 @@
     const execution: Execution = {
       request: String(request.headers["x-request-id"] ?? ""),
       path: request.url ?? "",
+      body: body.toString(),
       started: time.now(),
     };
     executions.push(execution);
--- /dev/null
+++ b/testing/processes/cluster.ts
@@ -0,0 +1,303 @@
+/**
+ * Entries and agents as processes, with stand-ins for the platform that run
+ * inside the test.
+ *
+ * @module
+ */
+
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { EXAMPLES } from "@dragonflyledge/cli/dev";
+import { tokenDigest } from "@dragonflyledge/declare";
+import {
+  createEndpointServer,
+  createEtcdServer,
+  createMemoryStore,
+  createRelay,
+  createSystemTimer,
+  createWorkerServer,
+} from "@dragonflyledge/fakes";
+import type {
+  EndpointServer,
+  Relay,
+  WorkerServer,
+} from "@dragonflyledge/fakes";
+import type { Configuration } from "@dragonflyledge/model";
+import { startProcess } from "./daemon_process.ts";
+import type { DaemonProcess, Ending } from "./daemon_process.ts";
+import { waitUntil } from "./wait.ts";
+
+const HOST = "127.0.0.1";
+/** Relays listen here on the ports of their entries, which advertise it. */
+const RELAY_HOST = "127.0.0.2";
+const WORKERS_PER_RACK = 3;
+/** Below the range that the system uses for outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+const START_LIMIT = 20_000;
+const COMMAND_LIMIT = 20_000;
+
+/** Names of operators; `tokenOf` returns their tokens. */
+export const OPERATORS = ["operator-1", "operator-2"] as const;
+
+/** Status document of an entry, as far as tests read it. */
+export interface Status {
+  versions: { configuration: number; homes: number };
+  teams: { name: string; held: number; borrowed: number }[];
+  entries: { id: string }[];
+  workers: {
+    worker: string;
+    state: string;
+    versions?: { configuration: number };
+  }[];
+}
+
+/** One entry, over all of its restarts. */
+export interface EntrySeat {
+  readonly id: string;
+  readonly url: string;
+  readonly sessionPort: number;
+  readonly relay: Relay;
+  process: DaemonProcess;
+  /** Whether callers may be sent here, as a balancer sees it. */
+  ready: boolean;
+  /** Set when a test ends the process without a graceful stop. */
+  killed: boolean;
+}
+
+/** One worker with its endpoint, and its agent over all restarts. */
+export interface AgentSeat {
+  readonly id: string;
+  readonly endpoint: EndpointServer;
+  readonly worker: WorkerServer;
+  process: DaemonProcess;
+}
+
+/** A running cluster. */
+export type Cluster = Awaited<ReturnType<typeof startCluster>>;
+
+/** Starts a cluster at one of the example deployments. */
+export async function startCluster(fields: {
+  example: "nyabugogo" | "sahil";
+  entries: number;
+  agents: number;
+  /** Accelerators of each worker, if not as in the example. */
+  accelerators?: number;
+}) {
+  const { deployment, configuration } = EXAMPLES[fields.example]!;
+  const directory = await mkdtemp(join(tmpdir(), "dragonflyledge-"));
+  const time = createSystemTimer();
+  const store = createMemoryStore({ clock: time, timer: time });
+  const etcd = await createEtcdServer({ memory: store });
+  const entries: EntrySeat[] = [];
+  const agents: AgentSeat[] = [];
+  let stopped = false;
+
+  async function write(name: string, text: string): Promise<string> {
+    const path = join(directory, name);
+    await writeFile(path, text);
+    return path;
+  }
+
+  function identity(id: string, index: number): string {
+    const { failureDomains, region } = deployment;
+    const rack = Math.floor(index / WORKERS_PER_RACK);
+    return `[identity]\nid = ${id}\nregion = ${region}\nfailure-domain = ${
+      failureDomains[rack % failureDomains.length]
+    }\nrack = rack-${rack + 1}\n`;
+  }
+
+  async function addEntry(index: number): Promise<void> {
+    const id = `entry-${index + 1}`;
+    const [port, httpPort] = [await findPort(), await findPort()];
+    const digests = OPERATORS.map((name) =>
+      `${name}:${tokenDigest(tokenOf(name))}`
+    );
+    await write(
+      `${id}.ini`,
+      identity(id, index * WORKERS_PER_RACK) +
+        `[listen]\nhost = ${HOST}\nport = ${port}\nhttp-port = ${httpPort}\n` +
+        `advertise = ${RELAY_HOST}\n[store]\nurl = ${etcd.url}\n` +
+        `[operators]\ntoken-digests = ${digests.join(", ")}\n`,
+    );
+    entries.push({
+      id,
+      url: `http://${HOST}:${httpPort}`,
+      sessionPort: port,
+      relay: await createRelay({ target: { port }, host: RELAY_HOST, port }),
+      process: startEntry(id),
+      ready: false,
+      killed: false,
+    });
+  }
+
+  async function addAgent(index: number): Promise<void> {
+    const id = `worker-${String(index + 1).padStart(2, "0")}`;
+    const endpoint = await createEndpointServer();
+    const worker = await createWorkerServer();
+    const seeds = entries.map((one) => `${RELAY_HOST}:${one.sessionPort}`);
+    const { capacity } = deployment;
+    const accelerators = fields.accelerators ?? capacity.accelerators;
+    await write(
+      `${id}.ini`,
+      identity(id, index) +
+        `[entries]\nseeds = ${seeds.join(", ")}\n` +
+        `[worker]\nurl = ${worker.url}\n` +
+        `accelerators = ${accelerators}\ncores = ${capacity.cores}\n` +
+        `memory-mib = ${capacity.memoryMiB}\n` +
+        `[endpoint]\nurl = ${endpoint.url}\nservice = ${deployment.service}\n` +
+        `slots = ${deployment.slots}\nconnections = ${deployment.connections}\n`,
+    );
+    agents.push({ id, endpoint, worker, process: startAgent(id) });
+  }
+
+  const startEntry = (id: string) =>
+    startProcess(["entry", join(directory, `${id}.ini`)]);
+  const startAgent = (id: string) =>
+    startProcess(["agent", join(directory, `${id}.ini`)]);
+
+  for (let i = 0; i < fields.entries; i++) await addEntry(i);
+  for (let i = 0; i < fields.agents; i++) await addAgent(i);
+  for (const entry of entries) void watchReady(entry);
+
+  /** Stands in for the health check of the platform's load balancer. */
+  async function watchReady(entry: EntrySeat): Promise<void> {
+    while (!stopped) {
+      const answer = await request(`${entry.url}/readyz`, { reset: true })
+        .catch(() => undefined);
+      await answer?.body.dump();
+      entry.ready = answer?.statusCode === 200;
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
+  async function status(entry: EntrySeat): Promise<Status> {
+    const answer = await request(`${entry.url}/v1/status`, {
+      headers: { authorization: `Bearer ${tokenOf("operator-1")}` },
+      reset: true,
+    });
+    return await answer.body.json() as Status;
+  }
+
+  /** Waits until every entry is ready and sees all agents as ready. */
+  async function whole(limit = START_LIMIT): Promise<void> {
+    let seen = "";
+    const holds = async () => {
+      for (const entry of entries) {
+        const shown = await status(entry).catch(() => undefined);
+        const states = shown?.workers.map((one) => one.state) ?? [];
+        const ready = states.filter((state) => state === "ready").length;
+        seen = `${entry.id}: ready ${entry.ready}, workers ${states.join(" ")}`;
+        if (!entry.ready || ready !== agents.length) return false;
+        if (shown!.versions.homes === 0) return false;
+        if (shown!.entries.length !== entries.length) return false;
+      }
+      return true;
+    };
+    await waitUntil("the cluster is whole", limit, holds).catch((cause) => {
+      throw new Error(`${cause.message}; ${seen}`);
+    });
+  }
+
+  /** Runs a command of the command line against the given entries. */
+  async function command(
+    parameters: string[],
+    options: { operator?: string; at?: EntrySeat[] } = {},
+  ): Promise<{ code: number | null; output: string }> {
+    const child = startProcess(parameters, {
+      DRAGONFLYLEDGE_ENTRY: (options.at ?? entries)
+        .map((entry) => entry.url).join(","),
+      DRAGONFLYLEDGE_TOKEN: tokenOf(options.operator ?? "operator-1"),
+    });
+    const { code } = await child.ended(COMMAND_LIMIT);
+    return { code, output: child.lines.join("\n") };
+  }
+
+  /** Submits a configuration through the command line. */
+  async function submit(
+    document: Configuration,
+    expect: number,
+    options: { operator?: string; at?: EntrySeat[] } = {},
+  ) {
+    const name = `configuration-${options.operator ?? "operator-1"}.json`;
+    const file = await write(name, JSON.stringify(document));
+    const parameters = ["config", "submit", file, "--expect", String(expect)];
+    return await command(parameters, options);
+  }
+
+  async function stopGracefully(
+    seat: EntrySeat | AgentSeat,
+    limit = 15_000,
+  ): Promise<Ending> {
+    seat.process.signal("SIGTERM");
+    return await seat.process.ended(limit);
+  }
+
+  async function kill(seat: EntrySeat | AgentSeat): Promise<void> {
+    if ("killed" in seat) seat.killed = true;
+    seat.process.signal("SIGKILL");
+    await seat.process.ended(5000);
+  }
+
+  function restart(seat: EntrySeat | AgentSeat): void {
+    seat.process = "relay" in seat ? startEntry(seat.id) : startAgent(seat.id);
+  }
+
+  async function stop(): Promise<void> {
+    stopped = true;
+    for (const seat of [...entries, ...agents]) {
+      seat.process.signal("SIGKILL");
+      await seat.process.ended(5000);
+    }
+    for (const { relay } of entries) await relay.stop();
+    for (const { endpoint, worker } of agents) {
+      await endpoint.stop();
+      await worker.stop();
+    }
+    await etcd.stop();
+    store.stop();
+    await rm(directory, { recursive: true });
+  }
+
+  return {
+    configuration,
+    service: deployment.service,
+    slots: deployment.slots,
+    entries,
+    agents,
+    store,
+    write,
+    status,
+    whole,
+    command,
+    submit,
+    stopGracefully,
+    kill,
+    restart,
+    stop,
+  };
+}
+
+/** Bearer token of an operator or a team. */
+export function tokenOf(name: string): string {
+  return `example-token-${name}`;
+}
+
+/** A port that is free on both loopback addresses. */
+async function findPort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (await isFree(HOST, port) && await isFree(RELAY_HOST, port)) return port;
+  }
+}
+
+function isFree(host: string, port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
--- /dev/null
+++ b/testing/processes/whole_path_test.ts
@@ -0,0 +1,101 @@
+import { request } from "undici";
+import { test } from "tap";
+import { createCallers } from "./callers.ts";
+import type { Work } from "./callers.ts";
+import { startCluster, tokenOf } from "./cluster.ts";
+import { showOutput } from "./show_output.ts";
+import { waitUntil } from "./wait.ts";
+
+const SEED = 11;
+
+const KINDS: Work[] = [
+  { team: "fry-floor", class: "shift-plan", runMs: 20 },
+  { team: "dispatch", class: "shift-plan", runMs: 50, idempotent: true },
+  { team: "quality-lab", class: "image-batch", runMs: 300 },
+  { team: "quality-lab", class: "image-batch", runMs: 300, idempotent: true },
+];
+
+const GANG = {
+  class: "recipe-tuning",
+  members: 4,
+  perMember: { accelerators: 4, cores: 8, memoryMiB: 16384 },
+  adjacency: "rack",
+  revocable: true,
+  idempotent: true,
+  declaredRunTime: 1500,
+  command: "run 1500",
+};
+
+// Guards against callers that are told something untrue when an entry and an
+// agent die under load.
+test("every caller is told the truth when processes are killed", async (t) => {
+  const cluster = await startCluster({
+    example: "nyabugogo",
+    entries: 2,
+    agents: 3,
+    // The guarantees of the example need 72 accelerators.
+    accelerators: 32,
+  });
+  t.teardown(() => cluster.stop());
+  t.comment(`seed ${SEED}`);
+  const { entries, agents } = cluster;
+  const callers = createCallers(cluster);
+  await waitUntil("the entries answer", 10_000, async () => {
+    const states = await Promise.all(entries.map(cluster.status))
+      .catch(() => []);
+    return states.length > 0 &&
+      states.every((state) => state.workers.length === agents.length);
+  });
+  const submitted = await cluster.submit(cluster.configuration, 0);
+  t.equal(submitted.code, 0, submitted.output);
+  await cluster.whole();
+
+  let loading = true;
+  const load = callers.load({
+    seed: SEED,
+    callers: 12,
+    kinds: KINDS,
+    done: () => !loading,
+  });
+  const started = (count: number) =>
+    waitUntil(`${count} requests were sent`, 20_000, () => {
+      return callers.sent.length >= count;
+    });
+  const headers = { authorization: `Bearer ${tokenOf("recipe-tuning")}` };
+  const answer = await request(`${entries[0]!.url}/v1/jobs`, {
+    method: "POST",
+    headers,
+    body: JSON.stringify(GANG),
+  });
+  const { id } = await answer.body.json() as { id: string };
+  t.equal(answer.statusCode, 202);
+  await started(50);
+  await cluster.kill(agents[0]!);
+  await cluster.kill(entries[0]!);
+  await started(150);
+  const jobState = async () => {
+    const told = await request(`${entries[1]!.url}/v1/jobs/${id}`, { headers });
+    return (await told.body.json() as { state: string }).state;
+  };
+  // Takeover needs the lapse of the lease and a margin, then the gang runs.
+  await waitUntil("the gang job ends", 40_000, async () => {
+    return await jobState() === "succeeded";
+  });
+  cluster.restart(agents[0]!);
+  cluster.restart(entries[0]!);
+  await cluster.whole();
+  await started(callers.sent.length + 50);
+  loading = false;
+  await load;
+  t.same(callers.lies(), []);
+  t.comment(JSON.stringify(callers.outcomes()));
+
+  const work: Work = { ...KINDS[0]!, key: "plan-1" };
+  const first = await callers.send(work, 0);
+  const second = await callers.repeat(first, work);
+  t.equal(first.tries[0]!.outcome, "done");
+  t.equal(second.outcome, "done");
+  t.equal(second.body, first.body, "the repeat gets the first answer");
+  t.same(callers.lies(), [], "and nothing ran a second time");
+  showOutput(t, cluster);
+});
