Keep sessions with entries that the list leaves out

Cause: after an outage of the store all presence leases have lapsed, and entries come back into the list one by one. The first list names one entry, so agents cut their sessions with all others, and work in flight there became unknown. Ruled out: a loss by silence; the agents logged that they had closed the sessions themselves. A session that is not listed now goes on until it ends, within the limit of 4.

--- a/daemons/agent/entry_sessions.ts
+++ b/daemons/agent/entry_sessions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { SESSION_TIMEOUT } from "@dragonflyledge/model";
+import { MAX_ENTRIES_PER_AGENT, SESSION_TIMEOUT } from "@dragonflyledge/model";
 import type {
   AgentMessage,
   Clock,
@@ -30,7 +30,11 @@
 /** Sessions with all entries that the agent should know. */
 export interface EntrySessions {
   send(entry: EntryId, message: AgentMessage): void;
-  /** Replaces the set of entries to hold sessions with. */
+  /**
+   * Replaces the set of entries to dial. A session with another entry goes on
+   * until it ends, if that does not exceed the limit: after an outage of the
+   * store, entries come back into the list one by one.
+   */
   setEntries(entries: { id: EntryId; address: string }[]): void;
   close(): void;
 }
@@ -49,11 +53,14 @@
   const { handlers, observer, timer } = fields;
   const dialers = new Map<string, Dialer>();
   const sessions = new Map<EntryId, Session>();
+  /** Addresses of dialers whose session is open. */
+  const open = new Set<string>();
+  let wanted = new Set<string>();
   let listed: string[] = [];
   let closed = false;
   let cancelSeeds = () => {};
 
-  function open(session: Session): void {
+  function enter(session: Session): void {
     const entry = session.peer.id;
     const previous = sessions.get(entry);
     sessions.set(entry, session);
@@ -84,17 +91,24 @@
 
   function dialAll(addresses: string[]): void {
     if (closed) return;
-    const wanted = new Set(addresses);
-    for (const [address, dialer] of dialers) {
+    wanted = new Set(addresses);
+    let spare = MAX_ENTRIES_PER_AGENT - wanted.size;
+    for (const address of [...dialers.keys()]) {
       if (wanted.has(address)) continue;
-      dialers.delete(address);
-      dialer.stop();
+      if (open.has(address) && spare-- > 0) continue;
+      drop(address);
     }
     for (const address of wanted) {
       if (!dialers.has(address)) dialers.set(address, dial(address));
     }
   }
 
+  function drop(address: string): void {
+    const dialer = dialers.get(address);
+    dialers.delete(address);
+    dialer?.stop();
+  }
+
   function dial(address: string): Dialer {
     return createDialer({
       address,
@@ -104,14 +118,21 @@
       timer,
       random: fields.random,
       handlers: {
-        onOpen: open,
+        onOpen: (session) => {
+          open.add(address);
+          enter(session);
+        },
         onMessage: (session, message) => {
           if (sessions.get(session.peer.id) !== session) return;
           handlers.onMessage(session.peer.id, message);
         },
         onHeartbeat: (session, versions) =>
           handlers.onVersions(session.peer.id, versions),
-        onClose: (session, error) => lose(session, error.message),
+        onClose: (session, error) => {
+          open.delete(address);
+          if (!wanted.has(address)) drop(address);
+          lose(session, error.message);
+        },
       },
     });
   }
