Let a signal during the start stop the daemon afterwards, exit 2 for settings

Cause: signal handlers were registered once the daemon had started, so SIGTERM during the up to 2 s in which an agent lists its worker's tasks killed it. Bad settings ended with code 1, although arguments end with code 2.

--- a/cli/command/commands/agent.ts
+++ b/cli/command/commands/agent.ts
@@ -38,33 +38,34 @@
     level: settings.log.level,
     metrics: settings.metrics,
   });
-  const agent = await startAgent({
-    settings: {
-      inventory: {
-        worker: identity.id,
-        location: {
-          region: identity.region,
-          failureDomain: identity.failureDomain,
-          rack: identity.rack,
+  const start = () =>
+    startAgent({
+      settings: {
+        inventory: {
+          worker: identity.id,
+          location: {
+            region: identity.region,
+            failureDomain: identity.failureDomain,
+            rack: identity.rack,
+          },
+          capacity: {
+            accelerators: worker.accelerators,
+            cores: worker.cores,
+            memoryMiB: worker.memoryMib,
+          },
+          service: endpoint.service,
+          slots: endpoint.slots,
+          connections: endpoint.connections,
         },
-        capacity: {
-          accelerators: worker.accelerators,
-          cores: worker.cores,
-          memoryMiB: worker.memoryMib,
-        },
-        service: endpoint.service,
-        slots: endpoint.slots,
-        connections: endpoint.connections,
+        seeds: entries.seeds.map(({ host, port }) => `${host}:${port}`),
+        endpointUrl: endpoint.url,
+        workerUrl: worker.url,
       },
-      seeds: entries.seeds.map(({ host, port }) => `${host}:${port}`),
-      endpointUrl: endpoint.url,
-      workerUrl: worker.url,
-    },
-    clock: createSystemClock(),
-    timer: createSystemTimer(),
-    random: createRandom(randomInt(SEED_LIMIT)),
-    observer,
-  });
-  await runUntilStopped(agent);
+      clock: createSystemClock(),
+      timer: createSystemTimer(),
+      random: createRandom(randomInt(SEED_LIMIT)),
+      observer,
+    });
+  await runUntilStopped(start);
   await observer.close();
 }
--- a/cli/command/commands/dev.ts
+++ b/cli/command/commands/dev.ts
@@ -53,7 +53,8 @@
         end = resolve;
       });
       const stop = () => void system.stop().then(end);
-      await runUntilStopped({ stop: once(stop), ended });
+      const daemon = { stop: once(stop), ended };
+      await runUntilStopped(() => Promise.resolve(daemon));
     });
 };
 
--- a/cli/command/commands/entry.ts
+++ b/cli/command/commands/entry.ts
@@ -41,36 +41,40 @@
   const clock = createSystemClock();
   const timer = createSystemTimer();
   const random = createRandom(randomInt(SEED_LIMIT));
-  const entry = await startEntry({
-    settings: {
-      id: identity.id,
-      host: listen.host,
-      port: listen.port,
-      httpPort: listen.httpPort,
-      advertise: listen.advertise ?? listen.host,
-      bodyLimit: limits.bodyLimit,
-      connections: limits.connections,
-      operators: settings.operators.tokenDigests ?? [],
-    },
-    openRecords: (own) =>
-      createStoreRecords({
-        url: settings.store.url,
-        prefix: settings.store.prefix,
+  const start = () =>
+    startEntry({
+      settings: {
         id: identity.id,
-        writesPerSecond: limits.storeWrites,
-        readsPerSecond: limits.storeReads,
-        ...own,
-        clock,
-        timer,
-        random,
-        observer,
-      }),
-    clock,
-    timer,
-    random,
-    observer,
+        host: listen.host,
+        port: listen.port,
+        httpPort: listen.httpPort,
+        advertise: listen.advertise ?? listen.host,
+        bodyLimit: limits.bodyLimit,
+        connections: limits.connections,
+        operators: settings.operators.tokenDigests ?? [],
+      },
+      openRecords: (own) =>
+        createStoreRecords({
+          url: settings.store.url,
+          prefix: settings.store.prefix,
+          id: identity.id,
+          writesPerSecond: limits.storeWrites,
+          readsPerSecond: limits.storeReads,
+          ...own,
+          clock,
+          timer,
+          random,
+          observer,
+        }),
+      clock,
+      timer,
+      random,
+      observer,
+    });
+  await runUntilStopped(async () => {
+    const entry = await start();
+    if (entry.isErr()) throw entry.error;
+    return entry.value;
   });
-  if (entry.isErr()) throw entry.error;
-  await runUntilStopped(entry.value);
   await observer.close();
 }
--- a/cli/command/daemon/read_settings.ts
+++ b/cli/command/daemon/read_settings.ts
@@ -4,18 +4,20 @@
  * @module
  */
 
+import type { StepError } from "@dragonflyledge/model";
 import { readSettings, settingsError } from "@dragonflyledge/settings";
 import type { AgentSettings, EntrySettings } from "@dragonflyledge/settings";
 import type { Dependencies } from "../dependencies.ts";
+import { CommandFailure } from "../failure.ts";
 
 /** Returns the settings of an entry, or throws all of their problems. */
 export async function readEntrySettings(
   dependencies: Dependencies,
   file: string,
 ): Promise<EntrySettings> {
-  const text = await dependencies.readFile(file);
+  const text = await readText(dependencies, file);
   const settings = readSettings({ text, file, role: "entry" });
-  if (settings.isErr()) throw settingsError(settings.error);
+  if (settings.isErr()) throw refusal(settingsError(settings.error));
   return settings.value;
 }
 
@@ -24,8 +26,28 @@
   dependencies: Dependencies,
   file: string,
 ): Promise<AgentSettings> {
-  const text = await dependencies.readFile(file);
+  const text = await readText(dependencies, file);
   const settings = readSettings({ text, file, role: "agent" });
-  if (settings.isErr()) throw settingsError(settings.error);
+  if (settings.isErr()) throw refusal(settingsError(settings.error));
   return settings.value;
 }
+
+async function readText(
+  dependencies: Dependencies,
+  file: string,
+): Promise<string> {
+  try {
+    return await dependencies.readFile(file);
+  } catch (cause) {
+    const { message } = cause as Error;
+    const hint = "Name a readable INI file.";
+    const step = "readSettings";
+    const peer = file;
+    throw new CommandFailure({ exit: "Usage", step, peer, message, hint });
+  }
+}
+
+function refusal(error: StepError): CommandFailure {
+  const { code, step, peer, message, hint } = error;
+  return new CommandFailure({ exit: "Usage", code, step, peer, message, hint });
+}
--- a/cli/command/daemon/run.ts
+++ b/cli/command/daemon/run.ts
@@ -14,10 +14,25 @@
 
 const SIGNALS = ["SIGTERM", "SIGINT"] as const;
 
-/** Stops the daemon gracefully on a signal; further signals change nothing. */
-export async function runUntilStopped(daemon: Stoppable): Promise<void> {
-  const stop = () => daemon.stop();
+/**
+ * Starts the daemon, and stops it gracefully on a signal; further signals
+ * change nothing. A signal during the start takes effect after it.
+ */
+export async function runUntilStopped(
+  start: () => Promise<Stoppable>,
+): Promise<void> {
+  let daemon: Stoppable | undefined;
+  let asked = false;
+  const stop = () => {
+    asked = true;
+    daemon?.stop();
+  };
   for (const signal of SIGNALS) process.on(signal, stop);
-  await daemon.ended;
-  for (const signal of SIGNALS) process.off(signal, stop);
+  try {
+    daemon = await start();
+    if (asked) daemon.stop();
+    await daemon.ended;
+  } finally {
+    for (const signal of SIGNALS) process.off(signal, stop);
+  }
 }
--- a/cli/command/exit_code.ts
+++ b/cli/command/exit_code.ts
@@ -8,7 +8,10 @@
 export const EXIT_CODES = {
   Success: { code: 0, meaning: "The command succeeded." },
   Failure: { code: 1, meaning: "The command failed for another reason." },
-  Usage: { code: 2, meaning: "Arguments, options or the token are wrong." },
+  Usage: {
+    code: 2,
+    meaning: "Arguments, options, settings or token are wrong.",
+  },
   Invalid: { code: 3, meaning: "A configuration or job was refused." },
   Conflict: { code: 4, meaning: "Another change came first; none was made." },
   Unreachable: { code: 5, meaning: "No entry accepted it; nothing changed." },
