--- a/daemons/entry/status.ts
+++ b/daemons/entry/status.ts
@@ -67,6 +67,7 @@
       held(agent.members)
     }/${agent.inventory.capacity.accelerators}`,
     ageMs: Math.round(now - agent.reportedAt),
+    configuration: agent.versions.configuration,
   };
 }
 
--- /dev/null
+++ b/testing/processes/bad_input_test.ts
@@ -0,0 +1,205 @@
+import { Buffer } from "node:buffer";
+import { connect } from "node:net";
+import { request } from "undici";
+import { test } from "tap";
+import { encodeFrame } from "@dragonflyledge/codec";
+import { FRAME_LIMIT, PROTOCOL_VERSION } from "@dragonflyledge/model";
+import type { Hello } from "@dragonflyledge/model";
+import { createCallers } from "./callers.ts";
+import { startCluster, tokenOf } from "./cluster.ts";
+import type { EntrySeat } from "./cluster.ts";
+import { showOutput } from "./show_output.ts";
+import { waitUntil } from "./wait.ts";
+
+const CLOSE_LIMIT = 5000;
+const BODY_LIMIT = 524_288;
+
+/** Sends bytes to the session port and waits until the entry closes. */
+async function sendBytes(entry: EntrySeat, bytes: Uint8Array): Promise<void> {
+  const socket = connect(entry.sessionPort, "127.0.0.1");
+  let closed = false;
+  socket.on("error", () => {});
+  socket.on("close", () => closed = true);
+  socket.resume();
+  socket.write(bytes);
+  await waitUntil("the entry closes the session", CLOSE_LIMIT, () => closed);
+}
+
+function hello(protocol: number): Uint8Array {
+  const message: Hello = {
+    kind: "hello",
+    protocol,
+    role: "agent",
+    id: "foreign",
+    incarnation: 1,
+    versions: { configuration: 0, homes: 0 },
+  };
+  return encodeFrame({ message, peer: "entry" })._unsafeUnwrap();
+}
+
+/** A frame header that announces this length. */
+function header(length: number): Uint8Array {
+  const bytes = Buffer.alloc(8);
+  bytes.writeUInt32BE(length);
+  return bytes;
+}
+
+// Guards against input that ends a daemon, disturbs others or gets no reason.
+test("bad input gets a clear error and disturbs nothing", async (t) => {
+  const cluster = await startCluster({
+    example: "nyabugogo",
+    entries: 1,
+    agents: 3,
+    accelerators: 32,
+  });
+  t.teardown(() => cluster.stop());
+  const entry = cluster.entries[0]!;
+  const callers = createCallers(cluster);
+  await cluster.deploy();
+  const accepted = entry.relay.connections.accepted;
+  const steady = { team: "fry-floor", class: "shift-plan", runMs: 3000 };
+  const inFlight = callers.send(steady, 0);
+
+  const frames: [string, Uint8Array, RegExp][] = [
+    ["garbled bytes", Buffer.from("GET / HTTP/1.1\r\n\r\n"), /exceeds|limit/],
+    ["an oversized frame", header(FRAME_LIMIT + 1), /exceeds|limit/],
+    [
+      "a frame that is no CBOR",
+      Buffer.concat([
+        header(4).subarray(0, 4),
+        Buffer.from([0xff, 0xff, 0xff, 0xff]),
+      ]),
+      /CBOR|decode|frame/i,
+    ],
+    ["another protocol version", hello(PROTOCOL_VERSION + 1), /protocol/],
+    ["a hello without an inventory", hello(PROTOCOL_VERSION), /inventory/],
+  ];
+  for (const [what, bytes, reason] of frames) {
+    const seen = entry.process.lines.length;
+    await sendBytes(entry, bytes);
+    await waitUntil(`a log line about ${what}`, CLOSE_LIMIT, () => {
+      return entry.process.lines.slice(seen).some((line) => reason.test(line));
+    });
+    t.pass(`${what} is refused with a reason`);
+  }
+
+  const team = `Bearer ${tokenOf("fry-floor")}`;
+  const operator = `Bearer ${tokenOf("operator-1")}`;
+  const ask = async (
+    method: "GET" | "POST" | "PUT",
+    path: string,
+    headers: Record<string, string>,
+    body?: string | AsyncIterable<Uint8Array>,
+  ) => {
+    const answer = await request(entry.url + path, {
+      method,
+      headers,
+      body: body as string,
+      reset: true,
+    });
+    return { status: answer.statusCode, text: await answer.body.text() };
+  };
+  const work = `/v1/services/${cluster.service}/requests`;
+  const good = { authorization: team, "x-class": "shift-plan" };
+  const large = "x".repeat(BODY_LIMIT + 1);
+  async function* stream() {
+    for (let i = 0; i < 16; i++) {
+      yield await Promise.resolve(Buffer.alloc(65536));
+    }
+  }
+  const unknown = { ...good, authorization: "Bearer nobody" };
+  const cases: [string, Promise<{ status: number; text: string }>, number][] = [
+    ["an oversized body", ask("POST", work, good, large), 413],
+    [
+      "an oversized body of unknown length",
+      ask("POST", work, good, stream()),
+      413,
+    ],
+    ["an unknown token", ask("POST", work, unknown, "{}"), 401],
+    ["no token", ask("POST", work, { "x-class": "shift-plan" }, "{}"), 401],
+    [
+      "an unknown class",
+      ask("POST", work, { ...good, "x-class": "x" }, "{}"),
+      400,
+    ],
+    [
+      "a bad deadline",
+      ask("POST", work, { ...good, "x-deadline-ms": "-1" }, "{}"),
+      400,
+    ],
+    [
+      "a deadline that is no number",
+      ask("POST", work, { ...good, "x-deadline-ms": "soon" }, "{}"),
+      400,
+    ],
+    [
+      "a bad flag",
+      ask("POST", work, { ...good, "x-idempotent": "perhaps" }, "{}"),
+      400,
+    ],
+    [
+      "a bad key",
+      ask("POST", work, { ...good, "idempotency-key": "k".repeat(201) }, "{}"),
+      400,
+    ],
+    [
+      "an unknown service",
+      ask("POST", "/v1/services/none/requests", good, "{}"),
+      404,
+    ],
+    [
+      "a job that is no JSON",
+      ask("POST", "/v1/jobs", { authorization: team }, "{"),
+      400,
+    ],
+    [
+      "a job without fields",
+      ask("POST", "/v1/jobs", { authorization: team }, "{}"),
+      400,
+    ],
+    [
+      "a configuration that is no JSON",
+      ask("PUT", "/v1/configuration", {
+        authorization: operator,
+        "if-match": "1",
+      }, "{"),
+      400,
+    ],
+    [
+      "a configuration without a version",
+      ask("PUT", "/v1/configuration", { authorization: operator }, "{}"),
+      428,
+    ],
+    ["an unknown path", ask("GET", "/nothing", {}), 404],
+    [
+      "a path that is not decodable",
+      ask("GET", "/v1/jobs/%zz", { authorization: team }),
+      404,
+    ],
+  ];
+  for (const [what, answer, status] of cases) {
+    const told = await answer.catch((cause: Error) => {
+      return { status: 0, text: cause.message };
+    });
+    t.equal(told.status, status, `${what}: ${told.text.trim().slice(0, 80)}`);
+    t.match(told.text, /"(error|problems|outcome)"/, `${what}: a reason`);
+  }
+
+  for (const role of ["entry", "agent"]) {
+    const file = await cluster.write(
+      `bad-${role}.ini`,
+      "[identity]\nid = a b\n",
+    );
+    const { code, output } = await cluster.command([role, file]);
+    t.equal(code, 2, `bad settings of the ${role}`);
+    t.match(output, /identity.*id/);
+    t.match(output, /DFL_SETTINGS/);
+  }
+
+  const one = await inFlight;
+  t.equal(one.tries[0]!.outcome, "done", "the request in flight is answered");
+  t.same(callers.lies(), []);
+  t.equal(entry.relay.connections.accepted, accepted, "no session was lost");
+  await cluster.whole();
+  showOutput(t, cluster);
+});
--- a/testing/processes/callers.ts
+++ b/testing/processes/callers.ts
@@ -89,6 +89,7 @@
   async function pick(wanted: number, not?: string): Promise<EntrySeat> {
     let found: EntrySeat | undefined;
     await waitUntil("an entry is ready", ANSWER_LIMIT, () => {
+      if (cluster.stopped()) throw new Error("the cluster has been stopped");
       const ready = cluster.entries
         .filter((entry) => entry.ready && entry.id !== not);
       found = ready[wanted % Math.max(1, ready.length)];
@@ -137,13 +138,16 @@
     const draw = <T>(list: T[]) => list[Math.floor(random() * list.length)]!;
     let count = 0;
     const run = async () => {
-      while (!fields.done()) {
+      while (!fields.done() && !cluster.stopped()) {
         const work = { ...draw(fields.kinds) };
         if (random() < 0.3) work.key = `k${fields.seed}-${++count}`;
         await send(work, Math.floor(random() * cluster.entries.length));
       }
     };
-    await Promise.all(Array.from({ length: fields.callers }, run));
+    const callers = Array.from({ length: fields.callers }, run);
+    await Promise.all(callers).catch((cause) => {
+      if (!cluster.stopped()) throw cause;
+    });
   }
 
   /** Returns one line for each thing that callers were told and is untrue. */
@@ -195,15 +199,26 @@
     return found;
   }
 
+  /** Reasons of refusals, with their counts. */
+  function refusals(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const told of sent.flatMap((one) => one.tries)) {
+      if (told.outcome !== "not-run") continue;
+      const { reason } = JSON.parse(told.body) as { reason: string };
+      counts[reason] = (counts[reason] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   /** Counts of the outcomes that callers were left with. */
   function outcomes(): Record<string, number> {
     const counts: Record<string, number> = {};
     for (const { tries } of sent) {
-      const { outcome } = tries.at(-1)!;
+      const outcome = tries.at(-1)?.outcome ?? "waiting";
       counts[outcome] = (counts[outcome] ?? 0) + 1;
     }
     return counts;
   }
 
-  return { sent, send, repeat, load, lies, outcomes };
+  return { sent, send, repeat, load, lies, outcomes, refusals };
 }
--- a/testing/processes/cluster.ts
+++ b/testing/processes/cluster.ts
@@ -48,11 +48,7 @@
   versions: { configuration: number; homes: number };
   teams: { name: string; held: number; borrowed: number }[];
   entries: { id: string }[];
-  workers: {
-    worker: string;
-    state: string;
-    versions?: { configuration: number };
-  }[];
+  workers: { worker: string; state: string; configuration: number }[];
 }
 
 /** One entry, over all of its restarts. */
@@ -202,6 +198,18 @@
     });
   }
 
+  /** Puts the configuration in force once all workers are known. */
+  async function deploy(document: Configuration = configuration) {
+    await waitUntil("every entry knows all workers", START_LIMIT, async () => {
+      const shown = await Promise.all(entries.map(status)).catch(() => []);
+      return shown.length > 0 &&
+        shown.every((one) => one.workers.length === agents.length);
+    });
+    const { code, output } = await submit(document, 0);
+    if (code !== 0) throw new Error(`not submitted: ${output}`);
+    await whole();
+  }
+
   /** Runs a command of the command line against the given entries. */
   async function command(
     parameters: string[],
@@ -272,8 +280,10 @@
     write,
     status,
     whole,
+    deploy,
     command,
     submit,
+    stopped: () => stopped,
     stopGracefully,
     kill,
     restart,
--- /dev/null
+++ b/testing/processes/configuration_test.ts
@@ -0,0 +1,151 @@
+import { test } from "tap";
+import type { Configuration } from "@dragonflyledge/model";
+import { CONFIGURATION_TARGET } from "@dragonflyledge/model";
+import { startCluster } from "./cluster.ts";
+import type { Cluster } from "./cluster.ts";
+import { showOutput } from "./show_output.ts";
+import { waitUntil } from "./wait.ts";
+
+const POLL_INTERVAL = 50;
+
+/** Samples all versions, and notes each that is below an earlier one. */
+function watchVersions(cluster: Cluster) {
+  const highest = new Map<string, number>();
+  const reverted: string[] = [];
+  let stopped = false;
+
+  function see(name: string, version: number): void {
+    const known = highest.get(name) ?? 0;
+    // A process that has just started knows no version yet.
+    if (version === 0) return;
+    if (version < known) reverted.push(`${name}: ${known} to ${version}`);
+    highest.set(name, Math.max(known, version));
+  }
+
+  async function run(): Promise<void> {
+    while (!stopped) {
+      for (const entry of cluster.entries) {
+        const shown = await cluster.status(entry).catch(() => undefined);
+        if (!shown) continue;
+        see(entry.id, shown.versions.configuration);
+        for (const one of shown.workers) {
+          see(`${one.worker} at ${entry.id}`, one.configuration);
+        }
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL));
+    }
+  }
+
+  const running = run();
+  return {
+    reverted,
+    stop: () => {
+      stopped = true;
+      return running;
+    },
+  };
+}
+
+/** Waits until the version is in force at all entries and workers. */
+async function inForce(
+  cluster: Cluster,
+  version: number,
+  limit = CONFIGURATION_TARGET,
+): Promise<void> {
+  let seen = "";
+  await waitUntil(`version ${version} is in force`, limit, async () => {
+    const shown = await Promise.all(cluster.entries.map(cluster.status))
+      .catch(() => []);
+    seen = JSON.stringify(shown.map((one) => [
+      one.versions.configuration,
+      ...one.workers.map((worker) => worker.configuration),
+    ]));
+    return shown.length > 0 &&
+      shown.every((one) =>
+        one.versions.configuration === version &&
+        one.workers.length === cluster.agents.length &&
+        one.workers.every((worker) =>
+          worker.state !== "lost" && worker.configuration === version
+        )
+      );
+  }).catch((cause) => {
+    throw new Error(`${cause.message}; versions ${seen}`);
+  });
+}
+
+/** The same configuration with another weight. */
+function weighted(base: Configuration, weight: number): Configuration {
+  const [first, ...others] = base.teams;
+  return { ...base, teams: [{ ...first!, weight }, ...others] };
+}
+
+// Guards against a version that reaches a process late, or never, or is
+// replaced by an older one.
+test("a configuration is in force everywhere and never reverts", async (t) => {
+  const cluster = await startCluster({
+    example: "nyabugogo",
+    entries: 3,
+    agents: 4,
+    accelerators: 24,
+  });
+  t.teardown(() => cluster.stop());
+  const { entries, agents, store, configuration } = cluster;
+  await cluster.deploy();
+  const watch = watchVersions(cluster);
+  const submit = async (version: number) => {
+    const document = weighted(configuration, version);
+    const result = await cluster.submit(document, version - 1);
+    t.equal(result.code, 0, result.output);
+    await inForce(cluster, version);
+  };
+  await submit(2);
+
+  const subset = [entries[0]!, agents[0]!, agents[1]!];
+  const endings = await Promise.all(
+    subset.map((seat) => cluster.stopGracefully(seat)),
+  );
+  t.ok(endings.every((ending) => ending.code === 0), "all stopped gracefully");
+  subset.forEach(cluster.restart);
+  await cluster.whole();
+  await submit(3);
+
+  await Promise.all([entries[1]!, entries[2]!, agents[2]!].map(cluster.kill));
+  [entries[1]!, entries[2]!, agents[2]!].forEach(cluster.restart);
+  await cluster.whole();
+  await submit(4);
+
+  store.faults.down = true;
+  await cluster.kill(entries[0]!);
+  await cluster.kill(agents[3]!);
+  cluster.restart(entries[0]!);
+  cluster.restart(agents[3]!);
+  // The agents know the entry's address, and pass the version on to it. They
+  // dial at intervals of up to 2 s.
+  await inForce(cluster, 4, CONFIGURATION_TARGET + 2000);
+  const refused = await cluster.submit(weighted(configuration, 9), 4);
+  t.not(refused.code, 0, "no submission is accepted without the store");
+  t.match(refused.output, /the store/);
+  store.faults.down = false;
+  await cluster.whole();
+  await submit(5);
+
+  const race = await Promise.all([
+    cluster.submit(weighted(configuration, 6), 5, {
+      operator: "operator-1",
+      at: [entries[0]!],
+    }),
+    cluster.submit(weighted(configuration, 7), 5, {
+      operator: "operator-2",
+      at: [entries[1]!],
+    }),
+  ]);
+  t.same(race.map((one) => one.code).sort(), [0, 4], "one of two wins");
+  const winner = race.findIndex((one) => one.code === 0);
+  const told = race[1 - winner]!.output;
+  t.match(told, new RegExp(`version 6 by operator-${winner + 1} is in force`));
+  t.match(told, /weight/, "the loser is told what differs");
+  await inForce(cluster, 6);
+  await watch.stop();
+  t.same(watch.reverted, []);
+  showOutput(t, cluster);
+});
--- /dev/null
+++ b/testing/processes/leaving_test.ts
@@ -0,0 +1,85 @@
+import { performance } from "node:perf_hooks";
+import { test } from "tap";
+import { LEAVING_TARGET } from "@dragonflyledge/model";
+import { createCallers } from "./callers.ts";
+import type { Work } from "./callers.ts";
+import { startCluster } from "./cluster.ts";
+import { showOutput } from "./show_output.ts";
+import { waitUntil } from "./wait.ts";
+
+const SEED = 51;
+const SHORT: Work = { team: "fry-floor", class: "shift-plan", runMs: 20 };
+const LONG: Work = { ...SHORT, runMs: 6000, deadline: 20_000 };
+
+// Guards against work that is sent to, or cut by, a process that stops.
+test("a leaving agent gets no new work and finishes the old", async (t) => {
+  const cluster = await startCluster({
+    example: "nyabugogo",
+    entries: 2,
+    agents: 3,
+    accelerators: 32,
+  });
+  t.teardown(() => cluster.stop());
+  t.comment(`seed ${SEED}`);
+  const { entries, agents, store } = cluster;
+  const callers = createCallers(cluster);
+  await cluster.deploy();
+  let loading = true;
+  const load = callers.load({
+    seed: SEED,
+    callers: 6,
+    kinds: [SHORT],
+    done: () => !loading,
+  });
+  const leave = async (count: number) => {
+    const long = Array.from({ length: 6 }, (_, at) => callers.send(LONG, at));
+    const agent = agents[count]!;
+    const { executions } = agent.endpoint;
+    await waitUntil("a long request runs there", 5000, () => {
+      return executions.some((one) =>
+        one.ended === undefined && one.body.includes("6000")
+      );
+    });
+    agent.process.signal("SIGTERM");
+    const asked = performance.now();
+    // The second signal must not cut the work that the first one lets end.
+    agent.process.signal("SIGTERM");
+    const ending = await agent.process.ended(15_000);
+    t.same(ending, { code: 0, signal: null });
+    const late = executions.filter((one) =>
+      one.started > asked + LEAVING_TARGET
+    );
+    t.same(late, [], "no work started after the target");
+    for (const one of await Promise.all(long)) {
+      t.equal(one.tries.at(-1)!.outcome, "done", "work in flight is answered");
+    }
+    cluster.restart(agent);
+  };
+  await leave(0);
+  await cluster.whole();
+  store.faults.down = true;
+  await leave(1);
+  for (const [index, entry] of entries.entries()) {
+    const body = `"runMs":${2000 + index}`;
+    const long = callers.send({ ...LONG, runMs: 2000 + index }, index);
+    await waitUntil("the request runs", 5000, () => {
+      return agents.some(({ endpoint }) =>
+        endpoint.executions.some((one) => one.body.includes(body))
+      );
+    });
+    entry.process.signal("SIGTERM");
+    entry.process.signal("SIGTERM");
+    const ending = await entry.process.ended(15_000);
+    t.same(ending, { code: 0, signal: null }, `${entry.id} stops`);
+    t.equal((await long).tries.at(-1)!.outcome, "done");
+    cluster.restart(entry);
+    await waitUntil(`${entry.id} is ready`, 15_000, () => entry.ready);
+  }
+  store.faults.down = false;
+  await cluster.whole();
+  loading = false;
+  await load;
+  t.same(callers.lies(), []);
+  t.comment(JSON.stringify(callers.outcomes()));
+  showOutput(t, cluster);
+});
--- a/testing/processes/whole_path_test.ts
+++ b/testing/processes/whole_path_test.ts
@@ -40,15 +40,7 @@
   t.comment(`seed ${SEED}`);
   const { entries, agents } = cluster;
   const callers = createCallers(cluster);
-  await waitUntil("the entries answer", 10_000, async () => {
-    const states = await Promise.all(entries.map(cluster.status))
-      .catch(() => []);
-    return states.length > 0 &&
-      states.every((state) => state.workers.length === agents.length);
-  });
-  const submitted = await cluster.submit(cluster.configuration, 0);
-  t.equal(submitted.code, 0, submitted.output);
-  await cluster.whole();
+  await cluster.deploy();
 
   let loading = true;
   const load = callers.load({
