--- a/testing/processes/cluster.ts
+++ b/testing/processes/cluster.ts
@@ -37,7 +37,8 @@
 /** Below the range that the system uses for outgoing connections. */
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 18_000;
-const START_LIMIT = 20_000;
+const START_LIMIT = 40_000;
+const STATUS_LIMIT = 5000;
 const COMMAND_LIMIT = 20_000;
 
 /** Names of operators; `tokenOf` returns their tokens. */
@@ -46,6 +47,7 @@
 /** Status document of an entry, as far as tests read it. */
 export interface Status {
   versions: { configuration: number; homes: number };
+  lease: { validForMs: number };
   teams: { name: string; held: number; borrowed: number }[];
   entries: { id: string }[];
   workers: { worker: string; state: string; configuration: number }[];
@@ -91,6 +93,7 @@
   const entries: EntrySeat[] = [];
   const agents: AgentSeat[] = [];
   let stopped = false;
+  let checking = true;
 
   async function write(name: string, text: string): Promise<string> {
     const path = join(directory, name);
@@ -161,8 +164,11 @@
 
   /** Stands in for the health check of the platform's load balancer. */
   async function watchReady(entry: EntrySeat): Promise<void> {
-    while (!stopped) {
-      const answer = await request(`${entry.url}/readyz`, { reset: true })
+    while (!stopped && checking) {
+      const answer = await request(`${entry.url}/readyz`, {
+        reset: true,
+        headersTimeout: STATUS_LIMIT,
+      })
         .catch(() => undefined);
       await answer?.body.dump();
       entry.ready = answer?.statusCode === 200;
@@ -174,6 +180,7 @@
     const answer = await request(`${entry.url}/v1/status`, {
       headers: { authorization: `Bearer ${tokenOf("operator-1")}` },
       reset: true,
+      headersTimeout: STATUS_LIMIT,
     });
     return await answer.body.json() as Status;
   }
@@ -189,6 +196,8 @@
         seen = `${entry.id}: ready ${entry.ready}, workers ${states.join(" ")}`;
         if (!entry.ready || ready !== agents.length) return false;
         if (shown!.versions.homes === 0) return false;
+        // Without a lease, the entry has not reached the store again.
+        if (shown!.lease.validForMs === 0) return false;
         if (shown!.entries.length !== entries.length) return false;
       }
       return true;
@@ -284,6 +293,8 @@
     command,
     submit,
     stopped: () => stopped,
+    /** Measurements are taken without the load of health checks. */
+    stopHealthChecks: () => void (checking = false),
     stopGracefully,
     kill,
     restart,
