--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -56,6 +56,8 @@
   /** Address that others use to reach this process. */
   advertise: string;
   bodyLimit: number;
+  /** Most HTTP connections at the same time. */
+  connections: number;
   operators: Operator[];
 }
 
@@ -160,6 +162,7 @@
     host: settings.host,
     port: settings.httpPort,
     bodyLimit: settings.bodyLimit,
+    connections: settings.connections,
     routes: [
       ...requests.routes,
       ...jobs.routes,
