Replace claims whose request did not run

Cause: a keyed request that was refused, for instance because its queue was full, keeps its claim for 24 h, so that a retry with the same key got the old refusal and never ran.

Ruled out: deleting the claim when the refusal is settled. A deletion whose answer was lost could remove the claim of the retry, and the refused caller's repeat could not be told from new work while the deletion waits.

--- a/testing/replay/cluster/store.ts
+++ b/testing/replay/cluster/store.ts
@@ -134,7 +134,10 @@
   if (known?.incarnation !== entry.incarnation) store.changed();
 }
 
-/** Creates claims, or returns those that are there. */
+/**
+ * Creates claims, or returns those that are there. Claims of the same work
+ * whose request did not run are replaced.
+ */
 export function applyClaims(contents: Contents, claims: Claim[]) {
   return claims.map((claim): ClaimResult => {
     const key = claimKey(claim.team, claim.key);
@@ -142,7 +145,9 @@
     if (known?.request === claim.request && known.entry === claim.entry) {
       return { kind: "created" };
     }
-    if (known) return { kind: "existing", claim: known };
+    const refused = known?.outcome?.kind === "not-run" &&
+      known.fingerprint === claim.fingerprint;
+    if (known && !refused) return { kind: "existing", claim: known };
     contents.claims.set(key, claim);
     return { kind: "created" };
   });
