Fill in the time of claims, and settle those with a long answer

Cause: the reducer knows no wall clock and left `Claim.created` empty, and the entry's shell passed it on.

The shell fills in the time of the first write and keeps it for the outcome.

Ruled out: filling the time in platform/store; a repeated batch and the outcome would then carry different times.

--- a/daemons/entry/records.ts
+++ b/daemons/entry/records.ts
@@ -10,6 +10,7 @@
   ConfigurationRecord,
   HomesWriteResult,
   JobWriteResult,
+  Settlement,
   StoredJob,
   SubmissionResult,
 } from "@dragonflyledge/store";
@@ -36,7 +37,7 @@
 /** Typed access to the store. Errors are `DFL_STORE_...`. */
 export interface Records {
   createClaims(claims: Claim[]): Promise<Result<ClaimResult[], StepError>>;
-  settleClaim(claim: Claim): Promise<Result<void, StepError>>;
+  settleClaim(claim: Claim): Promise<Result<Settlement, StepError>>;
   readClaim(
     fields: { team: string; key: string },
   ): Promise<Result<Claim | undefined, StepError>>;
--- a/daemons/entry/store_effects.ts
+++ b/daemons/entry/store_effects.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { ErrorCode, SECOND } from "@dragonflyledge/model";
+import { ErrorCode, OutcomeKind, Reason, SECOND } from "@dragonflyledge/model";
 import type {
   Claim,
   Clock,
@@ -21,6 +21,8 @@
 const SETTLE_RETRY_DELAY: Milliseconds = SECOND;
 /** Outcomes that wait for the store; the oldest is dropped beyond this. */
 const UNSETTLED_LIMIT = 1000;
+/** Claims without an outcome whose creation times are kept. */
+const CREATED_LIMIT = 10_000;
 
 /** An effect that this module performs. */
 export type StoreEffect = Extract<
@@ -54,6 +56,8 @@
 }): StoreEffects {
   const { records, clock, timer, observer, dispatch } = fields;
   const unsettled: Claim[] = [];
+  /** Creation times by request; the reducer knows no wall clock. */
+  const created = new Map<string, string>();
   let settling = false;
   let cancelRetry = () => {};
 
@@ -61,8 +65,19 @@
     observer.count("store.failures", 1, { code: error.code, step: error.step });
   }
 
+  /** A repeated claim and the outcome keep the time of the first write. */
+  function withCreated(claim: Claim): Claim {
+    if (claim.created !== "") return claim;
+    const time = created.get(claim.request) ?? clock.date().toISOString();
+    created.set(claim.request, time);
+    if (created.size > CREATED_LIMIT) {
+      created.delete(created.keys().next().value!);
+    }
+    return { ...claim, created: time };
+  }
+
   async function claim(claims: Claim[]): Promise<void> {
-    const results = await records.createClaims(claims);
+    const results = await records.createClaims(claims.map(withCreated));
     if (results.isErr()) note(results.error);
     dispatch({
       kind: "claimsAnswered",
@@ -81,6 +96,11 @@
       if (result.isErr()) {
         note(result.error);
         if (result.error.code === ErrorCode.StoreUnavailable) break;
+      } else if (result.value === "too-large") {
+        // Without an outcome, repeats would wait for one until the claim
+        // expires.
+        unsettled[0] = withoutAnswer(unsettled[0]!);
+        continue;
       }
       unsettled.shift();
     }
@@ -91,7 +111,8 @@
   }
 
   function queueOutcome(claim: Claim): void {
-    unsettled.push(claim);
+    unsettled.push(withCreated(claim));
+    created.delete(claim.request);
     if (unsettled.length > UNSETTLED_LIMIT) {
       unsettled.shift();
       observer.count("claims.dropped", 1, {});
@@ -206,3 +227,9 @@
 
   return { perform, close: () => cancelRetry() };
 }
+
+/** The work ran, but its answer is too long for repeats to receive it. */
+function withoutAnswer(claim: Claim): Claim {
+  const reason = Reason.AnswerTooLong;
+  return { ...claim, outcome: { kind: OutcomeKind.Unknown, reason } };
+}
--- a/daemons/entry/store_effects_test.ts
+++ b/daemons/entry/store_effects_test.ts
@@ -1,8 +1,8 @@
 import { test } from "tap";
 import { setImmediate } from "node:timers";
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { ErrorCode, StepError } from "@dragonflyledge/model";
-import type { EntryEvent, JobRecord } from "@dragonflyledge/model";
+import type { Claim, EntryEvent, JobRecord } from "@dragonflyledge/model";
 import { NOT_SENT } from "@dragonflyledge/store";
 import type { Records } from "./records.ts";
 import { createStoreEffects } from "./store_effects.ts";
@@ -10,7 +10,8 @@
 const NOW = "2026-01-01T00:00:00.000Z";
 
 function start(records: Partial<Records>) {
-  const clock = { now: () => 5, date: () => new Date(NOW) };
+  let date = NOW;
+  const clock = { now: () => 5, date: () => new Date(date) };
   const events: EntryEvent[] = [];
   const effects = createStoreEffects({
     records: records as Records,
@@ -20,7 +21,8 @@
     dispatch: (event) => events.push(event),
   });
   const settled = () => new Promise((done) => setImmediate(done));
-  return { events, effects, settled };
+  const setDate = (text: string) => date = text;
+  return { events, setDate, effects, settled };
 }
 
 function failure(code: ErrorCode, step: string): StepError {
@@ -56,3 +58,62 @@
     t.match(events, [{ kind: "jobWritten", write: 1, result }]);
   }
 });
+
+const claim: Claim = {
+  team: "lab",
+  key: "k",
+  fingerprint: "f",
+  request: "r1",
+  entry: "e1",
+  incarnation: 1,
+  created: "",
+};
+
+// Guards against claims whose age nobody can tell.
+test("claims carry the wall-clock time of their creation", async (t) => {
+  const stored: Claim[] = [];
+  const { effects, setDate, settled } = start({
+    createClaims: (claims) => {
+      stored.push(...claims);
+      return Promise.resolve(ok([{ kind: "created" }]));
+    },
+    settleClaim: (one) => {
+      stored.push(one);
+      return Promise.resolve(ok("settled"));
+    },
+  });
+  effects.perform({ kind: "claim", claims: [claim] });
+  await settled();
+  setDate("2026-01-01T00:01:00.000Z");
+  const outcome = { kind: "not-run", reason: "queue-full" } as const;
+  effects.perform({ kind: "settleClaim", claim: { ...claim, outcome } });
+  await settled();
+  t.same(stored.map((one) => one.created), [NOW, NOW]);
+});
+
+// Guards against repeats that wait until the claim expires because the answer
+// of the first request does not fit into the store.
+test("an answer too long for its claim is settled as unknown", async (t) => {
+  const stored: Claim[] = [];
+  const { effects, settled } = start({
+    settleClaim: (one) => {
+      stored.push(one);
+      const large = one.outcome?.kind === "done";
+      return Promise.resolve(ok(large ? "too-large" : "settled"));
+    },
+  });
+  const body = new Uint8Array(2);
+  const answer = { status: 200, contentType: "text/plain", body };
+  const outcome = { kind: "done", answer } as const;
+  effects.perform({ kind: "settleClaim", claim: { ...claim, outcome } });
+  effects.perform({
+    kind: "settleClaim",
+    claim: { ...claim, key: "next", outcome: { ...outcome, kind: "failed" } },
+  });
+  await settled();
+  t.match(stored.map((one) => [one.key, one.outcome]), [
+    ["k", { kind: "done" }],
+    ["k", { kind: "unknown", reason: "answer-too-long" }],
+    ["next", { kind: "failed" }],
+  ]);
+});
--- a/daemons/entry/store_records.ts
+++ b/daemons/entry/store_records.ts
@@ -145,7 +145,7 @@
   return {
     createClaims: (list) => claims.claim(list, CALLER_PATIENCE),
     settleClaim: async (claim) =>
-      (await claims.settle([claim])).map(() => undefined),
+      (await claims.settle([claim])).map((results) => results[0]!),
     readClaim: ({ team, key }) => claims.read(team, key),
     writeJob: async (job) =>
       (await jobs.write([job], CALLER_PATIENCE)).map((results) => results[0]!),
