End accepted jobs that no worker set can hold any more

Cause: a job is refused only at its submission if it can never fit. An accepted one waited without end once homes moved to the only workers for it, or its team or quota changed.

Every 5 s an entry looks at up to 4 kinds of queued jobs. A job that no set of the present workers could hold for 10 minutes, even if idle, ends as `failed` with reason `never-fits`, which the audit trail records and the caller reads.

Ruled out: counting lost workers as present for an hour; every job would then wait for an hour. Ruled out as well: saying it during a partition, so an entry that has lost a quarter of its workers or more within an hour says nothing. An entry that started within the partition cannot tell; this is a limit.

Not done: `assignHomes` does not yet avoid homes that shut out waiting jobs.

The soak runs for up to 11 minutes more if jobs are open, which is the bound.

--- /dev/null
+++ b/core/entry_reducer/jobs/impossible.ts
@@ -0,0 +1,123 @@
+/**
+ * Ends jobs that can no longer run on any worker.
+ *
+ * @module
+ */
+
+import {
+  HOUR,
+  MINUTE,
+  Reason,
+  SECOND,
+  WORKER_LOSS_DELAY,
+} from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { placeGang } from "@dragonflyledge/placement";
+import type { WorkerView } from "@dragonflyledge/placement";
+import { homeIndex, isRevocable, listViews } from "./capacity.ts";
+import type { Context } from "./context.ts";
+import { endJob } from "./endings.ts";
+import { shapeKey } from "./shape_key.ts";
+import type { Job } from "./state.ts";
+
+/**
+ * A job must have been impossible for this long. Workers that were lost and
+ * replaced, and changes of the configuration and the homes, take far less.
+ */
+export const IMPOSSIBLE_TIME: Milliseconds = 10 * MINUTE;
+
+const checkInterval: Milliseconds = 5 * SECOND;
+/** A search takes up to 3 ms at 860 workers. */
+const searchesPerCheck = 4;
+
+/** Looks at the jobs that were not looked at for the longest time. */
+export function endImpossible(context: Context): void {
+  const { jobs, now } = context;
+  if (now < jobs.nextImpossible) return;
+  jobs.nextImpossible = now + checkInterval;
+  noteWorkers(context);
+  const waiting = [...jobs.jobs.values()].filter((job) =>
+    job.phase === "queued"
+  );
+  if (!maySay(context)) {
+    for (const job of waiting) job.impossibleSince = undefined;
+    return;
+  }
+  waiting.sort((left, right) => left.judgedAt - right.judgedAt);
+  const workers = listPresent(context);
+  const known = new Map<string, boolean>();
+  for (const job of waiting) {
+    const key = shapeKey(job.record.spec, job.urgent);
+    let impossible = known.get(key);
+    if (impossible === undefined) {
+      if (known.size === searchesPerCheck) continue;
+      impossible = isImpossible(context, job, workers);
+      known.set(key, impossible);
+    }
+    job.judgedAt = now;
+    judge(context, job, impossible);
+  }
+}
+
+function judge(context: Context, job: Job, impossible: boolean): void {
+  if (!impossible) {
+    job.impossibleSince = undefined;
+    return;
+  }
+  job.impossibleSince ??= context.now;
+  if (context.now - job.impossibleSince < IMPOSSIBLE_TIME) return;
+  endJob(context, job, "failed", Reason.NeverFits);
+}
+
+/**
+ * An entry that may be cut off from a part of the workers cannot tell. A
+ * domain or a region takes a quarter of the workers or more with it, and a
+ * partition lasts up to an hour.
+ */
+function maySay({ state, jobs, now }: Context): boolean {
+  if (state.stopping || state.configuration === undefined) return false;
+  if (jobs.unverified > 0 || jobs.storeDownSince !== undefined) return false;
+  if (state.leaseValidUntil <= now) return false;
+  const known = jobs.workersSeen;
+  const connected = [...known.values()].filter((at) => at === now).length;
+  return known.size > 0 && 4 * (known.size - connected) < known.size;
+}
+
+/** Agents that are lost are forgotten before a partition may have ended. */
+function noteWorkers({ state, jobs, now }: Context): void {
+  for (const [worker, agent] of state.agents) {
+    if (agent.connected) jobs.workersSeen.set(worker, now);
+  }
+  for (const [worker, at] of jobs.workersSeen) {
+    if (now >= at + HOUR) jobs.workersSeen.delete(worker);
+  }
+}
+
+function listPresent(context: Context): WorkerView[] {
+  const { state, now } = context;
+  return [...listViews(context)].filter(({ inventory }) => {
+    const agent = state.agents.get(inventory.worker);
+    return agent !== undefined &&
+      (agent.connected || now < agent.lostAt + WORKER_LOSS_DELAY);
+  });
+}
+
+function isImpossible(
+  context: Context,
+  job: Job,
+  workers: WorkerView[],
+): boolean {
+  const { spec } = job.record;
+  const team = context.state.configuration?.teams.find((one) =>
+    one.name === spec.team
+  );
+  if (team === undefined || job.need > team.acceleratorQuota) return true;
+  const place = placeGang({
+    spec: { ...spec, revocable: isRevocable(spec) },
+    run: { job: "", epoch: 0 },
+    urgent: job.urgent,
+    workers,
+    homes: homeIndex(context),
+  });
+  return place.isErr() && place.error.kind === "never";
+}
--- /dev/null
+++ b/core/entry_reducer/jobs/impossible_test.ts
@@ -0,0 +1,74 @@
+import { test } from "tap";
+import { MINUTE } from "@dragonflyledge/model";
+import { buildSpec, World } from "./testing.ts";
+
+/** Two workers, one of them the home of team a, and a job that needs both. */
+function start(): World {
+  const world = new World(21, 3);
+  world.addEntry("e1");
+  world.run(4000);
+  const spec = buildSpec(2, 8, { revocable: false });
+  world.submit("e1", "blocker", buildSpec(3, 8));
+  world.run(500);
+  world.submit("e1", "j", spec);
+  world.run(500);
+  return world;
+}
+
+function loseForGood(world: World): void {
+  const own = world.entry("e1").state;
+  const home = own.homes?.homes[0]?.parts[0]?.worker;
+  const [worker] = [...world.agents.keys()].filter((id) => id !== home);
+  world.failAgent(world.agents.get(worker!)!);
+}
+
+// Guards against an accepted job that waits without end because the workers
+// left are homes of other teams. Found by
+// `npm run soak -- --seed 13 --events 4000`.
+test("a job that can no longer run ends as failed", (t) => {
+  const world = start();
+  t.equal(world.answers.get("j"), "accepted");
+  t.equal(world.stateOf("j"), "queued");
+  // A lost worker out of three may be behind a partition, so nothing is said
+  // for an hour.
+  loseForGood(world);
+  world.run(30 * MINUTE);
+  t.equal(world.stateOf("j"), "queued");
+  world.run(41 * MINUTE);
+  t.equal(world.stateOf("j"), "failed");
+  t.equal(world.store.get("j")?.record.reason, "never-fits");
+  const audited = world.audits.some(({ kind, job, reason }) =>
+    kind === "job-ended" && job === "j" && reason === "never-fits"
+  );
+  t.ok(audited);
+  t.end();
+});
+
+// Guards against a failed job whose team was only busy.
+test("a job that waits for busy workers does not end", (t) => {
+  const world = start();
+  world.run(30 * MINUTE);
+  t.not(world.stateOf("j"), "failed");
+  t.end();
+});
+
+// Guards against a job that fails although its configuration came back.
+test("a job that is impossible for a short time is kept", (t) => {
+  const world = start();
+  const { state } = world.entry("e1");
+  const before = state.configuration!;
+  const teams = before.teams.map((team) => ({ ...team, acceleratorQuota: 8 }));
+  world.end("blocker", "finished");
+  for (let round = 0; round < 3; round++) {
+    state.configuration = { ...before, teams };
+    world.run(9 * MINUTE);
+    t.not(world.stateOf("j"), "failed");
+    state.configuration = before;
+    world.run(1 * MINUTE);
+  }
+  state.configuration = { ...before, teams };
+  world.submit("e1", "late", buildSpec(1, 8, { revocable: false }));
+  world.run(11 * MINUTE);
+  t.not(world.stateOf("late"), "failed");
+  t.end();
+});
--- a/core/entry_reducer/jobs/reduce.ts
+++ b/core/entry_reducer/jobs/reduce.ts
@@ -14,6 +14,7 @@
 import { dispatch, dispatchUrgent } from "./dispatch.ts";
 import { forget, lose } from "./endings.ts";
 import { beginHandover, takeHandoverWritten } from "./handover.ts";
+import { endImpossible } from "./impossible.ts";
 import { dequeue, enqueue } from "./queue.ts";
 import {
   losePart,
@@ -114,6 +115,7 @@
   if (now >= jobs.nextTakeover) considerTakeovers(context);
   keepLoading(context);
   drainBacklog(context);
+  endImpossible(context);
   dispatch(context);
 }
 
--- a/core/entry_reducer/jobs/state.ts
+++ b/core/entry_reducer/jobs/state.ts
@@ -105,6 +105,10 @@
   wakeAt: Milliseconds;
   /** Whether a write of its submission was sent and not answered. */
   uncertain: boolean;
+  /** When it was last determined whether any worker set can hold the job. */
+  judgedAt: Milliseconds;
+  /** Since when no worker set can, by every look since then. */
+  impossibleSince: Milliseconds | undefined;
 }
 
 /** A record that is to be cancelled though this entry doesn't own the job. */
@@ -195,6 +199,9 @@
   /** When each owner was first missing in the presence list. */
   absentSince: Map<string, Milliseconds>;
   nextTakeover: Milliseconds;
+  nextImpossible: Milliseconds;
+  /** When each worker was last seen connected, within the last hour. */
+  workersSeen: Map<WorkerId, Milliseconds>;
   stoppingSince: Milliseconds | undefined;
 }
 
@@ -240,6 +247,8 @@
     presence: "",
     absentSince: new Map(),
     nextTakeover: Infinity,
+    nextImpossible: 0,
+    workersSeen: new Map(),
     stoppingSince: undefined,
   };
 }
--- a/core/entry_reducer/jobs/submit.ts
+++ b/core/entry_reducer/jobs/submit.ts
@@ -104,6 +104,8 @@
     then: "none",
     wakeAt: Infinity,
     uncertain: false,
+    judgedAt: 0,
+    impossibleSince: undefined,
   };
 }
 
--- a/testing/replay/soak/found_faults_test.ts
+++ b/testing/replay/soak/found_faults_test.ts
@@ -22,3 +22,12 @@
   t.same(violations.filter((each) => each.invariant === "no-endless-wait"), []);
   t.end();
 });
+
+// Guards against a job whose only workers became homes of other teams.
+test("a job that fits no worker any more ends, seed 7", (t) => {
+  const { violations, record } = runSoak({ seed: 7, events: 4000 });
+  t.same(violations, []);
+  const job = record.jobs.get("j10");
+  t.match(job, { answer: { kind: "accepted" }, state: "failed" });
+  t.end();
+});
--- a/testing/replay/soak/soak.ts
+++ b/testing/replay/soak/soak.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { createRandom, SECOND, StepError } from "@dragonflyledge/model";
+import { createRandom, MINUTE, SECOND, StepError } from "@dragonflyledge/model";
 import type { Milliseconds, Random } from "@dragonflyledge/model";
 import { createCluster } from "../cluster/mod.ts";
 import type { Cluster } from "../cluster/mod.ts";
@@ -38,6 +38,9 @@
 const HEALING: Milliseconds = 150 * SECOND;
 const BORROWING: Milliseconds = 10 * SECOND;
 const END: Milliseconds = 180 * SECOND;
+/** Ten minutes, and time for a takeover after the last fault. */
+const IMPOSSIBLE: Milliseconds = 11 * MINUTE;
+const STEP: Milliseconds = 10 * SECOND;
 
 /** Runs a soak of so many events. */
 export function runSoak(fields: {
@@ -122,6 +125,16 @@
   heap.run(heap.now + BORROWING);
   workload.claimGuarantees();
   heap.run(heap.now + END);
+  // A job that no worker set can hold is failed after a bounded time.
+  const limit = heap.now + IMPOSSIBLE;
+  while (heap.now < limit && hasOpenJobs(cluster)) heap.run(heap.now + STEP);
+}
+
+function hasOpenJobs(cluster: Cluster): boolean {
+  const open = ["queued", "starting", "running", "stopping"];
+  return [...cluster.store.contents.jobs.values()].some(({ record }) =>
+    open.includes(record.state)
+  );
 }
 
 /** Every live process ends with the configuration of the store. */
