--- a/testing/replay/soak/found_faults_test.ts
+++ b/testing/replay/soak/found_faults_test.ts
@@ -30,3 +30,12 @@
   t.same(violations(511, 4000, "no-endless-wait"), []);
   t.end();
 });
+
+// Guards against a job whose only workers became homes of other teams.
+test("a job that fits no worker any more ends, seed 7", (t) => {
+  const { violations, record } = runSoak({ seed: 7, events: 4000 });
+  t.same(violations, []);
+  const job = record.jobs.get("j10");
+  t.match(job, { answer: { kind: "accepted" }, state: "failed" });
+  t.end();
+});
