Let an entry's records stand on any store

Cause: the records of an entry were bound to the etcd adapter, so that the calls of a whole entry could not be counted on the in-memory store. Before and after: same calls, same behaviour; no test changes. Conclusion: store calls can be counted in virtual time.

--- /dev/null
+++ b/daemons/entry/guarded_records.ts
@@ -0,0 +1,158 @@
+/**
+ * Records of an entry in a store, behind the guard.
+ *
+ * @module
+ */
+
+import { createAuditTrail, readAudit } from "@dragonflyledge/audit";
+import type {
+  Clock,
+  EntryId,
+  Milliseconds,
+  Random,
+  StepError,
+  Timer,
+} from "@dragonflyledge/model";
+import { SECOND } from "@dragonflyledge/model";
+import type { Observer } from "@dragonflyledge/runtime";
+import {
+  createClaims,
+  createConfigurationRecords,
+  createGuardedStore,
+  createHomesRecords,
+  createJobRecords,
+  createPresence,
+  createValueWriter,
+  followPrefix,
+} from "@dragonflyledge/store";
+import type { Store } from "@dragonflyledge/store";
+import type { RecordHandlers, Records } from "./records.ts";
+
+/** A call that must wait longer for the budget fails instead. */
+const LONGEST_BUDGET_WAIT: Milliseconds = SECOND;
+/** Callers wait for claims and jobs, so a lost answer is resolved for less. */
+const CALLER_PATIENCE: Milliseconds = 2 * SECOND;
+const READ_RETRY_DELAY: Milliseconds = SECOND;
+const DEFAULT_WRITES_PER_SECOND = 50;
+const DEFAULT_READS_PER_SECOND = 200;
+
+/** Opens the records of one entry; `closeStore` is called last. */
+export function createGuardedRecords(fields: {
+  store: Store;
+  closeStore: () => Promise<void>;
+  prefix: string;
+  id: EntryId;
+  incarnation: number;
+  address: string;
+  httpAddress: string;
+  writesPerSecond?: number;
+  readsPerSecond?: number;
+  clock: Clock;
+  timer: Timer;
+  random: Random;
+  observer: Observer;
+}): Records {
+  const { prefix, id, clock, timer, random, observer } = fields;
+  const time = { clock, timer, random };
+  const store = createGuardedStore({
+    store: fields.store,
+    ...time,
+    budget: {
+      writesPerSecond: fields.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND,
+      readsPerSecond: fields.readsPerSecond ?? DEFAULT_READS_PER_SECOND,
+      maxWait: LONGEST_BUDGET_WAIT,
+    },
+  });
+  const identity = `${id}.${fields.incarnation}`;
+  const writer = createValueWriter({ store, ...time, identity });
+  const claims = createClaims({ store, writer, prefix, clock });
+  const jobs = createJobRecords({ writer, prefix });
+  const configurations = createConfigurationRecords({ writer, prefix });
+  const homes = createHomesRecords({ writer, prefix });
+  const audit = createAuditTrail({ store, prefix, entry: id, clock, timer });
+  const closers: (() => Promise<unknown> | void)[] = [];
+
+  function follow(handlers: RecordHandlers): void {
+    const presence = createPresence({
+      store,
+      prefix,
+      entry: {
+        id,
+        incarnation: fields.incarnation,
+        address: fields.address,
+        httpAddress: fields.httpAddress,
+      },
+      ...time,
+      onValid: handlers.onLease,
+      onEntries: handlers.onEntries,
+      onError: (error) => note("presence", error),
+    });
+    closers.push(() => presence.leave());
+    followValue(`${prefix}config/current`, async () => {
+      const read = await configurations.read();
+      const record = read.unwrapOr(undefined);
+      if (record) handlers.onConfiguration(record.configuration);
+      return read.isOk();
+    });
+    followValue(`${prefix}homes`, async () => {
+      const read = await homes.read();
+      const table = read.unwrapOr(undefined);
+      if (table) handlers.onHomes(table);
+      return read.isOk();
+    });
+  }
+
+  /** Reads the value on each change, and again until a read succeeds. */
+  function followValue(key: string, read: () => Promise<boolean>): void {
+    let cancel = () => {};
+    let closed = false;
+    const readUntilDone = async () => {
+      cancel();
+      if (closed || await read() || closed) return;
+      cancel = timer.after(READ_RETRY_DELAY, () => void readUntilDone());
+    };
+    const following = followPrefix({
+      store,
+      prefix: key,
+      timer,
+      random,
+      onChange: () => void readUntilDone(),
+      onReady: () => void readUntilDone(),
+      onError: (error) => note("follow", error),
+    });
+    closers.push(() => {
+      closed = true;
+      cancel();
+      following.stop();
+    });
+  }
+
+  function note(step: string, error: StepError): void {
+    observer.log("debug", "store call failed", { step, reason: error.message });
+  }
+
+  async function close(): Promise<void> {
+    for (const closer of closers) await closer();
+    await audit.stop();
+    await fields.closeStore();
+  }
+
+  return {
+    createClaims: (list) => claims.claim(list, CALLER_PATIENCE),
+    settleClaim: async (claim) =>
+      (await claims.settle([claim])).map(() => undefined),
+    readClaim: ({ team, key }) => claims.read(team, key),
+    writeJob: async (job) =>
+      (await jobs.write([job], CALLER_PATIENCE)).map((results) => results[0]!),
+    readJob: (job) => jobs.read(job),
+    listJobs: () => jobs.list(),
+    readConfiguration: () => configurations.read(),
+    submitConfiguration: (record) => configurations.submit(record),
+    listConfigurations: () => configurations.history(),
+    writeHomes: (table) => homes.write(table),
+    follow,
+    appendAudit: (record) => audit.record(record),
+    readAudit: (filter) => readAudit({ store, prefix, filter }),
+    close,
+  };
+}
--- a/daemons/entry/mod.ts
+++ b/daemons/entry/mod.ts
@@ -7,5 +7,6 @@
 
 export { startEntry } from "./entry.ts";
 export type { Entry, EntrySettings, OpenRecords, Operator } from "./entry.ts";
+export { createGuardedRecords } from "./guarded_records.ts";
 export type { Records } from "./records.ts";
 export { createStoreRecords } from "./store_records.ts";
