Measure sessions, stored values, store calls and homes

Cause: the two-year size could not be worked out, since no slope covered real sessions, stored values, calls to the store, homes or placement. Change: npm run slopes measures them at three sizes or more, with fit and error; sessions on loopback, store calls of whole entries in virtual time.

--- a/testing/replay/slopes/slopes.ts
+++ b/testing/replay/slopes/slopes.ts
@@ -6,46 +6,22 @@
 
 import { createAgentLoad } from "./agent_load.ts";
 import { createEntryLoad } from "./entry_load.ts";
-import { fitLine } from "./fit_line.ts";
-import type { Line } from "./fit_line.ts";
 import {
   createAttempt,
   createHeartbeat,
   createReport,
   frameSize,
 } from "./messages.ts";
+import { slope } from "./slope.ts";
+import type { Slope } from "./slope.ts";
 import { memoryOf, timeOf } from "./timing.ts";
 
-/** One quantity measured at several sizes. */
-export interface Slope {
-  name: string;
-  unit: string;
-  /** What is varied. */
-  over: string;
-  points: [number, number][];
-  line: Line;
-  /** Value at the largest size over the value at the smallest one. */
-  ratio: number;
-}
-
 const WORKERS = [11, 100, 860];
 const TASKS = [0, 4000, 13_000];
 const MEMBERS = [1, 8, 16, 64];
 const TASKS_PER_WORKER = 15;
 const CALLS = 2000;
 
-function slope(
-  name: string,
-  unit: string,
-  over: string,
-  sizes: readonly number[],
-  measure: (size: number) => number,
-): Slope {
-  const points = sizes.map((size): [number, number] => [size, measure(size)]);
-  const ratio = points.at(-1)![1] / points[0]![1];
-  return { name, unit, over, points, line: fitLine(points), ratio };
-}
-
 /** Bytes of frames. They do not vary by machine. */
 export function measureBytes(): Slope[] {
   return [
--- a/testing/replay/slopes/timing.ts
+++ b/testing/replay/slopes/timing.ts
@@ -44,6 +44,11 @@
   return sizes.sort((a, b) => a - b)[MEMORY_TRIES >> 1]!;
 }
 
+/** Frees what nothing holds. */
+export function collectGarbage(): void {
+  garbageCollector()();
+}
+
 function garbageCollector(): () => void {
   setFlagsFromString("--expose-gc");
   return runInNewContext("gc");
--- a/testing/replay/slopes_main.ts
+++ b/testing/replay/slopes_main.ts
@@ -12,7 +12,16 @@
   measureEntryTimes,
   measureMemory,
 } from "./slopes/slopes.ts";
-import type { Slope } from "./slopes/slopes.ts";
+import {
+  measureIdle,
+  measureJobs,
+  measurePlacement,
+  measureRecords,
+  measureSharing,
+} from "./slopes/capacity.ts";
+import { measureSessions } from "./slopes/sessions.ts";
+import type { Slope } from "./slopes/slope.ts";
+import { measureStoreCalls } from "./slopes/store_calls.ts";
 
 const { values } = parseArgs({
   options: { seed: { type: "string", default: "1" } },
@@ -36,6 +45,13 @@
   ...measureEntryTimes(seed),
   ...measureAgentTimes(),
   ...measureMemory(seed),
+  ...measureIdle(seed),
+  ...measureRecords(),
+  ...measureSharing(seed),
+  ...measurePlacement(),
+  ...measureJobs(seed),
+  ...await measureStoreCalls(seed),
+  ...await measureSessions(seed),
 ];
 for (const slope of slopes) console.log(format(slope));
 
