--- a/testing/processes/callers.ts
+++ b/testing/processes/callers.ts
@@ -33,6 +33,7 @@
   body: string;
   idempotent: boolean;
   key?: string;
+  size?: number;
   tries: Told[];
 }
 
@@ -44,6 +45,8 @@
   idempotent?: boolean;
   key?: string;
   deadline?: number;
+  /** Bytes of the answer; by default it repeats the body. */
+  size?: number;
 }
 
 /** Creates the callers of a cluster. */
@@ -103,10 +106,11 @@
     const tag = `t${sent.length + 1}`;
     const one: Sent = {
       tag,
-      body: JSON.stringify({ runMs: work.runMs, tag }),
+      body: JSON.stringify({ runMs: work.runMs, tag, size: work.size }),
       idempotent: work.idempotent ?? false,
       tries: [],
       ...(work.key === undefined ? {} : { key: work.key }),
+      ...(work.size === undefined ? {} : { size: work.size }),
     };
     sent.push(one);
     for (let tries = 0; tries < TRY_LIMIT; tries++) {
@@ -172,7 +176,10 @@
       const last = one.tries.at(-1)!;
       if (last.outcome === "done") {
         if (!ended.has(one.tag)) note("done, but it never ran to its end");
-        if (last.body !== one.body) note("the answer is not whole");
+        const whole = one.size === undefined
+          ? last.body === one.body
+          : last.body.length === one.size;
+        if (!whole) note("the answer is not whole");
       }
       for (const told of one.tries) {
         if (told.outcome !== "not-run") continue;
--- a/testing/processes/leaving_test.ts
+++ b/testing/processes/leaving_test.ts
@@ -9,7 +9,13 @@
 
 const SEED = 51;
 const SHORT: Work = { team: "fry-floor", class: "shift-plan", runMs: 20 };
-const LONG: Work = { ...SHORT, runMs: 6000, deadline: 20_000 };
+/** The answers do not fit into the buffers of a connection. */
+const LONG: Work = {
+  ...SHORT,
+  runMs: 6000,
+  deadline: 20_000,
+  size: 2_000_000,
+};
 
 // Guards against work that is sent to, or cut by, a process that stops.
 test("a leaving agent gets no new work and finishes the old", async (t) => {
