--- a/testing/replay/soak/found_faults_test.ts
+++ b/testing/replay/soak/found_faults_test.ts
@@ -31,3 +31,10 @@
   t.match(job, { answer: { kind: "accepted" }, state: "failed" });
   t.end();
 });
+
+// Guards against a gang that is started again while a worker still runs it.
+test("a gang that is handed over while it stops runs once, seed 2", (t) => {
+  const { violations } = runSoak({ seed: 2, events: 4000 });
+  t.same(violations, []);
+  t.end();
+});
