--- a/testing/replay/soak/found_faults_test.ts
+++ b/testing/replay/soak/found_faults_test.ts
@@ -15,10 +15,12 @@
 });
 
 // Guards against an owner that waits for the probe of a quarantined worker.
-test("an owner starts in time after a quarantine, seed 487", (t) => {
-  t.same(violations(487, 4000, "guarantee-reclaimable"), []);
-  t.end();
-});
+for (const seed of [425, 487]) {
+  test(`an owner starts in time after a quarantine, seed ${seed}`, (t) => {
+    t.same(violations(seed, 4000, "guarantee-reclaimable"), []);
+    t.end();
+  });
+}
 
 // Guards against a gang that two entries start.
 test("a gang runs once at a time, seed 527", (t) => {
@@ -27,10 +29,12 @@
 });
 
 // Guards against an accepted job that nothing ends.
-test("every accepted job ends, seed 405", (t) => {
-  t.same(violations(405, 4000, "no-endless-wait"), []);
-  t.end();
-});
+for (const seed of [405, 511]) {
+  test(`every accepted job ends, seed ${seed}`, (t) => {
+    t.same(violations(seed, 4000, "no-endless-wait"), []);
+    t.end();
+  });
+}
 
 // Guards against a job whose only workers became homes of other teams.
 test("a job that fits no worker any more ends, seed 7", (t) => {
@@ -40,3 +44,10 @@
   t.match(job, { answer: { kind: "accepted" }, state: "failed" });
   t.end();
 });
+
+// Guards against a gang that is started again while a worker still runs it.
+test("a gang that is handed over while it stops runs once, seed 2", (t) => {
+  const { violations } = runSoak({ seed: 2, events: 4000 });
+  t.same(violations, []);
+  t.end();
+});
