--- a/testing/replay/soak/found_faults_test.ts
+++ b/testing/replay/soak/found_faults_test.ts
@@ -38,3 +38,10 @@
   t.same(violations, []);
   t.end();
 });
+
+// Guards against an accepted job that stays in its queue.
+test("an accepted job does not wait without end, seed 35", (t) => {
+  const { violations } = runSoak({ seed: 35, events: 4000 });
+  t.same(violations, []);
+  t.end();
+});
