Audit drains, quarantines and moves of homes

Cause: the trail recorded changes of the configuration and of jobs, but not these, so nobody could tell afterwards why a guarantee stood elsewhere. Change: one record for each home that moved, with old and new place, at most 32 a table and a summary; one for each quarantine and drain. Conclusion: the trail holds what operators ask for, without a flood when a failure domain is lost.

--- /dev/null
+++ b/core/entry_reducer/audit.ts
@@ -0,0 +1,57 @@
+/**
+ * Records for the audit trail about workers and homes.
+ *
+ * @module
+ */
+
+import type { Home, HomesTable, WorkerId } from "@dragonflyledge/model";
+import type { Emit, EntryState } from "./state.ts";
+
+/** Moves beyond this number are recorded as one summary. */
+const MOVES_LISTED = 32;
+
+/** Records a change of a worker, such as its drain or quarantine. */
+export function auditWorker(
+  state: EntryState,
+  fields: { kind: string; worker: WorkerId; reason: string },
+  emit: Emit,
+): void {
+  const common = { team: "", job: "", actor: state.id, detail: {} };
+  emit({ kind: "audit", record: { ...common, ...fields } });
+}
+
+/** Records each home that stands elsewhere than before. */
+export function auditHomes(
+  state: EntryState,
+  fields: { before: HomesTable | undefined; after: HomesTable },
+  emit: Emit,
+): void {
+  const { before, after } = fields;
+  const former = new Map(before?.homes.map((home) => [nameOf(home), home]));
+  const moves = after.homes.flatMap((home) => {
+    const from = placeOf(former.get(nameOf(home)));
+    return from === placeOf(home) ? [] : [{ home, from }];
+  });
+  const detail = { from: before?.version ?? 0, to: after.version };
+  const common = { kind: "home", job: "", actor: state.id, detail };
+  for (const { home, from } of moves.slice(0, MOVES_LISTED)) {
+    const { team } = home;
+    const worker = home.parts[0]?.worker ?? "";
+    const reason = `${nameOf(home)}: ${from} -> ${placeOf(home)}`;
+    emit({ kind: "audit", record: { ...common, team, worker, reason } });
+  }
+  if (moves.length <= MOVES_LISTED) return;
+  const reason = `${moves.length - MOVES_LISTED} more homes moved`;
+  emit({ kind: "audit", record: { ...common, team: "", worker: "", reason } });
+}
+
+function nameOf(home: Home): string {
+  return `${home.team}/${home.shape}/${home.instance}`;
+}
+
+function placeOf(home: Home | undefined): string {
+  if (home === undefined) return "none";
+  return home.parts
+    .map(({ worker, accelerators }) => `${worker}[${accelerators.join(",")}]`)
+    .join(" ");
+}
--- a/core/entry_reducer/homes/reduce.ts
+++ b/core/entry_reducer/homes/reduce.ts
@@ -17,6 +17,7 @@
   Milliseconds,
 } from "@dragonflyledge/model";
 import { assignHomes } from "@dragonflyledge/placement";
+import { auditHomes } from "../audit.ts";
 import { rendezvous } from "../jobs/rendezvous.ts";
 import type { AgentView, Emit, EntryState } from "../state.ts";
 
@@ -49,7 +50,7 @@
       homing.losses.push(event.now + WORKER_LOSS_DELAY);
       return;
     case "homesWritten":
-      return takeWritten(state, event);
+      return takeWritten(state, event, emit);
     case "agentConnected":
       homing.leaving.delete(event.hello.id);
       return markDirty(state, event.now);
@@ -77,6 +78,7 @@
 function takeWritten(
   state: EntryState,
   event: Extract<EntryEvent, { kind: "homesWritten" }>,
+  emit: Emit,
 ): void {
   const { homing } = state;
   const { writing } = homing;
@@ -98,6 +100,7 @@
     peer: state.id,
     detail: `homes ${writing.version} of an older configuration`,
   });
+  auditHomes(state, { before: state.homes, after: writing }, emit);
   state.homes = writing;
 }
 
--- a/core/entry_reducer/members/reduce.ts
+++ b/core/entry_reducer/members/reduce.ts
@@ -13,6 +13,7 @@
   WorkerId,
 } from "@dragonflyledge/model";
 import { MINUTE } from "@dragonflyledge/model";
+import { auditWorker } from "../audit.ts";
 import type { AgentView, Emit, EntryState } from "../state.ts";
 import { isEligible, reindexAgent } from "./choose_agent.ts";
 import { dampAgent } from "./damping.ts";
@@ -58,6 +59,11 @@
       return;
     case "drainRequested":
       drainAgent(state, event.worker, emit);
+      auditWorker(state, {
+        kind: "drain",
+        worker: event.worker,
+        reason: "an operator asked for it",
+      }, emit);
       return;
   }
 }
--- a/core/entry_reducer/members/work_health.ts
+++ b/core/entry_reducer/members/work_health.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds, WorkerId } from "@dragonflyledge/model";
 import { MINUTE, SECOND } from "@dragonflyledge/model";
 import type { AgentView, Emit, EntryState } from "../state.ts";
+import { auditWorker } from "../audit.ts";
 import { reindexAgent } from "./choose_agent.ts";
 import { serviceAgents } from "./state.ts";
 
@@ -95,6 +96,8 @@
   const text = "members: quarantined a worker that fails what others run";
   const fields = { worker, failures, time };
   emit({ kind: "log", level: "warn", text, fields });
+  const reason = `failed ${failures} times what others run, for ${time} ms`;
+  auditWorker(state, { kind: "quarantine", worker, reason }, emit);
   agent.probing = true;
   reindexAgent(state, agent, now);
 }
