--- a/cli/command/commands/audit.ts
+++ b/cli/command/commands/audit.ts
@@ -5,10 +5,13 @@
  */
 
 import { InvalidArgumentError } from "commander";
+import { SECOND } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { createClient } from "../client.ts";
 import type { RemoteFlags } from "../client.ts";
+import type { Dependencies } from "../dependencies.ts";
 import { asList, formatValue, wrap } from "../output.ts";
 import type { Fields } from "../output.ts";
-import { show } from "../show.ts";
 import { remote } from "./register.ts";
 import type { Register } from "./register.ts";
 
@@ -19,9 +22,10 @@
 
 type AuditFlags =
   & RemoteFlags
-  & Partial<
-    Record<typeof FILTERS[number], string>
-  >;
+  & { follow?: boolean }
+  & Partial<Record<typeof FILTERS[number], string>>;
+
+const FOLLOW_INTERVAL: Milliseconds = SECOND;
 
 /** Adds the command. */
 export const registerAudit: Register = ({ program, dependencies }) => {
@@ -32,16 +36,37 @@
     .option("--kind <kind>", "changes of one kind")
     .option("--since <time>", "ISO 8601, such as 2026-12-04T08:00Z", parseTime)
     .option("--until <time>", "ISO 8601, such as 2026-12-04T09:00Z", parseTime)
+    .option("--follow", "go on with new records until interrupted")
     .action(async (options: AuditFlags) => {
-      await show({
-        dependencies,
-        options,
-        call: { method: "GET", path: auditPath(options), repeatable: true },
-        format: (body) => asList(body, "records").map(formatRecord).join("\n"),
-      });
+      await showRecords(dependencies, options);
     });
 };
 
+/** Prints each record once, and with `--follow` those that come later. */
+async function showRecords(
+  dependencies: Dependencies,
+  options: AuditFlags,
+): Promise<void> {
+  const client = await createClient({ dependencies, options });
+  const format = options.json ? JSON.stringify : formatRecord;
+  const filters = { ...options };
+  let shown = new Set<string>();
+  do {
+    const path = auditPath(filters);
+    const { body } = await client({ method: "GET", path, repeatable: true });
+    const records = asList(body, "records");
+    for (const record of records) {
+      if (shown.has(JSON.stringify(record))) continue;
+      dependencies.write(`${format(record)}\n`);
+    }
+    const last = records.at(-1)?.["time"];
+    if (typeof last !== "string") continue;
+    // The bound is inclusive, so that the latest records come again.
+    filters.since = last;
+    shown = new Set(records.map((record) => JSON.stringify(record)));
+  } while (options.follow && await dependencies.wait?.(FOLLOW_INTERVAL));
+}
+
 /** A line of who did what, and the reason below it, which may be long. */
 function formatRecord(record: Fields): string {
   const parts = ["time", "kind", "team", "worker", "job", "actor"]
--- a/cli/command/dependencies.ts
+++ b/cli/command/dependencies.ts
@@ -46,5 +46,7 @@
   loadModule: (path: string) => Promise<Record<string, unknown>>;
   /** Fails with `ExchangeFailure` if no answer came. */
   send: (request: HttpRequest) => Promise<HttpAnswer>;
+  /** Waits between two polls; false ends a command that follows changes. */
+  wait?: (delay: Milliseconds) => Promise<boolean>;
   environment: Record<string, string | undefined>;
 }
--- a/cli/command/main.ts
+++ b/cli/command/main.ts
@@ -8,6 +8,7 @@
 import { readFile } from "node:fs/promises";
 import { resolve } from "node:path";
 import process from "node:process";
+import { setTimeout } from "node:timers/promises";
 import { text } from "node:stream/consumers";
 import { pathToFileURL } from "node:url";
 import { runProgram } from "./program.ts";
@@ -25,6 +26,10 @@
     writeError: (output) => void process.stderr.write(output),
     readFile: (path) =>
       path === "-" ? text(process.stdin) : readFile(path, "utf8"),
+    wait: async (delay) => {
+      await setTimeout(delay);
+      return true;
+    },
     loadModule: (path) => import(pathToFileURL(resolve(path)).href),
     send: sendRequest,
     environment: process.env,
--- a/cli/command/program_test.ts
+++ b/cli/command/program_test.ts
@@ -393,6 +393,37 @@
   t.match(await ask("config history"), { code: 1, errors: /than JSON/ });
 });
 
+// Guards against a followed trail that repeats or misses records.
+test("a followed trail shows each record once", async (t) => {
+  const first = { time: "2026-12-04T06:00:00.000Z", kind: "drain" };
+  const second = { time: "2026-12-04T06:00:01.000Z", kind: "home" };
+  const answers = [[first], [first], [first, second]];
+  const paths: string[] = [];
+  let output = "";
+  const code = await runProgram({
+    arguments: "audit --follow --json --entry http://127.0.0.1:1".split(" "),
+    dependencies: {
+      write: (text) => output += text,
+      writeError: (text) => t.fail(text),
+      readFile: () => Promise.reject(new Error("no file")),
+      loadModule: () => Promise.reject(new Error("no module")),
+      send: ({ url }) => {
+        paths.push(new URL(url).search);
+        const body = JSON.stringify({ records: answers[paths.length - 1] });
+        return Promise.resolve({ status: 200, body });
+      },
+      wait: () => Promise.resolve(paths.length < answers.length),
+      environment: { DRAGONFLYLEDGE_TOKEN: "x" },
+    },
+  });
+  t.equal(code, 0);
+  t.same(output.trim().split("\n").map((line) => JSON.parse(line)), [
+    first,
+    second,
+  ]);
+  t.match(paths, ["", /since=2026-12-04T06/, /since=2026-12-04T06/]);
+});
+
 // Guards against a bin that does not start.
 test("the bin prints a configuration and ends with its code", async (t) => {
   const main = fileURLToPath(new URL("main.js", import.meta.url));
