--- a/cli/command/commands/entry.ts
+++ b/cli/command/commands/entry.ts
@@ -45,6 +45,7 @@
     startEntry({
       settings: {
         id: identity.id,
+        failureDomain: identity.failureDomain,
         host: listen.host,
         port: listen.port,
         httpPort: listen.httpPort,
--- a/cli/command/dev/system.ts
+++ b/cli/command/dev/system.ts
@@ -89,6 +89,7 @@
     const entry = await startEntry({
       settings: {
         id,
+        failureDomain: failureDomainOf(deployment, index),
         host: HOST,
         port: 0,
         httpPort: firstHttpPort === 0 ? 0 : firstHttpPort + index,
@@ -143,12 +144,11 @@
 
 function describeWorker(deployment: Deployment, index: number): Inventory {
   const rack = Math.floor(index / WORKERS_PER_RACK);
-  const { failureDomains } = deployment;
   return {
     worker: `worker-${String(index + 1).padStart(2, "0")}`,
     location: {
       region: deployment.region,
-      failureDomain: failureDomains[rack % failureDomains.length]!,
+      failureDomain: failureDomainOf(deployment, rack),
       rack: `rack-${rack + 1}`,
     },
     capacity: deployment.capacity,
@@ -158,6 +158,11 @@
   };
 }
 
+function failureDomainOf(deployment: Deployment, index: number): string {
+  const { failureDomains } = deployment;
+  return failureDomains[index % failureDomains.length]!;
+}
+
 /** Agents end first, so that entries see them leave. */
 async function stopAll(
   entries: Entry[],
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -23,17 +23,15 @@
 } from "@dragonflyledge/model";
 import { createLoop, reportFailure } from "@dragonflyledge/runtime";
 import type { Observer } from "@dragonflyledge/runtime";
+import { createAdministrationRoutes } from "./administration.ts";
 import { acceptAgents } from "./agent_sessions.ts";
 import { readTokenDigest } from "./http/authentication.ts";
-import { createConfigurationApi } from "./http/configuration_api.ts";
 import { createJobApi } from "./http/job_api.ts";
-import { createOperatorApi } from "./http/operator_api.ts";
 import { createRequestApi } from "./http/request_api.ts";
 import { startHttpServer } from "./http/server.ts";
 import type { HttpRequest } from "./http/server.ts";
 import { createJobLookup } from "./job_lookup.ts";
 import type { Records } from "./records.ts";
-import { describeStatus } from "./status.ts";
 import { startGauges } from "./gauges.ts";
 import { createStoreEffects } from "./store_effects.ts";
 
@@ -50,6 +48,7 @@
 /** Settings of one entry. */
 export interface EntrySettings {
   id: string;
+  failureDomain: string;
   host: string;
   port: number;
   httpPort: number;
@@ -89,7 +88,12 @@
 }): Promise<Result<Entry, StepError>> {
   const { settings, clock, timer, random, observer } = fields;
   const incarnation = clock.date().getTime();
-  const reducer = createEntryReducer({ id: settings.id, incarnation, random });
+  const reducer = createEntryReducer({
+    id: settings.id,
+    incarnation,
+    random,
+    failureDomain: settings.failureDomain,
+  });
   const { state } = reducer;
   const loop = createLoop<EntryEvent, EntryEffect>({
     reduce: reducer.reduce,
@@ -158,34 +162,24 @@
     observer,
     dispatch,
   });
+  const routes = [
+    ...requests.routes,
+    ...jobs.routes,
+    ...createAdministrationRoutes({
+      state,
+      records,
+      clock,
+      findOperator,
+      countWaiting: lookup.countWaiting,
+      dispatch,
+    }),
+  ];
   const http = await startHttpServer({
     host: settings.host,
     port: settings.httpPort,
     bodyLimit: settings.bodyLimit,
     connections: settings.connections,
-    routes: [
-      ...requests.routes,
-      ...jobs.routes,
-      ...createConfigurationApi({
-        clock,
-        records,
-        configuration: () => state.configuration,
-        findOperator,
-        inventories: () =>
-          [...state.agents.values()].map((agent) => agent.inventory),
-        dispatch,
-      }),
-      ...createOperatorApi({
-        clock,
-        records,
-        findOperator,
-        status: () =>
-          describeStatus({ state, clock, waiting: lookup.countWaiting }),
-        knowsWorker: (worker) => state.agents.has(worker),
-        ready: () => state.configuration !== undefined && !state.stopping,
-        dispatch,
-      }),
-    ],
+    routes,
   });
   if (http.isErr()) {
     await sessions.close();
--- a/testing/replay/slopes/store_calls.ts
+++ b/testing/replay/slopes/store_calls.ts
@@ -75,6 +75,7 @@
     const started = await startEntry({
       settings: {
         id,
+        failureDomain: "d1",
         host: "127.0.0.1",
         port: 0,
         httpPort: 0,
