Probe a quarantined worker again after a lost probe

Ruled out: holds, homes and the check for impossible jobs, since 2 of 3 workers fitted. Change: an idle worker without a verdict is probed again after 10 s.

--- a/core/entry_reducer/members/members_test.ts
+++ b/core/entry_reducer/members/members_test.ts
@@ -1,7 +1,7 @@
 import { test } from "tap";
 import type { Report } from "@dragonflyledge/model";
 import { configuration, createHarness } from "../test_support.ts";
-import { chooseAgent, eligibleAgents } from "./choose_agent.ts";
+import { chooseAgent, eligibleAgents, reindexAgent } from "./choose_agent.ts";
 import { freeSlots } from "./free_slots.ts";
 import { passProbe } from "./work_health.ts";
 
@@ -156,6 +156,22 @@
   t.end();
 });
 
+// Guards against a worker that stays excluded because its probe left nothing
+// behind: the soak with seed 219 had a job that waited for it for ever.
+test("a lost probe is followed by another one", (t) => {
+  const h = createHarness(["w1", "w2"], 4);
+  run(h, "s", "w2", 200);
+  for (let n = 0; n < 3; n++) run(h, `f${n}`, "w1", 500);
+  h.at(5000);
+  view(h).probing = false;
+  reindexAgent(h.state, view(h), 5000);
+  h.at(14_900);
+  t.same(eligible(h, 14_900), ["w2"]);
+  h.at(15_000);
+  t.same(eligible(h, 15_000), ["w1", "w2"]);
+  t.end();
+});
+
 // Guards against a worker that accepts everything and never answers.
 test("a worker that hangs is quarantined", (t) => {
   const h = createHarness(["w1", "w2"], 8);
--- a/core/entry_reducer/members/reduce.ts
+++ b/core/entry_reducer/members/reduce.ts
@@ -16,6 +16,7 @@
 import { auditWorker } from "../audit.ts";
 import type { AgentView, Emit, EntryState } from "../state.ts";
 import { isEligible, reindexAgent } from "./choose_agent.ts";
+import { renewLostProbe } from "./work_health.ts";
 import { dampAgent } from "./damping.ts";
 import { hearAgent } from "./silence.ts";
 import { serviceAgents } from "./state.ts";
@@ -226,6 +227,7 @@
 function readmitAgents(state: EntryState, now: Milliseconds): void {
   for (const worker of state.members.excluded) {
     const agent = state.agents.get(worker);
+    if (agent?.connected) renewLostProbe(state, agent, now);
     if (agent?.connected && !isEligible(agent, now)) continue;
     state.members.excluded.delete(worker);
     if (agent?.connected) reindexAgent(state, agent, now);
--- a/core/entry_reducer/members/work_health.ts
+++ b/core/entry_reducer/members/work_health.ts
@@ -15,6 +15,8 @@
 export const QUARANTINE_FAILURES = 3;
 const FIRST_QUARANTINE = 5 * SECOND;
 const QUARANTINE_LIMIT = 2 * MINUTE;
+/** An idle worker is probed again after this time without a verdict. */
+const PROBE_PATIENCE = 10 * SECOND;
 /** Older successes elsewhere do not count against a worker. */
 const SUCCESS_AGE = 1 * MINUTE;
 
@@ -113,6 +115,24 @@
   reindexAgent(state, agent, now);
 }
 
+/**
+ * Allows another probe if the last one left nothing behind, for instance a gang
+ * whose reservation was refused elsewhere. Without a verdict, the worker would
+ * stay excluded for good.
+ */
+export function renewLostProbe(
+  state: EntryState,
+  agent: AgentView,
+  now: Milliseconds,
+): void {
+  if (agent.quarantinedUntil === 0 || agent.probing) return;
+  if (now < agent.quarantinedUntil + PROBE_PATIENCE) return;
+  const promised = [...agent.slotsPromised.values()].some((count) => count > 0);
+  if (promised || agent.slotsUsed > 0 || agent.members.length > 0) return;
+  agent.quarantinedUntil = now;
+  endProbe(state, agent, now);
+}
+
 function succeedsElsewhere(
   state: EntryState,
   worker: WorkerId,
