End unused connections when an entry stops

Change: once the last request in flight has been answered, the server closes all connections. Conclusion: a graceful stop depends on requests in flight only.

--- a/daemons/entry/http/server.ts
+++ b/daemons/entry/http/server.ts
@@ -73,7 +73,18 @@
   });
   server.maxConnections = fields.connections;
   let closing = false;
+  let active = 0;
+  // A connection on which nothing was sent does not count as idle, and would
+  // keep the server open until its headers are overdue, for 30 s and more.
+  const endWhenIdle = () => {
+    if (closing && active === 0) server.closeAllConnections();
+  };
   server.on("request", (incoming, response) => {
+    active++;
+    response.once("close", () => {
+      active--;
+      endWhenIdle();
+    });
     handle({ ...fields, incoming, response, closing: () => closing })
       .catch((cause: Error) => {
         writeAnswer(response, problem(500, cause.message), true);
@@ -85,7 +96,9 @@
     port: (server.address() as AddressInfo).port,
     close: () => {
       closing = true;
-      return closeServer(server);
+      const closed = closeServer(server);
+      endWhenIdle();
+      return closed;
     },
   });
 }
