Name the flags of dev as those of other commands

Cause: one type name ended in Options, against the house style. Change: DevOptions becomes DevFlags, as AuditFlags and RemoteFlags.

--- a/cli/command/commands/dev.ts
+++ b/cli/command/commands/dev.ts
@@ -18,7 +18,7 @@
 const DEFAULT_PORT = 8080;
 const SEED = 1;
 
-interface DevOptions {
+interface DevFlags {
   example: string;
   port: number;
 }
@@ -29,7 +29,7 @@
     .description("Run a whole example system on loopback, for trials.")
     .option("--example <name>", "nyabugogo or sahil", parseExample, "nyabugogo")
     .option("--port <port>", "first HTTP port", parseWhole, DEFAULT_PORT)
-    .action(async ({ example, port }: DevOptions) => {
+    .action(async ({ example, port }: DevFlags) => {
       const { deployment, configuration } = EXAMPLES[example]!;
       const observer = createObserver({
         part: Part.Cli,
