--- /dev/null
+++ b/core/scheduler/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * Scheduler of jobs of steps: reducer, placement and preemption.
+ *
+ * @module
+ */
+
+export * from "./job.ts";
+export * from "./messages.ts";
+export * from "./records.ts";
+export * from "./store_keys.ts";
+export { createScheduler } from "./reducer.ts";
+export type { Scheduler } from "./reducer.ts";
+export type {
+  Capacity,
+  Policies,
+  SchedulerEffect,
+  SchedulerEvent,
+  SchedulerState,
+  SchedulerTimes,
+} from "./state.ts";
--- /dev/null
+++ b/core/scheduler/progress.ts
@@ -0,0 +1,85 @@
+/**
+ * Progress of a job: what is ready, what is over, and its status.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { createOccurrence, isFinal, JobStatus, TaskPhase } from "./job.ts";
+import type { Occurrence } from "./job.ts";
+import { stopRun } from "./runs.ts";
+import type { Job, SchedulerState } from "./state.ts";
+
+/** Marks the job for the next write of its progress. */
+export function markChanged(state: SchedulerState, job: Job): void {
+  job.version++;
+  state.changedJobs.add(job);
+}
+
+/** Gives the job its final status and stops what still runs. */
+export function finishJob(fields: {
+  state: SchedulerState;
+  job: Job;
+  status: JobStatus;
+  date: Milliseconds;
+}): void {
+  const { state, job, status } = fields;
+  if (isFinal(job.progress.status)) return;
+  job.progress.status = status;
+  job.progress.finishedAt = fields.date;
+  state.active.delete(job);
+  for (const run of job.runs) stopRun(state, run);
+  markChanged(state, job);
+  state.effects.push({
+    kind: "log",
+    level: "info",
+    text: "Job finished.",
+    fields: { job: job.request.id, status, version: job.version },
+  });
+}
+
+/** Creates the occurrences that are due. */
+export function createDueOccurrences(
+  fields: { state: SchedulerState; job: Job; date: Milliseconds },
+): void {
+  const { state, job, date } = fields;
+  const { schedule } = job.request;
+  const total = schedule?.occurrences ?? 1;
+  while (job.progress.nextOccurrence < total) {
+    const index = job.progress.nextOccurrence;
+    const due = schedule ? schedule.first + index * schedule.interval : 0;
+    if (due > date) return;
+    job.progress.nextOccurrence++;
+    job.progress.occurrences.push(
+      createOccurrence({ request: job.request, index }),
+    );
+    markChanged(state, job);
+  }
+}
+
+/** Steps whose earlier steps are all done and that have waiting tasks. */
+export function readySteps(job: Job, occurrence: Occurrence): number[] {
+  const done = occurrence.steps.map((tasks) =>
+    tasks.every((task) => task.phase === TaskPhase.Done)
+  );
+  return job.request.steps.flatMap((step, index) => {
+    const waits = occurrence.steps[index]!
+      .some((task) => task.phase === TaskPhase.Waiting);
+    return waits && step.after.every((earlier) => done[earlier]) ? [index] : [];
+  });
+}
+
+/** Completes the job if all its tasks are done. */
+export function completeIfDone(
+  fields: { state: SchedulerState; job: Job; date: Milliseconds },
+): void {
+  const { job } = fields;
+  const total = job.request.schedule?.occurrences ?? 1;
+  if (job.progress.nextOccurrence < total) return;
+  const done = job.progress.occurrences.every((occurrence) =>
+    occurrence.steps.every((tasks) =>
+      tasks.every((task) => task.phase === TaskPhase.Done)
+    )
+  );
+  if (done) finishJob({ ...fields, status: JobStatus.Completed });
+}
--- /dev/null
+++ b/core/scheduler/records.ts
@@ -0,0 +1,65 @@
+/**
+ * Compact form of a job's progress, as it is kept in the store.
+ *
+ * @module
+ */
+
+import { JobStatus } from "./job.ts";
+import type { JobProgress, TaskPhase, TaskProgress } from "./job.ts";
+
+type TaskRow = [number, number, string, string, string, number];
+type OccurrenceRow = [number, TaskRow[][]];
+
+/** Plain arrays for an encoder. */
+export type ProgressRow = [string, number, number, OccurrenceRow[]];
+
+/** Returns the progress as rows. */
+export function packProgress(progress: JobProgress): ProgressRow {
+  const packTask = (task: TaskProgress): TaskRow => [
+    task.phase,
+    task.run,
+    task.agent,
+    task.worker,
+    task.checkpoint,
+    task.failures,
+  ];
+  return [
+    progress.status,
+    progress.finishedAt,
+    progress.nextOccurrence,
+    progress.occurrences.map((occurrence) => [
+      occurrence.index,
+      occurrence.steps.map((tasks) => tasks.map(packTask)),
+    ]),
+  ];
+}
+
+/** Returns the progress that `packProgress` was given. */
+export function unpackProgress(row: ProgressRow): JobProgress {
+  const unpackTask = (task: TaskRow): TaskProgress => ({
+    phase: task[0] as TaskPhase,
+    run: task[1],
+    agent: task[2],
+    worker: task[3],
+    checkpoint: task[4],
+    failures: task[5],
+  });
+  const statuses: string[] = Object.values(JobStatus);
+  return {
+    status:
+      (statuses.includes(row[0]) ? row[0] : JobStatus.Queued) as JobStatus,
+    finishedAt: row[1],
+    nextOccurrence: row[2],
+    occurrences: row[3].map(([index, steps]) => ({
+      index,
+      steps: steps.map((tasks) => tasks.map(unpackTask)),
+    })),
+  };
+}
+
+/** Whether any task of the job was ever started. */
+export function hasBegun(progress: JobProgress): boolean {
+  return progress.occurrences.some((occurrence) =>
+    occurrence.steps.some((tasks) => tasks.some((task) => task.run > 0))
+  );
+}
--- /dev/null
+++ b/core/scheduler/reducer.ts
@@ -0,0 +1,227 @@
+/**
+ * Reducer of the scheduler: events in, effects out.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { createProgress, isFinal, JobStatus, TaskPhase } from "./job.ts";
+import type { JobProgress, JobRequest } from "./job.ts";
+import { ordersOf } from "./orders.ts";
+import { plan } from "./plan.ts";
+import { createDueOccurrences, finishJob } from "./progress.ts";
+import { applyReport, loseAgent, releaseAcknowledged } from "./reports.ts";
+import { addRun, stopRun } from "./runs.ts";
+import type {
+  Agent,
+  Job,
+  SchedulerEffect,
+  SchedulerEvent,
+  SchedulerState,
+  SchedulerTimes,
+} from "./state.ts";
+
+/** Decides about all jobs while this process leads. */
+export interface Scheduler {
+  reduce(event: SchedulerEvent): SchedulerEffect[];
+  /** Progress of a job and its version, for the store. */
+  snapshot(job: string): { version: number; progress: JobProgress } | undefined;
+  readonly state: SchedulerState;
+}
+
+/** Creates a scheduler that knows nothing yet. */
+export function createScheduler(
+  fields: { times: SchedulerTimes },
+): Scheduler {
+  const state: SchedulerState = {
+    times: fields.times,
+    policies: { queues: new Map(), guarantees: new Map() },
+    jobs: new Map(),
+    active: new Set(),
+    agents: new Map(),
+    workers: new Map(),
+    runs: new Map(),
+    changedAgents: new Set(),
+    changedJobs: new Set(),
+    effects: [],
+  };
+
+  function reduce(event: SchedulerEvent): SchedulerEffect[] {
+    state.effects = [];
+    apply(state, event);
+    plan(state, event.now);
+    return collect(state);
+  }
+
+  return {
+    reduce,
+    snapshot: (id) => {
+      const job = state.jobs.get(id);
+      return job && { version: job.version, progress: job.progress };
+    },
+    state,
+  };
+}
+
+function apply(state: SchedulerState, event: SchedulerEvent): void {
+  switch (event.kind) {
+    case "policies":
+      state.policies = event.policies;
+      for (const job of state.active) job.policy = policyOf(state, job.request);
+      return;
+    case "job":
+      return addJob(state, event, event.now);
+    case "cancel":
+      return cancelJob(state, event.job, event.date);
+    case "agent":
+      return addAgent(state, event.agent, event.now);
+    case "agentGone":
+      return removeAgent(state, event.agent);
+    case "report": {
+      addAgent(state, event.agent, event.now);
+      const agent = state.agents.get(event.agent)!;
+      return applyReport({ ...event, state, agent });
+    }
+    case "stored":
+      return confirmStored(state, event.job, event.version);
+    case "tick":
+      return tick(state, event.now, event.date);
+  }
+}
+
+function collect(state: SchedulerState): SchedulerEffect[] {
+  const effects = state.effects;
+  for (const job of state.changedJobs) {
+    effects.push({ kind: "store", job: job.request.id });
+  }
+  state.changedJobs.clear();
+  for (const name of state.changedAgents) {
+    const orders = ordersOf(state, name);
+    if (orders) effects.push(orders);
+  }
+  state.changedAgents.clear();
+  return effects;
+}
+
+function policyOf(state: SchedulerState, request: JobRequest) {
+  return state.policies.queues.get(request.queue) ?? request.policy;
+}
+
+function addJob(
+  state: SchedulerState,
+  event: { request: JobRequest; progress?: JobProgress },
+  now: Milliseconds,
+): void {
+  const { request } = event;
+  if (state.jobs.has(request.id)) return;
+  const progress = event.progress ?? createProgress();
+  const job: Job = {
+    request,
+    progress,
+    policy: policyOf(state, request),
+    cancelled: false,
+    version: 1,
+    storedVersion: event.progress ? 1 : 0,
+    runs: new Set(),
+    readyAt: new Map(),
+  };
+  state.jobs.set(request.id, job);
+  restoreRuns(state, job, now);
+  if (isFinal(progress.status)) return;
+  state.active.add(job);
+  createDueOccurrences({ state, job, date: request.acceptedAt });
+}
+
+/** Counts the runs that the record lists; they may be running. */
+function restoreRuns(
+  state: SchedulerState,
+  job: Job,
+  now: Milliseconds,
+): void {
+  const stop = isFinal(job.progress.status);
+  for (const occurrence of job.progress.occurrences) {
+    occurrence.steps.forEach((tasks, step) =>
+      tasks.forEach((task, index) => {
+        const ending = task.phase === TaskPhase.Ending;
+        if (task.phase !== TaskPhase.Assigned && !ending) return;
+        const run = addRun({
+          state,
+          job,
+          task: {
+            job: job.request.id,
+            occurrence: occurrence.index,
+            step,
+            index,
+          },
+          run: task.run,
+          agent: task.agent,
+          worker: task.worker,
+          confirmed: false,
+          now,
+        });
+        addAgent(state, task.agent, now);
+        if (stop || ending) stopRun(state, run);
+      })
+    );
+  }
+}
+
+function cancelJob(
+  state: SchedulerState,
+  id: string,
+  date: Milliseconds,
+): void {
+  const job = state.jobs.get(id);
+  if (!job) return;
+  job.cancelled = true;
+  finishJob({ state, job, status: JobStatus.Cancelled, date });
+}
+
+function addAgent(
+  state: SchedulerState,
+  name: string,
+  now: Milliseconds,
+): void {
+  if (state.agents.has(name)) return;
+  const agent: Agent = { name, lastHeard: now, lost: false };
+  state.agents.set(name, agent);
+}
+
+function removeAgent(state: SchedulerState, name: string): void {
+  const agent = state.agents.get(name);
+  if (!agent || !agent.lost) return;
+  state.agents.delete(name);
+}
+
+function confirmStored(
+  state: SchedulerState,
+  id: string,
+  version: number,
+): void {
+  const job = state.jobs.get(id);
+  if (!job || job.storedVersion >= version) return;
+  job.storedVersion = version;
+  for (const run of job.runs) state.changedAgents.add(run.agent);
+  for (const worker of state.workers.values()) {
+    releaseAcknowledged(state, worker);
+  }
+}
+
+function tick(
+  state: SchedulerState,
+  now: Milliseconds,
+  date: Milliseconds,
+): void {
+  for (const agent of state.agents.values()) {
+    const silent = now - agent.lastHeard > state.times.agentLoss;
+    if (silent && !agent.lost) loseAgent(state, agent);
+  }
+  for (const job of state.active) createDueOccurrences({ state, job, date });
+  for (const job of state.jobs.values()) {
+    const { status, finishedAt } = job.progress;
+    if (!isFinal(status) || job.runs.size > 0) continue;
+    if (date - finishedAt < state.times.retention) continue;
+    state.jobs.delete(job.request.id);
+    state.effects.push({ kind: "remove", job: job.request.id });
+  }
+}
--- /dev/null
+++ b/core/scheduler/reports.ts
@@ -0,0 +1,229 @@
+/**
+ * Takes in what agents report of their workers.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { isFinal, parseTask, TaskPhase } from "./job.ts";
+import { runKey } from "./messages.ts";
+import type {
+  AgentReport,
+  RefusedStart,
+  RunningTask,
+  WorkerState,
+} from "./messages.ts";
+import { applyEnding, loseRun } from "./endings.ts";
+import { addRun, findTask, occupy, stopRun } from "./runs.ts";
+import { isApplied } from "./state.ts";
+import type { Agent, SchedulerState, Worker } from "./state.ts";
+
+/** A worker that refused a start gets no other one for this long. */
+const REFUSAL_AVOIDANCE: Milliseconds = 500;
+
+interface ReportFields {
+  state: SchedulerState;
+  agent: Agent;
+  report: AgentReport;
+  now: Milliseconds;
+  date: Milliseconds;
+}
+
+/** Applies a report of an agent. */
+export function applyReport(fields: ReportFields): void {
+  const { state, agent, report, now } = fields;
+  agent.lastHeard = now;
+  agent.lost = false;
+  for (const key of report.emptied) emptyWorker(state, key, "worker emptied");
+  if (!report.worker) return;
+  const worker = takeWorker(state, agent, report.worker);
+  if (worker === undefined) return;
+  if (report.listed) {
+    applyEnds(fields, worker);
+    applyRunning(fields, worker);
+  }
+  for (const refused of report.refused) refuseStart(fields, worker, refused);
+  for (const name of report.absent) {
+    const run = state.runs.get(runKey(name));
+    if (run && run.worker === worker.state.key) {
+      loseRun(state, run, "not on the worker");
+    }
+  }
+  releaseAcknowledged(state, worker);
+}
+
+/** Treats everything on a worker incarnation as over. */
+export function emptyWorker(
+  state: SchedulerState,
+  key: string,
+  reason: string,
+): void {
+  for (const run of [...state.runs.values()]) {
+    if (run.worker === key) loseRun(state, run, reason);
+  }
+}
+
+/** Removes an agent's worker, on which nothing can run any more. */
+export function loseAgent(state: SchedulerState, agent: Agent): void {
+  agent.lost = true;
+  for (const run of [...state.runs.values()]) {
+    if (run.agent === agent.name) loseRun(state, run, "agent lost");
+  }
+  if (agent.worker) state.workers.delete(agent.worker.state.key);
+  agent.worker = undefined;
+  state.effects.push({
+    kind: "log",
+    level: "warn",
+    text: "Agent lost.",
+    fields: { agent: agent.name, lastHeard: agent.lastHeard },
+  });
+}
+
+/** Moves the mark of stored ends forward. */
+export function releaseAcknowledged(
+  state: SchedulerState,
+  worker: Worker,
+): void {
+  while (worker.unstoredEnds.length > 0) {
+    const { number, job, version } = worker.unstoredEnds[0]!;
+    if (job && job.storedVersion < version) return;
+    worker.unstoredEnds.shift();
+    worker.acknowledged = number;
+    state.changedAgents.add(worker.agent);
+  }
+}
+
+/** Finds or replaces the worker of an agent; undefined for an outdated one. */
+function takeWorker(
+  state: SchedulerState,
+  agent: Agent,
+  reported: WorkerState,
+): Worker | undefined {
+  const known = agent.worker;
+  if (known?.state.key === reported.key) {
+    if (known.state.draining !== reported.draining) {
+      state.changedAgents.add(agent.name);
+    }
+    known.state = reported;
+    return known;
+  }
+  if (known && known.state.born > reported.born) return undefined;
+  if (known) state.workers.delete(known.state.key);
+  for (const run of [...state.runs.values()]) {
+    if (run.agent === agent.name && run.worker !== reported.key) {
+      loseRun(state, run, "worker replaced");
+    }
+  }
+  const worker: Worker = {
+    state: reported,
+    agent: agent.name,
+    used: { millicores: 0, megabytes: 0, accelerators: 0 },
+    runs: new Set(),
+    avoidUntil: 0,
+    failures: 0,
+    unstoredEnds: [],
+    acknowledged: 0,
+    applied: 0,
+  };
+  agent.worker = worker;
+  state.workers.set(reported.key, worker);
+  for (const run of state.runs.values()) {
+    if (run.worker === reported.key) occupy(worker, run);
+  }
+  state.changedAgents.add(agent.name);
+  state.effects.push({
+    kind: "log",
+    level: "info",
+    text: "Worker known.",
+    fields: { agent: agent.name, worker: reported.key, rack: reported.rack },
+  });
+  return worker;
+}
+
+function applyEnds(fields: ReportFields, worker: Worker): void {
+  const { state, report, now, date } = fields;
+  for (const ended of report.ended) {
+    if (isApplied(worker, ended)) continue;
+    worker.applied = ended.number;
+    const run = state.runs.get(runKey(ended));
+    const matches = run !== undefined && run.worker === worker.state.key;
+    if (matches) applyEnding({ state, worker, run, ended, now, date });
+    worker.unstoredEnds.push({
+      number: ended.number,
+      job: matches ? run.job : undefined,
+      version: matches ? run.job.version : 0,
+    });
+  }
+}
+
+function applyRunning(fields: ReportFields, worker: Worker): void {
+  const { state, report, now } = fields;
+  const listed = new Set<string>();
+  for (const running of report.running) {
+    const key = runKey(running);
+    listed.add(key);
+    const run = state.runs.get(key);
+    if (run && run.worker === worker.state.key) {
+      run.confirmed = true;
+      run.percent = running.percent;
+      const task = findTask(run.job, run.task);
+      if (running.checkpoint !== "" && task?.run === run.run) {
+        task.checkpoint = running.checkpoint;
+      }
+    } else adoptRunning(state, worker, running, now);
+  }
+  // Lists of one worker are in order, so that a run that was listed once and
+  // is in neither list now is over.
+  for (const run of [...worker.runs]) {
+    const key = runKey({ task: run.name, run: run.run });
+    if (run.confirmed && !listed.has(key)) {
+      loseRun(state, run, "no longer listed");
+    }
+  }
+}
+
+/** Counts a run that this process did not know, and stops it if unwanted. */
+function adoptRunning(
+  state: SchedulerState,
+  worker: Worker,
+  running: RunningTask,
+  now: Milliseconds,
+): void {
+  const task = parseTask(running.task);
+  const job = task && state.jobs.get(task.job);
+  if (!task || !job || !job.request.steps[task.step]) {
+    state.effects.push({
+      kind: "log",
+      level: "warn",
+      text: "Unknown task runs on a worker.",
+      fields: { task: running.task, worker: worker.state.key },
+    });
+    return;
+  }
+  const run = addRun({
+    state,
+    job,
+    task,
+    run: running.run,
+    agent: worker.agent,
+    worker: worker.state.key,
+    confirmed: true,
+    now,
+  });
+  const progress = findTask(job, task);
+  const wanted = !isFinal(job.progress.status) &&
+    progress?.phase === TaskPhase.Assigned && progress.run === running.run;
+  if (!wanted) stopRun(state, run);
+}
+
+function refuseStart(
+  fields: ReportFields,
+  worker: Worker,
+  refused: RefusedStart,
+): void {
+  const { state, now } = fields;
+  const run = state.runs.get(runKey(refused));
+  if (!run || run.worker !== worker.state.key || run.confirmed) return;
+  worker.avoidUntil = Math.max(worker.avoidUntil, now + REFUSAL_AVOIDANCE);
+  loseRun(state, run, `start refused: ${refused.reason}`);
+}
--- /dev/null
+++ b/core/scheduler/runs.ts
@@ -0,0 +1,111 @@
+/**
+ * Runs and the capacity that they occupy.
+ *
+ * @module
+ */
+
+import { formatTask, TaskPhase } from "./job.ts";
+import type { Step, TaskName, TaskProgress } from "./job.ts";
+import { runKey } from "./messages.ts";
+import type { Capacity, Job, Run, SchedulerState, Worker } from "./state.ts";
+
+/** Capacity that one task of a step occupies. */
+export function taskCapacity(step: Step): Capacity {
+  return {
+    millicores: step.fillsIdleCores ? 0 : step.millicores,
+    megabytes: step.megabytes,
+    accelerators: step.accelerators,
+  };
+}
+
+/** Adds `sign` times `amount` to `total`. */
+export function addCapacity(
+  total: Capacity,
+  amount: Capacity,
+  sign: 1 | -1,
+): void {
+  total.millicores += sign * amount.millicores;
+  total.megabytes += sign * amount.megabytes;
+  total.accelerators += sign * amount.accelerators;
+}
+
+/** Returns the progress of a task, or undefined if the job has no such task. */
+export function findTask(job: Job, name: TaskName): TaskProgress | undefined {
+  const occurrence = job.progress.occurrences
+    .find((each) => each.index === name.occurrence);
+  return occurrence?.steps[name.step]?.[name.index];
+}
+
+/** Records a run that may occupy capacity on a worker. */
+export function addRun(fields: {
+  state: SchedulerState;
+  job: Job;
+  task: TaskName;
+  run: number;
+  agent: string;
+  worker: string;
+  confirmed: boolean;
+  now: number;
+}): Run {
+  const { state, job, task } = fields;
+  const run: Run = {
+    task,
+    name: formatTask(task),
+    run: fields.run,
+    job,
+    step: job.request.steps[task.step]!,
+    agent: fields.agent,
+    worker: fields.worker,
+    version: job.version,
+    confirmed: fields.confirmed,
+    stopping: false,
+    percent: 0,
+    startedAt: fields.now,
+  };
+  state.runs.set(runKey({ task: run.name, run: run.run }), run);
+  job.runs.add(run);
+  const worker = state.workers.get(run.worker);
+  if (worker) occupy(worker, run);
+  return run;
+}
+
+/** Counts the run on its worker. */
+export function occupy(worker: Worker, run: Run): void {
+  if (worker.runs.has(run)) return;
+  worker.runs.add(run);
+  addCapacity(worker.used, taskCapacity(run.step), 1);
+}
+
+/** Forgets a run that is over. */
+export function removeRun(state: SchedulerState, run: Run): void {
+  state.runs.delete(runKey({ task: run.name, run: run.run }));
+  run.job.runs.delete(run);
+  const worker = state.workers.get(run.worker);
+  if (worker?.runs.delete(run)) {
+    addCapacity(worker.used, taskCapacity(run.step), -1);
+  }
+  state.changedAgents.add(run.agent);
+}
+
+/** Whether the run is the latest one of a task that is not done. */
+export function isCurrent(run: Run): boolean {
+  const task = findTask(run.job, run.task);
+  return task !== undefined && task.phase === TaskPhase.Assigned &&
+    task.run === run.run;
+}
+
+/** Asks for the end of a run; its capacity stays occupied until it ends. */
+export function stopRun(state: SchedulerState, run: Run): void {
+  if (run.stopping) return;
+  run.stopping = true;
+  state.changedAgents.add(run.agent);
+}
+
+/** Runs that start and end together with `run`, itself included. */
+export function gangOf(run: Run): Run[] {
+  if (!run.step.gang) return [run];
+  return [...run.job.runs].filter((other) =>
+    other.task.occurrence === run.task.occurrence &&
+    other.task.step === run.task.step
+  );
+}
--- /dev/null
+++ b/core/worker_control/grant.ts
@@ -0,0 +1,18 @@
+/**
+ * How long an agent may extend its worker's lease without the leader.
+ *
+ * @module
+ */
+
+import { SECOND } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+
+/** Work outlives a loss of the leader that is shorter than this. */
+const GRANT: Milliseconds = 8 * SECOND;
+/** Share of the longest lease that a grant may take. */
+const LEASE_SHARE = 0.8;
+
+/** Returns the length of a grant where leases last at most `longestLease`. */
+export function grantLength(longestLease: Milliseconds): Milliseconds {
+  return Math.min(GRANT, longestLease * LEASE_SHARE);
+}
--- /dev/null
+++ b/core/worker_control/run_control.ts
@@ -0,0 +1,111 @@
+/**
+ * Starts and stops of single runs, until the worker's lists confirm them.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { runKey } from "@dragonflyledge/scheduler";
+import { leaseUntil, noteExtension } from "./lease.ts";
+import { ControlPhase } from "./state.ts";
+import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
+
+/** Calls of a start that got no answer before the start is given up. */
+const MAX_UNANSWERED_STARTS = 4;
+
+/** Sends the next call of each run that needs one. */
+export function pumpRuns(state: ControlState, now: Milliseconds): void {
+  const { worker } = state;
+  if (!worker || worker.leftAt !== undefined || !worker.state.reachable) return;
+  for (const control of state.runs.values()) {
+    if (control.calling || now < control.nextCall) continue;
+    if (needsStop(control)) callStop(state, worker, control);
+    else if (control.phase === ControlPhase.Starting) {
+      callStart(state, worker, control, now);
+    }
+  }
+}
+
+/**
+ * Compares each run with the lists of an answer that the worker gave to a call
+ * sent at `sentAt`.
+ */
+export function checkListed(
+  state: ControlState,
+  worker: ControlledWorker,
+  sentAt: Milliseconds,
+): void {
+  const running = new Set(worker.running.map(runKey));
+  const ended = new Set(worker.ended.map(runKey));
+  for (const [key, control] of state.runs) {
+    if (ended.has(key)) {
+      if (!control.stopWanted) state.runs.delete(key);
+      continue;
+    }
+    if (running.has(key)) {
+      if (control.phase === ControlPhase.Started) {
+        control.phase = ControlPhase.Listed;
+      }
+      continue;
+    }
+    if (control.phase === ControlPhase.Listed && !control.stopWanted) {
+      state.runs.delete(key);
+      continue;
+    }
+    if (control.answeredAt === 0 || sentAt <= control.answeredAt) continue;
+    // A start that was accepted and is not listed gets a stop as well, since
+    // an earlier call of it may still be carried out.
+    if (control.phase === ControlPhase.Started) control.stopWanted = true;
+    if (control.phase === ControlPhase.Stopped) {
+      control.phase = ControlPhase.Absent;
+      state.reportDue = true;
+    }
+  }
+}
+
+function needsStop(control: RunControl): boolean {
+  return control.stopWanted &&
+    (control.phase === ControlPhase.Starting ||
+      control.phase === ControlPhase.Started ||
+      control.phase === ControlPhase.Listed);
+}
+
+function callStop(
+  state: ControlState,
+  worker: ControlledWorker,
+  control: RunControl,
+): void {
+  control.calling = true;
+  state.effects.push({
+    kind: "stop",
+    worker: worker.state.key,
+    id: worker.id,
+    epoch: state.epoch,
+    run: control.name,
+  });
+}
+
+function callStart(
+  state: ControlState,
+  worker: ControlledWorker,
+  control: RunControl,
+  now: Milliseconds,
+): void {
+  if (control.unanswered >= MAX_UNANSWERED_STARTS || worker.state.draining) {
+    control.stopWanted = true;
+    callStop(state, worker, control);
+    return;
+  }
+  const until = leaseUntil(state, worker, now);
+  if (until === undefined) return;
+  noteExtension(state, worker);
+  control.calling = true;
+  state.effects.push({
+    kind: "start",
+    worker: worker.state.key,
+    id: worker.id,
+    epoch: state.epoch,
+    until,
+    order: control.order!,
+  });
+}
--- /dev/null
+++ b/core/worker_control/worker.ts
@@ -0,0 +1,109 @@
+/**
+ * Which worker incarnation an agent controls.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { unknownLeaseBound } from "./lease.ts";
+import type { Announcement, ControlledWorker, ControlState } from "./state.ts";
+
+/** Takes a heartbeat; late ones and those of earlier incarnations are ignored. */
+export function announce(
+  state: ControlState,
+  announcement: Announcement,
+  now: Milliseconds,
+): void {
+  const { worker } = state;
+  const { id, clock, sequence, ...described } = announcement;
+  const key = workerKey(id, announcement.born);
+  if (worker && worker.state.key === key) {
+    if (sequence <= worker.sequence) return;
+    worker.sequence = sequence;
+    const drains = worker.state.draining !== announcement.draining;
+    worker.state = {
+      ...worker.state,
+      ...described,
+      draining: described.draining || worker.state.draining,
+    };
+    if (drains) {
+      state.reportDue = true;
+      log(state, "Worker drains.", key);
+    }
+    return;
+  }
+  if (worker && worker.state.born >= announcement.born) return;
+  control(state, {
+    id,
+    state: { ...described, key, reachable: true },
+    sequence,
+    clock: { value: clock, at: now },
+    leaseBound: unknownLeaseBound(state, now),
+    running: [],
+    ended: [],
+    listed: false,
+    acknowledged: 0,
+  }, now);
+}
+
+/** Follows a worker that started again under the same id. */
+export function replaceIncarnation(
+  state: ControlState,
+  born: Milliseconds,
+  now: Milliseconds,
+): void {
+  const worker = state.worker!;
+  control(state, {
+    ...worker,
+    state: {
+      ...worker.state,
+      born,
+      key: workerKey(worker.id, born),
+      draining: false,
+      reachable: true,
+    },
+    sequence: 0,
+    clock: undefined,
+    leaseBound: unknownLeaseBound(state, now),
+    leftAt: undefined,
+    running: [],
+    ended: [],
+    listed: false,
+    acknowledged: 0,
+  }, now);
+}
+
+/** Notes that the worker said it ends. */
+export function leave(
+  state: ControlState,
+  id: string,
+  now: Milliseconds,
+): void {
+  const { worker } = state;
+  if (!worker || worker.id !== id || worker.leftAt !== undefined) return;
+  worker.leftAt = now;
+  worker.state = { ...worker.state, draining: true, remaining: 0 };
+  state.reportDue = true;
+  log(state, "Worker leaves.", worker.state.key);
+}
+
+function control(
+  state: ControlState,
+  worker: ControlledWorker,
+  now: Milliseconds,
+): void {
+  state.worker = worker;
+  state.runs.clear();
+  state.emptied = [];
+  state.hold = { calling: false, next: now, failures: 0 };
+  state.reportDue = true;
+  log(state, "Worker announced.", worker.state.key);
+}
+
+function workerKey(id: string, born: Milliseconds): string {
+  return `${id}@${born}`;
+}
+
+function log(state: ControlState, text: string, worker: string): void {
+  state.effects.push({ kind: "log", level: "info", text, fields: { worker } });
+}
--- /dev/null
+++ b/daemons/runtime/http_listener.ts
@@ -0,0 +1,127 @@
+/**
+ * HTTP server that reads whole requests and answers them.
+ *
+ * @module
+ */
+
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Buffer } from "node:buffer";
+import type { Milliseconds } from "@dragonflyledge/model";
+
+/** A request whose body was read. */
+export interface ReadRequest {
+  method: string;
+  path: string;
+  headers: IncomingMessage["headers"];
+  body: Uint8Array;
+}
+
+/** Status, body and headers of an answer. */
+export interface Answer {
+  status: number;
+  body?: string;
+  headers?: Record<string, string>;
+}
+
+/** A listening server. */
+export interface HttpListener {
+  /** Requests that are read or answered just now. */
+  active(): number;
+  /** Open connections. */
+  connections(): Promise<number>;
+  /** Asks clients to close their connection after the next answer. */
+  closeAfterAnswers(): void;
+  close(): void;
+}
+
+const TOO_LARGE = 413;
+const INTERNAL_ERROR = 500;
+
+/** Listens on `address`; bodies above `bodyLimit()` are refused. */
+export function listenHttp(fields: {
+  address: string;
+  bodyLimit: () => number;
+  keepAlive: Milliseconds;
+  handle: (request: ReadRequest) => Promise<Answer> | Answer;
+  onError: (error: Error) => void;
+}): HttpListener {
+  const [host, port] = fields.address.split(":");
+  let active = 0;
+  let closing = false;
+
+  async function serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    active++;
+    try {
+      const body = await readBody(incoming, fields.bodyLimit());
+      const answer = body === undefined
+        ? { status: TOO_LARGE }
+        : await fields.handle({
+          method: incoming.method ?? "GET",
+          path: incoming.url ?? "/",
+          headers: incoming.headers,
+          body,
+        });
+      write(response, answer, closing);
+    } catch (error) {
+      fields.onError(error as Error);
+      if (!response.headersSent) {
+        write(response, { status: INTERNAL_ERROR }, true);
+      }
+    } finally {
+      active--;
+    }
+  }
+
+  const server: Server = createServer(
+    { keepAliveTimeout: fields.keepAlive, noDelay: true },
+    (incoming, response) => void serve(incoming, response),
+  );
+  server.on("error", fields.onError);
+  server.listen(Number(port), host);
+  return {
+    active: () => active,
+    connections: () =>
+      new Promise((resolve) =>
+        server.getConnections((_, count) => resolve(count ?? 0))
+      ),
+    closeAfterAnswers: () => {
+      closing = true;
+    },
+    close: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+  };
+}
+
+async function readBody(
+  incoming: IncomingMessage,
+  limit: number,
+): Promise<Uint8Array | undefined> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of incoming) {
+    length += chunk.length;
+    if (length <= limit) chunks.push(chunk);
+  }
+  return length > limit ? undefined : Buffer.concat(chunks);
+}
+
+function write(
+  response: ServerResponse,
+  answer: Answer,
+  closing: boolean,
+): void {
+  const body = answer.body ?? "";
+  response.writeHead(answer.status, {
+    ...(body === "" ? {} : { "content-type": "application/json" }),
+    "content-length": Buffer.byteLength(body),
+    ...(closing ? { connection: "close" } : {}),
+    ...answer.headers,
+  });
+  response.end(body);
+}
--- a/daemons/runtime/mod.ts
+++ b/daemons/runtime/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export { listenHttp } from "./http_listener.ts";
+export type { Answer, HttpListener, ReadRequest } from "./http_listener.ts";
 export * from "./loop.ts";
 export type { Observer } from "./observer.ts";
 export * from "./report_failure.ts";
--- /dev/null
+++ b/daemons/scheduler/agent_links.ts
@@ -0,0 +1,107 @@
+/**
+ * The leader's links to all agents.
+ *
+ * @module
+ */
+
+import { dialLink } from "@dragonflyledge/link";
+import type { Link } from "@dragonflyledge/link";
+import type { Log } from "@dragonflyledge/log";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
+import type { AgentReport } from "@dragonflyledge/scheduler";
+
+const CONNECT_TIMEOUT: Milliseconds = 700;
+const REDIAL_DELAY: Milliseconds = 250;
+/** An agent that is silent for this long is dialled again. */
+const SILENCE_LIMIT: Milliseconds = 2000;
+
+interface AgentLink {
+  address: string;
+  link?: Link;
+  lastHeard: Milliseconds;
+  /** `sentAt` of the last report over the present link. */
+  lastReport?: Milliseconds;
+}
+
+/** Links of one term of leadership. */
+export interface AgentLinks {
+  /** Keeps a link to the agent at `address`. */
+  keep(name: string, address: string): void;
+  /** Sends orders; `answersReport` is added. Returns whether a link is up. */
+  send(name: string, orders: Record<string, unknown>): boolean;
+  /** Dials agents again that went silent. */
+  check(): void;
+  close(): void;
+}
+
+/** Creates links that pass reports on. */
+export function createAgentLinks(fields: {
+  clock: Clock;
+  timer: Timer;
+  log: Log;
+  onReport: (agent: string, report: AgentReport) => void;
+}): AgentLinks {
+  const { clock, timer, log } = fields;
+  const agents = new Map<string, AgentLink>();
+  let closed = false;
+
+  function dial(name: string, agent: AgentLink): void {
+    if (closed || agents.get(name) !== agent) return;
+    const [host, port] = agent.address.split(":");
+    agent.lastHeard = clock.now();
+    const link = dialLink({
+      host: host!,
+      port: Number(port),
+      timeout: CONNECT_TIMEOUT,
+      timer,
+      onOpen: () => {
+        agent.lastHeard = clock.now();
+        log.debug("Agent connected.", { agent: name });
+      },
+      onMessage: (message) => {
+        const report = message as AgentReport;
+        if (report.kind !== "report" || agent.link !== link) return;
+        agent.lastHeard = clock.now();
+        agent.lastReport = report.sentAt;
+        fields.onReport(name, report);
+      },
+      onClose: (reason) => {
+        if (agent.lastReport !== undefined) {
+          log.info("Agent disconnected.", { agent: name, reason });
+        }
+        agent.link = undefined;
+        agent.lastReport = undefined;
+        timer.after(REDIAL_DELAY, () => dial(name, agent));
+      },
+    });
+    agent.link = link;
+  }
+
+  return {
+    keep: (name, address) => {
+      const known = agents.get(name);
+      if (known?.address === address) return;
+      const agent: AgentLink = { address, lastHeard: clock.now() };
+      agents.set(name, agent);
+      known?.link?.close();
+      dial(name, agent);
+    },
+    send: (name, orders) => {
+      const agent = agents.get(name);
+      if (!agent?.link || agent.lastReport === undefined) return false;
+      agent.link.send({ ...orders, answersReport: agent.lastReport });
+      return true;
+    },
+    check: () => {
+      const limit = clock.now() - SILENCE_LIMIT;
+      for (const agent of agents.values()) {
+        if (agent.link && agent.lastHeard < limit) agent.link.close();
+      }
+    },
+    close: () => {
+      closed = true;
+      for (const agent of agents.values()) agent.link?.close();
+      agents.clear();
+    },
+  };
+}
--- /dev/null
+++ b/daemons/scheduler/caller_api.ts
@@ -0,0 +1,238 @@
+/**
+ * What callers ask of an entry: to accept, show and cancel jobs.
+ *
+ * @module
+ */
+
+import { SECOND } from "@dragonflyledge/model";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
+import type { Log } from "@dragonflyledge/log";
+import {
+  CallerHeader,
+  decodeSubmission,
+  encodeJobState,
+  encodePendingCount,
+  isJobId,
+} from "@dragonflyledge/platform";
+import type { Deployment, KeyValue, Queue } from "@dragonflyledge/platform";
+import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import { cancelKey, jobKey, progressKey } from "@dragonflyledge/scheduler";
+import type { JobRequest } from "@dragonflyledge/scheduler";
+import { encodeRequest } from "./replica.ts";
+import type { Replica } from "./replica.ts";
+
+const Status = {
+  Ok: 200,
+  BadRequest: 400,
+  Unauthorized: 401,
+  NotFound: 404,
+  MethodNotAllowed: 405,
+  Gone: 410,
+  Unavailable: 503,
+  GatewayTimeout: 504,
+} as const;
+
+const DEFAULT_DEADLINE: Milliseconds = 3 * SECOND;
+/** An answer is sent so long before the caller stops waiting. */
+const ANSWER_MARGIN: Milliseconds = 250;
+/** A write that the store refuses is tried again within this time. */
+const REFUSED_WRITE_LIMIT: Milliseconds = 600;
+const RETRY_DELAY: Milliseconds = 100;
+/** Told to callers whose request has not run. */
+const RETRY_AFTER = { "retry-after": "1" };
+
+/** Answers callers' requests. */
+export type CallerApi = (request: ReadRequest) => Promise<Answer>;
+
+interface Call {
+  request: ReadRequest;
+  queue: Queue;
+  team: string;
+  id: string;
+  /** Steady time by which the caller must have an answer. */
+  deadline: Milliseconds;
+}
+
+/** Creates the interface for callers. */
+export function createCallerApi(fields: {
+  store: KeyValue;
+  replica: Replica;
+  deployment: () => Deployment | undefined;
+  clock: Clock;
+  timer: Timer;
+  log: Log;
+}): CallerApi {
+  const { store, replica, clock, timer, log } = fields;
+
+  const sleep = (delay: Milliseconds) =>
+    new Promise<void>((resolve) => {
+      timer.after(delay, resolve);
+    });
+
+  async function answer(request: ReadRequest): Promise<Answer> {
+    const deployment = fields.deployment();
+    if (!deployment) {
+      return { status: Status.Unavailable, headers: RETRY_AFTER };
+    }
+    const queue = findQueue(deployment, request);
+    if (!queue) return { status: Status.NotFound };
+    const team = findTeam(deployment, request);
+    if (team === undefined && !queue.anonymous) {
+      return { status: Status.Unauthorized };
+    }
+    const path = request.path.split("?")[0]!;
+    const id = path.slice(queue.prefix.length);
+    const wait = Number(request.headers[CallerHeader.Deadline]) ||
+      DEFAULT_DEADLINE;
+    const call: Call = {
+      request,
+      queue,
+      team: team ?? "",
+      id,
+      deadline: clock.now() + wait - ANSWER_MARGIN,
+    };
+    if (request.method === "GET" && id === "") {
+      const pending = replica.countPending(queue.name);
+      return { status: Status.Ok, body: encodePendingCount(pending) };
+    }
+    if (!isJobId(id)) return { status: Status.NotFound };
+    switch (request.method) {
+      case "POST":
+        return await submit(call);
+      case "GET":
+        return await show(call);
+      case "DELETE":
+        return await cancel(call);
+      default:
+        return { status: Status.MethodNotAllowed };
+    }
+  }
+
+  async function submit(call: Call): Promise<Answer> {
+    const { id, queue, team } = call;
+    if (replica.jobs.get(id)?.request) return { status: Status.Ok };
+    const submission = decodeSubmission(call.request.body);
+    if (!submission) return { status: Status.BadRequest };
+    const request: JobRequest = {
+      ...submission,
+      id,
+      queue: queue.name,
+      team,
+      policy: {
+        service: queue.service,
+        priority: queue.priority,
+        maxAttempts: queue.maxAttempts,
+      },
+      acceptedAt: clock.date().getTime(),
+    };
+    const result = await create(call, jobKey(id), encodeRequest(request));
+    log.info("Submission answered.", { job: id, queue: queue.name, result });
+    return toAnswer(result);
+  }
+
+  /**
+   * Creates a key that never changes. After a write without an answer the key
+   * may still appear, so that the caller isn't told that it does not.
+   */
+  async function create(
+    call: Call,
+    key: string,
+    value: Uint8Array,
+  ): Promise<"stored" | "refused" | "unknown"> {
+    const startedAt = clock.now();
+    let uncertain = false;
+    while (true) {
+      const outcome = await store.commit({
+        conditions: [{ key, revision: 0 }],
+        puts: [{ key, value }],
+      });
+      if (outcome.kind === "committed" || outcome.kind === "conflict") {
+        const revision = outcome.kind === "committed" ? outcome.revision : 0;
+        const item = outcome.kind === "conflict"
+          ? outcome.items.get(key) ?? { key, value, revision }
+          : { key, value, revision };
+        replica.apply([{ kind: "put", item }]);
+        return "stored";
+      }
+      if (outcome.kind === "unknown") uncertain = true;
+      const now = clock.now();
+      if (now + RETRY_DELAY >= call.deadline) {
+        return uncertain ? "unknown" : "refused";
+      }
+      if (!uncertain && now - startedAt > REFUSED_WRITE_LIMIT) return "refused";
+      await sleep(RETRY_DELAY);
+    }
+  }
+
+  function toAnswer(result: "stored" | "refused" | "unknown"): Answer {
+    if (result === "stored") return { status: Status.Ok };
+    return result === "refused"
+      ? { status: Status.Unavailable, headers: RETRY_AFTER }
+      : { status: Status.GatewayTimeout };
+  }
+
+  async function show(call: Call): Promise<Answer> {
+    const known = replica.status(call.id) ?? await lookUp(call);
+    if (known === "unavailable") {
+      return { status: Status.Unavailable, headers: RETRY_AFTER };
+    }
+    if (known === undefined) return { status: Status.Gone };
+    return { status: Status.Ok, body: encodeJobState(known) };
+  }
+
+  /** Asks the store, since the replica may be behind. */
+  async function lookUp(call: Call) {
+    for (const key of [jobKey(call.id), progressKey(call.id)]) {
+      const found = await readUntil(call, key);
+      if (found === "unavailable") return found;
+      if (found === undefined) break;
+      replica.apply([{ kind: "put", item: found }]);
+    }
+    return replica.status(call.id);
+  }
+
+  async function readUntil(call: Call, key: string) {
+    while (true) {
+      const found = await store.read(key);
+      if (found.isOk()) return found.value;
+      if (clock.now() + RETRY_DELAY >= call.deadline) return "unavailable";
+      await sleep(RETRY_DELAY);
+    }
+  }
+
+  async function cancel(call: Call): Promise<Answer> {
+    const known = replica.status(call.id) ?? await lookUp(call);
+    if (known === "unavailable") {
+      return { status: Status.Unavailable, headers: RETRY_AFTER };
+    }
+    if (known === undefined) return { status: Status.Gone };
+    const result = await create(call, cancelKey(call.id), new Uint8Array());
+    log.info("Cancel answered.", { job: call.id, result });
+    return toAnswer(result);
+  }
+
+  return answer;
+}
+
+/** The queue with the longest prefix of the path, on the request's host. */
+function findQueue(
+  deployment: Deployment,
+  request: ReadRequest,
+): Queue | undefined {
+  const host = (request.headers.host ?? "").toLowerCase().split(":")[0];
+  let best: Queue | undefined;
+  for (const queue of deployment.queues) {
+    if (queue.host !== host || !request.path.startsWith(queue.prefix)) continue;
+    if (!best || queue.prefix.length > best.prefix.length) best = queue;
+  }
+  return best;
+}
+
+function findTeam(
+  deployment: Deployment,
+  request: ReadRequest,
+): string | undefined {
+  const key = request.headers[CallerHeader.Key];
+  if (typeof key !== "string" || key === "") return undefined;
+  return deployment.teams.find((team) => team.keys.includes(key))?.name;
+}
--- /dev/null
+++ b/daemons/scheduler/entry.ts
@@ -0,0 +1,237 @@
+/**
+ * Wires an entry: callers, configuration, replica, election and leadership.
+ *
+ * @module
+ */
+
+import { KIBIBYTE } from "@dragonflyledge/model";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
+import type { Log } from "@dragonflyledge/log";
+import {
+  CONFIGURATION_KEY,
+  createKeyValue,
+  decodeConfiguration,
+  OPERATOR_PREFIX,
+  READINESS_PATH,
+} from "@dragonflyledge/platform";
+import type {
+  Deployment,
+  Item,
+  ProcessSettings,
+} from "@dragonflyledge/platform";
+import { listenHttp } from "@dragonflyledge/runtime";
+import { INPUT_PREFIX, STORE_PREFIX } from "@dragonflyledge/scheduler";
+import type { Policies } from "@dragonflyledge/scheduler";
+import { grantLength } from "@dragonflyledge/worker-control";
+import { createCallerApi } from "./caller_api.ts";
+import { startElection } from "./election.ts";
+import { follow } from "./follow.ts";
+import { startTerm } from "./leader.ts";
+import type { Term } from "./leader.ts";
+import { createReplica } from "./replica.ts";
+
+/** Pauses between watches, in which changes collect into one call. */
+const LEADER_PAUSE: Milliseconds = 5;
+const STANDBY_PAUSE: Milliseconds = 150;
+/** An entry that knows the store's state no better is not ready. */
+const READY_FRESHNESS: Milliseconds = 2500;
+const DEFAULT_BODY_LIMIT = 256 * KIBIBYTE;
+const CALLER_KEEP_ALIVE: Milliseconds = 15_000;
+/** The platform needs two missed checks to send no new connections. */
+const DRAIN_DELAY: Milliseconds = 2500;
+const DRAIN_CHECK: Milliseconds = 100;
+/** Left between the end of a drain and the end of the platform's patience. */
+const DRAIN_RESERVE: Milliseconds = 1000;
+
+/** A running entry. */
+export interface RunningEntry {
+  /** Stops taking connections, answers what is in flight, and resolves. */
+  drain(): Promise<void>;
+}
+
+/** Starts an entry. */
+export function startEntry(fields: {
+  settings: ProcessSettings;
+  clock: Clock;
+  timer: Timer;
+  log: Log;
+}): RunningEntry {
+  const { settings, clock, timer, log } = fields;
+  const store = createKeyValue({ address: settings.storeAddress, timer });
+  const replica = createReplica({
+    onBadItem: (key, error) =>
+      log.warn("A record can't be read.", { key, error: `${error}` }),
+  });
+  let deployment: Deployment | undefined;
+  let term: Term | undefined;
+  let epoch: number | undefined;
+  let draining = false;
+
+  function takeConfiguration(items: Item[]): void {
+    for (const item of items) {
+      if (item.key !== CONFIGURATION_KEY) continue;
+      const decoded = decodeConfiguration(item.value);
+      if (!decoded) {
+        log.error("The configuration can't be read.", {
+          revision: item.revision,
+        });
+        continue;
+      }
+      if (deployment && decoded.version <= deployment.version) continue;
+      deployment = decoded;
+      log.info("Configuration in force.", {
+        version: decoded.version,
+        queues: decoded.queues.length,
+        teams: decoded.teams.length,
+      });
+      term?.usePolicies(policiesOf(decoded));
+    }
+  }
+
+  const troubleLog = (part: string) => (reason: string | undefined) => {
+    if (reason === undefined) log.info("The store answers again.", { part });
+    else log.warn("The store does not answer.", { part, reason });
+  };
+
+  const configuration = follow({
+    store,
+    listPrefix: OPERATOR_PREFIX,
+    clock,
+    timer,
+    pause: () => 0,
+    onList: takeConfiguration,
+    onChanges: (changes) =>
+      takeConfiguration(
+        changes.flatMap((each) => each.kind === "put" ? [each.item] : []),
+      ),
+    onTrouble: troubleLog("configuration"),
+  });
+  const jobs = follow({
+    store,
+    listPrefix: STORE_PREFIX,
+    clock,
+    timer,
+    pause: () => epoch === undefined ? STANDBY_PAUSE : LEADER_PAUSE,
+    onList: (items) => {
+      replica.replace(items);
+      if (epoch === undefined) return;
+      if (replica.leader()?.revision !== epoch) {
+        return election.lose("another leader is listed");
+      }
+      if (term) term.load();
+      else term = begin(epoch);
+    },
+    onChanges: (changes) => {
+      replica.apply(changes);
+      term?.follow(changes);
+    },
+    onTrouble: troubleLog("jobs"),
+  });
+
+  function begin(epoch: number): Term {
+    return startTerm({
+      epoch,
+      leads: election.leads,
+      onDeposed: () => election.lose("another process leads"),
+      store,
+      replica,
+      policies: deployment
+        ? policiesOf(deployment)
+        : { queues: new Map(), guarantees: new Map() },
+      grant: grantLength(settings.longestLease),
+      retention: 2 * settings.statusRetention,
+      clock,
+      timer,
+      log,
+    });
+  }
+
+  const election = startElection({
+    name: settings.name,
+    store,
+    clock,
+    timer,
+    shortestLease: settings.shortestLease,
+    isVacant: () => jobs.listed() && replica.leader() === undefined,
+    onWon: (won) => {
+      epoch = won;
+      // The leader writes what it does not follow.
+      jobs.restart(INPUT_PREFIX);
+    },
+    onLost: () => {
+      epoch = undefined;
+      term?.end();
+      term = undefined;
+      jobs.restart(STORE_PREFIX);
+    },
+    log,
+  });
+
+  const isReady = () =>
+    !draining && deployment !== undefined && jobs.listed() &&
+    clock.now() - jobs.freshAt() < READY_FRESHNESS;
+
+  const api = createCallerApi({
+    store,
+    replica,
+    deployment: () => deployment,
+    clock,
+    timer,
+    log,
+  });
+  const onError = (error: Error) =>
+    log.error("A server fails.", { error: `${error}` });
+  const callers = listenHttp({
+    address: settings.callerAddress,
+    bodyLimit: () => deployment?.bodyLimit ?? DEFAULT_BODY_LIMIT,
+    keepAlive: CALLER_KEEP_ALIVE,
+    handle: api,
+    onError,
+  });
+  listenHttp({
+    address: settings.readinessAddress,
+    bodyLimit: () => DEFAULT_BODY_LIMIT,
+    keepAlive: CALLER_KEEP_ALIVE,
+    handle: (request) => {
+      if (request.path !== READINESS_PATH) return { status: 404 };
+      return { status: isReady() ? 200 : 503 };
+    },
+    onError,
+  });
+  configuration.restart(OPERATOR_PREFIX);
+  jobs.restart(STORE_PREFIX);
+
+  async function drain(): Promise<void> {
+    draining = true;
+    callers.closeAfterAnswers();
+    const startedAt = clock.now();
+    const last = startedAt + settings.stopGrace - DRAIN_RESERVE;
+    await election.resign();
+    while (clock.now() < last) {
+      const idle = callers.active() === 0 &&
+        clock.now() > startedAt + DRAIN_DELAY;
+      if (idle && await callers.connections() === 0) break;
+      await new Promise<void>((resolve) => {
+        timer.after(DRAIN_CHECK, resolve);
+      });
+    }
+    callers.close();
+  }
+
+  return { drain };
+}
+
+function policiesOf(deployment: Deployment): Policies {
+  return {
+    queues: new Map(
+      deployment.queues.map((queue) => [queue.name, {
+        service: queue.service,
+        priority: queue.priority,
+        maxAttempts: queue.maxAttempts,
+      }]),
+    ),
+    guarantees: new Map(
+      deployment.teams.map((team) => [team.name, team.guaranteedAccelerators]),
+    ),
+  };
+}
--- /dev/null
+++ b/daemons/scheduler/leader.ts
@@ -0,0 +1,167 @@
+/**
+ * One term of leadership: the scheduler with its store writes and links.
+ *
+ * @module
+ */
+
+import type { Log } from "@dragonflyledge/log";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
+import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
+import { createLoop } from "@dragonflyledge/runtime";
+import { createScheduler, parseStoreKey } from "@dragonflyledge/scheduler";
+import type {
+  Policies,
+  SchedulerEffect,
+  SchedulerEvent,
+} from "@dragonflyledge/scheduler";
+import { createAgentLinks } from "./agent_links.ts";
+import type { Replica } from "./replica.ts";
+import { createProgressWriter } from "./writer.ts";
+
+const TICK: Milliseconds = 250;
+/** Added to a grant before an agent's work counts as over. */
+const LOSS_MARGIN: Milliseconds = 300;
+
+/** A running term. */
+export interface Term {
+  /** Takes what changed in the store. */
+  follow(changes: Change[]): void;
+  /** Takes what a list of the store holds. */
+  load(): void;
+  usePolicies(policies: Policies): void;
+  end(): void;
+}
+
+/** Starts a term on a replica that was listed after the election. */
+export function startTerm(fields: {
+  epoch: number;
+  leads: () => boolean;
+  onDeposed: () => void;
+  store: KeyValue;
+  replica: Replica;
+  policies: Policies;
+  grant: Milliseconds;
+  retention: Milliseconds;
+  clock: Clock;
+  timer: Timer;
+  log: Log;
+}): Term {
+  const { replica, clock, timer, log, epoch } = fields;
+  const scheduler = createScheduler({
+    times: {
+      agentLoss: fields.grant + LOSS_MARGIN,
+      retention: fields.retention,
+    },
+  });
+  const loop = createLoop<SchedulerEvent, SchedulerEffect>({
+    reduce: scheduler.reduce,
+    perform,
+    onFailure: (error) =>
+      log.error("The reducer failed.", { error: `${error}` }),
+  });
+  let ended = false;
+  const writer = createProgressWriter({
+    store: fields.store,
+    epoch,
+    timer,
+    log,
+    snapshot: scheduler.snapshot,
+    revision: (job) => replica.jobs.get(job)?.progressRevision ?? 0,
+    onStored: (job, version, item: Item) => {
+      replica.apply([{ kind: "put", item }]);
+      dispatch({ kind: "stored", now: clock.now(), job, version });
+    },
+    onDeposed: fields.onDeposed,
+  });
+  const links = createAgentLinks({
+    clock,
+    timer,
+    log,
+    onReport: (agent, report) => {
+      const date = clock.date().getTime();
+      dispatch({ kind: "report", now: clock.now(), agent, report, date });
+    },
+  });
+
+  function dispatch(event: SchedulerEvent): void {
+    if (!ended) loop.dispatch(event);
+  }
+
+  function perform(effect: SchedulerEffect): void {
+    if (ended) return;
+    switch (effect.kind) {
+      case "store":
+        return writer.write(effect.job);
+      case "remove":
+        return writer.remove(effect.job);
+      case "orders":
+        if (!fields.leads()) return;
+        links.send(effect.agent, { kind: "orders", epoch, ...effect.orders });
+        return;
+      case "log":
+        return log.write(effect.level, effect.text, effect.fields);
+    }
+  }
+
+  function addJob(id: string): void {
+    const job = replica.jobs.get(id);
+    if (!job?.request) return;
+    const { request, progress } = job;
+    dispatch({
+      kind: "job",
+      now: clock.now(),
+      request,
+      // The scheduler changes its copy in place.
+      progress: structuredClone(progress),
+    });
+    if (job.cancelled) cancel(id);
+  }
+
+  function cancel(id: string): void {
+    const date = clock.date().getTime();
+    dispatch({ kind: "cancel", now: clock.now(), job: id, date });
+  }
+
+  function addAgent(name: string): void {
+    const address = replica.agents.get(name);
+    if (address === undefined) return;
+    dispatch({ kind: "agent", now: clock.now(), agent: name });
+    links.keep(name, address);
+  }
+
+  function load(): void {
+    for (const id of replica.jobs.keys()) addJob(id);
+    for (const name of replica.agents.keys()) addAgent(name);
+  }
+
+  const tick = () => {
+    if (ended) return;
+    links.check();
+    const date = clock.date().getTime();
+    dispatch({ kind: "tick", now: clock.now(), date });
+    timer.after(TICK, tick);
+  };
+  dispatch({ kind: "policies", now: clock.now(), policies: fields.policies });
+  load();
+  tick();
+  return {
+    follow: (changes) => {
+      for (const change of changes) {
+        const key = change.kind === "put" ? change.item.key : change.key;
+        const { kind, id } = parseStoreKey(key);
+        if (change.kind === "deleted") continue;
+        if (kind === "job") addJob(id);
+        else if (kind === "cancel") cancel(id);
+        else if (kind === "agent") addAgent(id);
+      }
+    },
+    load,
+    usePolicies: (policies) =>
+      dispatch({ kind: "policies", now: clock.now(), policies }),
+    end: () => {
+      ended = true;
+      writer.stop();
+      links.close();
+    },
+  };
+}
--- /dev/null
+++ b/daemons/scheduler/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Entry daemon on the users' platform.
+ *
+ * @module
+ */
+
+export { startEntry } from "./entry.ts";
+export type { RunningEntry } from "./entry.ts";
--- /dev/null
+++ b/daemons/worker_agent/agent.ts
@@ -0,0 +1,176 @@
+/**
+ * Wires an agent: the worker beside it, the leader's links and the store.
+ *
+ * @module
+ */
+
+import type { Clock, Timer } from "@dragonflyledge/model";
+import type { Log } from "@dragonflyledge/log";
+import { listenLinks } from "@dragonflyledge/link";
+import type { Link } from "@dragonflyledge/link";
+import {
+  createKeyValue,
+  createWorkerCalls,
+  decodeAnnouncement,
+  parseHeartbeatPath,
+} from "@dragonflyledge/platform";
+import type { ProcessSettings } from "@dragonflyledge/platform";
+import { createLoop, listenHttp } from "@dragonflyledge/runtime";
+import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import type { AgentOrders } from "@dragonflyledge/scheduler";
+import { runKey } from "@dragonflyledge/scheduler";
+import {
+  createWorkerControl,
+  grantLength,
+} from "@dragonflyledge/worker-control";
+import type {
+  ControlEffect,
+  ControlEvent,
+} from "@dragonflyledge/worker-control";
+import { register } from "./register.ts";
+
+const TICK: number = 200;
+const HEARTBEAT_LIMIT = 4 * 1024 * 1024;
+const HEARTBEAT_KEEP_ALIVE = 60_000;
+
+/** A running agent. */
+export interface RunningAgent {
+  close(): void;
+}
+
+/** Starts an agent. */
+export function startAgent(fields: {
+  settings: ProcessSettings;
+  clock: Clock;
+  timer: Timer;
+  log: Log;
+}): RunningAgent {
+  const { settings, clock, timer, log } = fields;
+  const links = new Set<Link>();
+  const worker = createWorkerCalls({ address: settings.workerAddress, timer });
+  const store = createKeyValue({ address: settings.storeAddress, timer });
+  const control = createWorkerControl({
+    times: {
+      grant: grantLength(settings.longestLease),
+      longestLease: settings.longestLease,
+    },
+  });
+  const loop = createLoop<ControlEvent, ControlEffect>({
+    reduce: control.reduce,
+    perform,
+    onFailure: (error) =>
+      log.error("The reducer failed.", { error: `${error}` }),
+  });
+  const dispatch = loop.dispatch;
+
+  function perform(effect: ControlEffect): void {
+    switch (effect.kind) {
+      case "hold":
+        return void hold(effect);
+      case "start":
+        return void start(effect);
+      case "stop":
+        return void stop(effect);
+      case "report":
+        for (const link of links) link.send(effect.report);
+        return;
+      case "log":
+        return log.write(effect.level, effect.text, effect.fields);
+    }
+  }
+
+  async function hold(
+    effect: Extract<ControlEffect, { kind: "hold" }>,
+  ): Promise<void> {
+    const sentAt = clock.now();
+    const outcome = await worker.hold(effect);
+    const now = clock.now();
+    if (outcome.kind === "failed") {
+      const { reason } = outcome;
+      dispatch({ kind: "holdFailed", now, worker: effect.worker, reason });
+      return;
+    }
+    dispatch({ ...outcome, kind: "held", now, worker: effect.worker, sentAt });
+  }
+
+  async function start(
+    effect: Extract<ControlEffect, { kind: "start" }>,
+  ): Promise<void> {
+    const outcome = await worker.start(effect);
+    dispatch({
+      kind: "startAnswered",
+      now: clock.now(),
+      worker: effect.worker,
+      run: runKey(effect.order),
+      outcome,
+    });
+  }
+
+  async function stop(
+    effect: Extract<ControlEffect, { kind: "stop" }>,
+  ): Promise<void> {
+    const stopped = await worker.stop(effect);
+    dispatch({
+      kind: "stopAnswered",
+      now: clock.now(),
+      worker: effect.worker,
+      run: runKey(effect.run),
+      stopped,
+    });
+  }
+
+  function handle(request: ReadRequest): Answer {
+    const id = parseHeartbeatPath(request.path);
+    if (id === undefined) return { status: 404 };
+    if (request.method === "DELETE") {
+      dispatch({ kind: "left", now: clock.now(), id });
+      return { status: 200 };
+    }
+    const announcement = decodeAnnouncement({ id, bytes: request.body });
+    if (!announcement) {
+      log.warn("A heartbeat names no usable worker.", { id });
+      return { status: 400 };
+    }
+    dispatch({ kind: "announced", now: clock.now(), announcement });
+    return { status: 200, body: "{}" };
+  }
+
+  const heartbeats = listenHttp({
+    address: settings.heartbeatAddress,
+    bodyLimit: () => HEARTBEAT_LIMIT,
+    keepAlive: HEARTBEAT_KEEP_ALIVE,
+    handle,
+    onError: (error) => log.error("Heartbeats fail.", { error: `${error}` }),
+  });
+  const server = listenLinks({
+    host: settings.host,
+    port: settings.linkPort,
+    onLink: (link) => {
+      links.add(link);
+      log.info("A leader connected.", { links: links.size });
+      dispatch({ kind: "linked", now: clock.now() });
+    },
+    onMessage: (_, message) => {
+      const orders = message as AgentOrders;
+      if (orders.kind !== "orders") return;
+      dispatch({ kind: "orders", now: clock.now(), orders });
+    },
+    onClose: (link, reason) => {
+      links.delete(link);
+      log.info("A leader's connection ended.", { reason });
+    },
+    onError: (error) => log.error("Links fail.", { error: `${error}` }),
+  });
+  const tick = () => {
+    dispatch({ kind: "tick", now: clock.now() });
+    timer.after(TICK, tick);
+  };
+  tick();
+  void register({ settings, store, timer, log });
+  return {
+    close: () => {
+      heartbeats.close();
+      server.close();
+    },
+  };
+}
--- /dev/null
+++ b/daemons/worker_agent/main.ts
@@ -0,0 +1,32 @@
+/**
+ * Program of the agent on the users' platform.
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { createLog, Part } from "@dragonflyledge/log";
+import { readSettings } from "@dragonflyledge/platform";
+import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
+import { startAgent } from "./agent.ts";
+
+/** Calls that are being answered get this long at a stop. */
+const STOP_DELAY = 200;
+
+const settings = readSettings({ environment: process.env });
+const log = createLog({
+  part: Part.Agent,
+  level: "info",
+  stream: process.stdout,
+  fields: { node: settings.name },
+});
+const timer = createSystemTimer();
+const agent = startAgent({ settings, clock: createSystemClock(), timer, log });
+log.info("Started.", { worker: settings.workerAddress });
+
+process.on("SIGTERM", () => {
+  log.info("Stopping.");
+  agent.close();
+  timer.after(STOP_DELAY, () => process.exit(0));
+});
+process.on("SIGHUP", () => log.info("The settings file changed."));
--- /dev/null
+++ b/daemons/worker_agent/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Agent daemon on the users' platform.
+ *
+ * @module
+ */
+
+export { startAgent } from "./agent.ts";
+export type { RunningAgent } from "./agent.ts";
--- /dev/null
+++ b/wire/link/listen.ts
@@ -0,0 +1,32 @@
+/**
+ * Accepts links from other processes.
+ *
+ * @module
+ */
+
+import { createServer } from "node:net";
+import type { Server } from "node:net";
+import { createLink } from "./link.ts";
+import type { Link } from "./link.ts";
+
+/** Accepts links on `host` and `port`. */
+export function listenLinks(fields: {
+  host: string;
+  port: number;
+  onLink: (link: Link) => void;
+  onMessage: (link: Link, message: unknown) => void;
+  onClose: (link: Link, reason: string) => void;
+  onError: (error: Error) => void;
+}): Server {
+  const server = createServer((socket) => {
+    const link: Link = createLink({
+      socket,
+      onMessage: (message) => fields.onMessage(link, message),
+      onClose: (reason) => fields.onClose(link, reason),
+    });
+    fields.onLink(link);
+  });
+  server.on("error", fields.onError);
+  server.listen(fields.port, fields.host);
+  return server;
+}
