Compare a worker's ends before an order to start is carried out

Cause: after all processes were killed, a new agent carried out the leader's unconfirmed start before it had the worker's lists.

Agents now start nothing before the first lists, and report a refused start only after lists that are newer than the refusal.

--- /dev/null
+++ b/core/scheduler/fleet_for_tests.ts
@@ -0,0 +1,207 @@
+/**
+ * A scheduler with workers that do as they are told, for tests.
+ *
+ * @module
+ */
+
+import { createScheduler } from "./reducer.ts";
+import type { JobProgress, JobRequest, Step } from "./job.ts";
+import type {
+  AgentReport,
+  EndedTask,
+  RunEnding,
+  RunningTask,
+} from "./messages.ts";
+import type { SchedulerEffect } from "./state.ts";
+
+/** Silence after which an agent counts as lost. */
+const AGENT_LOSS = 8300;
+const WORKERS_PER_RACK = 3;
+const REPORT_INTERVAL = 500;
+
+interface FakeWorker {
+  name: string;
+  running: RunningTask[];
+  ended: EndedTask[];
+  nextEnd: number;
+  silent: boolean;
+  orders?: Extract<SchedulerEffect, { kind: "orders" }>["orders"];
+}
+
+/** A step of one task on one accelerator, unless `fields` say otherwise. */
+export function step(fields: Partial<Step>): Step {
+  return {
+    count: 1,
+    millicores: 1000,
+    megabytes: 1000,
+    accelerators: 1,
+    estimate: 1000,
+    after: [],
+    gang: false,
+    sameRack: false,
+    checkpointing: false,
+    longRunning: false,
+    label: "",
+    dataRack: "",
+    maxPerWorker: 0,
+    fillsIdleCores: false,
+    ...fields,
+  };
+}
+
+/** A job of one team on one service. */
+export function request(fields: {
+  id: string;
+  steps: Step[];
+  priority?: number;
+  maxAttempts?: number;
+}): JobRequest {
+  return {
+    id: fields.id,
+    queue: `queue-${fields.priority ?? 1}`,
+    team: "team",
+    spec: "text",
+    steps: fields.steps,
+    policy: {
+      service: "service",
+      priority: fields.priority ?? 1,
+      maxAttempts: fields.maxAttempts ?? 2,
+    },
+    acceptedAt: 0,
+  };
+}
+
+/** Creates a scheduler and `workers` workers of eight accelerators. */
+export function createFleet(
+  fields: { workers: number; manualStore?: boolean },
+) {
+  const scheduler = createScheduler({
+    times: { agentLoss: AGENT_LOSS, retention: 240_000 },
+  });
+  let now = 0;
+  const workers: FakeWorker[] = Array.from(
+    { length: fields.workers },
+    (_, index) => ({
+      name: `agent-${index}`,
+      running: [],
+      ended: [],
+      nextEnd: 1,
+      silent: false,
+    }),
+  );
+
+  const fleet = {
+    manualStore: fields.manualStore ?? false,
+    submit: (request: JobRequest) => {
+      take(scheduler.reduce({ kind: "job", now, request }));
+    },
+    load: (request: JobRequest, progress: JobProgress) => {
+      const copy = structuredClone(progress);
+      take(scheduler.reduce({ kind: "job", now, request, progress: copy }));
+    },
+    cancel: (job: string) => {
+      take(scheduler.reduce({ kind: "cancel", now, job, date: now }));
+    },
+    store,
+    report,
+    orders: (index: number) => workers[index]!.orders,
+    starts: (index: number) => workers[index]!.orders?.starts ?? [],
+    stops: (index: number) => workers[index]!.orders?.stops ?? [],
+    running: (index: number) => workers[index]!.running,
+    status: (job: string) => scheduler.snapshot(job)?.progress.status,
+    progress: (job: string) => scheduler.snapshot(job)!.progress,
+    silence: (index: number) => {
+      workers[index]!.silent = true;
+    },
+    /** Every ordered start runs, and is reported. */
+    runStarts: () => {
+      workers.forEach((worker, index) => {
+        for (const { task, run } of worker.orders?.starts ?? []) {
+          worker.running.push({ task, run, checkpoint: "", percent: 0 });
+        }
+        if (!worker.silent) report(index);
+      });
+    },
+    /** Ends one running task, by its position. */
+    end: (index: number, position: number, ending: RunEnding) => {
+      const worker = workers[index]!;
+      const [ended] = worker.running.splice(position, 1);
+      worker.ended.push({
+        number: worker.nextEnd++,
+        task: ended!.task,
+        run: ended!.run,
+        ending,
+        checkpoint: "",
+      });
+      report(index);
+    },
+    advance: (duration: number) => {
+      const end = now + duration;
+      while (now < end) {
+        now = Math.min(end, now + REPORT_INTERVAL);
+        workers.forEach((worker, index) => {
+          if (!worker.silent) report(index);
+        });
+        take(scheduler.reduce({ kind: "tick", now, date: now }));
+      }
+    },
+    scheduler,
+  };
+
+  function take(effects: SchedulerEffect[]): SchedulerEffect[] {
+    for (const effect of effects) {
+      if (effect.kind !== "orders") continue;
+      const worker = workers.find(({ name }) => name === effect.agent);
+      if (worker) worker.orders = effect.orders;
+    }
+    // A write is confirmed later than the orders of the same moment.
+    for (const effect of effects) {
+      if (effect.kind === "store" && !fleet.manualStore) store(effect.job);
+    }
+    return effects;
+  }
+
+  function store(job: string): void {
+    const version = scheduler.snapshot(job)!.version;
+    take(scheduler.reduce({ kind: "stored", now, job, version }));
+  }
+
+  function report(index: number): SchedulerEffect[] {
+    const worker = workers[index]!;
+    const report: AgentReport = {
+      kind: "report",
+      sentAt: now,
+      worker: {
+        key: `worker-${index}@1`,
+        born: 1,
+        service: "service",
+        rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
+        labels: [],
+        millicores: 32_000,
+        megabytes: 128_000,
+        accelerators: 8,
+        draining: false,
+        remaining: 0,
+        reachable: true,
+      },
+      listed: true,
+      running: worker.running.map((running) => ({ ...running })),
+      ended: worker.ended,
+      refused: [],
+      absent: [],
+      emptied: [],
+    };
+    return take(
+      scheduler.reduce({
+        kind: "report",
+        now,
+        agent: worker.name,
+        report,
+        date: now,
+      }),
+    );
+  }
+
+  workers.forEach((_, index) => report(index));
+  return fleet;
+}
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -34,6 +34,8 @@
   const { state, agent, report, now } = fields;
   agent.lastHeard = now;
   agent.lost = false;
+  // Each report is answered, since the answer extends the agent's grant.
+  state.changedAgents.add(agent.name);
   for (const key of report.emptied) emptyWorker(state, key, "worker emptied");
   if (!report.worker) return;
   const worker = takeWorker(state, agent, report.worker);
--- /dev/null
+++ b/core/scheduler/scheduler_test.ts
@@ -0,0 +1,148 @@
+import { test } from "tap";
+import { createFleet, request, step } from "./fleet_for_tests.ts";
+
+// Guards against leases that lapse on a quiet day: the answer to a report is
+// what extends the agent's grant.
+test("each report is answered with orders", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const effects = fleet.report(0);
+  t.equal(effects.filter((effect) => effect.kind === "orders").length, 1);
+  t.end();
+});
+
+// Guards against a start that the store does not hold yet.
+test("a start is ordered only after its record is stored", (t) => {
+  const fleet = createFleet({ workers: 1, manualStore: true });
+  fleet.submit(request({ id: "a", steps: [step({})] }));
+  t.same(fleet.starts(0), []);
+  fleet.store("a");
+  t.equal(fleet.starts(0).length, 1);
+  t.end();
+});
+
+// Guards against acknowledging an end that a power loss would undo.
+test("an end is acknowledged only after it is stored", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({ id: "a", steps: [step({})] }));
+  fleet.runStarts();
+  fleet.manualStore = true;
+  fleet.end(0, 0, "done");
+  t.equal(fleet.orders(0)?.acknowledged, 0);
+  fleet.store("a");
+  t.equal(fleet.orders(0)?.acknowledged, 1);
+  t.equal(fleet.status("a"), "completed");
+  t.end();
+});
+
+// Guards against a gang that restarts while a member of the former run lives.
+test("a broken gang waits for the end of each member", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  const gang = step({ count: 2, accelerators: 8, gang: true });
+  fleet.submit(request({ id: "a", steps: [gang], maxAttempts: 3 }));
+  fleet.runStarts();
+  fleet.end(0, 0, "failed");
+  fleet.advance(10_000);
+  t.equal(fleet.stops(1).length, 1, "the other member is stopped");
+  t.equal(fleet.starts(0).length, 0);
+  fleet.end(1, 0, "broken");
+  fleet.advance(10_000);
+  t.equal(fleet.starts(0).length + fleet.starts(1).length, 2);
+  t.equal(fleet.progress("a").occurrences[0]!.steps[0]![0]!.failures, 1);
+  t.end();
+});
+
+// Guards against a takeover that forgets a member which may still run.
+test("a new leader waits for members that were ending", (t) => {
+  const before = createFleet({ workers: 2 });
+  const gang = step({ count: 2, accelerators: 8, gang: true });
+  const job = request({ id: "a", steps: [gang], maxAttempts: 3 });
+  before.submit(job);
+  before.runStarts();
+  before.end(0, 0, "failed");
+  const after = createFleet({ workers: 1 });
+  after.load(job, before.progress("a"));
+  after.advance(5000);
+  t.equal(after.starts(0).length, 0);
+  t.end();
+});
+
+// Guards against more work on a worker than it holds.
+test("no worker gets more than its capacity", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  fleet.submit(
+    request({ id: "a", steps: [step({ count: 40, accelerators: 1 })] }),
+  );
+  t.equal(fleet.starts(0).length, 8);
+  t.equal(fleet.starts(1).length, 8);
+  t.end();
+});
+
+// Guards against urgent work that waits behind long work.
+test("urgent work stops the cheapest lower work, and gets its place", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({
+    id: "long",
+    priority: 1,
+    steps: [step({ count: 2, accelerators: 4 })],
+  }));
+  fleet.runStarts();
+  fleet.submit(request({
+    id: "urgent",
+    priority: 0,
+    steps: [step({ accelerators: 4 })],
+  }));
+  t.equal(fleet.stops(0).length, 1);
+  t.equal(fleet.starts(0).length, 0, "what is being stopped still counts");
+  fleet.end(0, 0, "stopped");
+  t.same(fleet.starts(0).map((start) => start.task), ["urgent.0.0.0"]);
+  t.end();
+});
+
+// Guards against a job that is called failed before its attempts are used.
+test("a job fails after its last attempt only", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({ id: "a", steps: [step({})], maxAttempts: 2 }));
+  fleet.runStarts();
+  fleet.end(0, 0, "failed");
+  t.equal(fleet.status("a"), "running");
+  fleet.advance(5000);
+  fleet.runStarts();
+  fleet.end(0, 0, "lapsed");
+  fleet.advance(5000);
+  fleet.runStarts();
+  t.equal(fleet.status("a"), "running", "a lapse is no attempt");
+  fleet.end(0, 0, "failed");
+  t.equal(fleet.status("a"), "failed");
+  t.end();
+});
+
+// Guards against a second run while the first may still go on.
+test("work of a silent agent starts again only after its grant", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  fleet.submit(request({ id: "a", steps: [step({ accelerators: 8 })] }));
+  fleet.runStarts();
+  const owner = fleet.running(0).length === 1 ? 0 : 1;
+  const other = 1 - owner;
+  fleet.silence(owner);
+  fleet.advance(8000);
+  t.equal(fleet.starts(other).length, 0);
+  fleet.advance(600);
+  t.equal(fleet.starts(other).length, 1);
+  t.equal(fleet.starts(other)[0]!.run, 2);
+  t.end();
+});
+
+// Guards against steps that start before the steps they need.
+test("a step waits for the steps before it", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({
+    id: "a",
+    steps: [step({ count: 2 }), step({ after: [0] })],
+  }));
+  fleet.runStarts();
+  fleet.end(0, 0, "done");
+  t.equal(fleet.starts(0).length, 0);
+  fleet.end(0, 0, "done");
+  t.same(fleet.starts(0).map((start) => start.task), ["a.0.1.0"]);
+  t.end();
+});
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -238,9 +238,10 @@
     // An earlier call may still be carried out; a stop prevents that.
     control.stopWanted = true;
   } else {
-    control.phase = ControlPhase.Refused;
+    // A run that has ended is refused too, and its end must be seen first.
+    control.phase = ControlPhase.Refusing;
     control.reason = outcome.reason;
-    state.reportDue = true;
+    control.answeredAt = event.now;
   }
 }
 
@@ -272,7 +273,8 @@
   if (until !== undefined) noteExtension(state, worker);
   const pending = [...state.runs.values()].some((control) =>
     control.phase === ControlPhase.Stopped ||
-    control.phase === ControlPhase.Started
+    control.phase === ControlPhase.Started ||
+    control.phase === ControlPhase.Refusing
   );
   state.effects.push({
     kind: "hold",
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -17,6 +17,8 @@
 export function pumpRuns(state: ControlState, now: Milliseconds): void {
   const { worker } = state;
   if (!worker || worker.leftAt !== undefined || !worker.state.reachable) return;
+  // A run may have ended before this process knew the worker.
+  if (!worker.listed) return;
   for (const control of state.runs.values()) {
     if (control.calling || now < control.nextCall) continue;
     if (needsStop(control)) callStop(state, worker, control);
@@ -56,6 +58,10 @@
     // A start that was accepted and is not listed gets a stop as well, since
     // an earlier call of it may still be carried out.
     if (control.phase === ControlPhase.Started) control.stopWanted = true;
+    if (control.phase === ControlPhase.Refusing) {
+      control.phase = ControlPhase.Refused;
+      state.reportDue = true;
+    }
     if (control.phase === ControlPhase.Stopped) {
       control.phase = ControlPhase.Absent;
       state.reportDue = true;
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -59,6 +59,8 @@
   Listed: "listed",
   /** The worker accepted the stop, so that the run can't begin any more. */
   Stopped: "stopped",
+  /** The worker refused the start; its lists are to show why. */
+  Refusing: "refusing",
   Refused: "refused",
   Absent: "absent",
 } as const;
--- /dev/null
+++ b/core/worker_control/worker_control_test.ts
@@ -0,0 +1,210 @@
+import { test } from "tap";
+import type { AgentOrders } from "@dragonflyledge/scheduler";
+import { createWorkerControl } from "./mod.ts";
+import type { Announcement, ControlEffect, ControlEvent } from "./mod.ts";
+
+const WORKER = "i-1@1000";
+
+function announcement(fields: Partial<Announcement> = {}): Announcement {
+  return {
+    id: "i-1",
+    born: 1000,
+    service: "service",
+    rack: "r1-1",
+    labels: [],
+    millicores: 32_000,
+    megabytes: 128_000,
+    accelerators: 8,
+    draining: false,
+    remaining: 0,
+    clock: 50_000,
+    sequence: 1,
+    ...fields,
+  };
+}
+
+function orders(fields: Partial<AgentOrders> = {}): AgentOrders {
+  return {
+    kind: "orders",
+    epoch: 7,
+    answersReport: 0,
+    worker: WORKER,
+    starts: [],
+    stops: [],
+    acknowledged: 0,
+    ...fields,
+  };
+}
+
+function held(now: number, sentAt: number): ControlEvent {
+  return {
+    kind: "held",
+    now,
+    worker: WORKER,
+    sentAt,
+    clock: 50_000 + now,
+    born: 1000,
+    running: [],
+    ended: [],
+  };
+}
+
+const START = { task: "a.0.0.0", run: 1, spec: "text", checkpoint: "" };
+
+function create() {
+  const control = createWorkerControl({
+    times: { grant: 8000, longestLease: 10_000 },
+  });
+  const reduce = (event: ControlEvent) => control.reduce(event);
+  reduce({ kind: "announced", now: 0, announcement: announcement() });
+  return { control, reduce };
+}
+
+function kinds(effects: ControlEffect[]): string[] {
+  return effects.map((effect) => effect.kind);
+}
+
+// Guards against a task that runs again after it was done: a restarted agent
+// must see the worker's ends before it carries out an order to start.
+test("nothing is started before the worker's lists are known", (t) => {
+  const { reduce } = create();
+  const ordered = reduce({
+    kind: "orders",
+    now: 10,
+    orders: orders({ starts: [START] }),
+  });
+  t.notOk(kinds(ordered).includes("start"));
+  t.ok(kinds(ordered).includes("hold"));
+  const listed = reduce(held(20, 10));
+  t.ok(kinds(listed).includes("start"));
+  t.end();
+});
+
+// Guards against the same fault when the run ends between list and start.
+test("a refused start is reported after the next lists only", (t) => {
+  const { reduce } = create();
+  reduce({ kind: "orders", now: 10, orders: orders({ starts: [START] }) });
+  reduce(held(20, 10));
+  const refused = reduce({
+    kind: "startAnswered",
+    now: 30,
+    worker: WORKER,
+    run: "a.0.0.0#1",
+    outcome: { kind: "refused", reason: "old" },
+  });
+  t.notOk(
+    refused.some((each) =>
+      each.kind === "report" && each.report.refused.length > 0
+    ),
+  );
+  reduce(held(1020, 20));
+  const late = reduce({
+    ...held(1030, 1020),
+    ended: [{
+      number: 1,
+      task: "a.0.0.0",
+      run: 1,
+      ending: "done",
+      checkpoint: "",
+    }],
+  } as ControlEvent);
+  const report = late.find((effect) => effect.kind === "report");
+  t.match(report, { report: { refused: [], ended: [{ ending: "done" }] } });
+  t.end();
+});
+
+// Guards against a lease that outlives the grant on a slow clock.
+test("a lease ends before the grant, and nothing is extended after it", (t) => {
+  const { reduce } = create();
+  reduce({ kind: "orders", now: 10, orders: orders({ answersReport: 5 }) });
+  const first = reduce(held(1000, 10));
+  const hold = first.find((effect) => effect.kind === "hold");
+  t.ok(hold?.kind === "hold" && hold.until !== undefined);
+  if (hold?.kind === "hold") {
+    const length = hold.until! - 51_000;
+    t.ok(length / 0.98 <= 8005 - 1000, `${length} ms`);
+  }
+  const after = reduce(held(9000, 1000));
+  const late = after.find((effect) => effect.kind === "hold");
+  t.match(late, { until: undefined });
+  t.end();
+});
+
+// Guards against orders of a leader that was replaced.
+test("orders of a lower epoch change nothing", (t) => {
+  const { control, reduce } = create();
+  reduce({ kind: "orders", now: 10, orders: orders({ epoch: 9 }) });
+  reduce({
+    kind: "orders",
+    now: 5000,
+    orders: orders({ epoch: 8, answersReport: 4000, starts: [START] }),
+  });
+  t.equal(control.state.grantEnd, 8000);
+  t.equal(control.state.runs.size, 0);
+  t.end();
+});
+
+// Guards against a start that is carried out late, after the task was moved.
+test("a start without an answer is refused only behind a stop", (t) => {
+  const { control, reduce } = create();
+  reduce({ kind: "orders", now: 10, orders: orders({ starts: [START] }) });
+  reduce(held(20, 10));
+  const answer = (now: number, outcome: "unknown" | "refused") =>
+    reduce({
+      kind: "startAnswered",
+      now,
+      worker: WORKER,
+      run: "a.0.0.0#1",
+      outcome: outcome === "unknown"
+        ? { kind: "unknown" }
+        : { kind: "refused", reason: "room" },
+    });
+  answer(720, "unknown");
+  const effects = answer(730, "refused");
+  t.ok(kinds(effects).includes("stop"));
+  reduce({
+    kind: "stopAnswered",
+    now: 740,
+    worker: WORKER,
+    run: "a.0.0.0#1",
+    stopped: true,
+  });
+  t.equal(control.state.runs.get("a.0.0.0#1")?.phase, "stopped");
+  reduce(held(760, 20));
+  t.equal(control.state.runs.get("a.0.0.0#1")?.phase, "stopped");
+  reduce(held(780, 760));
+  t.equal(control.state.runs.get("a.0.0.0#1")?.phase, "absent");
+  t.end();
+});
+
+// Guards against new work on a worker that leaves.
+test("a draining worker gets no start", (t) => {
+  const { control, reduce } = create();
+  reduce({
+    kind: "announced",
+    now: 5,
+    announcement: announcement({ draining: true, sequence: 2 }),
+  });
+  reduce(held(10, 5));
+  reduce({ kind: "orders", now: 20, orders: orders({ starts: [START] }) });
+  t.equal(control.state.runs.get("a.0.0.0#1")?.phase, "refused");
+  t.end();
+});
+
+// Guards against a second run beside one on a worker that is only cut off.
+test("a silent worker counts as empty only after its lease", (t) => {
+  const { control, reduce } = create();
+  reduce({ kind: "orders", now: 10, orders: orders() });
+  reduce(held(20, 10));
+  reduce({ kind: "orders", now: 30, orders: orders({ answersReport: 25 }) });
+  const fail = (now: number) =>
+    reduce({ kind: "holdFailed", now, worker: WORKER, reason: "silent" });
+  fail(1700);
+  fail(3400);
+  t.equal(control.state.worker?.state.reachable, false);
+  reduce({ kind: "tick", now: 8000 });
+  t.same(control.state.emptied, []);
+  reduce({ kind: "tick", now: 11_000 });
+  t.same(control.state.emptied, [WORKER]);
+  t.end();
+});
