Pass callers' requests to other entries while the store leaves one out

Such a request now goes to another entry over a link.

Nothing is sent any more to a store that does not answer, so that 503 is true and comes at once. An entry that restarts clears the leadership of its earlier process.

The versions that an agent has in force are reported when they change; it took up to 5 s, which is why configuration_test failed on slow machines. Its watcher ends with the cluster.

--- a/core/agent_reducer/reducer.ts
+++ b/core/agent_reducer/reducer.ts
@@ -178,6 +178,7 @@
     versions: hello.versions,
     laggingSince: undefined,
     lastReport: -Infinity,
+    reportedVersions: undefined,
     slotsPending: true,
   });
   parts.versions.compare(entry, hello.versions);
--- a/core/agent_reducer/reporting.ts
+++ b/core/agent_reducer/reporting.ts
@@ -8,7 +8,7 @@
 import type { Report } from "@dragonflyledge/model";
 import { holds } from "./runs.ts";
 import { send } from "./state.ts";
-import type { Core } from "./state.ts";
+import type { Core, Peer } from "./state.ts";
 import { versionsOf } from "./versions.ts";
 
 /** Least time between reports to one entry that change only the slots. */
@@ -42,11 +42,14 @@
       for (const peer of core.peers.values()) {
         peer.slotsPending ||= slotsChanged;
         const age = core.now - peer.lastReport;
+        // Operators see from reports which version is in force at a worker.
         const due = membersChanged || age >= REPORT_INTERVAL ||
+          versionsChanged(peer, core) ||
           (peer.slotsPending && age >= SLOTS_REPORT_INTERVAL);
         if (!due) continue;
         report ??= createReport(core);
         peer.lastReport = core.now;
+        peer.reportedVersions = report.versions;
         peer.slotsPending = false;
         send(core, peer.id, report);
       }
@@ -54,6 +57,13 @@
   };
 }
 
+function versionsChanged(peer: Peer, core: Core): boolean {
+  const own = versionsOf(core);
+  const told = peer.reportedVersions;
+  return told === undefined || told.configuration !== own.configuration ||
+    told.homes !== own.homes;
+}
+
 function createReport(core: Core): Report {
   const slotsByClass: Record<string, number> = {};
   for (const record of core.calling) {
--- a/core/agent_reducer/state.ts
+++ b/core/agent_reducer/state.ts
@@ -47,6 +47,8 @@
   /** Since when the peer was seen with older versions than ours. */
   laggingSince: Milliseconds | undefined;
   lastReport: Milliseconds;
+  /** Own versions in the last report. */
+  reportedVersions: Versions | undefined;
   /** The slots changed since the last report. */
   slotsPending: boolean;
 }
--- a/core/agent_reducer/versions_test.ts
+++ b/core/agent_reducer/versions_test.ts
@@ -97,3 +97,13 @@
   t.equal(kinds(agent.event({ kind: "entryLost", entry: "e1" })), "");
   t.end();
 });
+
+// Guards against an operator who sees an old version at a worker for seconds
+// after a newer one is in force there.
+test("a new version is reported at once", (t) => {
+  const agent = connected();
+  agent.now += 100;
+  const told = only(agent.send(configuration(3)), "report");
+  t.match(told, [{ versions: { configuration: 3 } }]);
+  t.end();
+});
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -41,7 +41,8 @@
   const ended = new Set(worker.ended.map(runKey));
   for (const [key, control] of state.runs) {
     if (ended.has(key)) {
-      if (!control.stopWanted) state.runs.delete(key);
+      if (control.stopWanted) control.phase = ControlPhase.Ended;
+      else state.runs.delete(key);
       continue;
     }
     if (running.has(key)) {
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -63,6 +63,8 @@
   Refusing: "refusing",
   Refused: "refused",
   Absent: "absent",
+  /** The worker lists its end, which is not acknowledged yet. */
+  Ended: "ended",
 } as const;
 export type ControlPhase = typeof ControlPhase[keyof typeof ControlPhase];
 
--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -18,6 +18,7 @@
 import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
 import { cancelKey, jobKey, progressKey } from "@dragonflyledge/scheduler";
 import type { JobRequest } from "@dragonflyledge/scheduler";
+import type { ForwardOutcome, Peers } from "./peers.ts";
 import { encodeRequest } from "./replica.ts";
 import type { Replica } from "./replica.ts";
 
@@ -35,14 +36,25 @@
 const DEFAULT_DEADLINE: Milliseconds = 3 * SECOND;
 /** An answer is sent so long before the caller stops waiting. */
 const ANSWER_MARGIN: Milliseconds = 250;
-/** A write that the store refuses is tried again within this time. */
-const REFUSED_WRITE_LIMIT: Milliseconds = 600;
+/** Attempts of a write that the store refuses or leaves unanswered. */
+const MAX_ATTEMPTS = 3;
 const RETRY_DELAY: Milliseconds = 100;
 /** Told to callers whose request has not run. */
 const RETRY_AFTER = { "retry-after": "1" };
+const UNAVAILABLE: Answer = {
+  status: Status.Unavailable,
+  headers: RETRY_AFTER,
+};
+/** The request may have run, or may still run. */
+const UNCERTAIN: Answer = { status: Status.GatewayTimeout };
 
 /** Answers callers' requests. */
-export type CallerApi = (request: ReadRequest) => Promise<Answer>;
+export interface CallerApi {
+  /** Answers a request, with the help of another entry if need be. */
+  answer(request: ReadRequest): Promise<Answer>;
+  /** Answers a request of another entry's caller. */
+  answerLocally(request: ReadRequest): Promise<Answer>;
+}
 
 interface Call {
   request: ReadRequest;
@@ -58,6 +70,9 @@
   store: KeyValue;
   replica: Replica;
   deployment: () => Deployment | undefined;
+  /** Whether the store left this process without an answer just now. */
+  storeFails: () => boolean;
+  forward: Peers["forward"];
   clock: Clock;
   timer: Timer;
   log: Log;
@@ -70,26 +85,59 @@
     });
 
   async function answer(request: ReadRequest): Promise<Answer> {
+    const startedAt = clock.now();
+    const failing = fields.storeFails() || !fields.deployment();
+    const local = failing ? UNAVAILABLE : await answerLocally(request);
+    if (!isUnsettled(local)) return local;
+    const left = startedAt + waitOf(request) - ANSWER_MARGIN - clock.now();
+    if (left <= 0) return local;
+    const passed = await fields.forward(request, left);
+    log.info("Request passed to another entry.", {
+      method: request.method,
+      path: request.path,
+      own: failing ? 0 : local.status,
+      outcome: passed.kind,
+      status: passed.kind === "answer" ? passed.answer.status : 0,
+    });
+    return settle({ request, local, passed, failing });
+  }
+
+  /**
+   * A write without an answer may still take effect. Only success tells then
+   * that it did; a refusal by another entry does not tell that it won't.
+   */
+  function settle(fields: {
+    request: ReadRequest;
+    local: Answer;
+    passed: ForwardOutcome;
+    failing: boolean;
+  }): Answer | Promise<Answer> {
+    const { request, local, passed, failing } = fields;
+    const told = passed.kind === "answer" ? passed.answer : undefined;
+    if (told?.status === Status.Ok) return told;
+    const uncertain = local.status === Status.GatewayTimeout ||
+      told?.status === Status.GatewayTimeout || passed.kind === "unknown";
+    if (uncertain && request.method !== "GET") return UNCERTAIN;
+    if (told && !isUnsettled(told)) return told;
+    return failing ? answerLocally(request) : local;
+  }
+
+  async function answerLocally(request: ReadRequest): Promise<Answer> {
     const deployment = fields.deployment();
-    if (!deployment) {
-      return { status: Status.Unavailable, headers: RETRY_AFTER };
-    }
+    if (!deployment) return UNAVAILABLE;
     const queue = findQueue(deployment, request);
     if (!queue) return { status: Status.NotFound };
     const team = findTeam(deployment, request);
     if (team === undefined && !queue.anonymous) {
       return { status: Status.Unauthorized };
     }
-    const path = request.path.split("?")[0]!;
-    const id = path.slice(queue.prefix.length);
-    const wait = Number(request.headers[CallerHeader.Deadline]) ||
-      DEFAULT_DEADLINE;
+    const id = request.path.split("?")[0]!.slice(queue.prefix.length);
     const call: Call = {
       request,
       queue,
       team: team ?? "",
       id,
-      deadline: clock.now() + wait - ANSWER_MARGIN,
+      deadline: clock.now() + waitOf(request) - ANSWER_MARGIN,
     };
     if (request.method === "GET" && id === "") {
       const pending = replica.countPending(queue.name);
@@ -139,43 +187,40 @@
     key: string,
     value: Uint8Array,
   ): Promise<"stored" | "refused" | "unknown"> {
-    const startedAt = clock.now();
+    // What the store is known to leave unanswered isn't sent, so that the
+    // caller can be told for certain that it has not run.
+    if (fields.storeFails()) return "refused";
     let uncertain = false;
-    while (true) {
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
       const outcome = await store.commit({
         conditions: [{ key, revision: 0 }],
         puts: [{ key, value }],
       });
       if (outcome.kind === "committed" || outcome.kind === "conflict") {
-        const revision = outcome.kind === "committed" ? outcome.revision : 0;
         const item = outcome.kind === "conflict"
-          ? outcome.items.get(key) ?? { key, value, revision }
-          : { key, value, revision };
-        replica.apply([{ kind: "put", item }]);
+          ? outcome.items.get(key)
+          : { key, value, revision: outcome.revision };
+        replica.apply([{
+          kind: "put",
+          item: item ?? { key, value, revision: 0 },
+        }]);
         return "stored";
       }
       if (outcome.kind === "unknown") uncertain = true;
-      const now = clock.now();
-      if (now + RETRY_DELAY >= call.deadline) {
-        return uncertain ? "unknown" : "refused";
-      }
-      if (!uncertain && now - startedAt > REFUSED_WRITE_LIMIT) return "refused";
+      if (clock.now() + RETRY_DELAY >= call.deadline) break;
       await sleep(RETRY_DELAY);
     }
+    return uncertain ? "unknown" : "refused";
   }
 
   function toAnswer(result: "stored" | "refused" | "unknown"): Answer {
     if (result === "stored") return { status: Status.Ok };
-    return result === "refused"
-      ? { status: Status.Unavailable, headers: RETRY_AFTER }
-      : { status: Status.GatewayTimeout };
+    return result === "refused" ? UNAVAILABLE : UNCERTAIN;
   }
 
   async function show(call: Call): Promise<Answer> {
     const known = replica.status(call.id) ?? await lookUp(call);
-    if (known === "unavailable") {
-      return { status: Status.Unavailable, headers: RETRY_AFTER };
-    }
+    if (known === "unavailable") return UNAVAILABLE;
     if (known === undefined) return { status: Status.Gone };
     return { status: Status.Ok, body: encodeJobState(known) };
   }
@@ -192,26 +237,36 @@
   }
 
   async function readUntil(call: Call, key: string) {
-    while (true) {
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+      if (fields.storeFails()) break;
       const found = await store.read(key);
       if (found.isOk()) return found.value;
-      if (clock.now() + RETRY_DELAY >= call.deadline) return "unavailable";
+      if (clock.now() + RETRY_DELAY >= call.deadline) break;
       await sleep(RETRY_DELAY);
     }
+    return "unavailable";
   }
 
   async function cancel(call: Call): Promise<Answer> {
     const known = replica.status(call.id) ?? await lookUp(call);
-    if (known === "unavailable") {
-      return { status: Status.Unavailable, headers: RETRY_AFTER };
-    }
+    if (known === "unavailable") return UNAVAILABLE;
     if (known === undefined) return { status: Status.Gone };
     const result = await create(call, cancelKey(call.id), new Uint8Array());
     log.info("Cancel answered.", { job: call.id, result });
     return toAnswer(result);
   }
 
-  return answer;
+  return { answer, answerLocally };
+}
+
+function waitOf(request: ReadRequest): Milliseconds {
+  return Number(request.headers[CallerHeader.Deadline]) || DEFAULT_DEADLINE;
+}
+
+/** Whether another entry may know better. */
+function isUnsettled(answer: Answer): boolean {
+  return answer.status === Status.Unavailable ||
+    answer.status === Status.GatewayTimeout;
 }
 
 /** The queue with the longest prefix of the path, on the request's host. */
--- /dev/null
+++ b/daemons/scheduler/caller_api_test.ts
@@ -0,0 +1,170 @@
+import { Buffer } from "node:buffer";
+import { PassThrough } from "node:stream";
+import { test } from "tap";
+import { err, ok } from "neverthrow";
+import { createLog, Part } from "@dragonflyledge/log";
+import type { CommitOutcome, KeyValue } from "@dragonflyledge/platform";
+import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import { cancelKey, jobKey, JobStatus } from "@dragonflyledge/scheduler";
+import { createCallerApi } from "./caller_api.ts";
+import type { ForwardOutcome } from "./peers.ts";
+import { createReplica } from "./replica.ts";
+
+const ID = "5c0e7a21d94b36f8";
+const refused = { kind: "refused", reason: "status 503" } as const;
+const unknown = { kind: "unknown", reason: "no answer" } as const;
+
+/** An entry whose store gives the listed outcomes, then commits. */
+function create(fields: {
+  commits?: CommitOutcome[];
+  storeFails?: boolean;
+  forward?: (request: ReadRequest) => ForwardOutcome;
+}) {
+  const commits = [...fields.commits ?? []];
+  const keys: string[] = [];
+  let reads = 0;
+  const replica = createReplica({ onBadItem: () => {} });
+  const store = {
+    commit: (commit: Parameters<KeyValue["commit"]>[0]) => {
+      keys.push(commit.puts[0]!.key);
+      return Promise.resolve(
+        commits.shift() ?? { kind: "committed", revision: 5 } as const,
+      );
+    },
+    read: () => {
+      reads++;
+      return Promise.resolve(fields.storeFails ? err(refused) : ok(undefined));
+    },
+  } as unknown as KeyValue;
+  const api = createCallerApi({
+    store,
+    replica,
+    deployment: () => ({
+      version: 1,
+      queues: [{
+        name: "queue",
+        host: "jobs.example",
+        prefix: "/plans/",
+        service: "service",
+        priority: 0,
+        maxAttempts: 2,
+        anonymous: false,
+      }],
+      teams: [{ name: "team", keys: ["key"], guaranteedAccelerators: 8 }],
+      bodyLimit: 1000,
+      headerLimit: 1000,
+      headerTimeout: 1000,
+      idleTimeout: 1000,
+    }),
+    storeFails: () => fields.storeFails ?? false,
+    forward: (request) =>
+      Promise.resolve(fields.forward?.(request) ?? { kind: "notSent" }),
+    clock: { now: () => 0, date: () => new Date(0) },
+    timer: {
+      after: (_, task) => {
+        setImmediate(task);
+        return () => {};
+      },
+    },
+    log: createLog({
+      part: Part.Entry,
+      level: "error",
+      stream: new PassThrough(),
+    }),
+  });
+  return { api, keys, replica, reads: () => reads };
+}
+
+function call(method: string, path = `/plans/${ID}`, key = "key"): ReadRequest {
+  const body = { spec: "text", steps: [{ count: 1, cpu: 1000, gpu: 1 }] };
+  return {
+    method,
+    path,
+    headers: { host: "jobs.example", "x-api-key": key },
+    body: Buffer.from(JSON.stringify(body)),
+  };
+}
+
+const answered = (status: number): ForwardOutcome => ({
+  kind: "answer",
+  answer: { status } as Answer,
+});
+
+// Guards against a job that is accepted twice, or that runs without a record.
+test("a job is accepted once its record is stored", async (t) => {
+  const { api, keys } = create({});
+  t.equal((await api.answer(call("POST"))).status, 200);
+  t.equal((await api.answer(call("POST"))).status, 200);
+  t.same(keys, [jobKey(ID)]);
+});
+
+// Guards against "not accepted" for a write that may still take effect.
+test("a write without an answer is never answered as refused", async (t) => {
+  for (const status of [401, 404, 503]) {
+    const { api } = create({
+      commits: [unknown, refused, refused],
+      forward: () => answered(status),
+    });
+    const answer = await api.answer(call("POST"));
+    t.equal(answer.status, 504, `another entry says ${status}`);
+  }
+  const { api } = create({
+    commits: [unknown, unknown, unknown],
+    forward: () => answered(200),
+  });
+  t.equal((await api.answer(call("POST"))).status, 200);
+});
+
+// Guards against a caller that is kept waiting for a store that is away.
+test("nothing is sent to a store that does not answer", async (t) => {
+  const { api, keys, reads } = create({ storeFails: true });
+  const answer = await api.answer(call("POST"));
+  t.match(answer, { status: 503, headers: { "retry-after": "1" } });
+  t.equal((await api.answer(call("GET"))).status, 503);
+  t.same(keys, []);
+  t.equal(reads(), 0);
+});
+
+// Guards against a loss of service while other entries reach the store.
+test("another entry answers while the store leaves this one out", async (t) => {
+  const { api } = create({ storeFails: true, forward: () => answered(200) });
+  t.equal((await api.answer(call("POST"))).status, 200);
+});
+
+// Guards against a job that may exist at the other entry.
+test("a request that another entry may have taken is uncertain", async (t) => {
+  const { api } = create({
+    storeFails: true,
+    forward: () => ({ kind: "unknown" }),
+  });
+  t.equal((await api.answer(call("POST"))).status, 504);
+});
+
+// Guards against a lost job in the eyes of its caller.
+test("a job is unknown only if the store says so", async (t) => {
+  const { api, reads } = create({});
+  t.equal((await api.answer(call("GET"))).status, 410);
+  t.equal(reads(), 1);
+});
+
+// Guards against work that goes on after its cancel was confirmed.
+test("a cancel is confirmed once it is stored", async (t) => {
+  const { api, keys, replica } = create({});
+  await api.answer(call("POST"));
+  t.equal((await api.answer(call("DELETE"))).status, 200);
+  t.same(keys, [jobKey(ID), cancelKey(ID)]);
+  t.equal(replica.status(ID), JobStatus.Cancelled);
+});
+
+// Guards against callers without a key, and paths without a queue.
+test("queues and keys decide who is heard", async (t) => {
+  const { api } = create({});
+  t.equal((await api.answer(call("POST", undefined, "other"))).status, 401);
+  t.equal((await api.answer(call("GET", "/none/"))).status, 404);
+  t.match(await api.answer(call("GET", "/plans/")), {
+    status: 200,
+    body: '{"pending":0}',
+  });
+  await api.answer(call("POST"));
+  t.match(await api.answer(call("GET", "/plans/")), { body: '{"pending":1}' });
+});
--- a/daemons/scheduler/election.ts
+++ b/daemons/scheduler/election.ts
@@ -38,6 +38,8 @@
   timer: Timer;
   shortestLease: Milliseconds;
   isVacant: () => boolean;
+  /** Revision of a leader key that this process does not hold any more. */
+  staleRevision: () => number | undefined;
   onWon: (epoch: number) => void;
   onLost: () => void;
   log: Log;
@@ -90,6 +92,16 @@
     renewAfter(RENEWAL_INTERVAL, held);
   }
 
+  /** Removes the key of an earlier process of this machine. */
+  async function clear(revision: number): Promise<void> {
+    const outcome = await store.commit({
+      conditions: [{ key: LEADER_KEY, revision }],
+      puts: [],
+      deletes: [LEADER_KEY],
+    });
+    log.info("An earlier leadership is cleared.", { outcome: outcome.kind });
+  }
+
   function renewAfter(delay: Milliseconds, own: typeof held): void {
     timer.after(delay, () => void renew(own));
   }
@@ -110,11 +122,13 @@
     if (held && clock.now() >= held.validUntil) {
       lose("the lease may have ended");
     }
-    if (!held && !busy && !resigned && fields.isVacant()) {
-      busy = true;
-      await stand();
-      busy = false;
-    }
+    if (held || busy || resigned) return;
+    const stale = fields.staleRevision();
+    if (stale === undefined && !fields.isVacant()) return;
+    busy = true;
+    if (stale === undefined) await stand();
+    else await clear(stale);
+    busy = false;
   }
 
   const repeat = () => {
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -19,8 +19,12 @@
   Item,
   ProcessSettings,
 } from "@dragonflyledge/platform";
-import { listenHttp } from "@dragonflyledge/runtime";
-import { INPUT_PREFIX, STORE_PREFIX } from "@dragonflyledge/scheduler";
+import { listenHttp, register } from "@dragonflyledge/runtime";
+import {
+  entryKey,
+  INPUT_PREFIX,
+  STORE_PREFIX,
+} from "@dragonflyledge/scheduler";
 import type { Policies } from "@dragonflyledge/scheduler";
 import { grantLength } from "@dragonflyledge/worker-control";
 import { createCallerApi } from "./caller_api.ts";
@@ -28,6 +32,7 @@
 import { follow } from "./follow.ts";
 import { startTerm } from "./leader.ts";
 import type { Term } from "./leader.ts";
+import { createPeers } from "./peers.ts";
 import { createReplica } from "./replica.ts";
 
 /** Pauses between watches, in which changes collect into one call. */
@@ -88,9 +93,9 @@
     }
   }
 
-  const troubleLog = (part: string) => (reason: string | undefined) => {
-    if (reason === undefined) log.info("The store answers again.", { part });
-    else log.warn("The store does not answer.", { part, reason });
+  const troubleLog = (follows: string) => (reason: string | undefined) => {
+    if (reason === undefined) log.info("The store answers again.", { follows });
+    else log.warn("The store does not answer.", { follows, reason });
   };
 
   const configuration = follow({
@@ -153,6 +158,11 @@
     timer,
     shortestLease: settings.shortestLease,
     isVacant: () => jobs.listed() && replica.leader() === undefined,
+    // An earlier process of this machine held it, and is gone.
+    staleRevision: () => {
+      const leader = jobs.listed() ? replica.leader() : undefined;
+      return leader?.name === settings.name ? leader.revision : undefined;
+    },
     onWon: (won) => {
       epoch = won;
       // The leader writes what it does not follow.
@@ -171,10 +181,21 @@
     !draining && deployment !== undefined && jobs.listed() &&
     clock.now() - jobs.freshAt() < READY_FRESHNESS;
 
+  const peers = createPeers({
+    name: settings.name,
+    host: settings.host,
+    port: settings.linkPort,
+    entries: () => replica.entries,
+    handle: (request) => api.answerLocally(request),
+    timer,
+    log,
+  });
   const api = createCallerApi({
     store,
     replica,
     deployment: () => deployment,
+    storeFails: () => !jobs.listed() || jobs.fails(),
+    forward: peers.forward,
     clock,
     timer,
     log,
@@ -185,7 +206,7 @@
     address: settings.callerAddress,
     bodyLimit: () => deployment?.bodyLimit ?? DEFAULT_BODY_LIMIT,
     keepAlive: CALLER_KEEP_ALIVE,
-    handle: api,
+    handle: api.answer,
     onError,
   });
   listenHttp({
@@ -200,6 +221,15 @@
   });
   configuration.restart(OPERATOR_PREFIX);
   jobs.restart(STORE_PREFIX);
+  const key = entryKey(settings.name);
+  const address = `${settings.host}:${settings.linkPort}`;
+  register({
+    key,
+    address,
+    store,
+    timer,
+    onTrouble: () => log.warn("The store does not take the address.", { key }),
+  }).then(() => log.info("Registered.", { key, address }));
 
   async function drain(): Promise<void> {
     draining = true;
--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -17,6 +17,8 @@
   freshAt(): Milliseconds;
   /** Whether a list was taken in. */
   listed(): boolean;
+  /** Whether the store left the last call without success. */
+  fails(): boolean;
   /** Lists again, and goes on with another prefix. */
   restart(prefix: string): void;
   stop(): void;
@@ -102,6 +104,7 @@
   return {
     freshAt: () => freshAt,
     listed: () => listed,
+    fails: () => troubled,
     restart,
     stop: () => {
       generation++;
--- /dev/null
+++ b/daemons/scheduler/peers.ts
@@ -0,0 +1,129 @@
+/**
+ * Passes callers' requests to other entries while the store does not answer
+ * this one.
+ *
+ * @module
+ */
+
+import { dialLink, listenLinks } from "@dragonflyledge/link";
+import type { Link } from "@dragonflyledge/link";
+import type { Log } from "@dragonflyledge/log";
+import type { Milliseconds, Timer } from "@dragonflyledge/model";
+import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+
+const CONNECT_TIMEOUT: Milliseconds = 300;
+/** Peers that are asked for one request. */
+const MAX_PEERS = 2;
+
+interface PeerRequest {
+  kind: "request";
+  id: number;
+  request: ReadRequest;
+}
+
+interface PeerAnswer {
+  kind: "answer";
+  id: number;
+  answer: Answer;
+}
+
+/** What came of passing a request on. */
+export type ForwardOutcome =
+  | { kind: "answer"; answer: Answer }
+  /** No peer has seen the request. */
+  | { kind: "notSent" }
+  /** A peer may have carried it out. */
+  | { kind: "unknown" };
+
+/** Links to other entries. */
+export interface Peers {
+  /** Passes a request on and waits for its answer until `timeout`. */
+  forward(
+    request: ReadRequest,
+    timeout: Milliseconds,
+  ): Promise<ForwardOutcome>;
+}
+
+/** Serves requests of other entries, and passes on own ones. */
+export function createPeers(fields: {
+  name: string;
+  host: string;
+  port: number;
+  /** Link addresses of all entries by name. */
+  entries: () => ReadonlyMap<string, string>;
+  /** Answers a request without passing it on again. */
+  handle: (request: ReadRequest) => Promise<Answer>;
+  timer: Timer;
+  log: Log;
+}): Peers {
+  const { timer, log } = fields;
+  let nextId = 1;
+  let nextPeer = 0;
+
+  listenLinks({
+    host: fields.host,
+    port: fields.port,
+    onLink: () => {},
+    onMessage: (link, message) => void serve(link, message as PeerRequest),
+    onClose: () => {},
+    onError: (error) => log.error("Links fail.", { error: `${error}` }),
+  });
+
+  async function serve(link: Link, message: PeerRequest): Promise<void> {
+    if (message.kind !== "request") return;
+    const answer = await fields.handle(message.request);
+    link.send({ kind: "answer", id: message.id, answer });
+  }
+
+  function ask(
+    address: string,
+    request: ReadRequest,
+    timeout: Milliseconds,
+  ): Promise<ForwardOutcome> {
+    return new Promise((resolve) => {
+      const [host, port] = address.split(":");
+      const id = nextId++;
+      let sent = false;
+      let done = false;
+      const finish = (outcome: ForwardOutcome) => {
+        if (done) return;
+        done = true;
+        cancel();
+        link.close();
+        resolve(outcome);
+      };
+      const fail = () => finish({ kind: sent ? "unknown" : "notSent" });
+      const cancel = timer.after(timeout, fail);
+      const link: Link = dialLink({
+        host: host!,
+        port: Number(port),
+        timeout: CONNECT_TIMEOUT,
+        timer,
+        onOpen: (opened) => {
+          sent = true;
+          opened.send({ kind: "request", id, request });
+        },
+        onMessage: (message) => {
+          const reply = message as PeerAnswer;
+          if (reply.kind !== "answer" || reply.id !== id) return;
+          finish({ kind: "answer", answer: reply.answer });
+        },
+        onClose: fail,
+      });
+    });
+  }
+
+  return {
+    forward: async (request, timeout) => {
+      const peers = [...fields.entries()]
+        .filter(([name]) => name !== fields.name)
+        .map(([, address]) => address);
+      for (let tried = 0; tried < Math.min(MAX_PEERS, peers.length); tried++) {
+        const address = peers[nextPeer++ % peers.length]!;
+        const outcome = await ask(address, request, timeout);
+        if (outcome.kind !== "notSent") return outcome;
+      }
+      return { kind: "notSent" };
+    },
+  };
+}
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -15,10 +15,10 @@
   parseHeartbeatPath,
 } from "@dragonflyledge/platform";
 import type { ProcessSettings } from "@dragonflyledge/platform";
-import { createLoop, listenHttp } from "@dragonflyledge/runtime";
+import { createLoop, listenHttp, register } from "@dragonflyledge/runtime";
 import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
 import type { AgentOrders } from "@dragonflyledge/scheduler";
-import { runKey } from "@dragonflyledge/scheduler";
+import { agentKey, runKey } from "@dragonflyledge/scheduler";
 import {
   createWorkerControl,
   grantLength,
@@ -27,7 +27,6 @@
   ControlEffect,
   ControlEvent,
 } from "@dragonflyledge/worker-control";
-import { register } from "./register.ts";
 
 const TICK: number = 200;
 const HEARTBEAT_LIMIT = 4 * 1024 * 1024;
@@ -166,7 +165,15 @@
     timer.after(TICK, tick);
   };
   tick();
-  void register({ settings, store, timer, log });
+  const key = agentKey(settings.name);
+  const address = `${settings.host}:${settings.linkPort}`;
+  register({
+    key,
+    address,
+    store,
+    timer,
+    onTrouble: () => log.warn("The store does not take the address.", { key }),
+  }).then(() => log.info("Registered.", { key, address }));
   return {
     close: () => {
       heartbeats.close();
--- a/testing/processes/configuration_test.ts
+++ b/testing/processes/configuration_test.ts
@@ -23,7 +23,7 @@
   }
 
   async function run(): Promise<void> {
-    while (!stopped) {
+    while (!stopped && !cluster.stopped()) {
       for (const entry of cluster.entries) {
         const shown = await cluster.status(entry).catch(() => undefined);
         if (!shown) continue;
