Stop only cheap work for urgent work beyond a guarantee

Such a job now stops only what loses less than half of its own work. Urgent and other work fill the workers from opposite ends, and work with data or in one rack waits for it without a second try in between.

--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -55,7 +55,14 @@
     if (kept) addCapacity(free, kept, -1);
     rooms.push({ worker, free, ownTasks: countOwn(fields, worker) });
   }
-  return rooms;
+  return rooms.sort(compareRooms);
+}
+
+/** Neighbours in a rack stay neighbours in the list. */
+function compareRooms(a: Room, b: Room): number {
+  const left = `${a.worker.state.rack} ${a.worker.state.key}`;
+  const right = `${b.worker.state.rack} ${b.worker.state.key}`;
+  return left < right ? -1 : 1;
 }
 
 function countOwn(
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -102,6 +102,13 @@
     cancel: (job: string) => {
       take(scheduler.reduce({ kind: "cancel", now, job, date: now }));
     },
+    guarantee: (team: string, accelerators: number) => {
+      const policies = {
+        queues: new Map(),
+        guarantees: new Map([[team, accelerators]]),
+      };
+      take(scheduler.reduce({ kind: "policies", now, policies }));
+    },
     store,
     report,
     orders: (index: number) => workers[index]!.orders,
--- a/core/scheduler/place.ts
+++ b/core/scheduler/place.ts
@@ -30,6 +30,11 @@
   count: number;
   now: Milliseconds;
   mayStop: Preemption;
+  /**
+   * Whether equal workers are taken from the end of the list. Urgent work and
+   * other work fill the workers from opposite ends, so that they meet late.
+   */
+  fromEnd: boolean;
 }
 
 /**
@@ -40,9 +45,11 @@
   fields: PlaceFields & { oneRack: boolean },
 ): Placement | undefined {
   if (!fields.oneRack) return placeIn(fields, fields.rooms);
-  const racks = new Set(fields.rooms.map((room) => room.worker.state.rack));
+  const racks = [
+    ...new Set(fields.rooms.map((room) => room.worker.state.rack)),
+  ];
   let best: Placement | undefined;
-  for (const rack of racks) {
+  for (const rack of fields.fromEnd ? racks.toReversed() : racks) {
     const rooms = fields.rooms
       .filter((room) => room.worker.state.rack === rack);
     const placement = placeIn(fields, rooms);
@@ -79,7 +86,7 @@
   victims: Set<Run>,
 ): Choice | undefined {
   let best: Choice | undefined;
-  for (const room of rooms) {
+  for (const room of fields.fromEnd ? rooms.toReversed() : rooms) {
     const choice = tryRoom(fields, room, victims);
     if (choice && (!best || choice.cost < best.cost)) best = choice;
   }
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -4,10 +4,11 @@
  * @module
  */
 
+import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { JobStatus, TaskPhase } from "./job.ts";
 import type { Occurrence, Step } from "./job.ts";
-import { listRooms } from "./fit.ts";
+import { listRooms, taskWeight } from "./fit.ts";
 import { placeTasks } from "./place.ts";
 import type { Placement } from "./place.ts";
 import { markChanged, readySteps } from "./progress.ts";
@@ -22,6 +23,9 @@
 /** Workers with recent failures are used again for work that waited so long. */
 const AVOIDANCE_LIMIT: Milliseconds = 1500;
 
+/** Work that may be lost for each unit of work of a job beyond its guarantee. */
+const PREEMPTION_RATIO = 0.5;
+
 /** Tasks that are placed together: a whole gang or one task. */
 interface Unit {
   job: Job;
@@ -170,32 +174,43 @@
   const nearData = step.dataRack === ""
     ? []
     : rooms.filter((room) => room.worker.state.rack === step.dataRack);
-  const common = { step, count: unit.tasks.length, now };
   const never = () => false;
   const lower = (run: { job: Job }) => run.job.policy.priority > 0;
   const oneRack = step.gang && step.sameRack && unit.tasks.length > 1;
   const place = (mayStop: typeof lower, rack: boolean, from = rooms) =>
-    placeTasks({ ...common, rooms: from, mayStop, oneRack: rack });
+    placeTasks({
+      step,
+      count: unit.tasks.length,
+      now,
+      rooms: from,
+      mayStop,
+      oneRack: rack,
+      fromEnd: urgent,
+    });
+  const preempting = (rack: boolean) => {
+    const placement = place(lower, rack);
+    return placement && isWorthIt(unit, placement) ? placement : undefined;
+  };
   const local = nearData.length > 0
     ? place(never, oneRack, nearData)
     : undefined;
   if (local) return local;
-  const remote = nearData.length === 0 || !near;
-  if (remote) {
-    const free = place(never, oneRack);
-    if (free) return free;
-  }
-  if (urgent) {
-    const within = place(lower, oneRack);
-    if (within) return within;
-  }
-  if (!oneRack || (near && fitsOneRack(rooms.length, unit))) return undefined;
-  return place(never, false) ?? (urgent ? place(lower, false) : undefined);
+  const free = nearData.length === 0 || !near
+    ? place(never, oneRack)
+    : undefined;
+  if (free) return free;
+  const within = urgent ? preempting(oneRack) : undefined;
+  if (within) return within;
+  if (!oneRack || near) return undefined;
+  return place(never, false) ?? (urgent ? preempting(false) : undefined);
 }
 
-/** Whether it is worth waiting for one rack. */
-function fitsOneRack(workers: number, unit: Unit): boolean {
-  return workers > 0 && unit.tasks.length > 1;
+/** Beyond its guarantee, a team's job stops only what loses less than it does. */
+function isWorthIt(unit: Unit, placement: Placement): boolean {
+  if (unit.guaranteed) return true;
+  const { step } = unit;
+  const work = unit.tasks.length * taskWeight(step) * step.estimate / SECOND;
+  return placement.cost <= PREEMPTION_RATIO * work;
 }
 
 function start(
--- a/core/scheduler/scheduler_test.ts
+++ b/core/scheduler/scheduler_test.ts
@@ -146,3 +146,20 @@
   t.same(fleet.starts(0).map((start) => start.task), ["a.0.1.0"]);
   t.end();
 });
+
+// Guards against long work that is thrown away for small urgent work to which
+// its team has no right.
+test("beyond its guarantee, urgent work stops only what is cheap", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(
+    request({ id: "long", priority: 1, steps: [step({ accelerators: 8 })] }),
+  );
+  fleet.runStarts();
+  fleet.advance(10_000);
+  const urgent = step({ accelerators: 8, estimate: 3000 });
+  fleet.submit(request({ id: "urgent", priority: 0, steps: [urgent] }));
+  t.same(fleet.stops(0), []);
+  fleet.guarantee("team", 8);
+  t.same(fleet.stops(0).map((stop) => stop.task), ["long.0.0.0"]);
+  t.end();
+});
--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -174,7 +174,16 @@
       acceptedAt: clock.date().getTime(),
     };
     const result = await create(call, jobKey(id), encodeRequest(request));
-    log.info("Submission answered.", { job: id, queue: queue.name, result });
+    log.info("Submission answered.", {
+      job: id,
+      queue: queue.name,
+      team,
+      configuration: fields.deployment()?.version,
+      steps: request.steps.length,
+      tasks: request.steps.reduce((sum, step) => sum + step.count, 0),
+      scheduled: request.schedule !== undefined,
+      result,
+    });
     return toAnswer(result);
   }
 
