--- /dev/null
+++ b/core/model/platform_names_test.ts
@@ -0,0 +1,58 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { test } from "tap";
+
+const root = fileURLToPath(new URL("../../../", import.meta.url));
+
+/** Directories with sources of the product. */
+const PRODUCT = [
+  "cli",
+  "config",
+  "core",
+  "daemons",
+  "observe",
+  "storage",
+  "wire",
+];
+
+/** Names that only the adapter may know. Words of both sides are left out. */
+const PLATFORM_NAMES = [
+  "kv-",
+  "run-start",
+  "run-stop",
+  "untilMs",
+  "fencingToken",
+  "waitMs",
+  "clockMs",
+  "mayMiss",
+  "antiAffinity",
+  "storeRevision",
+  "hasMore",
+  "warmupLeftMs",
+  "Expected-Instance",
+  "apiKeys",
+  "holdMaxMs",
+  "nodeName",
+  "DRAGONFLYLEDGE_SETTINGS",
+];
+
+/** Sources of the product, without tests. */
+function listSources(): string[] {
+  return PRODUCT.flatMap((directory) =>
+    readdirSync(root + directory, { recursive: true, encoding: "utf8" })
+      .filter((file) =>
+        file.endsWith(".ts") && !/_test\.ts$|dist|node_modules/.test(file)
+      )
+      .map((file) => `${directory}/${file}`)
+  );
+}
+
+// Guards against names of the platform that leak out of its adapter.
+test("only platform/ knows the platform's names", (t) => {
+  for (const file of listSources()) {
+    const source = readFileSync(root + file, "utf8");
+    const found = PLATFORM_NAMES.filter((name) => source.includes(name));
+    t.same(found, [], file);
+  }
+  t.end();
+});
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -14,7 +14,7 @@
 import { markChanged, readySteps } from "./progress.ts";
 import { addCapacity, addRun, stopRun, taskCapacity } from "./runs.ts";
 import { stepKey } from "./state.ts";
-import type { Capacity, Job, SchedulerState, Worker } from "./state.ts";
+import type { Capacity, Job, Run, SchedulerState, Worker } from "./state.ts";
 
 /** Wait for capacity near the data or in one rack before any is taken. */
 const LOCALITY_WAIT: Milliseconds = 1500;
@@ -175,7 +175,9 @@
     ? []
     : rooms.filter((room) => room.worker.state.rack === step.dataRack);
   const never = () => false;
-  const lower = (run: { job: Job }) => run.job.policy.priority > 0;
+  // How many tasks of a long-running step may be away is not known here.
+  const lower = (run: Run) =>
+    run.job.policy.priority > 0 && !run.step.longRunning;
   const oneRack = step.gang && step.sameRack && unit.tasks.length > 1;
   const place = (mayStop: typeof lower, rack: boolean, from = rooms) =>
     placeTasks({
--- a/daemons/worker_agent/main.ts
+++ b/daemons/worker_agent/main.ts
@@ -13,6 +13,9 @@
 /** Calls that are being answered get this long at a stop. */
 const STOP_DELAY = 200;
 
+/** The worker takes orders by calls. */
+const ORDER_BY_CALL = "rpc";
+
 const settings = readSettings({ environment: process.env });
 const log = createLog({
   part: Part.Agent,
@@ -20,6 +23,12 @@
   stream: process.stdout,
   fields: { node: settings.name },
 });
+if (settings.controlMode !== ORDER_BY_CALL) {
+  log.error("The control mode is not supported.", {
+    controlMode: settings.controlMode,
+  });
+  process.exit(1);
+}
 const timer = createSystemTimer();
 const agent = startAgent({ settings, clock: createSystemClock(), timer, log });
 log.info("Started.", { worker: settings.workerAddress });
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -16,6 +16,7 @@
   "examples",
   "observe",
   "platform",
+  "storage",
   "testing",
   "wire",
 ];
