Serve counters and histograms, and bound the log

Each program counts every decision line, requests, calls to store and worker with their outcome and time, and serves them as text.

--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -251,6 +251,11 @@
       now,
     });
   });
+  state.effects.push({
+    kind: "placed",
+    priority: job.policy.priority,
+    wait: now - unit.readyAt,
+  });
   job.readyAt.delete(
     stepKey({ occurrence: occurrence.index, step: stepIndex }),
   );
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -150,6 +150,8 @@
     agent: string;
     orders: Omit<AgentOrders, "epoch" | "answersReport" | "kind">;
   }
+  /** Tasks were placed `wait` after they had become ready. */
+  | { kind: "placed"; priority: number; wait: Milliseconds }
   | { kind: "log"; level: LogLevel; text: string; fields: Fields };
 
 /** Key of a step within its job, used for in-memory maps. */
--- /dev/null
+++ b/daemons/program/observe_store.ts
@@ -0,0 +1,55 @@
+/**
+ * Counts and times the calls to the store.
+ *
+ * @module
+ */
+
+import type { Instruments } from "@dragonflyledge/exposition";
+import type { Clock } from "@dragonflyledge/model";
+import type { KeyValue } from "@dragonflyledge/platform";
+
+/** An outcome of any call to the store. */
+type Outcome =
+  | { kind: string }
+  | { isOk(): boolean; error?: { kind: string } };
+
+/** Returns a store whose calls are counted by outcome and timed. */
+export function observeStore(fields: {
+  store: KeyValue;
+  instruments: Instruments;
+  clock: Clock;
+}): KeyValue {
+  const { store, instruments, clock } = fields;
+
+  function observed<Args extends unknown[], T extends Outcome>(
+    call: string,
+    run: (...args: Args) => Promise<T>,
+  ): (...args: Args) => Promise<T> {
+    return async (...args) => {
+      const startedAt = clock.now();
+      const outcome = await run(...args);
+      instruments.increment("store_calls_total", {
+        call,
+        outcome: name(outcome),
+      });
+      instruments.time("store_call_seconds", { call }, clock.now() - startedAt);
+      return outcome;
+    };
+  }
+
+  return {
+    read: observed("read", store.read),
+    list: observed("list", store.list),
+    watch: observed("watch", store.watch),
+    commit: observed("commit", store.commit),
+    grant: observed("grant", store.grant),
+    renew: observed("renew", store.renew),
+    release: observed("release", store.release),
+    close: store.close,
+  };
+}
+
+function name(outcome: Outcome): string {
+  if ("kind" in outcome) return outcome.kind;
+  return outcome.isOk() ? "done" : outcome.error?.kind ?? "unknown";
+}
--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -15,7 +15,7 @@
   isJobId,
 } from "@dragonflyledge/platform";
 import type { Deployment, KeyValue, Queue } from "@dragonflyledge/platform";
-import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import type { Answer, ReadRequest } from "@dragonflyledge/program";
 import { cancelKey, jobKey, progressKey } from "@dragonflyledge/scheduler";
 import type { JobRequest } from "@dragonflyledge/scheduler";
 import type { ForwardOutcome, Peers } from "./peers.ts";
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -4,7 +4,7 @@
 import { err, ok } from "neverthrow";
 import { createLog, Part } from "@dragonflyledge/log";
 import type { CommitOutcome, KeyValue } from "@dragonflyledge/platform";
-import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import type { Answer, ReadRequest } from "@dragonflyledge/program";
 import { cancelKey, jobKey, JobStatus } from "@dragonflyledge/scheduler";
 import { createCallerApi } from "./caller_api.ts";
 import type { ForwardOutcome } from "./peers.ts";
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -19,7 +19,9 @@
   Item,
   ProcessSettings,
 } from "@dragonflyledge/platform";
-import { listenHttp, register } from "@dragonflyledge/runtime";
+import type { Instruments } from "@dragonflyledge/exposition";
+import { listenHttp, observeStore, register } from "@dragonflyledge/program";
+import type { Answer, ReadRequest } from "@dragonflyledge/program";
 import {
   entryKey,
   INPUT_PREFIX,
@@ -60,9 +62,14 @@
   clock: Clock;
   timer: Timer;
   log: Log;
+  instruments: Instruments;
 }): RunningEntry {
-  const { settings, clock, timer, log } = fields;
-  const store = createKeyValue({ address: settings.storeAddress, timer });
+  const { settings, clock, timer, log, instruments } = fields;
+  const store = observeStore({
+    store: createKeyValue({ address: settings.storeAddress, timer }),
+    instruments,
+    clock,
+  });
   const replica = createReplica({
     onBadItem: (key, error) =>
       log.warn("A record can't be read.", { key, error: `${error}` }),
@@ -148,6 +155,7 @@
       clock,
       timer,
       log,
+      instruments,
     });
   }
 
@@ -200,13 +208,23 @@
     timer,
     log,
   });
+  async function answer(request: ReadRequest): Promise<Answer> {
+    const startedAt = clock.now();
+    const { method } = request;
+    const answer = await api.answer(request);
+    const status = String(answer.status);
+    instruments.increment("requests_total", { method, status });
+    instruments.time("request_seconds", { method }, clock.now() - startedAt);
+    return answer;
+  }
+
   const onError = (error: Error) =>
     log.error("A server fails.", { error: `${error}` });
   const callers = listenHttp({
     address: settings.callerAddress,
     bodyLimit: () => deployment?.bodyLimit ?? DEFAULT_BODY_LIMIT,
     keepAlive: CALLER_KEEP_ALIVE,
-    handle: api.answer,
+    handle: answer,
     onError,
   });
   listenHttp({
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Instruments } from "@dragonflyledge/exposition";
 import type { Log } from "@dragonflyledge/log";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
@@ -45,6 +46,7 @@
   clock: Clock;
   timer: Timer;
   log: Log;
+  instruments: Instruments;
 }): Term {
   const { replica, clock, timer, log, epoch } = fields;
   const scheduler = createScheduler({
@@ -98,6 +100,12 @@
         if (!fields.leads()) return;
         links.send(effect.agent, { kind: "orders", epoch, ...effect.orders });
         return;
+      case "placed": {
+        const priority = String(effect.priority);
+        const { instruments } = fields;
+        instruments.time("placement_wait_seconds", { priority }, effect.wait);
+        return;
+      }
       case "log":
         return log.write(effect.level, effect.text, effect.fields);
     }
--- a/daemons/scheduler/main.ts
+++ b/daemons/scheduler/main.ts
@@ -5,23 +5,26 @@
  */
 
 import process from "node:process";
-import { createLog, Part } from "@dragonflyledge/log";
+import { Part } from "@dragonflyledge/log";
 import { readSettings } from "@dragonflyledge/platform";
+import { createOutput } from "@dragonflyledge/program";
 import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import { startEntry } from "./entry.ts";
 
 const settings = readSettings({ environment: process.env });
-const log = createLog({
+const clock = createSystemClock();
+const { log, instruments } = createOutput({
   part: Part.Entry,
-  level: "info",
-  stream: process.stdout,
-  fields: { node: settings.name },
+  name: settings.name,
+  host: settings.host,
+  clock,
 });
 const entry = startEntry({
   settings,
-  clock: createSystemClock(),
+  clock,
   timer: createSystemTimer(),
   log,
+  instruments,
 });
 log.info("Started.", { failureDomain: settings.failureDomain });
 
--- a/daemons/scheduler/peers.ts
+++ b/daemons/scheduler/peers.ts
@@ -9,7 +9,7 @@
 import type { Link } from "@dragonflyledge/link";
 import type { Log } from "@dragonflyledge/log";
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
-import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import type { Answer, ReadRequest } from "@dragonflyledge/program";
 
 const CONNECT_TIMEOUT: Milliseconds = 300;
 /** Peers that are asked for one request. */
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { Clock, Timer } from "@dragonflyledge/model";
+import { MEBIBYTE } from "@dragonflyledge/model";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
 import { listenLinks } from "@dragonflyledge/link";
 import type { Link } from "@dragonflyledge/link";
@@ -15,8 +16,10 @@
   parseHeartbeatPath,
 } from "@dragonflyledge/platform";
 import type { ProcessSettings } from "@dragonflyledge/platform";
-import { createLoop, listenHttp, register } from "@dragonflyledge/runtime";
-import type { Answer, ReadRequest } from "@dragonflyledge/runtime";
+import type { Instruments } from "@dragonflyledge/exposition";
+import { listenHttp, observeStore, register } from "@dragonflyledge/program";
+import type { Answer, ReadRequest } from "@dragonflyledge/program";
+import { createLoop } from "@dragonflyledge/runtime";
 import type { AgentOrders } from "@dragonflyledge/scheduler";
 import { agentKey, runKey } from "@dragonflyledge/scheduler";
 import {
@@ -28,9 +31,9 @@
   ControlEvent,
 } from "@dragonflyledge/worker-control";
 
-const TICK: number = 200;
-const HEARTBEAT_LIMIT = 4 * 1024 * 1024;
-const HEARTBEAT_KEEP_ALIVE = 60_000;
+const TICK: Milliseconds = 200;
+const HEARTBEAT_LIMIT = 4 * MEBIBYTE;
+const HEARTBEAT_KEEP_ALIVE: Milliseconds = 60_000;
 
 /** A running agent. */
 export interface RunningAgent {
@@ -43,11 +46,16 @@
   clock: Clock;
   timer: Timer;
   log: Log;
+  instruments: Instruments;
 }): RunningAgent {
-  const { settings, clock, timer, log } = fields;
+  const { settings, clock, timer, log, instruments } = fields;
   const links = new Set<Link>();
   const worker = createWorkerCalls({ address: settings.workerAddress, timer });
-  const store = createKeyValue({ address: settings.storeAddress, timer });
+  const store = observeStore({
+    store: createKeyValue({ address: settings.storeAddress, timer }),
+    instruments,
+    clock,
+  });
   const control = createWorkerControl({
     times: {
       grant: grantLength(settings.longestLease),
@@ -78,12 +86,18 @@
     }
   }
 
+  function noteCall(call: string, outcome: string, sentAt: number): void {
+    instruments.increment("worker_calls_total", { call, outcome });
+    instruments.time("worker_call_seconds", { call }, clock.now() - sentAt);
+  }
+
   async function hold(
     effect: Extract<ControlEffect, { kind: "hold" }>,
   ): Promise<void> {
     const sentAt = clock.now();
     const outcome = await worker.hold(effect);
     const now = clock.now();
+    noteCall("hold", outcome.kind, sentAt);
     if (outcome.kind === "failed") {
       const { reason } = outcome;
       dispatch({ kind: "holdFailed", now, worker: effect.worker, reason });
@@ -95,7 +109,9 @@
   async function start(
     effect: Extract<ControlEffect, { kind: "start" }>,
   ): Promise<void> {
+    const sentAt = clock.now();
     const outcome = await worker.start(effect);
+    noteCall("start", outcome.kind, sentAt);
     dispatch({
       kind: "startAnswered",
       now: clock.now(),
@@ -108,7 +124,9 @@
   async function stop(
     effect: Extract<ControlEffect, { kind: "stop" }>,
   ): Promise<void> {
+    const sentAt = clock.now();
     const stopped = await worker.stop(effect);
+    noteCall("stop", stopped ? "stopped" : "failed", sentAt);
     dispatch({
       kind: "stopAnswered",
       now: clock.now(),
--- a/daemons/worker_agent/main.ts
+++ b/daemons/worker_agent/main.ts
@@ -5,32 +5,29 @@
  */
 
 import process from "node:process";
-import { createLog, Part } from "@dragonflyledge/log";
+import { Part } from "@dragonflyledge/log";
 import { readSettings } from "@dragonflyledge/platform";
+import { createOutput } from "@dragonflyledge/program";
 import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import { startAgent } from "./agent.ts";
 
 /** Calls that are being answered get this long at a stop. */
 const STOP_DELAY = 200;
 
-/** The worker takes orders by calls. */
-const ORDER_BY_CALL = "rpc";
-
 const settings = readSettings({ environment: process.env });
-const log = createLog({
+const clock = createSystemClock();
+const { log, instruments } = createOutput({
   part: Part.Agent,
-  level: "info",
-  stream: process.stdout,
-  fields: { node: settings.name },
+  name: settings.name,
+  host: settings.host,
+  clock,
 });
-if (settings.controlMode !== ORDER_BY_CALL) {
-  log.error("The control mode is not supported.", {
-    controlMode: settings.controlMode,
-  });
+if (!settings.ordersByCall) {
+  log.error("The worker takes no orders by calls.");
   process.exit(1);
 }
 const timer = createSystemTimer();
-const agent = startAgent({ settings, clock: createSystemClock(), timer, log });
+const agent = startAgent({ settings, clock, timer, log, instruments });
 log.info("Started.", { worker: settings.workerAddress });
 
 process.on("SIGTERM", () => {
--- /dev/null
+++ b/observe/exposition/instruments.ts
@@ -0,0 +1,54 @@
+/**
+ * Counters and histograms on `prom-client`.
+ *
+ * @module
+ */
+
+import { Counter, Histogram, Registry } from "prom-client";
+import { SECOND } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { BUCKETS, INSTRUMENTS } from "./table.ts";
+import type { InstrumentName } from "./table.ts";
+
+/** Prefix of all names. */
+const PREFIX = "dragonflyledge_";
+
+/** Values of an instrument's labels. */
+export type Labels = Record<string, string>;
+
+/** The instruments of one process. */
+export interface Instruments {
+  increment(name: InstrumentName, labels: Labels): void;
+  /** Records a duration. */
+  time(name: InstrumentName, labels: Labels, duration: Milliseconds): void;
+  /** All values in the text format of Prometheus. */
+  text(): Promise<string>;
+  readonly contentType: string;
+}
+
+/** Creates the instruments of the table. */
+export function createInstruments(): Instruments {
+  const registry = new Registry();
+  const counters = new Map<string, Counter>();
+  const histograms = new Map<string, Histogram>();
+  for (const [name, { kind, help, labels }] of Object.entries(INSTRUMENTS)) {
+    const common = {
+      name: PREFIX + name,
+      help,
+      labelNames: labels,
+      registers: [registry],
+    };
+    if (kind === "counter") counters.set(name, new Counter(common));
+    else {
+      const buckets = [...BUCKETS];
+      histograms.set(name, new Histogram({ ...common, buckets }));
+    }
+  }
+  return {
+    increment: (name, labels) => counters.get(name)?.inc(labels),
+    time: (name, labels, duration) =>
+      histograms.get(name)?.observe(labels, duration / SECOND),
+    text: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
--- /dev/null
+++ b/observe/exposition/table.ts
@@ -0,0 +1,80 @@
+/**
+ * Table of the instruments of the programs on the users' platform.
+ *
+ * @module
+ */
+
+/** What an instrument measures. */
+export interface Instrument {
+  kind: "counter" | "histogram";
+  help: string;
+  labels: readonly string[];
+}
+
+/**
+ * Upper bounds of the buckets in seconds. They hold the bounds of starts
+ * (2.7 s), cancels (3 s) and acknowledgements (4 s).
+ */
+export const BUCKETS: readonly number[] = [
+  0.005,
+  0.02,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2,
+  2.7,
+  3,
+  4,
+  8,
+  20,
+  60,
+];
+
+/** Every instrument by name. */
+export const INSTRUMENTS = {
+  requests_total: {
+    kind: "counter",
+    help: "Requests of callers that were answered.",
+    labels: ["method", "status"],
+  },
+  request_seconds: {
+    kind: "histogram",
+    help: "Time from a whole request of a caller to its answer.",
+    labels: ["method"],
+  },
+  store_calls_total: {
+    kind: "counter",
+    help: "Calls to the store by outcome; unknown ones got no answer.",
+    labels: ["call", "outcome"],
+  },
+  store_call_seconds: {
+    kind: "histogram",
+    help: "Time of calls to the store, the wait of watches included.",
+    labels: ["call"],
+  },
+  worker_calls_total: {
+    kind: "counter",
+    help: "Calls of an agent to its worker by outcome.",
+    labels: ["call", "outcome"],
+  },
+  worker_call_seconds: {
+    kind: "histogram",
+    help: "Time of calls to the worker, the wait of holds included.",
+    labels: ["call"],
+  },
+  placement_wait_seconds: {
+    kind: "histogram",
+    help: "Time from a task being ready to its placement.",
+    labels: ["priority"],
+  },
+  log_lines_total: {
+    kind: "counter",
+    help: "Lines of the log by text, those left out included.",
+    labels: ["level", "text"],
+  },
+} as const satisfies Record<string, Instrument>;
+
+/** Name of an instrument. */
+export type InstrumentName = keyof typeof INSTRUMENTS;
--- /dev/null
+++ b/observe/log/bounded_log.ts
@@ -0,0 +1,56 @@
+/**
+ * Keeps the volume of a log bounded.
+ *
+ * @module
+ */
+
+import { SECOND } from "@dragonflyledge/model";
+import type { Clock } from "@dragonflyledge/model";
+import type { Log } from "./log.ts";
+
+interface Window {
+  startedAt: number;
+  written: number;
+  leftOut: number;
+}
+
+/**
+ * Returns a log that writes at most `linesPerSecond` lines of each text. What
+ * is left out is counted in a line of its own once the second is over.
+ */
+export function createBoundedLog(fields: {
+  log: Log;
+  clock: Clock;
+  linesPerSecond: number;
+}): Log {
+  const { log, clock, linesPerSecond } = fields;
+  const windows = new Map<string, Window>();
+
+  const write: Log["write"] = (level, text, extra) => {
+    const now = clock.now();
+    let window = windows.get(text);
+    if (!window || now - window.startedAt >= SECOND) {
+      if (window && window.leftOut > 0) {
+        log.warn("Lines left out.", { text, count: window.leftOut });
+      }
+      window = { startedAt: now, written: 0, leftOut: 0 };
+      windows.set(text, window);
+    }
+    if (window.written >= linesPerSecond) {
+      window.leftOut++;
+      return;
+    }
+    window.written++;
+    log.write(level, text, extra);
+  };
+
+  return {
+    write,
+    debug: (text, extra) => write("debug", text, extra),
+    info: (text, extra) => write("info", text, extra),
+    warn: (text, extra) => write("warn", text, extra),
+    error: (text, extra) => write("error", text, extra),
+    part: (part) =>
+      createBoundedLog({ log: log.part(part), clock, linesPerSecond }),
+  };
+}
--- /dev/null
+++ b/observe/log/dropping_stream.ts
@@ -0,0 +1,28 @@
+/**
+ * A stream that drops lines rather than wait for its reader.
+ *
+ * @module
+ */
+
+import { Writable } from "node:stream";
+import { KIBIBYTE } from "@dragonflyledge/model";
+
+/** Lines that a slow reader may leave unread. */
+const UNREAD_LIMIT = 256 * KIBIBYTE;
+
+/** Returns a stream of lines to `target`, and how many were dropped. */
+export function createDroppingStream(
+  fields: { target: NodeJS.WritableStream & { writableLength: number } },
+): { stream: NodeJS.WritableStream; dropped: () => number } {
+  const { target } = fields;
+  let dropped = 0;
+  const stream = new Writable({
+    decodeStrings: false,
+    write(line, _, done) {
+      if (target.writableLength > UNREAD_LIMIT) dropped++;
+      else target.write(line);
+      done();
+    },
+  });
+  return { stream, dropped: () => dropped };
+}
--- a/observe/log/mod.ts
+++ b/observe/log/mod.ts
@@ -4,5 +4,7 @@
  * @module
  */
 
+export { createBoundedLog } from "./bounded_log.ts";
+export { createDroppingStream } from "./dropping_stream.ts";
 export { createLog, Part } from "./log.ts";
 export type { Log, LogFields } from "./log.ts";
--- a/observe/metrics/usage_test.ts
+++ b/observe/metrics/usage_test.ts
@@ -10,7 +10,7 @@
 function countedNames(): Set<string> {
   const names = new Set<string>();
   const calls = /(?:count\(\s*(?:core,\s*)?|metric(?:: | = ))"([\w.-]+)"/g;
-  for (const directory of ["core", "daemons", "platform", "observe"]) {
+  for (const directory of ["core", "daemons", "storage", "observe"]) {
     const files = readdirSync(root + directory, {
       recursive: true,
       encoding: "utf8",
