Answer for another entry only with a configuration that is as new

A request that is passed on now carries the version in force; an entry that is behind refuses, and one that is ahead sends its configuration along, so that the sender does not go back afterwards.

--- /dev/null
+++ b/cli/command/commands/explain.ts
@@ -0,0 +1,72 @@
+/**
+ * Command `explain`.
+ *
+ * @module
+ */
+
+import { formatValue } from "../output.ts";
+import type { Register } from "./register.ts";
+
+/** Fields that each line has, and that say nothing of the decision. */
+const COMMON = ["name", "hostname", "pid", "level", "v", "msg", "time", "part"];
+
+interface Line {
+  time: string;
+  node: string;
+  text: string;
+  fields: Record<string, unknown>;
+}
+
+/** Adds the command. */
+export const registerExplain: Register = ({ program, dependencies }) => {
+  program.command("explain <id> [files...]")
+    .description(
+      "Print the story of a request or job from log lines of all processes, " +
+        "from files or standard input.",
+    )
+    .action(async (id: string, files: string[]) => {
+      const sources = files.length === 0 ? ["-"] : files;
+      const texts = await Promise.all(sources.map(dependencies.readFile));
+      const lines = texts.flatMap((text) => findLines(text, id))
+        .sort((a, b) => a.time < b.time ? -1 : a.time > b.time ? 1 : 0);
+      dependencies.write(
+        lines.length === 0
+          ? `No line names ${formatValue(id)}.\n`
+          : `${lines.map(formatLine).join("\n")}\n`,
+      );
+    });
+};
+
+/** Lines that name the id, whatever stands before their JSON. */
+function findLines(text: string, id: string): Line[] {
+  return text.split("\n").flatMap((raw) => {
+    const start = raw.indexOf("{");
+    if (start < 0 || !raw.includes(id)) return [];
+    try {
+      return [toLine(JSON.parse(raw.slice(start)))];
+    } catch {
+      // Lines of other programs need not be JSON.
+      return [];
+    }
+  });
+}
+
+function toLine(record: Record<string, unknown>): Line {
+  const fields = Object.fromEntries(
+    Object.entries(record)
+      .filter(([name]) => !COMMON.includes(name) && name !== "node"),
+  );
+  return {
+    time: String(record.time),
+    node: String(record.node ?? record.hostname ?? ""),
+    text: String(record.msg),
+    fields,
+  };
+}
+
+function formatLine(line: Line): string {
+  const fields = Object.entries(line.fields)
+    .map(([name, value]) => `${name}=${formatValue(value)}`)
+    .join(" ");
+  return `${line.time} ${line.node} ${formatValue(line.text)} ${fields}`;
+}
--- a/cli/command/commands/list.ts
+++ b/cli/command/commands/list.ts
@@ -16,6 +16,7 @@
 import { registerDev } from "./dev.ts";
 import { registerDrain } from "./drain.ts";
 import { registerEntry } from "./entry.ts";
+import { registerExplain } from "./explain.ts";
 import { registerJobsCancel } from "./jobs_cancel.ts";
 import { registerJobsList } from "./jobs_list.ts";
 import { registerJobsShow } from "./jobs_show.ts";
@@ -37,6 +38,7 @@
   registerJobsSubmit,
   registerJobsCancel,
   registerAudit,
+  registerExplain,
   registerDrain,
   registerEntry,
   registerAgent,
--- /dev/null
+++ b/cli/command/explain_test.ts
@@ -0,0 +1,61 @@
+import { test } from "tap";
+import { runProgram } from "./mod.ts";
+
+const JOB = "f78880a7177a56f7";
+
+function line(fields: Record<string, unknown>): string {
+  return JSON.stringify({ name: "dragonflyledge", level: 30, v: 0, ...fields });
+}
+
+async function explain(id: string, files: Record<string, string>) {
+  let output = "";
+  const code = await runProgram({
+    arguments: ["explain", id, ...Object.keys(files)],
+    dependencies: {
+      write: (text) => output += text,
+      writeError: (text) => output += text,
+      readFile: (path) => Promise.resolve(files[path]!),
+      loadModule: () => Promise.reject(new Error("not used")),
+      send: () => Promise.reject(new Error("not used")),
+      environment: {},
+    },
+  });
+  return { code, output };
+}
+
+// Guards against a failed request whose cause engineers can't follow across
+// processes.
+test("explain puts the lines of one job in order", async (t) => {
+  const { code, output } = await explain(JOB, {
+    "agent.log": `  27.90 side-1 ${
+      line({
+        node: "side-1",
+        run: `${JOB}.0.0.0#1`,
+        outcome: "started",
+        msg: "agent: Start answered.",
+        time: "2026-10-12T09:59:48.905Z",
+      })
+    }\nnot JSON about ${JOB} {\n`,
+    "entry.log": [
+      line({
+        node: "entry-1",
+        job: JOB,
+        result: "stored",
+        msg: "entry: Submission answered.",
+        time: "2026-10-12T09:59:48.887Z",
+      }),
+      line({ node: "entry-1", job: "other", msg: "x", time: "2026" }),
+    ].join("\n"),
+  });
+  t.equal(code, 0);
+  const lines = output.trim().split("\n");
+  t.equal(lines.length, 2);
+  t.match(lines[0], /entry-1 entry: Submission answered\. .*result=stored/);
+  t.match(lines[1], /side-1 agent: Start answered\. .*outcome=started/);
+});
+
+// Guards against silence that looks like a finding.
+test("explain says that no line names the id", async (t) => {
+  const { output } = await explain("0000", { "a.log": "" });
+  t.match(output, /No line names 0000/);
+});
--- a/cli/command/program_test.ts
+++ b/cli/command/program_test.ts
@@ -122,7 +122,7 @@
   t.match(output, /Examples:\n.*config print/);
   const fit = output.split("\n").every((line) => line.length <= 80);
   t.ok(fit, "80 columns");
-  t.equal(COMMANDS.length, 17);
+  t.equal(COMMANDS.length, 18);
   t.equal((await run("config submit --help")).code, 0);
 });
 
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -35,6 +35,7 @@
 import { startTerm } from "./leader.ts";
 import type { Term } from "./leader.ts";
 import { createPeers } from "./peers.ts";
+import type { StoredConfiguration } from "./peers.ts";
 import { createReplica } from "./replica.ts";
 
 /** Pauses between watches, in which changes collect into one call. */
@@ -75,31 +76,31 @@
       log.warn("A record can't be read.", { key, error: `${error}` }),
   });
   let deployment: Deployment | undefined;
+  let stored: StoredConfiguration | undefined;
   let term: Term | undefined;
   let epoch: number | undefined;
   let draining = false;
 
   function takeConfiguration(items: Item[]): void {
     for (const item of items) {
-      if (item.key !== CONFIGURATION_KEY) continue;
-      const decoded = decodeConfiguration(item.value);
-      if (!decoded) {
-        log.error("The configuration can't be read.", {
-          revision: item.revision,
-        });
-        continue;
-      }
-      if (deployment && decoded.version <= deployment.version) continue;
-      deployment = decoded;
-      log.info("Configuration in force.", {
-        version: decoded.version,
-        queues: decoded.queues.length,
-        teams: decoded.teams.length,
-      });
-      term?.usePolicies(policiesOf(decoded));
+      if (item.key === CONFIGURATION_KEY) useConfiguration(item.value);
     }
   }
 
+  function useConfiguration(bytes: Uint8Array): void {
+    const decoded = decodeConfiguration(bytes);
+    if (!decoded) return log.error("The configuration can't be read.");
+    if (deployment && decoded.version <= deployment.version) return;
+    deployment = decoded;
+    stored = { version: decoded.version, bytes };
+    log.info("Configuration in force.", {
+      version: decoded.version,
+      queues: decoded.queues.length,
+      teams: decoded.teams.length,
+    });
+    term?.usePolicies(policiesOf(decoded));
+  }
+
   const troubleLog = (follows: string) => (reason: string | undefined) => {
     if (reason === undefined) log.info("The store answers again.", { follows });
     else log.warn("The store does not answer.", { follows, reason });
@@ -195,6 +196,8 @@
     port: settings.linkPort,
     entries: () => replica.entries,
     handle: (request) => api.answerLocally(request),
+    configuration: () => stored,
+    onConfiguration: useConfiguration,
     timer,
     log,
   });
--- a/daemons/scheduler/peers.ts
+++ b/daemons/scheduler/peers.ts
@@ -14,17 +14,29 @@
 const CONNECT_TIMEOUT: Milliseconds = 300;
 /** Peers that are asked for one request. */
 const MAX_PEERS = 2;
+/** Answer of an entry whose configuration is behind the sender's. */
+const OUTDATED: Answer = { status: 503, headers: { "retry-after": "1" } };
 
 interface PeerRequest {
   kind: "request";
   id: number;
   request: ReadRequest;
+  /** Version of the configuration in force at the sender, or 0. */
+  version: number;
 }
 
 interface PeerAnswer {
   kind: "answer";
   id: number;
   answer: Answer;
+  /** The stored configuration, if it is newer than the sender's. */
+  configuration?: Uint8Array;
+}
+
+/** A configuration as it is stored. */
+export interface StoredConfiguration {
+  version: number;
+  bytes: Uint8Array;
 }
 
 /** What came of passing a request on. */
@@ -42,6 +54,7 @@
     request: ReadRequest,
     timeout: Milliseconds,
   ): Promise<ForwardOutcome>;
+  close(): void;
 }
 
 /** Serves requests of other entries, and passes on own ones. */
@@ -53,6 +66,9 @@
   entries: () => ReadonlyMap<string, string>;
   /** Answers a request without passing it on again. */
   handle: (request: ReadRequest) => Promise<Answer>;
+  configuration: () => StoredConfiguration | undefined;
+  /** Takes a newer configuration, so that no later answer goes back. */
+  onConfiguration: (bytes: Uint8Array) => void;
   timer: Timer;
   log: Log;
 }): Peers {
@@ -60,7 +76,7 @@
   let nextId = 1;
   let nextPeer = 0;
 
-  listenLinks({
+  const server = listenLinks({
     host: fields.host,
     port: fields.port,
     onLink: () => {},
@@ -71,8 +87,15 @@
 
   async function serve(link: Link, message: PeerRequest): Promise<void> {
     if (message.kind !== "request") return;
-    const answer = await fields.handle(message.request);
-    link.send({ kind: "answer", id: message.id, answer });
+    const { id, request, version } = message;
+    const own = fields.configuration()?.version ?? 0;
+    // Callers must not be answered by an older configuration than before.
+    const answer = own < version ? OUTDATED : await fields.handle(request);
+    const known = fields.configuration();
+    const configuration = known && known.version > version
+      ? known.bytes
+      : undefined;
+    link.send({ kind: "answer", id, answer, configuration });
   }
 
   function ask(
@@ -101,11 +124,13 @@
         timer,
         onOpen: (opened) => {
           sent = true;
-          opened.send({ kind: "request", id, request });
+          const version = fields.configuration()?.version ?? 0;
+          opened.send({ kind: "request", id, request, version });
         },
         onMessage: (message) => {
           const reply = message as PeerAnswer;
           if (reply.kind !== "answer" || reply.id !== id) return;
+          if (reply.configuration) fields.onConfiguration(reply.configuration);
           finish({ kind: "answer", answer: reply.answer });
         },
         onClose: fail,
@@ -125,5 +150,6 @@
       }
       return { kind: "notSent" };
     },
+    close: () => server.close(),
   };
 }
