Report and plan only when something changed

Each answered hold led to a report, and each report to a round of planning: at 70 workers about 150 reports and rounds a second on the leader. Progress alone now waits for the next report at its interval, and a report on which nothing changed starts no planning.

--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -41,6 +41,7 @@
     agents: new Map(),
     workers: new Map(),
     runs: new Map(),
+    planDue: false,
     changedAgents: new Set(),
     changedJobs: new Set(),
     effects: [],
@@ -48,8 +49,10 @@
 
   function reduce(event: SchedulerEvent): SchedulerEffect[] {
     state.effects = [];
+    // A report on which nothing changed is the most frequent event.
+    state.planDue = event.kind !== "report" && event.kind !== "stored";
     apply(state, event);
-    plan(state, event.now);
+    if (state.planDue) plan(state, event.now);
     return collect(state);
   }
 
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -103,9 +103,7 @@
 ): Worker | undefined {
   const known = agent.worker;
   if (known?.state.key === reported.key) {
-    if (known.state.draining !== reported.draining) {
-      state.changedAgents.add(agent.name);
-    }
+    if (known.state.reachable !== reported.reachable) state.planDue = true;
     known.state = reported;
     return known;
   }
@@ -129,6 +127,7 @@
   };
   agent.worker = worker;
   state.workers.set(reported.key, worker);
+  state.planDue = true;
   for (const run of state.runs.values()) {
     if (run.worker === reported.key) occupy(worker, run);
   }
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -78,6 +78,7 @@
 
 /** Forgets a run that is over. */
 export function removeRun(state: SchedulerState, run: Run): void {
+  state.planDue = true;
   state.runs.delete(runKey({ task: run.name, run: run.run }));
   run.job.runs.delete(run);
   const worker = state.workers.get(run.worker);
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -120,6 +120,8 @@
   agents: Map<string, Agent>;
   workers: Map<string, Worker>;
   runs: Map<string, Run>;
+  /** Something changed that may let waiting work start. */
+  planDue: boolean;
   /** Agents that are to be sent new orders. */
   changedAgents: Set<string>;
   /** Jobs whose progress is to be stored. */
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -13,6 +13,7 @@
 import type {
   ControlEffect,
   ControlEvent,
+  ControlledWorker,
   ControlState,
   ControlTimes,
 } from "./state.ts";
@@ -176,16 +177,27 @@
   state.hold.failures = 0;
   state.hold.next = event.now;
   worker.clock = { value: event.clock, at: event.now };
-  if (!worker.state.reachable) log(state, "Worker answers.", {});
+  if (!worker.state.reachable) {
+    log(state, "Worker answers.", { worker: worker.state.key });
+    state.reportDue = true;
+  }
   worker.state.reachable = true;
   state.emptied = state.emptied.filter((key) => key !== worker.state.key);
+  const before = listsKey(worker);
   worker.running = event.running;
   worker.ended = event.ended.filter((e) => e.number > worker.acknowledged);
   worker.listed = true;
-  state.reportDue = true;
+  if (listsKey(worker) !== before) state.reportDue = true;
   checkListed(state, worker, event.sentAt);
 }
 
+/** Changes when runs come or go; progress alone waits for the next report. */
+function listsKey(worker: ControlledWorker): string {
+  const running = worker.running.map(runKey).join();
+  const ended = worker.ended.map((each) => each.number).join();
+  return `${worker.listed} ${worker.state.reachable} ${running} ${ended}`;
+}
+
 function failHold(
   state: ControlState,
   key: string,
