Bound the time for which lower priorities are overtaken

Cause of incident inc-767b: strict order by priority left oil-check jobs without a start for 38 s while jobs of priority 1 kept coming. Ruled out: leader, suspected workers, labels. A job below the urgent priority is now overtaken only by jobs of the next priority that come within 5 s after it.

--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -23,6 +23,9 @@
 /** Workers with recent failures are used again for work that waited so long. */
 const AVOIDANCE_LIMIT: Milliseconds = 1500;
 
+/** Advance of each priority below the urgent one over the next. */
+const PRIORITY_ADVANCE: Milliseconds = 5 * SECOND;
+
 /** Work that may be lost for each unit of work of a job beyond its guarantee. */
 const PREEMPTION_RATIO = 0.5;
 
@@ -122,13 +125,23 @@
 }
 
 function compareUnits(a: Unit, b: Unit): number {
-  return a.job.policy.priority - b.job.policy.priority ||
+  return Number(isUrgent(b)) - Number(isUrgent(a)) ||
     Number(b.guaranteed) - Number(a.guaranteed) ||
-    a.job.request.acceptedAt - b.job.request.acceptedAt ||
+    turnOf(a) - turnOf(b) ||
     (a.job.request.id < b.job.request.id ? -1 : 1) ||
     a.stepIndex - b.stepIndex || a.tasks[0]! - b.tasks[0]!;
 }
 
+function isUrgent(unit: Unit): boolean {
+  return unit.job.policy.priority === 0;
+}
+
+/** Work of a lower priority is overtaken only by what comes soon after it. */
+function turnOf(unit: Unit): Milliseconds {
+  const { request, policy } = unit.job;
+  return request.acceptedAt + policy.priority * PRIORITY_ADVANCE;
+}
+
 /** Whether all urgent jobs of the job's team fit into its guarantee. */
 function isGuaranteed(
   state: SchedulerState,
@@ -158,7 +171,7 @@
   reserved: Map<Worker, Capacity>,
 ): Placement | undefined {
   const { job, step } = unit;
-  const urgent = job.policy.priority === 0;
+  const urgent = isUrgent(unit);
   const waited = now - unit.readyAt;
   const near = waited < (urgent ? URGENT_LOCALITY_WAIT : LOCALITY_WAIT);
   const rooms = listRooms({
--- a/core/scheduler/scheduler_test.ts
+++ b/core/scheduler/scheduler_test.ts
@@ -163,3 +163,26 @@
   t.same(fleet.stops(0).map((stop) => stop.task), ["long.0.0.0"]);
   t.end();
 });
+
+// Guards against work of the lowest priority that waits behind a stream of
+// other work without end.
+test("work that waits long goes before later work of a higher priority", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const whole = () => [step({ accelerators: 8 })];
+  fleet.submit(request({ id: "first", priority: 1, steps: whole() }));
+  fleet.runStarts();
+  const submit = (id: string, priority: number, acceptedAt: number) =>
+    fleet.submit({
+      ...request({ id, priority, steps: whole() }),
+      acceptedAt,
+    });
+  submit("low", 2, 0);
+  submit("soon", 1, 4000);
+  submit("later", 1, 6000);
+  fleet.end(0, 0, "done");
+  t.match(fleet.starts(0), [{ task: "soon.0.0.0" }]);
+  fleet.runStarts();
+  fleet.end(0, 0, "done");
+  t.match(fleet.starts(0), [{ task: "low.0.0.0" }]);
+  t.end();
+});
