Step down when no agent is heard, and forget agents that are gone

A leader that the store reaches and the agents don't would keep its lease and do nothing. It now steps down after 3 s without a report and leaves the next election to others. Addresses of agents that stay lost for a minute are removed; an agent without a leader checks its address again. A list that was read before a write was confirmed no longer takes the leader's copy back.

--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -78,8 +78,6 @@
       return cancelJob(state, event.job, event.date);
     case "agent":
       return addAgent(state, event.agent, event.now);
-    case "agentGone":
-      return removeAgent(state, event.agent);
     case "report": {
       addAgent(state, event.agent, event.now);
       const agent = state.agents.get(event.agent)!;
@@ -190,12 +188,6 @@
   state.agents.set(name, agent);
 }
 
-function removeAgent(state: SchedulerState, name: string): void {
-  const agent = state.agents.get(name);
-  if (!agent || !agent.lost) return;
-  state.agents.delete(name);
-}
-
 function confirmStored(
   state: SchedulerState,
   id: string,
@@ -215,10 +207,7 @@
   now: Milliseconds,
   date: Milliseconds,
 ): void {
-  for (const agent of state.agents.values()) {
-    const silent = now - agent.lastHeard > state.times.agentLoss;
-    if (silent && !agent.lost) loseAgent(state, agent);
-  }
+  checkAgents(state, now);
   for (const job of state.active) createDueOccurrences({ state, job, date });
   for (const job of state.jobs.values()) {
     const { status, finishedAt } = job.progress;
@@ -228,3 +217,14 @@
     state.effects.push({ kind: "remove", job: job.request.id });
   }
 }
+
+function checkAgents(state: SchedulerState, now: Milliseconds): void {
+  const { agentLoss, agentRetention } = state.times;
+  for (const agent of state.agents.values()) {
+    const silence = now - agent.lastHeard;
+    if (silence > agentLoss && !agent.lost) loseAgent(state, agent);
+    if (!agent.lost || silence < agentRetention) continue;
+    state.agents.delete(agent.name);
+    state.effects.push({ kind: "forget", agent: agent.name });
+  }
+}
--- a/core/scheduler/scheduler_test.ts
+++ b/core/scheduler/scheduler_test.ts
@@ -186,3 +186,15 @@
   t.match(fleet.starts(0), [{ task: "low.0.0.0" }]);
   t.end();
 });
+
+// Guards against a list of agents that grows with each machine that is
+// replaced.
+test("an agent that stays lost is forgotten", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  fleet.silence(1);
+  fleet.advance(59_000);
+  t.same(fleet.forgotten, []);
+  fleet.advance(2000);
+  t.same(fleet.forgotten, ["agent-1"]);
+  t.end();
+});
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -106,6 +106,8 @@
 export interface SchedulerTimes {
   /** Silence after which nothing runs under an agent any more. */
   agentLoss: Milliseconds;
+  /** Agents that stay lost for this long are forgotten. */
+  agentRetention: Milliseconds;
   /** Final jobs are kept for this long. */
   retention: Milliseconds;
 }
@@ -137,7 +139,6 @@
     | { kind: "job"; request: JobRequest; progress?: JobProgress }
     | { kind: "cancel"; job: string; date: Milliseconds }
     | { kind: "agent"; agent: string }
-    | { kind: "agentGone"; agent: string }
     | { kind: "report"; agent: string; report: AgentReport; date: Milliseconds }
     | { kind: "stored"; job: string; version: number }
     | { kind: "tick"; date: Milliseconds }
@@ -147,6 +148,8 @@
 export type SchedulerEffect =
   | { kind: "store"; job: string }
   | { kind: "remove"; job: string }
+  /** The agent is gone for good. */
+  | { kind: "forget"; agent: string }
   | {
     kind: "orders";
     agent: string;
--- a/daemons/scheduler/agent_links.ts
+++ b/daemons/scheduler/agent_links.ts
@@ -27,6 +27,8 @@
 export interface AgentLinks {
   /** Keeps a link to the agent at `address`. */
   keep(name: string, address: string): void;
+  /** Ends the link to an agent that is gone. */
+  drop(name: string): void;
   /** Sends orders; `answersReport` is added. Returns whether a link is up. */
   send(name: string, orders: Record<string, unknown>): boolean;
   /** Dials agents again that went silent. */
@@ -86,6 +88,11 @@
       known?.link?.close();
       dial(name, agent);
     },
+    drop: (name) => {
+      const agent = agents.get(name);
+      agents.delete(name);
+      agent?.link?.close();
+    },
     send: (name, orders) => {
       const agent = agents.get(name);
       if (!agent?.link || agent.lastReport === undefined) return false;
--- a/daemons/scheduler/election.ts
+++ b/daemons/scheduler/election.ts
@@ -17,6 +17,8 @@
 /** The leadership is given up so long before the lease may end. */
 const SAFETY_MARGIN: Milliseconds = 150;
 const CHECK_INTERVAL: Milliseconds = 250;
+/** Others get this long to be elected. */
+const PAUSE: Milliseconds = 3000;
 
 /** This process's part in the election. */
 export interface Election {
@@ -26,6 +28,8 @@
   leads(): boolean;
   /** Gives the leadership up and does not stand again. */
   resign(): Promise<void>;
+  /** Steps down, and leaves the next election to others. */
+  pause(reason: string): void;
   /** Steps down because another leader was seen. */
   lose(reason: string): void;
 }
@@ -49,6 +53,7 @@
   let held: { epoch: number; lease: number; validUntil: number } | undefined;
   let busy = false;
   let resigned = false;
+  let pausedUntil = -Infinity;
 
   const leads = () => held !== undefined && clock.now() < held.validUntil;
 
@@ -122,7 +127,7 @@
     if (held && clock.now() >= held.validUntil) {
       lose("the lease may have ended");
     }
-    if (held || busy || resigned) return;
+    if (held || busy || resigned || clock.now() < pausedUntil) return;
     const stale = fields.staleRevision();
     if (stale === undefined && !fields.isVacant()) return;
     busy = true;
@@ -140,6 +145,10 @@
     epoch: () => held?.epoch,
     leads,
     lose,
+    pause: (reason) => {
+      pausedUntil = clock.now() + PAUSE;
+      lose(reason);
+    },
     resign: async () => {
       resigned = true;
       if (!held) return;
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -146,6 +146,7 @@
       epoch,
       leads: election.leads,
       onDeposed: () => election.lose("another process leads"),
+      onIsolated: () => election.pause("no agent is heard"),
       store,
       replica,
       policies: deployment
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -6,6 +6,7 @@
 
 import type { Instruments } from "@dragonflyledge/exposition";
 import type { Log } from "@dragonflyledge/log";
+import { MINUTE } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
 import { createLoop } from "@dragonflyledge/runtime";
@@ -20,6 +21,10 @@
 import { createProgressWriter } from "./writer.ts";
 
 const TICK: Milliseconds = 250;
+/** Addresses of agents that stay lost for this long are removed. */
+const AGENT_RETENTION: Milliseconds = MINUTE;
+/** A leader that hears no agent for this long may be the one that is cut off. */
+const ISOLATION_LIMIT: Milliseconds = 3000;
 /** Added to a grant before an agent's work counts as over. */
 const LOSS_MARGIN: Milliseconds = 300;
 
@@ -38,6 +43,8 @@
   epoch: number;
   leads: () => boolean;
   onDeposed: () => void;
+  /** Told when no agent is heard. */
+  onIsolated: () => void;
   store: KeyValue;
   replica: Replica;
   policies: Policies;
@@ -52,6 +59,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: fields.grant + LOSS_MARGIN,
+      agentRetention: AGENT_RETENTION,
       retention: fields.retention,
     },
   });
@@ -62,6 +70,7 @@
       log.error("The reducer failed.", { error: `${error}` }),
   });
   let ended = false;
+  let lastReport = clock.now();
   const writer = createProgressWriter({
     store: fields.store,
     epoch,
@@ -80,6 +89,7 @@
     timer,
     log,
     onReport: (agent, report) => {
+      lastReport = clock.now();
       const date = clock.date().getTime();
       dispatch({ kind: "report", now: clock.now(), agent, report, date });
     },
@@ -96,6 +106,9 @@
         return writer.write(effect.job);
       case "remove":
         return writer.remove(effect.job);
+      case "forget":
+        links.drop(effect.agent);
+        return writer.forget(effect.agent);
       case "orders":
         if (!fields.leads()) return;
         links.send(effect.agent, { kind: "orders", epoch, ...effect.orders });
@@ -145,6 +158,10 @@
   const tick = () => {
     if (ended) return;
     links.check();
+    const silence = clock.now() - lastReport;
+    if (silence > ISOLATION_LIMIT && replica.agents.size > 0) {
+      return fields.onIsolated();
+    }
     const date = clock.date().getTime();
     dispatch({ kind: "tick", now: clock.now(), date });
     timer.after(TICK, tick);
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -105,6 +105,13 @@
     }
   }
 
+  /** A write may have been confirmed while the list was on its way. */
+  function keepNewer(job: JobCopy, before: JobCopy | undefined): void {
+    if (!before || before.progressRevision <= job.progressRevision) return;
+    job.progressRevision = before.progressRevision;
+    job.progress = before.progress;
+  }
+
   function tryPut(item: Item): void {
     try {
       put(item);
@@ -134,11 +141,13 @@
     entries,
     leader: () => leader,
     replace: (items) => {
+      const before = new Map(jobs);
       jobs.clear();
       agents.clear();
       entries.clear();
       leader = undefined;
       items.forEach(tryPut);
+      for (const [id, job] of jobs) keepNewer(job, before.get(id));
     },
     apply: (changes) => {
       for (const change of changes) {
--- a/daemons/scheduler/writer.ts
+++ b/daemons/scheduler/writer.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Item, KeyValue } from "@dragonflyledge/platform";
 import {
+  agentKey,
   cancelKey,
   jobKey,
   LEADER_KEY,
@@ -26,7 +27,10 @@
 /** Writes what the scheduler decided. */
 export interface ProgressWriter {
   write(job: string): void;
+  /** Removes all records of a job. */
   remove(job: string): void;
+  /** Removes the address of an agent. */
+  forget(agent: string): void;
   stop(): void;
 }
 
@@ -46,7 +50,7 @@
 }): ProgressWriter {
   const { store, epoch, timer, log } = fields;
   const waiting = new Set<string>();
-  const removals = new Set<string>();
+  const removals: string[][] = [];
   const revisions = new Map<string, number>();
   let running = false;
   let stopped = false;
@@ -61,7 +65,7 @@
     if (running) return;
     running = true;
     await sleep(COLLECT_DELAY);
-    while (!stopped && waiting.size + removals.size > 0) {
+    while (!stopped && waiting.size + removals.length > 0) {
       const done = waiting.size > 0 ? await writeSome() : await removeSome();
       if (!done) await sleep(RETRY_DELAY);
     }
@@ -125,16 +129,19 @@
   }
 
   async function removeSome(): Promise<boolean> {
-    const job = [...removals][0]!;
-    removals.delete(job);
     const outcome = await store.commit({
       conditions: [leaderCondition],
       puts: [],
-      deletes: [jobKey(job), cancelKey(job), progressKey(job)],
+      deletes: removals[0],
     });
-    if (outcome.kind === "committed") return true;
-    removals.add(job);
-    return false;
+    if (outcome.kind !== "committed") return false;
+    removals.shift();
+    return true;
+  }
+
+  function remove(keys: string[]): void {
+    removals.push(keys);
+    void run();
   }
 
   return {
@@ -142,10 +149,8 @@
       waiting.add(job);
       void run();
     },
-    remove: (job) => {
-      removals.add(job);
-      void run();
-    },
+    remove: (job) => remove([jobKey(job), cancelKey(job), progressKey(job)]),
+    forget: (agent) => remove([agentKey(agent)]),
     stop: () => {
       stopped = true;
     },
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -32,6 +32,8 @@
 } from "@dragonflyledge/worker-control";
 
 const TICK: Milliseconds = 200;
+/** Without a leader's link for this long, the address is checked again. */
+const REGISTER_AGAIN_AFTER: Milliseconds = 10_000;
 const HEARTBEAT_LIMIT = 4 * MEBIBYTE;
 const HEARTBEAT_KEEP_ALIVE: Milliseconds = 60_000;
 
@@ -50,6 +52,7 @@
 }): RunningAgent {
   const { settings, clock, timer, log, instruments } = fields;
   const links = new Set<Link>();
+  let lastLinkAt = clock.now();
   const worker = createWorkerCalls({ address: settings.workerAddress, timer });
   const store = observeStore({
     store: createKeyValue({ address: settings.storeAddress, timer }),
@@ -178,20 +181,36 @@
     },
     onError: (error) => log.error("Links fail.", { error: `${error}` }),
   });
+  const key = agentKey(settings.name);
+  const address = `${settings.host}:${settings.linkPort}`;
+  let registering = false;
+
+  /** A leader forgets agents that it has not reached for long. */
+  async function registerAgain(): Promise<void> {
+    if (registering) return;
+    registering = true;
+    await register({
+      key,
+      address,
+      store,
+      timer,
+      onTrouble: () =>
+        log.warn("The store does not take the address.", { key }),
+    });
+    log.info("Registered.", { key, address });
+    lastLinkAt = clock.now();
+    registering = false;
+  }
+
   const tick = () => {
-    dispatch({ kind: "tick", now: clock.now() });
+    const now = clock.now();
+    dispatch({ kind: "tick", now });
+    if (links.size > 0) lastLinkAt = now;
+    else if (now - lastLinkAt > REGISTER_AGAIN_AFTER) void registerAgain();
     timer.after(TICK, tick);
   };
   tick();
-  const key = agentKey(settings.name);
-  const address = `${settings.host}:${settings.linkPort}`;
-  register({
-    key,
-    address,
-    store,
-    timer,
-    onTrouble: () => log.warn("The store does not take the address.", { key }),
-  }).then(() => log.info("Registered.", { key, address }));
+  void registerAgain();
   return {
     close: () => {
       heartbeats.close();
--- a/testing/processes/cluster.ts
+++ b/testing/processes/cluster.ts
@@ -207,6 +207,13 @@
     });
   }
 
+  /** Waits until a restarted entry answers. */
+  async function answers(entry: EntrySeat): Promise<void> {
+    await waitUntil(`${entry.id} answers`, START_LIMIT, async () => {
+      return await status(entry).then(() => true, () => false);
+    });
+  }
+
   /** Puts the configuration in force once all workers are known. */
   async function deploy(document: Configuration = configuration) {
     await waitUntil("every entry knows all workers", START_LIMIT, async () => {
@@ -289,6 +296,7 @@
     write,
     status,
     whole,
+    answers,
     deploy,
     command,
     submit,
--- a/testing/processes/daemon_process.ts
+++ b/testing/processes/daemon_process.ts
@@ -6,6 +6,7 @@
 
 import { spawn } from "node:child_process";
 import { readFile } from "node:fs/promises";
+import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { waitUntil } from "./wait.ts";
@@ -28,6 +29,8 @@
 export interface DaemonProcess {
   readonly pid: number;
   readonly lines: string[];
+  /** Milliseconds from the start to the first output, once there is any. */
+  readonly startTime: number | undefined;
   /** Set when the process has ended. */
   readonly ending: Ending | undefined;
   signal(name: "SIGTERM" | "SIGKILL"): void;
@@ -46,11 +49,14 @@
     stdio: ["ignore", "pipe", "pipe"],
   });
   const lines: string[] = [];
+  const spawnedAt = performance.now();
+  let startTime: number | undefined;
   let ending: Ending | undefined;
   let rest = "";
   const take = (chunk: Uint8Array) => {
     const parts = (rest + String(chunk)).split("\n");
     rest = parts.pop() ?? "";
+    startTime ??= performance.now() - spawnedAt;
     lines.push(...parts);
     if (lines.length > LINE_LIMIT) lines.splice(0, lines.length - LINE_LIMIT);
   };
@@ -74,6 +80,9 @@
   return {
     pid: child.pid!,
     lines,
+    get startTime() {
+      return startTime;
+    },
     get ending() {
       return ending;
     },
