--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -5,6 +5,7 @@
  */
 
 import { createScheduler } from "./reducer.ts";
+import { parseTask } from "./job.ts";
 import type { JobProgress, JobRequest, Step } from "./job.ts";
 import type {
   AgentReport,
@@ -121,6 +122,12 @@
     orders: (index: number) => workers[index]!.orders,
     starts: (index: number) => workers[index]!.orders?.starts ?? [],
     stops: (index: number) => workers[index]!.orders?.stops ?? [],
+    /** Accelerators that one task asks for. */
+    acceleratorsOf: (task: string): number => {
+      const name = parseTask(task)!;
+      const job = scheduler.state.jobs.get(name.job)!;
+      return job.request.steps[name.step]!.accelerators;
+    },
     running: (index: number) => workers[index]!.running,
     status: (job: string) => scheduler.snapshot(job)?.progress.status,
     progress: (job: string) => scheduler.snapshot(job)!.progress,
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -6,8 +6,9 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
-import type { AgentOrders } from "@dragonflyledge/scheduler";
 import { leaseUntil, noteExtension } from "./lease.ts";
+import { log } from "./log.ts";
+import { takeOrders } from "./orders.ts";
 import { checkListed, pumpRuns } from "./run_control.ts";
 import { ControlPhase } from "./state.ts";
 import type {
@@ -88,80 +89,6 @@
   }
 }
 
-function takeOrders(
-  state: ControlState,
-  orders: AgentOrders,
-  now: Milliseconds,
-): void {
-  if (orders.epoch < state.epoch) return;
-  if (orders.epoch > state.epoch) {
-    state.epoch = orders.epoch;
-    log(state, "New leader.", { epoch: orders.epoch });
-  }
-  const grantEnd = orders.answersReport + state.times.grant;
-  state.grantEnd = Math.max(state.grantEnd, grantEnd);
-  const { worker } = state;
-  if (!worker || worker.state.key !== orders.worker) return;
-  worker.acknowledged = Math.max(worker.acknowledged, orders.acknowledged);
-  worker.ended = worker.ended.filter((e) => e.number > worker.acknowledged);
-  const wanted = new Set<string>();
-  for (const order of orders.starts) {
-    const key = runKey(order);
-    wanted.add(key);
-    if (state.runs.has(key)) continue;
-    state.runs.set(key, createControl(state, key, order, now));
-  }
-  for (const name of orders.stops) {
-    const key = runKey(name);
-    wanted.add(key);
-    const control = state.runs.get(key);
-    if (control) control.stopWanted = true;
-    else {
-      state.runs.set(key, {
-        ...emptyControl(now),
-        name,
-        phase: ControlPhase.Listed,
-        stopWanted: true,
-      });
-    }
-  }
-  for (const [key, control] of state.runs) {
-    const over = control.phase === ControlPhase.Refused ||
-      control.phase === ControlPhase.Absent ||
-      (control.stopWanted && !control.calling);
-    if (over && !wanted.has(key)) state.runs.delete(key);
-  }
-}
-
-function emptyControl(now: Milliseconds) {
-  return {
-    stopWanted: false,
-    calling: false,
-    unanswered: 0,
-    nextCall: now,
-    answeredAt: 0,
-    reason: "",
-  };
-}
-
-function createControl(
-  state: ControlState,
-  key: string,
-  order: AgentOrders["starts"][number],
-  now: Milliseconds,
-) {
-  const draining = state.worker?.state.draining ?? true;
-  if (draining) state.reportDue = true;
-  log(state, "Start ordered.", { run: key, draining });
-  return {
-    ...emptyControl(now),
-    name: { task: order.task, run: order.run },
-    order,
-    phase: draining ? ControlPhase.Refused : ControlPhase.Starting,
-    reason: draining ? "draining" : "",
-  };
-}
-
 function takeLists(
   state: ControlState,
   event: Extract<ControlEvent, { kind: "held" }>,
@@ -325,11 +252,3 @@
     },
   });
 }
-
-function log(
-  state: ControlState,
-  text: string,
-  fields: Record<string, string | number | boolean>,
-): void {
-  state.effects.push({ kind: "log", level: "info", text, fields });
-}
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -6,6 +6,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { unknownLeaseBound } from "./lease.ts";
+import { log } from "./log.ts";
 import type { Announcement, ControlledWorker, ControlState } from "./state.ts";
 
 /** Takes a heartbeat; late ones and those of earlier incarnations are ignored. */
@@ -28,7 +29,7 @@
     };
     if (drains) {
       state.reportDue = true;
-      log(state, "Worker drains.", key);
+      log(state, "Worker drains.", { worker: key });
     }
     return;
   }
@@ -84,7 +85,7 @@
   worker.leftAt = now;
   worker.state = { ...worker.state, draining: true, remaining: 0 };
   state.reportDue = true;
-  log(state, "Worker leaves.", worker.state.key);
+  log(state, "Worker leaves.", { worker: worker.state.key });
 }
 
 function control(
@@ -97,13 +98,9 @@
   state.emptied = [];
   state.hold = { calling: false, next: now, failures: 0 };
   state.reportDue = true;
-  log(state, "Worker announced.", worker.state.key);
+  log(state, "Worker announced.", { worker: worker.state.key });
 }
 
 function workerKey(id: string, born: Milliseconds): string {
   return `${id}@${born}`;
 }
-
-function log(state: ControlState, text: string, worker: string): void {
-  state.effects.push({ kind: "log", level: "info", text, fields: { worker } });
-}
--- a/observe/exposition/counting_log.ts
+++ b/observe/exposition/counting_log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { createLevels } from "@dragonflyledge/log";
 import type { Log } from "@dragonflyledge/log";
 import type { Instruments } from "./instruments.ts";
 
@@ -16,12 +17,8 @@
     instruments.increment("log_lines_total", { level, text });
     log.write(level, text, extra);
   };
-  return {
+  return createLevels({
     write,
-    debug: (text, extra) => write("debug", text, extra),
-    info: (text, extra) => write("info", text, extra),
-    warn: (text, extra) => write("warn", text, extra),
-    error: (text, extra) => write("error", text, extra),
     part: (part) => createCountingLog({ log: log.part(part), instruments }),
-  };
+  });
 }
--- a/observe/log/bounded_log.ts
+++ b/observe/log/bounded_log.ts
@@ -6,6 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Clock } from "@dragonflyledge/model";
+import { createLevels } from "./log.ts";
 import type { Log } from "./log.ts";
 
 interface Window {
@@ -44,13 +45,9 @@
     log.write(level, text, extra);
   };
 
-  return {
+  return createLevels({
     write,
-    debug: (text, extra) => write("debug", text, extra),
-    info: (text, extra) => write("info", text, extra),
-    warn: (text, extra) => write("warn", text, extra),
-    error: (text, extra) => write("error", text, extra),
     part: (part) =>
       createBoundedLog({ log: log.part(part), clock, linesPerSecond }),
-  };
+  });
 }
--- a/observe/log/log.ts
+++ b/observe/log/log.ts
@@ -59,18 +59,24 @@
       // The format keeps percent signs of the text.
       logger[level]({ ...prepare(extra), part }, "%s", message);
     };
-    return {
-      write,
-      debug: (text, extra) => write("debug", text, extra),
-      info: (text, extra) => write("info", text, extra),
-      warn: (text, extra) => write("warn", text, extra),
-      error: (text, extra) => write("error", text, extra),
-      part: forPart,
-    };
+    return createLevels({ write, part: forPart });
   };
   return forPart(fields.part);
 }
 
+/** Returns a log with a function for each level, from one that writes all. */
+export function createLevels(fields: Pick<Log, "write" | "part">): Log {
+  const { write, part } = fields;
+  return {
+    write,
+    debug: (text, extra) => write("debug", text, extra),
+    info: (text, extra) => write("info", text, extra),
+    warn: (text, extra) => write("warn", text, extra),
+    error: (text, extra) => write("error", text, extra),
+    part,
+  };
+}
+
 /** Redacts, and renames fields that would replace those of bunyan. */
 function prepare(fields: LogFields): LogFields {
   const redacted = redact(fields) as LogFields;
--- a/observe/log/mod.ts
+++ b/observe/log/mod.ts
@@ -6,5 +6,5 @@
 
 export { createBoundedLog } from "./bounded_log.ts";
 export { createDroppingStream } from "./dropping_stream.ts";
-export { createLog, Part } from "./log.ts";
+export { createLevels, createLog, Part } from "./log.ts";
 export type { Log, LogFields } from "./log.ts";
