Test the real programs against stand-ins of the platform

Entries and agents run as processes with a stand-in of the store and of workers: a job that is sent twice runs once; work goes on when the leader is killed; running work outlives a silent store, and a refusal meanwhile is true; processes stop and start again without loss. Each checks that every task is done once.

--- /dev/null
+++ b/testing/platform/programs_test.ts
@@ -0,0 +1,158 @@
+import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
+import { performance } from "node:perf_hooks";
+import { test } from "tap";
+import type { Test } from "tap";
+import { startPrograms } from "./mod.ts";
+import type { Programs } from "./mod.ts";
+
+/** Stated bound of recovery after a fault. */
+const RECOVERY = 12_000;
+const START_LIMIT = 20_000;
+const POLL = 50;
+
+const jobId = (number: number) => number.toString(16).padStart(16, "0");
+const path = (number: number) => `/plans/${jobId(number)}`;
+const job = {
+  spec: "text",
+  steps: [{ count: 3, cpu: 1000, memMb: 10, gpu: 1 }],
+};
+
+async function until(
+  what: string,
+  limit: number,
+  holds: () => Promise<boolean>,
+): Promise<void> {
+  const end = performance.now() + limit;
+  while (!await holds()) {
+    if (performance.now() > end) throw new Error(`not in ${limit} ms: ${what}`);
+    await sleep(POLL);
+  }
+}
+
+async function start(t: Test, duration: number): Promise<Programs> {
+  const programs = await startPrograms({ entries: 2, agents: 2, duration });
+  t.teardown(() => programs.stop());
+  await until("entries answer", START_LIMIT, async () => {
+    for (const entry of programs.entries) {
+      const { status } = await programs.call(entry, "GET", "/plans/");
+      if (status !== 200) return false;
+    }
+    return true;
+  });
+  return programs;
+}
+
+async function stateAt(programs: Programs, entry: number, number: number) {
+  const seat = programs.entries[entry]!;
+  const { status, body } = await programs.call(seat, "GET", path(number));
+  return status === 200 ? JSON.parse(body).state : status;
+}
+
+function checkOnce(t: Test, programs: Programs, tasks: number): void {
+  const done = programs.workers.flatMap((worker) => worker.done);
+  t.equal(done.length, tasks, "each task is done");
+  t.equal(new Set(done).size, tasks, "and only once");
+}
+
+// Guards against a job that is run twice, or that one entry doesn't know.
+test("a job that is sent twice runs once, and every entry knows it", async (t) => {
+  const programs = await start(t, 300);
+  const { entries, call } = programs;
+  t.equal((await call(entries[0]!, "POST", path(1), job)).status, 200);
+  t.equal((await call(entries[1]!, "POST", path(1), job)).status, 200);
+  await until("the job is done", RECOVERY, async () => {
+    const states = [
+      await stateAt(programs, 0, 1),
+      await stateAt(programs, 1, 1),
+    ];
+    return states.every((state) => state === "completed");
+  });
+  checkOnce(t, programs, 3);
+  t.equal(await stateAt(programs, 0, 2), 410, "another job is unknown");
+});
+
+// Guards against work that is lost or doubled when the leader dies.
+test("work goes on when the leader is killed", async (t) => {
+  const programs = await start(t, 1500);
+  const { entries, store, call } = programs;
+  await until(
+    "a leader",
+    START_LIMIT,
+    async () =>
+      await Promise.resolve(
+        store.get("dragonflyledge/out/leader") !== undefined,
+      ),
+  );
+  const name = store.get("dragonflyledge/out/leader")!;
+  const leader = entries.findIndex((entry) => entry.name === name);
+  const other = 1 - leader;
+  t.equal((await call(entries[other]!, "POST", path(1), job)).status, 200);
+  await until(
+    "it runs",
+    RECOVERY,
+    async () => await stateAt(programs, other, 1) === "running",
+  );
+  entries[leader]!.child.kill("SIGKILL");
+  await once(entries[leader]!.child, "exit");
+  t.equal((await call(entries[other]!, "POST", path(2), job)).status, 200);
+  await until(
+    "both are done",
+    RECOVERY,
+    async () =>
+      await stateAt(programs, other, 1) === "completed" &&
+      await stateAt(programs, other, 2) === "completed",
+  );
+  checkOnce(t, programs, 6);
+  const started = programs.workers.flatMap((worker) => worker.started);
+  t.equal(started.length, 6, "running tasks were left alone");
+});
+
+// Guards against work that ends with the store, and against false refusals.
+test("running work outlives the store, and refusals are true", async (t) => {
+  const programs = await start(t, 4000);
+  const { entries, store, call } = programs;
+  t.equal((await call(entries[0]!, "POST", path(1), job)).status, 200);
+  await until(
+    "it runs",
+    RECOVERY,
+    async () => await stateAt(programs, 0, 1) === "running",
+  );
+  store.silent = true;
+  await sleep(2500);
+  const answer = await call(entries[0]!, "POST", path(2), job);
+  t.equal(answer.status, 503, "the store is known to be away");
+  await sleep(2500);
+  store.silent = false;
+  await until(
+    "the first is done",
+    RECOVERY,
+    async () => await stateAt(programs, 0, 1) === "completed",
+  );
+  checkOnce(t, programs, 3);
+  t.equal(await stateAt(programs, 0, 2), 410, "what was refused is unknown");
+});
+
+// Guards against a stop that takes running work along.
+test("agents and entries stop and start again without loss", async (t) => {
+  const programs = await start(t, 2500);
+  const { entries, agents, call } = programs;
+  t.equal((await call(entries[0]!, "POST", path(1), job)).status, 200);
+  await until(
+    "it runs",
+    RECOVERY,
+    async () => await stateAt(programs, 0, 1) === "running",
+  );
+  for (const seat of [...agents, entries[1]!]) {
+    seat.child.kill("SIGTERM");
+    const [code] = await once(seat.child, "exit");
+    t.equal(code, 0, `${seat.name} ends by itself`);
+    seat.start();
+  }
+  await until(
+    "it is done",
+    RECOVERY,
+    async () => await stateAt(programs, 0, 1) === "completed",
+  );
+  checkOnce(t, programs, 3);
+});
