--- a/core/scheduler/scheduler_test.ts
+++ b/core/scheduler/scheduler_test.ts
@@ -216,3 +216,82 @@
   t.same(jobs.map((each) => each.size), [1, 1]);
   t.end();
 });
+
+// Guards against occurrences that start early, twice or not at all.
+test("each occurrence starts when it is due, and the last one completes", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit({
+    ...request({ id: "a", steps: [step({})] }),
+    schedule: { first: 1000, interval: 2000, occurrences: 2 },
+  });
+  fleet.advance(500);
+  t.same(fleet.starts(0), []);
+  fleet.advance(500);
+  t.match(fleet.starts(0), [{ task: "a.0.0.0" }]);
+  fleet.runStarts();
+  fleet.end(0, 0, "done");
+  t.equal(fleet.status("a"), "running");
+  fleet.advance(2000);
+  t.match(fleet.starts(0), [{ task: "a.1.0.0" }]);
+  fleet.runStarts();
+  fleet.end(0, 0, "done");
+  t.equal(fleet.status("a"), "completed");
+  t.end();
+});
+
+// Guards against a service that stays down because one of its tasks ended.
+test("a long-running task starts again however it ends", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const lasting = step({ longRunning: true });
+  fleet.submit(request({ id: "a", steps: [lasting], maxAttempts: 1 }));
+  for (const ending of ["failed", "done", "failed"] as const) {
+    fleet.runStarts();
+    fleet.end(0, 0, ending);
+    fleet.advance(6000);
+    t.equal(fleet.starts(0).length, 1, ending);
+  }
+  t.equal(fleet.status("a"), "running");
+  t.end();
+});
+
+// Guards against gangs that run several times slower across racks.
+test("a gang that asks for one rack gets one", (t) => {
+  const fleet = createFleet({ workers: 6 });
+  fleet.submit(request({ id: "a", steps: [step({ accelerators: 8 })] }));
+  fleet.runStarts();
+  const gang = step({ count: 3, accelerators: 8, gang: true, sameRack: true });
+  fleet.submit(request({ id: "b", steps: [gang] }));
+  const used = [0, 1, 2, 3, 4, 5]
+    .filter((index) => fleet.starts(index).length > 0);
+  t.equal(used.length, 3);
+  t.equal(new Set(used.map((index) => Math.floor(index / 3))).size, 1);
+  t.end();
+});
+
+// Guards against work far from its data, and on workers without its label.
+test("work goes to its data, and only to workers with its label", (t) => {
+  const fleet = createFleet({ workers: 6 });
+  fleet.submit(request({ id: "near", steps: [step({ dataRack: "rack-1" })] }));
+  const racks = [0, 1, 2, 3, 4, 5]
+    .filter((index) => fleet.starts(index).length > 0)
+    .map((index) => Math.floor(index / 3));
+  t.same(racks, [1]);
+  fleet.runStarts();
+  fleet.submit(request({ id: "rare", steps: [step({ label: "rare" })] }));
+  fleet.advance(20_000);
+  t.equal(fleet.status("rare"), "queued");
+  t.end();
+});
+
+// Guards against work that begins anew although it was saved.
+test("a start goes on from the last checkpoint", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const saving = step({ checkpointing: true });
+  fleet.submit(request({ id: "a", steps: [saving] }));
+  fleet.runStarts();
+  fleet.running(0)[0]!.checkpoint = "saved-1";
+  fleet.advance(500);
+  fleet.end(0, 0, "lapsed");
+  t.match(fleet.starts(0), [{ run: 2, checkpoint: "saved-1" }]);
+  t.end();
+});
