--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -4,12 +4,13 @@
  * @module
  */
 
+import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { createProgress, isFinal, JobStatus, TaskPhase } from "./job.ts";
 import type { JobProgress, JobRequest } from "./job.ts";
 import { ordersOf } from "./orders.ts";
 import { plan } from "./plan.ts";
-import { createDueOccurrences, finishJob } from "./progress.ts";
+import { createDueOccurrences, finishJob, markChanged } from "./progress.ts";
 import { applyReport, loseAgent, releaseAcknowledged } from "./reports.ts";
 import { addRun, stopRun } from "./runs.ts";
 import type {
@@ -21,6 +22,9 @@
   SchedulerTimes,
 } from "./state.ts";
 
+/** Interval at which the checkpoints of running tasks are stored. */
+const CHECKPOINT_INTERVAL: Milliseconds = 2 * SECOND;
+
 /** Decides about all jobs while this process leads. */
 export interface Scheduler {
   reduce(event: SchedulerEvent): SchedulerEffect[];
@@ -41,6 +45,8 @@
     agents: new Map(),
     workers: new Map(),
     runs: new Map(),
+    unsavedJobs: new Set(),
+    savedAt: 0,
     planDue: false,
     changedAgents: new Set(),
     changedJobs: new Set(),
@@ -208,6 +214,7 @@
   date: Milliseconds,
 ): void {
   checkAgents(state, now);
+  saveCheckpoints(state, now);
   for (const job of state.active) createDueOccurrences({ state, job, date });
   for (const job of state.jobs.values()) {
     const { status, finishedAt } = job.progress;
@@ -218,6 +225,16 @@
   }
 }
 
+/** A new leader goes on from what the store holds. */
+function saveCheckpoints(state: SchedulerState, now: Milliseconds): void {
+  if (now - state.savedAt < CHECKPOINT_INTERVAL) return;
+  state.savedAt = now;
+  for (const job of state.unsavedJobs) {
+    if (state.active.has(job)) markChanged(state, job);
+  }
+  state.unsavedJobs.clear();
+}
+
 function checkAgents(state: SchedulerState, now: Milliseconds): void {
   const { agentLoss, agentRetention } = state.times;
   for (const agent of state.agents.values()) {
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -168,8 +168,11 @@
       run.confirmed = true;
       run.percent = running.percent;
       const task = findTask(run.job, run.task);
-      if (running.checkpoint !== "" && task?.run === run.run) {
+      const newer = running.checkpoint !== "" && task?.run === run.run &&
+        task.checkpoint !== running.checkpoint;
+      if (newer) {
         task.checkpoint = running.checkpoint;
+        state.unsavedJobs.add(run.job);
       }
     } else adoptRunning(state, worker, running, now);
   }
--- a/core/scheduler/scheduler_test.ts
+++ b/core/scheduler/scheduler_test.ts
@@ -295,3 +295,20 @@
   t.match(fleet.starts(0), [{ run: 2, checkpoint: "saved-1" }]);
   t.end();
 });
+
+// Guards against progress that is lost with the leader, or with all machines.
+test("checkpoints of running tasks are stored at intervals", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const saving = step({ checkpointing: true });
+  fleet.submit(request({ id: "a", steps: [saving] }));
+  fleet.runStarts();
+  const version = () => fleet.scheduler.snapshot("a")!.version;
+  fleet.advance(2500);
+  const before = version();
+  fleet.running(0)[0]!.checkpoint = "saved-1";
+  fleet.advance(2500);
+  t.equal(version(), before + 1);
+  fleet.advance(5000);
+  t.equal(version(), before + 1, "nothing is written without a new one");
+  t.end();
+});
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -122,6 +122,10 @@
   agents: Map<string, Agent>;
   workers: Map<string, Worker>;
   runs: Map<string, Run>;
+  /** Jobs with checkpoints that the store does not hold yet. */
+  unsavedJobs: Set<Job>;
+  /** When checkpoints were last given to the store. */
+  savedAt: Milliseconds;
   /** Something changed that may let waiting work start. */
   planDue: boolean;
   /** Agents that are to be sent new orders. */
