--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -156,7 +156,7 @@
   }
 
   const heartbeats = listenHttp({
-    address: settings.heartbeatAddress,
+    address: settings.heartbeatListener,
     bodyLimit: () => HEARTBEAT_LIMIT,
     keepAlive: HEARTBEAT_KEEP_ALIVE,
     handle,
