--- a/testing/processes/leaving_test.ts
+++ b/testing/processes/leaving_test.ts
@@ -45,6 +45,15 @@
       return executions.some((one) =>
         one.ended === undefined && one.body.includes("6000")
       );
+    }).catch((cause) => {
+      const seen = agents.map(({ id, endpoint }) => {
+        const found = endpoint.executions
+          .filter((one) => one.body.includes("6000"));
+        const ended = found.filter((one) => one.ended !== undefined);
+        return `${id}: ${found.length} begun, ${ended.length} ended`;
+      });
+      const outcomes = JSON.stringify(callers.outcomes());
+      throw new Error(`${cause.message}; ${seen.join(", ")}; ${outcomes}`);
     });
     agent.process.signal("SIGTERM");
     const asked = performance.now();
