Let leaving_test send until the leaving agent has a long request

Cause of the listed failure: the test sent six long requests and took for granted that one of three agents gets one of them. Each entry spreads its requests by its own counts, so all six may run at the other two. Shown: a probe sent six long requests 25 times beside the same load on two entries and three agents; 4 of 75 counts of one agent were zero, and all 150 requests were answered done. Ruled out: a refused or late request (all were begun within 1.2 s), the start of the agent (the probe had one start). Now a further request is sent every half second until one runs there, within the same 5 s; the checks on the stop and on all answers are unchanged.

--- a/testing/processes/leaving_test.ts
+++ b/testing/processes/leaving_test.ts
@@ -9,6 +9,8 @@
 
 const SEED = 51;
 const SHORT: Work = { team: "fry-floor", class: "shift-plan", runMs: 20 };
+/** A further long request is sent every half second until one runs there. */
+const CHECKS_PER_SEND = 25;
 /** The answers do not fit into the buffers of a connection. */
 const LONG: Work = {
   ...SHORT,
@@ -41,7 +43,13 @@
     const long = Array.from({ length: 6 }, (_, at) => callers.send(LONG, at));
     const agent = agents[count]!;
     const { executions } = agent.endpoint;
+    // Each entry spreads requests by its own counts, so that any six of them
+    // may all run at the other two agents.
+    let checks = 0;
     await waitUntil("a long request runs there", 5000, () => {
+      if (++checks % CHECKS_PER_SEND === 0) {
+        long.push(callers.send(LONG, long.length));
+      }
       return executions.some((one) =>
         one.ended === undefined && one.body.includes("6000")
       );
