Store the cancel of a job that the store does not hold yet

Cause: a submission without an answer may be stored seconds later. A cancel in between was answered 410, which callers take as the end of the job, and the job then ran. Now the cancel is stored first, for two minutes, under the condition that the job is still absent. If the job has landed, it is cancelled as usual; if the store gives no answer, the caller gets 504. Ruled out: refusing the later write (its condition would have to name the cancel key, and a submission that was sent before does not).

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { SECOND } from "@dragonflyledge/model";
+import { MINUTE, SECOND } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
 import {
@@ -39,6 +39,8 @@
 /** Attempts of a write that the store refuses or leaves unanswered. */
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY: Milliseconds = 100;
+/** How long a cancel is kept for a job that the store does not hold. */
+const FORESTALL_PERIOD: Milliseconds = 2 * MINUTE;
 /** Told to callers whose request has not run. */
 const RETRY_AFTER = { "retry-after": "1" };
 const UNAVAILABLE: Answer = {
@@ -259,12 +261,41 @@
   async function cancel(call: Call): Promise<Answer> {
     const known = replica.status(call.id) ?? await lookUp(call);
     if (known === "unavailable") return UNAVAILABLE;
-    if (known === undefined) return { status: Status.Gone };
+    if (known === undefined) return await forestall(call);
     const result = await create(call, cancelKey(call.id), new Uint8Array());
     log.info("Cancel answered.", { job: call.id, result });
     return toAnswer(result);
   }
 
+  /**
+   * A submission without an answer may still be stored after the caller has
+   * been told that there is no such job. A cancel that the store holds before
+   * keeps the job from running.
+   */
+  async function forestall(call: Call): Promise<Answer> {
+    const lease = await store.grant(FORESTALL_PERIOD);
+    if (lease.isErr()) return UNAVAILABLE;
+    const key = cancelKey(call.id);
+    const outcome = await store.commit({
+      conditions: [{ key: jobKey(call.id), revision: 0 }],
+      puts: [{ key, value: new Uint8Array(), lease: lease.value }],
+    });
+    log.info("Cancel of an unknown job.", {
+      job: call.id,
+      outcome: outcome.kind,
+    });
+    switch (outcome.kind) {
+      case "committed":
+        return { status: Status.Gone };
+      case "conflict":
+        return toAnswer(await create(call, key, new Uint8Array()));
+      case "unknown":
+        return UNCERTAIN;
+      default:
+        return UNAVAILABLE;
+    }
+  }
+
   return { answer, answerLocally };
 }
 
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { PassThrough } from "node:stream";
+import { encode } from "cbor-x";
 import { test } from "tap";
 import { err, ok } from "neverthrow";
 import { createLog, Part } from "@dragonflyledge/log";
@@ -31,6 +32,7 @@
         commits.shift() ?? { kind: "committed", revision: 5 } as const,
       );
     },
+    grant: () => Promise.resolve(ok(1)),
     read: () => {
       reads++;
       return Promise.resolve(fields.storeFails ? err(refused) : ok(undefined));
@@ -156,6 +158,36 @@
   t.equal(replica.status(ID), JobStatus.Cancelled);
 });
 
+// Guards against a job that runs after its caller was told that there is none.
+test("a cancel also holds for a submission that lands later", async (t) => {
+  const { api, keys, replica } = create({});
+  t.equal((await api.answer(call("DELETE"))).status, 410);
+  t.same(keys, [cancelKey(ID)]);
+  replica.apply(
+    [cancelKey(ID), jobKey(ID)].map((key, index) => ({
+      kind: "put",
+      item: { key, value: encode({ id: ID }), revision: 6 + index },
+    })),
+  );
+  t.equal(replica.status(ID), JobStatus.Cancelled);
+});
+
+// Guards against "no such job" while it is not known whether it may run.
+test("a cancel of an unknown job is told as the store took it", async (t) => {
+  const item = { key: jobKey(ID), value: encode({ id: ID }), revision: 6 };
+  const conflict = { kind: "conflict", items: new Map([[item.key, item]]) };
+  for (
+    const [commits, status] of [
+      [[unknown], 504],
+      [[refused], 503],
+      [[conflict as CommitOutcome], 200],
+    ] as const
+  ) {
+    const { api } = create({ commits: [...commits] });
+    t.equal((await api.answer(call("DELETE"))).status, status);
+  }
+});
+
 // Guards against callers without a key, and paths without a queue.
 test("queues and keys decide who is heard", async (t) => {
   const { api } = create({});
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -123,6 +123,7 @@
   function remove(key: string): void {
     const { kind, id } = parseStoreKey(key);
     if (kind === "job") jobs.delete(id);
+    else if (kind === "cancel" && !jobs.get(id)?.request) jobs.delete(id);
     else if (kind === "agent") agents.delete(id);
     else if (kind === "entry") entries.delete(id);
     else if (kind === "leader") leader = undefined;
