Restart work whose agent is back without its worker

All side machines lose power at 27.5 s. Nine agents come back whose workers never do. The leader also took the former worker for reachable. Ruled out: a lost record or a change of leader (the runs are in the records and no start was refused); ends that were not reported (the other members of the gang are listed as broken at 27.7 s). Now an agent that has known no worker for a whole grant since its start says so, which proves that leases of an earlier process are over; and a worker that its agent does not know gets no work.

--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -27,6 +27,8 @@
   ended: EndedTask[];
   nextEnd: number;
   silent: boolean;
+  /** Its agent does not know it, and since when that proves something. */
+  away: "no" | "unknown" | "vacant";
   orders?: Extract<SchedulerEffect, { kind: "orders" }>["orders"];
 }
 
@@ -93,6 +95,7 @@
       ended: [],
       nextEnd: 1,
       silent: false,
+      away: "no",
     }),
   );
 
@@ -134,6 +137,10 @@
     silence: (index: number) => {
       workers[index]!.silent = true;
     },
+    /** The agent reports no worker. */
+    hide: (index: number, away: "unknown" | "vacant") => {
+      workers[index]!.away = away;
+    },
     /** Every ordered start runs, and is reported. */
     runStarts: () => {
       workers.forEach((worker, index) => {
@@ -193,7 +200,8 @@
     const report: AgentReport = {
       kind: "report",
       sentAt: now,
-      worker: {
+      vacant: worker.away === "vacant",
+      worker: worker.away !== "no" ? undefined : {
         key: `worker-${index}@1`,
         born: 1,
         service: "service",
@@ -206,7 +214,7 @@
         remaining: 0,
         reachable: true,
       },
-      listed: true,
+      listed: worker.away === "no",
       running: worker.running.map((running) => ({ ...running })),
       ended: worker.ended,
       refused: [],
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -81,6 +81,11 @@
   refused: RefusedStart[];
   /** Runs that are proven not to be on the worker, and never will be. */
   absent: RunName[];
+  /**
+   * No worker beside this agent can hold a lease: none is known, and those
+   * that an earlier process may have given are over.
+   */
+  vacant: boolean;
   /** Keys of worker incarnations on which nothing runs any more. */
   emptied: string[];
 }
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -37,7 +37,7 @@
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
   for (const key of report.emptied) emptyWorker(state, key, "worker emptied");
-  if (!report.worker) return;
+  if (!report.worker) return missWorker(state, agent, report);
   const worker = takeWorker(state, agent, report.worker);
   if (worker === undefined) return;
   if (report.listed) {
@@ -54,6 +54,26 @@
   releaseAcknowledged(state, worker);
 }
 
+/** Starts nothing on a worker that its agent does not know. */
+function missWorker(
+  state: SchedulerState,
+  agent: Agent,
+  report: AgentReport,
+): void {
+  const known = agent.worker;
+  if (known) known.state = { ...known.state, reachable: false };
+  if (!report.vacant) return;
+  loseRuns(state, agent, "no worker beside the agent");
+  if (known) state.workers.delete(known.state.key);
+  agent.worker = undefined;
+}
+
+function loseRuns(state: SchedulerState, agent: Agent, reason: string): void {
+  for (const run of [...state.runs.values()]) {
+    if (run.agent === agent.name) loseRun(state, run, reason);
+  }
+}
+
 /** Treats everything on a worker incarnation as over. */
 export function emptyWorker(
   state: SchedulerState,
@@ -68,9 +88,7 @@
 /** Removes an agent's worker, on which nothing can run any more. */
 export function loseAgent(state: SchedulerState, agent: Agent): void {
   agent.lost = true;
-  for (const run of [...state.runs.values()]) {
-    if (run.agent === agent.name) loseRun(state, run, "agent lost");
-  }
+  loseRuns(state, agent, "agent lost");
   if (agent.worker) state.workers.delete(agent.worker.state.key);
   agent.worker = undefined;
   state.effects.push({
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -54,6 +54,7 @@
   return {
     reduce: (event) => {
       state.effects = [];
+      state.startedAt ??= event.now;
       apply(state, event);
       expireLease(state, event.now);
       pumpHold(state, event.now);
@@ -226,6 +227,12 @@
   });
 }
 
+/** An earlier process of this agent had a grant when it ended, at most. */
+function isVacant(state: ControlState, now: Milliseconds): boolean {
+  return state.worker === undefined &&
+    now > (state.startedAt ?? now) + state.times.grant;
+}
+
 function report(state: ControlState, now: Milliseconds): void {
   if (!state.reportDue && now < state.lastReport + REPORT_INTERVAL) return;
   state.reportDue = false;
@@ -238,6 +245,7 @@
     report: {
       kind: "report",
       sentAt: now,
+      vacant: isVacant(state, now),
       worker: worker && { ...worker.state },
       listed: worker !== undefined && worker.listed && !gone,
       running: worker?.running ?? [],
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -94,6 +94,8 @@
 export interface ControlState {
   times: ControlTimes;
   epoch: number;
+  /** Time of the first event. */
+  startedAt?: Milliseconds;
   grantEnd: Milliseconds;
   worker?: ControlledWorker;
   runs: Map<string, RunControl>;
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -60,6 +60,15 @@
   return { control, reduce };
 }
 
+/** An agent that has heard of no worker. */
+function createWithoutWorker() {
+  const control = createWorkerControl({
+    times: { grant: 8000, longestLease: 10_000 },
+  });
+  control.reduce({ kind: "tick", now: 0 });
+  return control;
+}
+
 function kinds(effects: ControlEffect[]): string[] {
   return effects.map((effect) => effect.kind);
 }
@@ -208,3 +217,26 @@
   t.same(control.state.emptied, [WORKER]);
   t.end();
 });
+
+// Guards against work that never starts again: the machine of an agent lost
+// power, the agent is back, and its worker never comes back.
+test("an agent that knows no worker tells when none can run anything", (t) => {
+  const { reduce } = createWithoutWorker();
+  const vacantAt = (now: number) => {
+    const [effect] = reduce({ kind: "linked", now });
+    return effect?.kind === "report" && effect.report.vacant;
+  };
+  t.equal(vacantAt(100), false, "an earlier process may have given a lease");
+  t.equal(vacantAt(7900), false);
+  t.equal(vacantAt(8200), true, "its grant has ended");
+  const announced: ControlEvent = {
+    kind: "announced",
+    now: 8300,
+    announcement: announcement(),
+  };
+  const reports = reduce(announced).flatMap((effect) =>
+    effect.kind === "report" ? [effect.report.vacant] : []
+  );
+  t.same(reports, [false]);
+  t.end();
+});
