Count a gang's failure whichever member's end is listed first

A gang with a member that fails ran twelve times where three are allowed. Cause: when the end of a member that was broken off arrives before that of the one that failed, the latter's task is already ending and the failure was not counted. Now it counts, once for each run number, which the record keeps. Ruled out: failures lost with a change of leader (all ends of runs 1, 3 and 4 are in one leader's log, each with current=false).

--- a/core/scheduler/endings.ts
+++ b/core/scheduler/endings.ts
@@ -50,7 +50,7 @@
     return;
   }
   if (ended.checkpoint !== "") keepCheckpoint(run, ended.checkpoint);
-  if (current && ended.ending === RunEnding.Failed) countFailure(fields);
+  if (ended.ending === RunEnding.Failed) countFailure(fields);
   giveUp(state, run);
 }
 
@@ -118,7 +118,10 @@
     : tasks.slice(run.task.index, run.task.index + 1);
 }
 
-/** A gang fails as a whole; the failure of its first member counts. */
+/**
+ * A gang fails as a whole, once for each run, also if the end of a member that
+ * did not fail was listed before.
+ */
 function countFailure(fields: {
   state: SchedulerState;
   run: Run;
@@ -126,7 +129,13 @@
 }): void {
   const { state, run } = fields;
   const tasks = tasksOf(run);
-  for (const task of tasks) task.failures++;
+  const { failedRun, phase } = tasks[0]!;
+  if (run.run <= failedRun || phase === TaskPhase.Done) return;
+  for (const task of tasks) {
+    task.failures++;
+    task.failedRun = run.run;
+  }
+  markChanged(state, run.job);
   if (run.step.longRunning) return;
   if (tasks[0]!.failures < run.job.policy.maxAttempts) return;
   finishJob({
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -96,8 +96,10 @@
   agent: string;
   worker: string;
   checkpoint: string;
-  /** Runs that ended as failed. */
+  /** Runs that ended as failed; for a gang, those of all members. */
   failures: number;
+  /** Number of the latest run that was counted as failed. */
+  failedRun: number;
 }
 
 /** One repetition of all steps of a job. */
@@ -169,6 +171,7 @@
       worker: "",
       checkpoint: "",
       failures: 0,
+      failedRun: 0,
     }))
   );
   return { index: fields.index, steps };
--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -7,7 +7,7 @@
 import { JobStatus } from "./job.ts";
 import type { JobProgress, TaskPhase, TaskProgress } from "./job.ts";
 
-type TaskRow = [number, number, string, string, string, number];
+type TaskRow = [number, number, string, string, string, number, number];
 type OccurrenceRow = [number, TaskRow[][]];
 
 /** Plain arrays for an encoder. */
@@ -22,6 +22,7 @@
     task.worker,
     task.checkpoint,
     task.failures,
+    task.failedRun,
   ];
   return [
     progress.status,
@@ -43,6 +44,7 @@
     worker: task[3],
     checkpoint: task[4],
     failures: task[5],
+    failedRun: task[6] ?? 0,
   });
   const statuses: string[] = Object.values(JobStatus);
   return {
