Let one member's end complete a gang that lost another member

A worker crashed after its gang was done and before the leader could store that. The next leader first heard that one member's worker had been replaced and gave the gang up, then heard of the other member's end as done, ignored it as outdated, and acknowledged it. One end as done stands for the whole gang, so it now completes the gang as long as no later run was started. Ruled out: a start before the proof that the former run was over (all ends are in the leader's log before the second start).

--- a/core/scheduler/endings.ts
+++ b/core/scheduler/endings.ts
@@ -10,7 +10,14 @@
 import { RunEnding } from "./messages.ts";
 import type { EndedTask } from "./messages.ts";
 import { completeIfDone, finishJob, markChanged } from "./progress.ts";
-import { findTask, gangOf, isCurrent, removeRun, stopRun } from "./runs.ts";
+import {
+  findTask,
+  gangOf,
+  isCurrent,
+  isLatest,
+  removeRun,
+  stopRun,
+} from "./runs.ts";
 import type { Run, SchedulerState, Worker } from "./state.ts";
 
 /** A worker is avoided for this long after a failure. */
@@ -46,7 +53,7 @@
   if (ended.ending === RunEnding.Done) worker.failures = 0;
   if (ended.ending === RunEnding.Done && !run.step.longRunning) {
     removeRun(state, run);
-    if (current) markDone(fields);
+    if (isLatest(run)) markDone(fields);
     return;
   }
   if (ended.checkpoint !== "") keepCheckpoint(run, ended.checkpoint);
--- a/core/scheduler/endings_test.ts
+++ b/core/scheduler/endings_test.ts
@@ -52,3 +52,18 @@
   t.equal(fleet.starts(0).length + fleet.starts(1).length, 2);
   t.end();
 });
+
+// Guards against a gang that is done and runs again, or never again: its end
+// is heard from one worker after another member's worker is gone.
+test("the end of one member completes a gang that lost another", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  const gang = step({ count: 2, accelerators: 8, gang: true });
+  fleet.submit(request({ id: "a", steps: [gang] }));
+  fleet.runStarts();
+  fleet.hide(0, "vacant");
+  fleet.report(0);
+  t.equal(fleet.stops(1).length, 1, "the other member is to end");
+  fleet.end(1, 0, "done");
+  t.equal(fleet.status("a"), "completed");
+  t.end();
+});
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -88,13 +88,20 @@
   state.changedAgents.add(run.agent);
 }
 
-/** Whether the run is the latest one of a task that is not done. */
+/** Whether the run is the latest one of its task and was not given up. */
 export function isCurrent(run: Run): boolean {
   const task = findTask(run.job, run.task);
   return task !== undefined && task.phase === TaskPhase.Assigned &&
     task.run === run.run;
 }
 
+/** Whether no later run of its task was started, and none is done. */
+export function isLatest(run: Run): boolean {
+  const task = findTask(run.job, run.task);
+  return task !== undefined && task.phase !== TaskPhase.Done &&
+    task.run === run.run;
+}
+
 /** Asks for the end of a run; its capacity stays occupied until it ends. */
 export function stopRun(state: SchedulerState, run: Run): void {
   if (run.stopping) return;
