Prove a refused start with a stop where an earlier call may exist

All processes are killed; the new agent gets the order to start a run that its former process had started and that had ended as done, and the worker is draining. The agent refused the order at once, without having seen the worker's lists; the leader took that as proof, started the task elsewhere, and the first end was acknowledged later. Now a draining worker gets a stop in place of the start, and the refusal is told once a later list does not hold the run. The same goes for refusals by the worker in the first 12 s of an agent, in which calls of its former process may still be carried out. The test 'a draining worker gets no start' demanded the refusal without proof, which is the fault; the one in its place demands that no start is sent, that a stop is, and that the refusal follows the list. Ruled out: an end that the leader ignored (the run is lost with the reason 'start refused: draining' before its end is listed).

--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -75,13 +75,15 @@
   now: Milliseconds,
 ): RunControl {
   const draining = state.worker?.state.draining ?? true;
-  if (draining) state.reportDue = true;
   log(state, "Start ordered.", { run: key, draining });
   return {
     ...emptyControl(now),
     name: { task: order.task, run: order.run },
     order,
-    phase: draining ? ControlPhase.Refused : ControlPhase.Starting,
+    phase: ControlPhase.Starting,
+    // An earlier process may have started it, so that a stop has to prove that
+    // it does not run.
+    stopWanted: draining,
     reason: draining ? "draining" : "",
   };
 }
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -27,6 +27,8 @@
 const UNREACHABLE_AFTER = 2;
 /** A report is sent at least this often, to keep the grant. */
 const REPORT_INTERVAL: Milliseconds = 800;
+/** A call without an answer may be carried out so much later. */
+const LATEST_CALL: Milliseconds = 12_000;
 /** A worker that said it ends is gone after this. */
 const LEAVE_MARGIN: Milliseconds = 1000;
 
@@ -177,6 +179,9 @@
   else if (control.unanswered > 0) {
     // An earlier call may still be carried out; a stop prevents that.
     control.stopWanted = true;
+  } else if (isYoung(state, event.now)) {
+    control.stopWanted = true;
+    control.reason = outcome.reason;
   } else {
     // A run that has ended is refused too, and its end must be seen first.
     control.phase = ControlPhase.Refusing;
@@ -185,6 +190,11 @@
   }
 }
 
+/** Whether calls of an earlier process of this agent may still be under way. */
+function isYoung(state: ControlState, now: Milliseconds): boolean {
+  return now < (state.startedAt ?? now) + LATEST_CALL;
+}
+
 /** Reports a worker as empty once its lease is surely over. */
 function expireLease(state: ControlState, now: Milliseconds): void {
   const { worker } = state;
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -64,7 +64,9 @@
       state.reportDue = true;
     }
     if (control.phase === ControlPhase.Stopped) {
-      control.phase = ControlPhase.Absent;
+      control.phase = control.reason === ""
+        ? ControlPhase.Absent
+        : ControlPhase.Refused;
       state.reportDue = true;
     }
   }
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -69,6 +69,22 @@
   return control;
 }
 
+/** The worker takes the stop of the first run, then lists nothing. */
+function stopAndList(
+  reduce: (event: ControlEvent) => ControlEffect[],
+  now: number,
+) {
+  reduce({
+    kind: "stopAnswered",
+    now,
+    worker: WORKER,
+    run: "a.0.0.0#1",
+    stopped: true,
+  });
+  return reduce(held(now + 20, now + 10))
+    .flatMap((effect) => effect.kind === "report" ? [effect.report] : []);
+}
+
 function kinds(effects: ControlEffect[]): string[] {
   return effects.map((effect) => effect.kind);
 }
@@ -186,8 +202,9 @@
   t.end();
 });
 
-// Guards against new work on a worker that leaves.
-test("a draining worker gets no start", (t) => {
+// Guards against new work on a worker that leaves, and against a task that
+// runs elsewhere while an earlier process of this agent has started it here.
+test("a draining worker gets a stop in place of a start", (t) => {
   const { control, reduce } = create();
   reduce({
     kind: "announced",
@@ -195,8 +212,38 @@
     announcement: announcement({ draining: true, sequence: 2 }),
   });
   reduce(held(10, 5));
-  reduce({ kind: "orders", now: 20, orders: orders({ starts: [START] }) });
+  const ordered = reduce({
+    kind: "orders",
+    now: 20,
+    orders: orders({ starts: [START] }),
+  });
+  t.notOk(kinds(ordered).includes("start"));
+  t.ok(kinds(ordered).includes("stop"));
+  const reports = stopAndList(reduce, 30);
   t.equal(control.state.runs.get("a.0.0.0#1")?.phase, "refused");
+  t.match(reports.at(-1), { refused: [{ run: 1, reason: "draining" }] });
+  t.end();
+});
+
+// Guards against the same while an earlier process's call is under way.
+test("a young agent proves a refusal with a stop", (t) => {
+  for (const [age, stops] of [[100, true], [12_100, false]] as const) {
+    const { control, reduce } = create();
+    const order = orders({ starts: [START], answersReport: age - 50 });
+    reduce({ kind: "orders", now: age, orders: order });
+    reduce(held(age + 10, age));
+    const refused = reduce({
+      kind: "startAnswered",
+      now: age + 20,
+      worker: WORKER,
+      run: "a.0.0.0#1",
+      outcome: { kind: "refused", reason: "room" },
+    });
+    t.equal(kinds(refused).includes("stop"), stops, `after ${age} ms`);
+    if (!stops) continue;
+    stopAndList(reduce, age + 30);
+    t.equal(control.state.runs.get("a.0.0.0#1")?.phase, "refused");
+  }
   t.end();
 });
 
