Add a fault soak of the real programs, and two tests of their output

The soak starts entries and agents as processes, puts a relay on each of their connections, and injects faults from outside them. What callers and workers see is compared with the promises while it runs. The relay also leaked: a socket that is reset after its end was sent is never closed by Node, which then spins at its exit.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,11 @@
 /**
  * Bundles one file for each role of the platform into `target/`.
  *
- * Usage: node scripts/bundle.mjs
+ * Usage: node scripts/bundle.mjs [directory]
  */
 import { readdirSync, readFileSync } from "node:fs";
 import { dirname, join, resolve } from "node:path";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
@@ -47,7 +48,7 @@
 await build({
   absWorkingDir: root,
   entryPoints: roles,
-  outdir: "target",
+  outdir: process.argv[2] ?? "target",
   bundle: true,
   platform: "node",
   target: "node20",
--- /dev/null
+++ b/testing/fakes/free_port.ts
@@ -0,0 +1,28 @@
+/**
+ * Ports for processes that tests start.
+ *
+ * @module
+ */
+
+import { createServer } from "node:net";
+
+/** Below the range that the system uses for outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+
+/** Returns a port that is free on all of the hosts just now. */
+export async function findPort(...hosts: string[]): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    const free = await Promise.all(hosts.map((host) => isFree(host, port)));
+    if (free.every(Boolean)) return port;
+  }
+}
+
+function isFree(host: string, port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
--- a/testing/fakes/mod.ts
+++ b/testing/fakes/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./etcd_server.ts";
+export * from "./free_port.ts";
 export type { Listening } from "./http.ts";
 export * from "./manual_clock.ts";
 export * from "./memory_model.ts";
--- a/testing/fakes/relay.ts
+++ b/testing/fakes/relay.ts
@@ -27,6 +27,8 @@
   cut(): void;
   /** While refused, new connections are reset at once. */
   refuse(refused: boolean): void;
+  /** While muted, new connections are accepted and carry nothing, for good. */
+  mute(muted: boolean): void;
   stop(): Promise<void>;
 }
 
@@ -53,6 +55,7 @@
   const bytes = { toTarget: 0, toCaller: 0 };
   let accepted = 0;
   let refused = false;
+  let muted = false;
 
   const server = createServer({ allowHalfOpen: false }, (caller) => {
     caller.on("error", () => {});
@@ -61,17 +64,21 @@
     const onward = connect(target.port, target.host ?? "127.0.0.1");
     const link = createLink(caller, onward);
     links.add(link);
-    caller.once("close", () => links.delete(link));
+    const forget = () => {
+      if (caller.closed && onward.closed) links.delete(link);
+    };
+    caller.once("close", forget);
+    onward.once("close", forget);
   });
 
   function createLink(caller: Socket, onward: Socket): Link {
-    const toTarget: Flow = { silent: false, delay: 0 };
-    const toCaller: Flow = { silent: false, delay: 0 };
+    const toTarget: Flow = { silent: muted, delay: 0 };
+    const toCaller: Flow = { silent: muted, delay: 0 };
     pass(caller, onward, toTarget, (size) => bytes.toTarget += size);
     pass(onward, caller, toCaller, (size) => bytes.toCaller += size);
     const cut = () => {
-      caller.resetAndDestroy();
-      onward.resetAndDestroy();
+      reset(caller);
+      reset(onward);
     };
     return { toTarget, toCaller, cut };
   }
@@ -137,9 +144,16 @@
     },
     cut: () => links.forEach((link) => link.cut()),
     refuse: (value) => void (refused = value),
+    mute: (value) => void (muted = value),
     stop() {
       links.forEach((link) => link.cut());
       return new Promise((resolve) => server.close(() => resolve()));
     },
   };
 }
+
+/** Node never closes a socket that is reset after its end has been sent. */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
--- a/testing/platform/json_server.ts
+++ b/testing/platform/json_server.ts
@@ -5,7 +5,7 @@
  */
 
 import { createServer } from "node:http";
-import type { IncomingMessage } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Buffer } from "node:buffer";
 
@@ -18,6 +18,7 @@
   path: string;
   query: URLSearchParams;
   body: Record<string, unknown>;
+  headers: IncomingHttpHeaders;
 }
 
 /** Status and body; undefined leaves the call without an answer. */
@@ -26,6 +27,8 @@
 /** A listening stand-in. */
 export interface JsonServer {
   address: string;
+  /** Closes all connections. */
+  cut(): void;
   stop(): Promise<void>;
 }
 
@@ -41,16 +44,21 @@
         path: url.pathname,
         query: url.searchParams,
         body: await readJson(request),
+        headers: request.headers,
       });
       if (!reply) return;
       response.writeHead(reply.status, { "content-type": "application/json" });
       response.end(reply.body === undefined ? "" : JSON.stringify(reply.body));
-    })();
+    })().catch((error) => {
+      // A caller that closes its connection is no error of the stand-in.
+      if (!request.destroyed) throw error;
+    });
   });
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   return {
     address: `${HOST}:${port}`,
+    cut: () => server.closeAllConnections(),
     stop: () =>
       new Promise((resolve) => {
         server.close(() => resolve());
--- /dev/null
+++ b/testing/platform/ledger_test.ts
@@ -0,0 +1,97 @@
+import { test } from "tap";
+import { createLedger } from "./soak/ledger.ts";
+import type { SoakStep } from "./soak/ledger.ts";
+
+const ID = "00000000000000c1";
+
+function create(steps: Partial<SoakStep>[]) {
+  let now = 0;
+  const ledger = createLedger({
+    now: () => now,
+    longestFault: 1000,
+    fails: () => false,
+  });
+  const entry = ledger.sent({
+    id: ID,
+    steps: steps.map((step) => ({
+      count: 1,
+      accelerators: 1,
+      duration: 100,
+      gang: false,
+      after: [],
+      ...step,
+    })),
+  });
+  const run = (task: string, number = 1) => ({
+    task: `${ID}.0.${task}`,
+    run: number,
+    startedAt: now,
+  });
+  const { observer } = ledger;
+  return {
+    ledger,
+    entry,
+    start: (worker: string, task: string, number = 1, used = 1) =>
+      observer.started({ worker, run: run(task, number), used }),
+    end: (worker: string, task: string, number = 1) =>
+      observer.ended({ worker, run: run(task, number), ending: "done" }),
+    note: (task: string, number = 1) =>
+      observer.noted({ run: run(task, number), ending: "done" }),
+    advance: (time: number) => {
+      now += time;
+    },
+    rules: () => ledger.violations.map((text) => text.split(" ")[0]),
+  };
+}
+
+// Guards against a soak that sees no broken promise.
+test("the ledger tells a task that runs twice", (t) => {
+  const beside = create([{}]);
+  beside.start("i-1", "0.0");
+  beside.start("i-2", "0.0", 2);
+  t.same(beside.rules(), ["TWICE"]);
+  const after = create([{}]);
+  after.start("i-1", "0.0");
+  after.end("i-1", "0.0");
+  after.start("i-2", "0.0", 2);
+  t.same(after.rules(), [], "an end that is lost with its worker");
+  after.note("0.0");
+  t.same(after.rules(), ["TWICE"], "an end that is noted later");
+  const gang = create([{ count: 2, gang: true }]);
+  gang.start("i-1", "0.0");
+  gang.start("i-2", "0.1");
+  gang.end("i-1", "0.0");
+  gang.note("0.0");
+  gang.end("i-2", "0.1");
+  gang.start("i-2", "0.1", 2);
+  t.same(gang.rules(), ["TWICE"], "one end stands for the gang");
+  t.end();
+});
+
+// Guards against the same for the other promises.
+test("the ledger tells other broken promises", (t) => {
+  const order = create([{}, { after: [0] }]);
+  order.start("i-1", "1.0");
+  t.same(order.rules(), ["ORDER"]);
+  const limit = create([{}]);
+  limit.start("i-1", "0.0", 1, 9);
+  t.same(limit.rules(), ["LIMIT"]);
+  const refused = create([{}]);
+  refused.ledger.answered(refused.entry, 503);
+  refused.start("i-1", "0.0");
+  refused.ledger.finish();
+  t.same(refused.rules(), ["REFUSED"]);
+  const lost = create([{}]);
+  lost.ledger.answered(lost.entry, 200);
+  lost.ledger.shown(ID, 410, "");
+  lost.ledger.shown(ID, 200, "completed");
+  lost.ledger.shown(ID, 200, "cancelled");
+  lost.ledger.shown(ID, 200, "failed");
+  t.same(lost.rules(), ["LOST", "MIXED", "LOST", "LOST"]);
+  const cancelled = create([{}]);
+  cancelled.entry.cancelledAt = 0;
+  cancelled.advance(4001);
+  cancelled.start("i-1", "0.0");
+  t.same(cancelled.rules(), ["UNASKED"]);
+  t.end();
+});
--- /dev/null
+++ b/testing/platform/operations_test.ts
@@ -0,0 +1,193 @@
+import { execFileSync } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { get } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { test } from "tap";
+import type { Test } from "tap";
+import { startPrograms } from "./mod.ts";
+import type { Programs } from "./mod.ts";
+
+const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
+const START_LIMIT = 20_000;
+const RECOVERY = 12_000;
+const POLL = 100;
+/** Time after which the programs know that the store is silent. */
+const SILENCE = 2500;
+/** A write takes effect after its caller has given up, by default after 3 s. */
+const LATENESS = 4000;
+const JOB = { spec: "text", steps: [{ count: 2, cpu: 1000, gpu: 1 }] };
+const page = readFileSync(join(ROOT, "docs/OPERATIONS.md"), "utf8");
+
+/** Starts programs whose tasks end as `ending`. */
+async function start(t: Test, ending: "done" | "failed"): Promise<Programs> {
+  const programs = await startPrograms({
+    entries: 2,
+    agents: 2,
+    duration: 0,
+    observer: {
+      accelerators: () => 1,
+      judge: ({ startedAt }, now) => now > startedAt + 100 ? ending : undefined,
+      started: () => {},
+      ended: () => {},
+      noted: () => {},
+    },
+  });
+  t.teardown(() => programs.stop());
+  await until(START_LIMIT, async () => {
+    for (const entry of programs.entries) {
+      const { status } = await programs.call(entry, "GET", "/plans/");
+      if (status !== 200) return false;
+    }
+    return true;
+  });
+  return programs;
+}
+
+async function until(limit: number, holds: () => Promise<boolean>) {
+  const end = performance.now() + limit;
+  while (!await holds()) {
+    if (performance.now() > end) throw new Error(`not within ${limit} ms`);
+    await sleep(POLL);
+  }
+}
+
+/** Runs the page's command on the output of all processes. */
+function explain(t: Test, programs: Programs, id: string): string {
+  const directory = mkdtempSync(join(tmpdir(), "dragonflyledge-"));
+  t.teardown(() => rmSync(directory, { recursive: true }));
+  const seats = [...programs.entries, ...programs.agents];
+  const files = seats.map(({ name, lines }) => {
+    const path = join(directory, `${name}.log`);
+    writeFileSync(path, lines.join("\n"));
+    return path;
+  });
+  const main = join(ROOT, "cli/command/dist/main.js");
+  const command = [main, "explain", id, ...files];
+  return execFileSync(process.execPath, command, { encoding: "utf8" });
+}
+
+/** Metrics of all entries, as text. */
+async function readMetrics(programs: Programs): Promise<string> {
+  const texts = programs.entries.map(({ metricsAddress }) =>
+    new Promise<string>((resolve, reject) => {
+      get(`http://${metricsAddress}/metrics`, (response) => {
+        let text = "";
+        response.on("data", (chunk) => text += chunk);
+        response.on("end", () => resolve(text));
+      }).on("error", reject);
+    })
+  );
+  return (await Promise.all(texts)).join("\n");
+}
+
+/** The part of the page on one kind of failure. */
+function section(title: string): string {
+  const start = page.indexOf(`**${title}**`);
+  const rest = page.slice(start + 2);
+  const end = rest.search(/\n\*\*|\n#/);
+  return end < 0 ? rest : rest.slice(0, end);
+}
+
+/** Checks that the page names what is found, and that it is found. */
+function follow(
+  t: Test,
+  fields: { title: string; found: string; marks: string[] },
+): void {
+  const text = section(fields.title);
+  for (const mark of fields.marks) {
+    t.ok(text.includes(mark), `the page names ${mark}`);
+    t.ok(fields.found.includes(mark), `${mark} is found`);
+  }
+}
+
+// Guards against a page that does not lead from a refusal to its cause.
+test("a refused job is traced to the store", async (t) => {
+  const programs = await start(t, "done");
+  const id = "00000000000000b1";
+  programs.store.silent = true;
+  await sleep(SILENCE);
+  const [entry] = programs.entries;
+  const { status } = await programs.call(entry!, "POST", `/plans/${id}`, JOB);
+  t.equal(status, 503);
+  const title = "Refused (503).";
+  const story = explain(t, programs, id);
+  follow(t, {
+    title,
+    found: story,
+    marks: ["Request passed to another entry.", "own=0"],
+  });
+  follow(t, {
+    title,
+    found: entry!.lines.join("\n"),
+    marks: ["The store does not answer."],
+  });
+  follow(t, {
+    title,
+    found: await readMetrics(programs),
+    marks: ["dragonflyledge_requests_total", 'status="503"'],
+  });
+});
+
+// Guards against a page that does not tell whether an uncertain job runs.
+test("a job without certainty is traced to its write", async (t) => {
+  const programs = await start(t, "done");
+  const id = "00000000000000b2";
+  programs.store.lost = 1;
+  programs.store.lateness = LATENESS;
+  const [entry, other] = programs.entries;
+  const path = `/plans/${id}`;
+  t.equal((await programs.call(entry!, "POST", path, JOB)).status, 504);
+  programs.store.lost = 0;
+  await until(RECOVERY, async () => {
+    const { body } = await programs.call(other!, "GET", path);
+    return body.includes("completed");
+  });
+  const title = "Late or without certainty (504).";
+  follow(t, {
+    title,
+    found: explain(t, programs, id),
+    marks: ["Submission answered.", "result=unknown", "Tasks placed."],
+  });
+  follow(t, {
+    title,
+    found: await readMetrics(programs),
+    marks: ["dragonflyledge_store_calls_total", 'outcome="unknown"'],
+  });
+});
+
+// Guards against a page that does not say why a job failed.
+test("a failed job is traced to the ends of its runs", async (t) => {
+  const programs = await start(t, "failed");
+  const id = "00000000000000b3";
+  const path = `/plans/${id}`;
+  const [entry] = programs.entries;
+  t.equal((await programs.call(entry!, "POST", path, JOB)).status, 200);
+  await until(RECOVERY, async () => {
+    const { body } = await programs.call(entry!, "GET", path);
+    return body.includes("failed");
+  });
+  const title = "Started late, or failed.";
+  follow(t, {
+    title,
+    found: explain(t, programs, id),
+    marks: [
+      "Tasks placed.",
+      "Run ended.",
+      "ending=failed",
+      "Job finished.",
+      "status=failed",
+    ],
+  });
+  follow(t, {
+    title,
+    found: await readMetrics(programs),
+    marks: [
+      "dragonflyledge_log_lines_total",
+      "dragonflyledge_placement_wait_seconds",
+    ],
+  });
+});
--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -8,22 +8,27 @@
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { createRelay, findPort } from "@dragonflyledge/fakes";
+import type { Relay } from "@dragonflyledge/fakes";
 import { HOST } from "./json_server.ts";
 import { startStore } from "./store_server.ts";
 import type { StoreServer } from "./store_server.ts";
 import { startWorker } from "./worker_server.ts";
-import type { WorkerServer } from "./worker_server.ts";
+import type { WorkerServer, WorkObserver } from "./worker_server.ts";
 
 const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
 const SERVICE = "planning";
-const QUEUE_HOST = "jobs.example";
+export const QUEUE_HOST = "jobs.example";
 const LINES_KEPT = 400;
+const STOP_LIMIT = 10_000;
+/** Longer than callers wait by default. */
+const CALL_LIMIT = 10_000;
+/** Failures after which a job of the configured queues fails. */
+export const MAX_ATTEMPTS = 3;
 
 /** Answer of an entry; status 0 stands for none. */
 export interface CallAnswer {
@@ -36,11 +41,22 @@
   name: string;
   callerAddress: string;
   child: ChildProcess;
+  metricsAddress: string;
   /** The last lines of its log. */
   lines: string[];
+  relays: SeatRelays;
   start(): void;
 }
 
+/** Relays on the connections of one process. */
+export interface SeatRelays {
+  store: Relay;
+  /** Links of other processes to this one. */
+  links: Relay;
+  /** Calls of an agent to its worker. */
+  worker?: Relay;
+}
+
 /** Running programs. */
 export interface Programs {
   store: StoreServer;
@@ -58,22 +74,46 @@
   entries: number;
   agents: number;
   duration: number;
+  /** Lines of each log that are kept. */
+  linesKept?: number;
+  /** Where the programs write their logs, in place of `lines`. */
+  output?: number;
+  observer?: WorkObserver;
+  onExit?: (seat: Seat) => void;
+  random?: () => number;
 }): Promise<Programs> {
-  execFileSync(process.execPath, [join(ROOT, "scripts/bundle.mjs")]);
   const directory = mkdtempSync(join(tmpdir(), "dragonflyledge-"));
-  const store = await startStore();
-  store.put("op/config", CONFIGURATION);
+  // Tests that run at the same time must not share the files.
+  const bundle = [join(ROOT, "scripts/bundle.mjs"), directory];
+  execFileSync(process.execPath, bundle);
+  const store = await startStore({ random: fields.random });
+  store.put("op/config", createConfiguration(1));
+  const linesKept = fields.linesKept ?? LINES_KEPT;
   const workers: WorkerServer[] = [];
   const seats: Seat[] = [];
 
   async function createSeat(
     program: "entry" | "agent",
     index: number,
-    app = "",
-  ): Promise<{ seat: Seat; heartbeats: string }> {
-    const [caller, ready, heartbeats, link] = await findPorts(4);
+    worker?: WorkerServer,
+  ): Promise<Seat> {
+    const caller = await findPort(HOST);
+    const ready = await findPort(HOST);
+    const heartbeats = await findPort(HOST);
+    const link = await findPort(HOST);
+    const metrics = await findPort(HOST);
     const name = `${program}-${index}`;
     const path = join(directory, `${name}.conf`);
+    const relays: SeatRelays = {
+      store: await createRelay({ target: { port: portOf(store.address) } }),
+      links: await createRelay({ target: { port: link } }),
+    };
+    if (worker) {
+      const port = portOf(worker.address);
+      relays.worker = await createRelay({ target: { port } });
+    }
+    const addressOf = (relay?: Relay) => relay ? `${HOST}:${relay.port}` : "";
+    store.relayed.set(`${HOST}:${link}`, addressOf(relays.links));
     writeFileSync(
       path,
       [
@@ -83,51 +123,55 @@
         `listenAddresses.frontend=${HOST}:${caller}`,
         `listenAddresses.readiness=${HOST}:${ready}`,
         `listenAddresses.controlPlane=${HOST}:${heartbeats}`,
-        `internalPorts=${link},${link! + 1}`,
-        `platform.address=${store.address}`,
-        `app=${app}`,
+        `internalPorts=${link},${link + 1}`,
+        `platform.address=${addressOf(relays.store)}`,
+        `app=${addressOf(relays.worker)}`,
       ].join("\n"),
     );
     const seat = {
       name,
       callerAddress: `${HOST}:${caller}`,
+      metricsAddress: `${HOST}:${metrics}`,
       lines: [] as string[],
+      relays,
       start: () => {
-        seat.child = spawn(process.execPath, [`target/${program}.cjs`], {
+        seat.child = spawn(process.execPath, [
+          join(directory, `${program}.cjs`),
+          "--metrics",
+          `${metrics}/metrics`,
+        ], {
           cwd: ROOT,
           env: { PATH: process.env["PATH"], DRAGONFLYLEDGE_SETTINGS: path },
-          stdio: ["ignore", "pipe", "inherit"],
+          stdio: ["ignore", fields.output ?? "pipe", "inherit"],
         });
-        seat.child.stdout?.on("data", (chunk) => {
+        const { child } = seat;
+        child.once("exit", () => fields.onExit?.(seat));
+        child.stdout?.on("data", (chunk) => {
           seat.lines.push(...String(chunk).split("\n"));
-          seat.lines.splice(0, seat.lines.length - LINES_KEPT);
+          seat.lines.splice(0, seat.lines.length - linesKept);
         });
       },
     } as Seat;
     seat.start();
     seats.push(seat);
-    return { seat, heartbeats: `${HOST}:${heartbeats}` };
+    worker?.announce(`${HOST}:${heartbeats}`);
+    return seat;
   }
 
   const entries: Seat[] = [];
   const agents: Seat[] = [];
   for (let index = 0; index < fields.entries; index++) {
-    entries.push((await createSeat("entry", index)).seat);
+    entries.push(await createSeat("entry", index));
   }
   for (let index = 0; index < fields.agents; index++) {
     const worker = await startWorker({
       id: `i-${index}`,
       service: SERVICE,
       duration: fields.duration,
+      observer: fields.observer,
     });
-    const { seat, heartbeats } = await createSeat(
-      "agent",
-      index,
-      worker.address,
-    );
-    worker.announce(heartbeats);
     workers.push(worker);
-    agents.push(seat);
+    agents.push(await createSeat("agent", index, worker));
   }
 
   return {
@@ -137,18 +181,35 @@
     agents,
     call,
     stop: async () => {
-      for (const { child } of seats) {
+      for (const { name, child } of seats) {
         if (child.exitCode !== null || child.signalCode !== null) continue;
+        const ended = once(child, "exit");
         child.kill("SIGKILL");
-        await once(child, "exit");
+        await within(`the end of ${name}`, ended);
+      }
+      for (const { name, relays } of seats) {
+        const stopped = Object.values(relays).map((relay) => relay.stop());
+        await within(`the relays of ${name}`, Promise.all(stopped));
       }
-      for (const worker of workers) await worker.stop();
-      await store.stop();
+      for (const worker of workers) await within("a worker", worker.stop());
+      await within("the store", store.stop());
       rmSync(directory, { recursive: true });
     },
   };
 }
 
+/** Fails with what was awaited, so that no test waits without end. */
+async function within(what: string, done: Promise<unknown>): Promise<void> {
+  let timeout: NodeJS.Timeout | undefined;
+  const late = new Promise((_, reject) => {
+    timeout = setTimeout(
+      () => reject(new Error(`not stopped within ${STOP_LIMIT} ms: ${what}`)),
+      STOP_LIMIT,
+    );
+  });
+  await Promise.race([done, late]).finally(() => clearTimeout(timeout));
+}
+
 async function call(
   entry: Seat,
   method: string,
@@ -173,32 +234,32 @@
       );
     });
     outgoing.on("error", () => resolve({ status: 0, body: "" }));
+    outgoing.setTimeout(CALL_LIMIT, () => outgoing.destroy());
     outgoing.end(body === undefined ? undefined : JSON.stringify(body));
   });
 }
 
-const CONFIGURATION = {
-  version: 1,
-  routes: [{
-    name: "plans",
+/** A configuration with a queue that only this version has. */
+export function createConfiguration(version: number) {
+  const queue = {
     host: QUEUE_HOST,
-    prefix: "/plans/",
     service: SERVICE,
-    priority: 0,
-    maxAttempts: 3,
-  }],
-  services: [{ name: SERVICE }],
-  limits: {},
-  tenants: [{ name: "team", apiKeys: ["key-1"], guaranteed: { gpu: 8 } }],
-};
+    priority: 1,
+    maxAttempts: MAX_ATTEMPTS,
+  };
+  return {
+    version,
+    routes: [
+      { ...queue, name: "plans", prefix: "/plans/", priority: 0 },
+      { ...queue, name: "batch", prefix: "/batch/" },
+      { ...queue, name: `v${version}`, prefix: `/v${version}/` },
+    ],
+    services: [{ name: SERVICE }],
+    limits: {},
+    tenants: [{ name: "team", apiKeys: ["key-1"], guaranteed: { gpu: 8 } }],
+  };
+}
 
-async function findPorts(count: number): Promise<number[]> {
-  const ports: number[] = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer();
-    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-    ports.push((server.address() as AddressInfo).port);
-    await new Promise<void>((resolve) => server.close(() => resolve()));
-  }
-  return ports;
+function portOf(address: string): number {
+  return Number(address.split(":")[1]);
 }
--- /dev/null
+++ b/testing/platform/soak_main.ts
@@ -0,0 +1,73 @@
+/**
+ * Random faults on the real programs:
+ * `npm run soak:processes -- --seed N --minutes M [--faults a,b] [--logs DIR]`.
+ * Seeds count up until the time is over; `--found` plays the seeds that failed
+ * once. Logs of a seed that breaks a promise are written below the directory of
+ * `--logs`.
+ *
+ * @module
+ */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { FOUND_SEEDS } from "./soak/found_seeds.ts";
+import { soak } from "./soak/soak.ts";
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string", default: "1" },
+    minutes: { type: "string", default: "1" },
+    seconds: { type: "string", default: "40" },
+    entries: { type: "string", default: "3" },
+    agents: { type: "string", default: "4" },
+    callers: { type: "string", default: "8" },
+    faults: { type: "string" },
+    logs: { type: "string" },
+    found: { type: "boolean", default: false },
+  },
+});
+
+/** Plays one seed and returns whether it kept all promises. */
+async function play(seed: number): Promise<boolean> {
+  const result = await soak({
+    seed,
+    time: Number(values.seconds) * 1000,
+    entries: Number(values.entries),
+    agents: Number(values.agents),
+    callers: Number(values.callers),
+    faults: values.faults?.split(","),
+  });
+  const { jobs, completed, faults, violations } = result;
+  console.log(
+    `seed ${seed}: ${faults.length} faults, ${completed} of ${jobs} jobs done, ${violations.length} violations`,
+  );
+  if (violations.length === 0) return true;
+  for (const violation of violations) console.log(`  ${violation}`);
+  console.log(`  faults: ${faults.join(", ")}`);
+  if (values.logs) {
+    const directory = join(values.logs, `seed-${seed}`);
+    mkdirSync(directory, { recursive: true });
+    for (const [name, lines] of result.logs) {
+      writeFileSync(join(directory, `${name}.log`), lines.join("\n"));
+    }
+  }
+  return false;
+}
+
+const end = performance.now() + Number(values.minutes) * 60_000;
+let failed = 0;
+let played = 0;
+if (values.found) {
+  for (const { seed } of FOUND_SEEDS) {
+    played++;
+    if (!await play(seed)) failed++;
+  }
+} else {
+  do {
+    if (!await play(Number(values.seed) + played++)) failed++;
+  } while (performance.now() < end);
+}
+console.log(`${failed} of ${played} seeds failed`);
+process.exitCode = failed === 0 ? 0 : 1;
--- a/testing/platform/store_server.ts
+++ b/testing/platform/store_server.ts
@@ -23,6 +23,18 @@
   address: string;
   /** While true, calls get no answer and do nothing. */
   silent: boolean;
+  /** While true, calls are refused with 503. */
+  busy: boolean;
+  /** Milliseconds before each answer. */
+  delay: number;
+  /** Share of the writes that are done and get no answer, 0 to 1. */
+  lost: number;
+  /** Milliseconds after which a lost write is done, if it still can be. */
+  lateness: number;
+  /** Addresses that readers see in place of those that were written. */
+  readonly relayed: Map<string, string>;
+  /** Drops the history and ends waiting watches. */
+  compact(): void;
   put(key: string, value: unknown): void;
   get(key: string): string | undefined;
   stop(): Promise<void>;
@@ -31,13 +43,17 @@
 const LEASE_CHECK = 50;
 
 /** Starts an empty store. */
-export async function startStore(): Promise<StoreServer> {
+export async function startStore(
+  { random = Math.random }: { random?: () => number } = {},
+): Promise<StoreServer> {
   const items = new Map<string, Item>();
   const history: Change[] = [];
   const leases = new Map<number, { ttl: number; end: number }>();
   const waiting = new Set<() => void>();
   let revision = 1;
   let nextLease = 1;
+  /** Changes up to this revision are no longer known. */
+  let forgotten = 0;
 
   function change(key: string, value: string | undefined, lease = 0): void {
     const old = items.get(key);
@@ -58,6 +74,14 @@
     history.push(item);
   }
 
+  function relay<T extends Change>(item: T): T {
+    if (!("value" in item)) return item;
+    const text = Buffer.from(item.value, "base64").toString();
+    const relayed = store.relayed.get(text);
+    if (relayed === undefined) return item;
+    return { ...item, value: Buffer.from(relayed).toString("base64") };
+  }
+
   function wake(): void {
     for (const task of waiting) task();
   }
@@ -100,12 +124,15 @@
   async function watch(query: URLSearchParams): Promise<JsonReply> {
     const prefix = query.get("prefix") ?? "";
     const after = Number(query.get("after"));
+    if (after < forgotten) return { status: 410 };
     const find = () =>
       history.filter((each) =>
         each.revision > after && each.key.startsWith(prefix)
       );
     if (find().length === 0) await nextChange(Number(query.get("waitMs")));
-    return { status: 200, body: { events: find(), storeRevision: revision } };
+    if (after < forgotten) return { status: 410 };
+    const events = find().map(relay);
+    return { status: 200, body: { events, storeRevision: revision } };
   }
 
   function nextChange(limit: number): Promise<void> {
@@ -122,24 +149,35 @@
 
   async function handle(call: JsonCall): Promise<JsonReply> {
     if (store.silent) return undefined;
+    if (store.busy) return { status: 503 };
+    if (call.path === "/kv-txn" && random() < store.lost) {
+      setTimeout(() => void answer(call), store.lateness);
+      return undefined;
+    }
+    const reply = await answer(call);
+    if (store.delay > 0) {
+      await new Promise((resolve) => setTimeout(resolve, store.delay));
+    }
+    return store.silent ? undefined : reply;
+  }
+
+  async function answer(call: JsonCall): Promise<JsonReply> {
     const { path, query, body } = call;
     const lease = Number(path.split("/")[2]);
     if (path === "/kv-key") {
       const item = items.get(query.get("key") ?? "");
-      return item ? { status: 200, body: item } : { status: 404 };
+      return item ? { status: 200, body: relay(item) } : { status: 404 };
     }
     if (path === "/kv-range") {
       const found = [...items.values()]
-        .filter(({ key }) => key.startsWith(query.get("prefix") ?? ""));
+        .filter(({ key }) => key.startsWith(query.get("prefix") ?? ""))
+        .map(relay);
       return {
         status: 200,
         body: { items: found, hasMore: false, storeRevision: revision },
       };
     }
-    if (path === "/kv-watch") {
-      const reply = await watch(query);
-      return store.silent ? undefined : reply;
-    }
+    if (path === "/kv-watch") return await watch(query);
     if (path === "/kv-txn") return commit(body);
     if (path === "/kv-lease") {
       const ttl = Number(body.ttlMs);
@@ -160,6 +198,16 @@
   const store: StoreServer = {
     address: server.address,
     silent: false,
+    busy: false,
+    delay: 0,
+    lost: 0,
+    lateness: 0,
+    relayed: new Map(),
+    compact: () => {
+      history.length = 0;
+      forgotten = revision;
+      wake();
+    },
     put: (key, value) => {
       revision++;
       change(key, Buffer.from(JSON.stringify(value)).toString("base64"));
--- a/testing/platform/worker_server.ts
+++ b/testing/platform/worker_server.ts
@@ -13,10 +13,32 @@
 const POLL = 10;
 const ACCELERATORS = 8;
 
-interface Running {
+/** A run on a worker. */
+export interface WorkerRun {
   task: string;
   run: number;
-  until: number;
+  startedAt: number;
+}
+
+/** How a run ends at its worker. */
+export type Ending =
+  | "done"
+  | "failed"
+  | "stopped"
+  | "lapsed"
+  | "broken"
+  | "alone";
+
+/** What tasks need and do, and who is told of it. */
+export interface WorkObserver {
+  /** Accelerators of a task. */
+  accelerators(task: string): number;
+  /** How a run ends now; undefined while it goes on. */
+  judge(run: WorkerRun, now: number): Ending | undefined;
+  started(fields: { worker: string; run: WorkerRun; used: number }): void;
+  ended(fields: { worker: string; run: WorkerRun; ending: Ending }): void;
+  /** The worker was told that this end may be forgotten. */
+  noted(fields: { run: WorkerRun; ending: Ending }): void;
 }
 
 /** What a worker did, for checks. */
@@ -26,80 +48,113 @@
   readonly started: string[];
   /** Tasks that ended as done. */
   readonly done: string[];
+  /** Runs that are present now. */
+  present(): WorkerRun[];
+  /** Accelerators in use now. */
+  used(): number;
   /** Most tasks at one time. */
   most(): number;
-  /** Sends heartbeats to the agent at this address. */
+  /** Sends heartbeats to the agent, from `address` if a relay is between. */
   announce(agent: string): void;
+  /** Loses everything and comes back as another incarnation. */
+  crash(): void;
+  /** Says that it leaves, until the next crash. */
+  drain(): void;
   stop(): Promise<void>;
 }
 
 /** Starts a worker whose tasks take `duration` milliseconds. */
 export async function startWorker(
-  fields: { id: string; service: string; duration: number },
+  fields: {
+    id: string;
+    service: string;
+    duration: number;
+    observer?: WorkObserver;
+  },
 ): Promise<WorkerServer> {
-  const born = Date.now();
-  const running = new Map<string, Running>();
-  const highest = new Map<string, number>();
+  const observer = fields.observer ?? fixedDuration(fields.duration);
   const started: string[] = [];
   const done: string[] = [];
-  let ended: [number, string, number, string, string][] = [];
-  let number = 0;
+  let life = createLife(1);
   let most = 0;
-  let leaseUntil = 0;
-  let fence = 0;
-  let sequence = 0;
   let heartbeat: NodeJS.Timeout | undefined;
   const clock = () => Math.floor(performance.now());
 
-  function end(each: Running, how: string): void {
-    running.delete(each.task);
-    ended.push([++number, each.task, each.run, how, ""]);
-    if (how === "done") done.push(each.task);
+  function end(run: WorkerRun, ending: Ending): void {
+    life.running.delete(run.task);
+    life.ended.push({ number: ++life.number, run, ending });
+    if (ending === "done") done.push(run.task);
+    observer.ended({ worker: life.id, run, ending });
   }
 
   const ticking = setInterval(() => {
-    for (const each of [...running.values()]) {
-      if (clock() >= leaseUntil) end(each, "lapsed");
-      else if (clock() >= each.until) end(each, "done");
+    for (const each of [...life.running.values()]) {
+      if (clock() >= life.leaseUntil) end(each, "lapsed");
+      else {
+        const ending = observer.judge(each, clock());
+        if (ending) end(each, ending);
+      }
     }
   }, POLL);
 
+  function used(): number {
+    let sum = 0;
+    for (const { task } of life.running.values()) {
+      sum += observer.accelerators(task);
+    }
+    return sum;
+  }
+
   function start(body: Record<string, unknown>): JsonReply {
     const task = String(body.task);
     const run = Number(body.run);
     if (Number(body.untilMs) <= clock()) return refuse("late");
-    leaseUntil = Math.max(leaseUntil, Number(body.untilMs));
-    if (running.get(task)?.run === run) return accept();
-    if ((highest.get(task) ?? 0) >= run) return refuse("old");
-    if (running.size >= ACCELERATORS) return refuse("room");
-    highest.set(task, run);
-    running.set(task, { task, run, until: clock() + fields.duration });
+    life.leaseUntil = Math.max(life.leaseUntil, Number(body.untilMs));
+    if (life.running.get(task)?.run === run) return accept();
+    if ((life.highest.get(task) ?? 0) >= run) return refuse("old");
+    life.highest.set(task, run);
+    const one = { task, run, startedAt: clock() };
+    life.running.set(task, one);
     started.push(`${task}#${run}`);
-    most = Math.max(most, running.size);
+    most = Math.max(most, life.running.size);
+    observer.started({ worker: life.id, run: one, used: used() });
     return accept();
   }
 
   function stop(body: Record<string, unknown>): JsonReply {
     const task = String(body.task);
-    highest.set(task, Math.max(highest.get(task) ?? 0, Number(body.run)));
+    const run = Number(body.run);
+    const { highest, running } = life;
+    highest.set(task, Math.max(highest.get(task) ?? 0, run));
     const present = running.get(task);
-    if (present && present.run <= Number(body.run)) end(present, "stopped");
+    if (present && present.run <= run) end(present, "stopped");
     return accept();
   }
 
   async function hold(body: Record<string, unknown>): Promise<JsonReply> {
-    leaseUntil = Math.max(leaseUntil, Number(body.untilMs ?? 0));
-    ended = ended.filter(([each]) => each > Number(body.lastSeen));
+    const own = life;
+    own.leaseUntil = Math.max(own.leaseUntil, Number(body.untilMs ?? 0));
+    const seen = Number(body.lastSeen);
+    for (const each of own.ended) {
+      if (each.number <= seen) observer.noted(each);
+    }
+    own.ended = own.ended.filter(({ number }) => number > seen);
     const limit = clock() + Number(body.waitMs ?? 0);
-    while (ended.length === 0 && clock() < limit) {
+    while (own.ended.length === 0 && clock() < limit) {
       await new Promise((resolve) => setTimeout(resolve, POLL));
     }
-    const rows = [...running.values()].map((
-      { task, run },
-    ) => [task, run, "", 0]);
     return {
       status: 200,
-      body: { clockMs: clock(), born, running: rows, ended },
+      body: {
+        clockMs: clock(),
+        born: own.born,
+        running: [...own.running.values()].map(({ task, run }) => {
+          return [task, run, "", 0];
+        }),
+        ended: own.ended.map(({ number, run, ending }) => {
+          return [number, run.task, run.run, ending, ""];
+        }),
+      },
     };
   }
 
@@ -109,15 +164,37 @@
     body: { clockMs: clock(), reason },
   });
 
-  function handle({ path, body }: JsonCall): Promise<JsonReply> | JsonReply {
-    if (Number(body.fencingToken) < fence) return refuse("fence");
-    fence = Number(body.fencingToken);
+  async function handle(
+    { path, body, headers }: JsonCall,
+  ): Promise<JsonReply> {
+    const own = life;
+    if (headers["expected-instance"] !== own.id) return { status: 421 };
+    if (Number(body.fencingToken) < own.fence) return refuse("fence");
+    own.fence = Number(body.fencingToken);
     if (path === "/run-start") return start(body);
-    return path === "/run-stop" ? stop(body) : hold(body);
+    const reply = path === "/run-stop" ? stop(body) : await hold(body);
+    // A worker that crashed meanwhile answers nothing.
+    return own === life ? reply : undefined;
   }
 
   const server = await startJsonServer(handle);
 
+  function createLife(count: number) {
+    return {
+      id: `${fields.id}-${count}`,
+      count,
+      born: Date.now(),
+      running: new Map<string, WorkerRun>(),
+      highest: new Map<string, number>(),
+      ended: [] as { number: number; run: WorkerRun; ending: Ending }[],
+      number: 0,
+      leaseUntil: 0,
+      fence: 0,
+      sequence: 0,
+      draining: false,
+    };
+  }
+
   function announce(agent: string): void {
     const [host, port] = agent.split(":");
     const send = () => {
@@ -125,7 +202,7 @@
         host,
         port,
         method: "PUT",
-        path: `/instances/${fields.id}`,
+        path: `/instances/${life.id}`,
       }, (response) => response.resume());
       // The agent may be down just now; the next heartbeat follows.
       call.on("error", () => {});
@@ -135,12 +212,12 @@
         zone: "zone-a",
         version: "v1",
         slots: ACCELERATORS,
-        state: "ready",
+        state: life.draining ? "draining" : "ready",
         capacity: { cpu: 32_000, memMb: 131_072, gpu: ACCELERATORS },
         labels: ["a", "r1-1"],
-        born,
+        born: life.born,
         clockMs: clock(),
-        sequence: ++sequence,
+        sequence: ++life.sequence,
       }));
     };
     send();
@@ -151,8 +228,21 @@
     address: server.address,
     started,
     done,
+    present: () => [...life.running.values()],
+    used,
     most: () => most,
     announce,
+    crash: () => {
+      const former = life;
+      life = createLife(former.count + 1);
+      server.cut();
+      for (const run of former.running.values()) {
+        observer.ended({ worker: former.id, run, ending: "lapsed" });
+      }
+    },
+    drain: () => {
+      life.draining = true;
+    },
     stop: () => {
       clearInterval(ticking);
       clearInterval(heartbeat);
@@ -160,3 +250,14 @@
     },
   };
 }
+
+function fixedDuration(duration: number): WorkObserver {
+  return {
+    accelerators: () => 1,
+    judge: ({ startedAt }, now) =>
+      now >= startedAt + duration ? "done" : undefined,
+    started: () => {},
+    ended: () => {},
+    noted: () => {},
+  };
+}
--- a/testing/processes/cluster.ts
+++ b/testing/processes/cluster.ts
@@ -6,7 +6,6 @@
  */
 
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -19,6 +18,7 @@
   createRelay,
   createSystemTimer,
   createWorkerServer,
+  findPort,
 } from "@dragonflyledge/fakes";
 import type {
   EndpointServer,
@@ -34,9 +34,6 @@
 /** Relays listen here on the ports of their entries, which advertise it. */
 const RELAY_HOST = "127.0.0.2";
 const WORKERS_PER_RACK = 3;
-/** Below the range that the system uses for outgoing connections. */
-const FIRST_PORT = 12_000;
-const PORT_COUNT = 18_000;
 const START_LIMIT = 40_000;
 const STATUS_LIMIT = 5000;
 const COMMAND_LIMIT = 20_000;
@@ -111,7 +108,10 @@
 
   async function addEntry(index: number): Promise<void> {
     const id = `entry-${index + 1}`;
-    const [port, httpPort] = [await findPort(), await findPort()];
+    const [port, httpPort] = [
+      await findPort(HOST, RELAY_HOST),
+      await findPort(HOST, RELAY_HOST),
+    ];
     const digests = OPERATORS.map((name) =>
       `${name}:${tokenDigest(tokenOf(name))}`
     );
@@ -314,19 +314,3 @@
 export function tokenOf(name: string): string {
   return `example-token-${name}`;
 }
-
-/** A port that is free on both loopback addresses. */
-async function findPort(): Promise<number> {
-  for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (await isFree(HOST, port) && await isFree(RELAY_HOST, port)) return port;
-  }
-}
-
-function isFree(host: string, port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once("error", () => resolve(false));
-    server.listen(port, host, () => server.close(() => resolve(true)));
-  });
-}
