--- /dev/null
+++ b/core/scheduler/units.ts
@@ -0,0 +1,152 @@
+/**
+ * Lists the tasks that are ready to start, in the order of planning.
+ *
+ * @module
+ */
+
+import { SECOND } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { TaskPhase } from "./job.ts";
+import type { Occurrence, Step } from "./job.ts";
+import { readySteps } from "./progress.ts";
+import { stepKey } from "./state.ts";
+import type { Job, SchedulerState } from "./state.ts";
+
+/** Head start of each priority below the urgent one over the next lower one. */
+const PRIORITY_ADVANCE: Milliseconds = 5 * SECOND;
+
+/** Tasks that are placed together: a whole gang or a single task. */
+export interface Unit {
+  job: Job;
+  occurrence: Occurrence;
+  stepIndex: number;
+  step: Step;
+  /** Indexes of the tasks within the step. */
+  tasks: number[];
+  readyAt: Milliseconds;
+  /** Whether the job is urgent and its team's urgent jobs fit the guarantee. */
+  guaranteed: boolean;
+}
+
+/** Lists the units that are ready to start, in the order of planning. */
+export function listUnits(state: SchedulerState, now: Milliseconds): Unit[] {
+  const units: Unit[] = [];
+  const guaranteedTeams = new Map<string, boolean>();
+  for (const job of state.active) {
+    if (job.cancelled) continue;
+    for (const occurrence of job.progress.occurrences) {
+      for (const stepIndex of readySteps(job, occurrence)) {
+        addUnits({
+          state,
+          units,
+          guaranteedTeams,
+          job,
+          occurrence,
+          stepIndex,
+          now,
+        });
+      }
+    }
+  }
+  return units.sort(compareUnits);
+}
+
+/** Adds the units of one ready step. */
+function addUnits(fields: {
+  state: SchedulerState;
+  units: Unit[];
+  /** Whether each team's urgent jobs fit its guarantee, filled on demand. */
+  guaranteedTeams: Map<string, boolean>;
+  job: Job;
+  occurrence: Occurrence;
+  stepIndex: number;
+  now: Milliseconds;
+}): void {
+  const { state, units, guaranteedTeams, job, occurrence, stepIndex, now } =
+    fields;
+  const step = job.request.steps[stepIndex]!;
+  const tasks = occurrence.steps[stepIndex]!;
+  const key = stepKey({ occurrence: occurrence.index, step: stepIndex });
+  const readyAt = job.readyAt.get(key) ?? now;
+  job.readyAt.set(key, readyAt);
+  const base = {
+    job,
+    occurrence,
+    stepIndex,
+    step,
+    readyAt,
+    guaranteed: isGuaranteed(state, guaranteedTeams, job),
+  };
+  const waiting = tasks.flatMap((task, index) =>
+    task.phase === TaskPhase.Waiting ? [index] : []
+  );
+  if (!step.gang) {
+    const busy = busyTasks(job, occurrence.index, stepIndex);
+    for (const index of waiting) {
+      if (!busy.has(index)) units.push({ ...base, tasks: [index] });
+    }
+    return;
+  }
+  // A gang starts again only when no member of its previous run is left.
+  const busy = busyTasks(job, occurrence.index, stepIndex);
+  if (waiting.length === tasks.length && busy.size === 0) {
+    units.push({ ...base, tasks: waiting });
+  }
+}
+
+/** Indexes of a step's tasks that have a run which has not ended. */
+function busyTasks(job: Job, occurrence: number, step: number): Set<number> {
+  const busy = new Set<number>();
+  for (const run of job.runs) {
+    if (run.task.occurrence === occurrence && run.task.step === step) {
+      busy.add(run.task.index);
+    }
+  }
+  return busy;
+}
+
+/** Orders units by urgency, guarantee and effective time of acceptance. */
+function compareUnits(a: Unit, b: Unit): number {
+  return Number(isUrgent(b)) - Number(isUrgent(a)) ||
+    Number(b.guaranteed) - Number(a.guaranteed) ||
+    effectiveAcceptedAt(a) - effectiveAcceptedAt(b) ||
+    (a.job.request.id < b.job.request.id ? -1 : 1) ||
+    a.stepIndex - b.stepIndex || a.tasks[0]! - b.tasks[0]!;
+}
+
+/** Whether the unit may preempt work of lower priority. */
+export function isUrgent(unit: Unit): boolean {
+  return unit.job.policy.priority === 0;
+}
+
+/**
+ * Time of acceptance, delayed for each level of lower priority. Only jobs that
+ * are accepted soon after it overtake a job of lower priority, so that it does
+ * not wait without end.
+ */
+function effectiveAcceptedAt(unit: Unit): Milliseconds {
+  const { request, policy } = unit.job;
+  return request.acceptedAt + policy.priority * PRIORITY_ADVANCE;
+}
+
+/** Whether the job is urgent and its team's urgent jobs fit the guarantee. */
+function isGuaranteed(
+  state: SchedulerState,
+  guaranteedTeams: Map<string, boolean>,
+  job: Job,
+): boolean {
+  if (job.policy.priority !== 0) return false;
+  const { team } = job.request;
+  const known = guaranteedTeams.get(team);
+  if (known !== undefined) return known;
+  let need = 0;
+  for (const other of state.active) {
+    if (other.policy.priority !== 0 || other.request.team !== team) continue;
+    need += Math.max(
+      ...other.request.steps.map((step) => step.count * step.accelerators),
+    );
+  }
+  const fits = need <= (state.policies.guarantees.get(team) ?? 0);
+  guaranteedTeams.set(team, fits);
+  return fits;
+}
