Log why an urgent job waits and which starts stay unconfirmed

Callers report an urgent job inside its team's guarantee that starts late. The log could not tell the hypotheses apart: it did not say how many accelerators a job and its team need, what the guarantee is, what holds the capacity, when the leader learned of a job, or that a placed task never started.

New lines: 'Job taken up.', 'Urgent tasks wait.' (each second of waiting, with the use of all accelerators of the service) and 'Start not confirmed.' The placement wait is counted apart for jobs that a guarantee covers.

--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -58,17 +58,19 @@
   };
 }
 
-/** Creates the request of a job; all have the same team and service. */
+/** Creates the request of a job; all have the same service. */
 export function request(fields: {
   id: string;
   steps: Step[];
   priority?: number;
   maxAttempts?: number;
+  team?: string;
+  acceptedAt?: number;
 }): JobRequest {
   return {
     id: fields.id,
     queue: `queue-${fields.priority ?? 1}`,
-    team: "team",
+    team: fields.team ?? "team",
     spec: "text",
     steps: fields.steps,
     policy: {
@@ -76,7 +78,7 @@
       priority: fields.priority ?? 1,
       maxAttempts: fields.maxAttempts ?? 2,
     },
-    acceptedAt: 0,
+    acceptedAt: fields.acceptedAt ?? 0,
   };
 }
 
@@ -91,6 +93,7 @@
       retention: 240_000,
     },
   });
+  const logs: Extract<SchedulerEffect, { kind: "log" }>[] = [];
   let now = 0;
   const workers: FakeWorker[] = Array.from(
     { length: fields.workers },
@@ -125,6 +128,9 @@
       };
       applyEffects(scheduler.reduce({ kind: "policies", now, policies }));
     },
+    /** Fields of the log lines with this text, in order. */
+    logsOf: (text: string) =>
+      logs.filter((each) => each.text === text).map((each) => each.fields),
     /** Names of the agents that the scheduler has forgotten. */
     forgotten: [] as string[],
     store,
@@ -186,6 +192,7 @@
 
   function applyEffects(effects: SchedulerEffect[]): SchedulerEffect[] {
     for (const effect of effects) {
+      if (effect.kind === "log") logs.push(effect);
       if (effect.kind === "forget") fleet.forgotten.push(effect.agent);
       if (effect.kind !== "orders") continue;
       const worker = workers.find(({ name }) => name === effect.agent);
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -6,6 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
+import { createGuaranteeCover } from "./guarantees.ts";
 import { JobStatus, TaskPhase } from "./job.ts";
 import { listCandidates, taskWeight } from "./fit.ts";
 import { placeTasks } from "./place.ts";
@@ -16,6 +17,7 @@
 import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
 import { isUrgent, listUnits } from "./units.ts";
 import type { Unit } from "./units.ts";
+import { noteUrgentWait } from "./waits.ts";
 
 /** Wait for capacity near the data or in one rack before placing elsewhere. */
 const LOCALITY_WAIT: Milliseconds = 1500;
@@ -32,16 +34,20 @@
   const reserved = new Map<Worker, Capacity>();
   // All tasks of a step need the same, so if one does not fit, none does.
   const unplaceable = new Set<unknown>();
-  for (const unit of listUnits(state, now)) {
+  const cover = createGuaranteeCover(state);
+  for (const unit of listUnits(state, cover, now)) {
     const tasks = unit.occurrence.steps[unit.stepIndex]!;
     if (unplaceable.has(tasks)) continue;
     const placement = findPlacement(state, unit, now, reserved);
-    if (!placement) {
-      unplaceable.add(tasks);
+    if (placement?.victims.size === 0) {
+      startUnit(state, unit, placement, now);
       continue;
     }
-    if (placement.victims.size === 0) startUnit(state, unit, placement, now);
-    else preemptForUnit(state, unit, placement, reserved);
+    if (placement) preemptForUnit(state, unit, placement, reserved);
+    else unplaceable.add(tasks);
+    if (!isUrgent(unit)) continue;
+    const victims = placement?.victims.size ?? 0;
+    noteUrgentWait({ state, unit, cover, victims, now });
   }
 }
 
@@ -166,11 +172,12 @@
   state.effects.push({
     kind: "placed",
     priority: job.policy.priority,
+    guaranteed: unit.guaranteed,
     wait: now - unit.readyAt,
   });
-  job.readyAt.delete(
-    stepKey({ occurrence: occurrence.index, step: stepIndex }),
-  );
+  const key = stepKey({ occurrence: occurrence.index, step: stepIndex });
+  job.readyAt.delete(key);
+  job.waitNotedAt.delete(key);
   state.effects.push({
     kind: "log",
     level: "info",
@@ -181,6 +188,7 @@
       run: highest + 1,
       tasks: unit.tasks.join(),
       agents: placement.workers.map((worker) => worker.agent).join(),
+      guaranteed: unit.guaranteed,
       waited: Math.round(now - unit.readyAt),
       version: job.version,
     },
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -6,6 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
+import { acceleratorsOf } from "./guarantees.ts";
 import { createProgress, isFinal, JobStatus, TaskPhase } from "./job.ts";
 import type { JobProgress, JobRequest } from "./job.ts";
 import { createOrders } from "./orders.ts";
@@ -13,6 +14,7 @@
 import { createDueOccurrences, finishJob, markChanged } from "./progress.ts";
 import { advanceAcknowledged, applyReport, markAgentLost } from "./reports.ts";
 import { addRun, stopRun } from "./runs.ts";
+import { noteUnconfirmedStarts } from "./waits.ts";
 import type {
   Agent,
   Job,
@@ -134,11 +136,24 @@
     storedVersion: event.progress ? 1 : 0,
     runs: new Set(),
     readyAt: new Map(),
+    waitNotedAt: new Map(),
   };
   state.jobs.set(request.id, job);
   restoreRuns(state, job, now);
   if (isFinal(progress.status)) return;
   state.active.add(job);
+  state.effects.push({
+    kind: "log",
+    level: "info",
+    text: "Job taken up.",
+    fields: {
+      job: request.id,
+      team: request.team,
+      priority: job.policy.priority,
+      accelerators: acceleratorsOf(job),
+      status: progress.status,
+    },
+  });
   createDueOccurrences({ state, job, date: request.acceptedAt });
 }
 
@@ -217,6 +232,7 @@
   date: Milliseconds,
 ): void {
   checkAgents(state, now);
+  noteUnconfirmedStarts(state, now);
   saveCheckpoints(state, now);
   for (const job of state.active) createDueOccurrences({ state, job, date });
   for (const job of state.jobs.values()) {
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -59,6 +59,7 @@
     version: job.version,
     confirmed: fields.confirmed,
     stopping: false,
+    overdue: false,
     percent: 0,
     startedAt: fields.now,
   };
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -40,6 +40,8 @@
   runs: Set<Run>;
   /** Time at which a step became ready, by `stepKey`. */
   readyAt: Map<string, Milliseconds>;
+  /** Time at which a step's wait was last logged, by `stepKey`. */
+  waitNotedAt: Map<string, Milliseconds>;
 }
 
 /** A run that was decided on and is not known to have ended. */
@@ -58,6 +60,8 @@
   confirmed: boolean;
   /** Whether the run was told to stop; it still occupies its capacity. */
   stopping: boolean;
+  /** Whether its start was logged as not confirmed in time. */
+  overdue: boolean;
   percent: number;
   startedAt: Milliseconds;
 }
@@ -161,7 +165,12 @@
     orders: Omit<AgentOrders, "epoch" | "answersReport" | "kind">;
   }
   /** Measure that tasks were placed `wait` after they had become ready. */
-  | { kind: "placed"; priority: number; wait: Milliseconds }
+  | {
+    kind: "placed";
+    priority: number;
+    guaranteed: boolean;
+    wait: Milliseconds;
+  }
   | { kind: "log"; level: LogLevel; text: string; fields: Fields };
 
 /** Key of a step within its job, used for in-memory maps. */
--- a/core/scheduler/units.ts
+++ b/core/scheduler/units.ts
@@ -6,6 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
+import type { GuaranteeCover } from "./guarantees.ts";
 import { TaskPhase } from "./job.ts";
 import type { Occurrence, Step } from "./job.ts";
 import { readySteps } from "./progress.ts";
@@ -24,27 +25,22 @@
   /** Indexes of the tasks within the step. */
   tasks: number[];
   readyAt: Milliseconds;
-  /** Whether the job is urgent and its team's urgent jobs fit the guarantee. */
+  /** Whether the guarantee of the job's team covers the job. */
   guaranteed: boolean;
 }
 
 /** Lists the units that are ready to start, in the order of planning. */
-export function listUnits(state: SchedulerState, now: Milliseconds): Unit[] {
+export function listUnits(
+  state: SchedulerState,
+  cover: GuaranteeCover,
+  now: Milliseconds,
+): Unit[] {
   const units: Unit[] = [];
-  const guaranteedTeams = new Map<string, boolean>();
   for (const job of state.active) {
     if (job.cancelled) continue;
     for (const occurrence of job.progress.occurrences) {
       for (const stepIndex of readySteps(job, occurrence)) {
-        addUnits({
-          state,
-          units,
-          guaranteedTeams,
-          job,
-          occurrence,
-          stepIndex,
-          now,
-        });
+        addUnits({ units, cover, job, occurrence, stepIndex, now });
       }
     }
   }
@@ -53,17 +49,14 @@
 
 /** Adds the units of one ready step. */
 function addUnits(fields: {
-  state: SchedulerState;
   units: Unit[];
-  /** Whether each team's urgent jobs fit its guarantee, filled on demand. */
-  guaranteedTeams: Map<string, boolean>;
+  cover: GuaranteeCover;
   job: Job;
   occurrence: Occurrence;
   stepIndex: number;
   now: Milliseconds;
 }): void {
-  const { state, units, guaranteedTeams, job, occurrence, stepIndex, now } =
-    fields;
+  const { units, cover, job, occurrence, stepIndex, now } = fields;
   const step = job.request.steps[stepIndex]!;
   const tasks = occurrence.steps[stepIndex]!;
   const key = stepKey({ occurrence: occurrence.index, step: stepIndex });
@@ -75,7 +68,7 @@
     stepIndex,
     step,
     readyAt,
-    guaranteed: isGuaranteed(state, guaranteedTeams, job),
+    guaranteed: cover.covers(job),
   };
   const waiting = tasks.flatMap((task, index) =>
     task.phase === TaskPhase.Waiting ? [index] : []
@@ -128,25 +121,3 @@
   const { request, policy } = unit.job;
   return request.acceptedAt + policy.priority * PRIORITY_ADVANCE;
 }
-
-/** Whether the job is urgent and its team's urgent jobs fit the guarantee. */
-function isGuaranteed(
-  state: SchedulerState,
-  guaranteedTeams: Map<string, boolean>,
-  job: Job,
-): boolean {
-  if (job.policy.priority !== 0) return false;
-  const { team } = job.request;
-  const known = guaranteedTeams.get(team);
-  if (known !== undefined) return known;
-  let need = 0;
-  for (const other of state.active) {
-    if (other.policy.priority !== 0 || other.request.team !== team) continue;
-    need += Math.max(
-      ...other.request.steps.map((step) => step.count * step.accelerators),
-    );
-  }
-  const fits = need <= (state.policies.guarantees.get(team) ?? 0);
-  guaranteedTeams.set(team, fits);
-  return fits;
-}
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -123,8 +123,12 @@
         return;
       case "placed": {
         const priority = String(effect.priority);
-        const { instruments } = fields;
-        instruments.time("placement_wait_seconds", { priority }, effect.wait);
+        const guaranteed = String(effect.guaranteed);
+        fields.instruments.time(
+          "placement_wait_seconds",
+          { priority, guaranteed },
+          effect.wait,
+        );
         return;
       }
       case "log":
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -67,7 +67,7 @@
   placement_wait_seconds: {
     kind: "histogram",
     help: "Time from a task being ready to its placement.",
-    labels: ["priority"],
+    labels: ["priority", "guaranteed"],
   },
   log_lines_total: {
     kind: "counter",
