Cover a team's urgent jobs one by one by its guarantee

Callers saw: as soon as a team's urgent jobs needed more than its guarantee, none of them was treated as guaranteed. A team in a burst lost the capacity that it is assured of, and waited behind cheaper work of others.

Cause: the guarantee was compared with the sum of the team's urgent jobs, so that it covered all of them or none.

Change: jobs are covered in the order of their acceptance, as far as they fit the guarantee. The needs of covered jobs never add up to more than all guarantees. It is also what a reclaim needs to know: which urgent work is borrowed.

Evidence: 'a team that asks for more than its guarantee keeps that part' fails before (no run is stopped) and passes now.

--- a/core/scheduler/guarantees.ts
+++ b/core/scheduler/guarantees.ts
@@ -14,32 +14,45 @@
   teamNeed(team: string): number;
 }
 
-/** Creates the cover of the present jobs; each team is worked out on demand. */
-export function createGuaranteeCover(state: SchedulerState): GuaranteeCover {
-  const needs = new Map<string, number>();
+/** The urgent jobs of one team. */
+interface TeamCover {
+  covered: Set<Job>;
+  need: number;
+}
 
-  function teamNeed(team: string): number {
-    const known = needs.get(team);
-    if (known !== undefined) return known;
-    let need = 0;
-    for (const job of state.active) {
-      if (job.policy.priority !== 0 || job.request.team !== team) continue;
-      need += acceleratorsOf(job);
-    }
-    needs.set(team, need);
-    return need;
+/**
+ * Creates the cover of the present jobs. A guarantee covers a team's jobs in
+ * the order of their acceptance, as far as they fit it; a team that asks for
+ * more keeps what it is guaranteed.
+ */
+export function createGuaranteeCover(state: SchedulerState): GuaranteeCover {
+  const teams = new Map<string, TeamCover>();
+  const urgent = [...state.active]
+    .filter((job) => job.policy.priority === 0)
+    .sort(compareAcceptance);
+  const used = new Map<string, number>();
+  for (const job of urgent) {
+    const { team } = job.request;
+    const cover = teams.get(team) ?? { covered: new Set(), need: 0 };
+    teams.set(team, cover);
+    const need = acceleratorsOf(job);
+    cover.need += need;
+    const total = (used.get(team) ?? 0) + need;
+    if (total > (state.policies.guarantees.get(team) ?? 0)) continue;
+    used.set(team, total);
+    cover.covered.add(job);
   }
-
   return {
-    covers: (job) => {
-      if (job.policy.priority !== 0) return false;
-      const { team } = job.request;
-      return teamNeed(team) <= (state.policies.guarantees.get(team) ?? 0);
-    },
-    teamNeed,
+    covers: (job) => teams.get(job.request.team)?.covered.has(job) ?? false,
+    teamNeed: (team) => teams.get(team)?.need ?? 0,
   };
 }
 
+function compareAcceptance(a: Job, b: Job): number {
+  return a.request.acceptedAt - b.request.acceptedAt ||
+    (a.request.id < b.request.id ? -1 : 1);
+}
+
 /** Accelerators that the largest step of the job needs. */
 export function acceleratorsOf(job: Job): number {
   return Math.max(
--- a/core/scheduler/reclaim_test.ts
+++ b/core/scheduler/reclaim_test.ts
@@ -21,3 +21,25 @@
   t.match(fleet.starts(0), [{ task: "owned.0.0.0" }]);
   t.end();
 });
+
+// Guards against a team that loses its whole guarantee by asking for more.
+test("a team that asks for more than its guarantee keeps that part", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  const wholeWorker = [step({ accelerators: 8 })];
+  fleet.submit(request({ id: "long-0", steps: wholeWorker }));
+  fleet.submit(request({ id: "long-1", steps: wholeWorker }));
+  fleet.runStarts();
+  fleet.advance(60_000);
+  const short = [step({ accelerators: 8, estimate: 3000 })];
+  for (const [acceptedAt, id] of ["first", "second"].entries()) {
+    fleet.submit(
+      request({ id, team: "owner", priority: 0, steps: short, acceptedAt }),
+    );
+  }
+  fleet.guarantee("owner", 8);
+  const stopped = [0, 1].filter((index) => fleet.stops(index).length > 0);
+  t.equal(stopped.length, 1);
+  fleet.end(stopped[0]!, 0, "stopped");
+  t.match(fleet.starts(stopped[0]!), [{ task: "first.0.0.0" }]);
+  t.end();
+});
