Let an owner reclaim its guarantee from urgent jobs of other teams

Callers saw: an urgent job inside its team's guarantee did not begin within the time limit of a reclaim (RECLAIM).

Cause: only runs of lower priority could be stopped. An urgent job that runs beyond its team's guarantee holds borrowed capacity as well, but nobody could take it back, so that the owner waited until it ended by itself.

Change: a guaranteed unit that finds no other place may stop urgent runs that no guarantee covers, after free capacity and runs of lower priority. Jobs that a guarantee covers are never stopped for others, and the needs of all of them fit the sum of the guarantees.

Ruled out as needed for it: a bound on urgent jobs beyond the guarantee, which would leave capacity idle.

--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -7,14 +7,15 @@
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { createGuaranteeCover } from "./guarantees.ts";
+import type { GuaranteeCover } from "./guarantees.ts";
 import { JobStatus, TaskPhase } from "./job.ts";
 import { listCandidates, taskWeight } from "./fit.ts";
 import { placeTasks } from "./place.ts";
-import type { Placement } from "./place.ts";
+import type { Placement, PreemptionRule } from "./place.ts";
 import { markChanged } from "./progress.ts";
 import { addCapacity, addRun, stopRun, taskCapacity } from "./runs.ts";
 import { stepKey } from "./state.ts";
-import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
+import type { Capacity, SchedulerState, Worker } from "./state.ts";
 import { isUrgent, listUnits } from "./units.ts";
 import type { Unit } from "./units.ts";
 import { noteUrgentWait } from "./waits.ts";
@@ -38,7 +39,7 @@
   for (const unit of listUnits(state, cover, now)) {
     const tasks = unit.occurrence.steps[unit.stepIndex]!;
     if (unplaceable.has(tasks)) continue;
-    const placement = findPlacement(state, unit, now, reserved);
+    const placement = findPlacement({ state, unit, cover, now, reserved });
     if (placement?.victims.size === 0) {
       startUnit(state, unit, placement, now);
       continue;
@@ -54,15 +55,18 @@
 /**
  * Finds workers for the unit: free capacity near its data first, then any free
  * capacity once the locality wait is over or if no worker is near the data, and
- * then, for an urgent unit, by preemption. A gang that asks for one rack is
- * placed across racks only after the locality wait.
+ * then, for an urgent unit, by preemption of lower priorities. A gang that asks
+ * for one rack is placed across racks only after the locality wait. A unit that
+ * is guaranteed may at last preempt urgent runs that no guarantee covers.
  */
-function findPlacement(
-  state: SchedulerState,
-  unit: Unit,
-  now: Milliseconds,
-  reserved: Map<Worker, Capacity>,
-): Placement | undefined {
+function findPlacement(fields: {
+  state: SchedulerState;
+  unit: Unit;
+  cover: GuaranteeCover;
+  now: Milliseconds;
+  reserved: Map<Worker, Capacity>;
+}): Placement | undefined {
+  const { state, unit, cover, now, reserved } = fields;
   const { job, step } = unit;
   const urgent = isUrgent(unit);
   const waited = now - unit.readyAt;
@@ -84,11 +88,13 @@
   const never = () => false;
   // Long-running tasks are not preempted, since it is not known here how many
   // tasks of such a step may be down at once.
-  const isPreemptible = (run: Run) =>
+  const isLower: PreemptionRule = (run) =>
     run.job.policy.priority > 0 && !run.step.longRunning;
+  const isReclaimable: PreemptionRule = (run) =>
+    !cover.covers(run.job) && !run.step.longRunning;
   const oneRack = step.gang && step.sameRack && unit.tasks.length > 1;
   const place = (
-    mayPreempt: typeof isPreemptible,
+    mayPreempt: PreemptionRule,
     rack: boolean,
     from = candidates,
   ) =>
@@ -102,7 +108,8 @@
       reverseOrder: urgent,
     });
   const placeByPreemption = (rack: boolean) => {
-    const placement = place(isPreemptible, rack);
+    if (!urgent) return undefined;
+    const placement = place(isLower, rack);
     return placement && isPreemptionWorthwhile(unit, placement)
       ? placement
       : undefined;
@@ -115,10 +122,15 @@
     ? place(never, oneRack)
     : undefined;
   if (free) return free;
-  const preempted = urgent ? placeByPreemption(oneRack) : undefined;
+  const preempted = placeByPreemption(oneRack);
   if (preempted) return preempted;
-  if (!oneRack || waitsForLocality) return undefined;
-  return place(never, false) ?? (urgent ? placeByPreemption(false) : undefined);
+  const acrossRacks = oneRack && !waitsForLocality;
+  const spread = acrossRacks
+    ? place(never, false) ?? placeByPreemption(false)
+    : undefined;
+  if (spread || !unit.guaranteed) return spread;
+  return place(isReclaimable, oneRack) ??
+    (acrossRacks ? place(isReclaimable, false) : undefined);
 }
 
 /**
