--- /dev/null
+++ b/core/scheduler/timed_fleet_for_tests.ts
@@ -0,0 +1,264 @@
+/**
+ * A scheduler with agents and workers in simulated time, for tests.
+ *
+ * @module
+ */
+
+import { createScheduler } from "./reducer.ts";
+import { parseTask } from "./job.ts";
+import type { JobRequest, Step } from "./job.ts";
+import { runKey } from "./messages.ts";
+import type { EndedTask, RunEnding, RunName, StartOrder } from "./messages.ts";
+import type { SchedulerEffect, SchedulerEvent } from "./state.ts";
+
+/** Time until the store confirms a write. */
+const STORE_DELAY = 12;
+/** Time of a message between leader and agent. */
+const LINK_DELAY = 3;
+const TICK_INTERVAL = 250;
+const REPORT_INTERVAL = 800;
+
+/** How one run of a job's tasks goes on a sound worker. */
+export interface RunPlan {
+  /** Run time of each task, in milliseconds. */
+  duration: number;
+  ending: RunEnding;
+}
+
+interface LiveRun {
+  name: RunName;
+  /** Names all members of the run's gang; that of the run if it has none. */
+  group: string;
+  step: Step;
+  stopping: boolean;
+}
+
+interface TimedWorker {
+  index: number;
+  running: Map<string, LiveRun>;
+  /** Runs that were started or refused, and never start again. */
+  seen: Set<string>;
+  ended: EndedTask[];
+  nextEnd: number;
+  absent: Map<string, RunName>;
+}
+
+type Orders = Extract<SchedulerEffect, { kind: "orders" }>["orders"];
+
+/** Creates a scheduler with workers that run what it orders. */
+export function createTimedFleet(fields: {
+  workers: number;
+  workersPerRack: number;
+  /** Time from the order to stop a run until it has ended. */
+  stopDelay: number;
+  planRun: (job: JobRequest) => RunPlan;
+  /** Called when a run begins on a worker. */
+  onBegun?: (task: string) => void;
+  /** Called when a job has a final status. */
+  onFinished?: (job: string) => void;
+}) {
+  const scheduler = createScheduler({
+    times: { agentLoss: 8300, agentRetention: 60_000, retention: 1000 },
+  });
+  const requests = new Map<string, JobRequest>();
+  const logs: Extract<SchedulerEffect, { kind: "log" }>[] = [];
+  let now = 0;
+  let actions: { at: number; act: () => void }[] = [];
+  const workers: TimedWorker[] = Array.from(
+    { length: fields.workers },
+    (_, index) => ({
+      index,
+      running: new Map(),
+      seen: new Set(),
+      ended: [],
+      nextEnd: 1,
+      absent: new Map(),
+    }),
+  );
+
+  function after(delay: number, act: () => void): void {
+    const at = now + delay;
+    let position = actions.length;
+    while (position > 0 && actions[position - 1]!.at > at) position--;
+    actions.splice(position, 0, { at, act });
+  }
+
+  function dispatch(event: SchedulerEvent): void {
+    const effects = scheduler.reduce(event);
+    for (const effect of effects) {
+      if (effect.kind === "store") confirmLater(effect.job);
+      else if (effect.kind === "log") observe(effect);
+      else if (effect.kind === "orders") {
+        const index = Number(effect.agent.split("-")[1]);
+        after(LINK_DELAY, () => obey(workers[index]!, effect.orders));
+      }
+    }
+  }
+
+  function observe(effect: Extract<SchedulerEffect, { kind: "log" }>): void {
+    logs.push(effect);
+    if (effect.text === "Job finished.") {
+      fields.onFinished?.(String(effect.fields.job));
+    }
+  }
+
+  function confirmLater(job: string): void {
+    const version = scheduler.snapshot(job)?.version;
+    if (version === undefined) return;
+    after(STORE_DELAY, () => dispatch({ kind: "stored", now, job, version }));
+  }
+
+  function obey(worker: TimedWorker, orders: Orders): void {
+    worker.ended = worker.ended
+      .filter(({ number }) => number > orders.acknowledged);
+    for (const start of orders.starts) begin(worker, start);
+    for (const stop of orders.stops) stopRun(worker, stop);
+  }
+
+  function begin(worker: TimedWorker, start: StartOrder): void {
+    const key = runKey(start);
+    if (worker.seen.has(key)) return;
+    worker.seen.add(key);
+    const name = parseTask(start.task)!;
+    const request = requests.get(name.job)!;
+    const step = request.steps[name.step]!;
+    const group = step.gang
+      ? `${name.job}.${name.occurrence}.${name.step}#${start.run}`
+      : key;
+    worker.running.set(key, {
+      name: { task: start.task, run: start.run },
+      group,
+      step,
+      stopping: false,
+    });
+    fields.onBegun?.(start.task);
+    reportSoon(worker);
+    const members = membersOf(group);
+    if (members.length < (step.gang ? step.count : 1)) return;
+    const { duration, ending } = fields.planRun(request);
+    after(duration, () => endGroup(group, ending));
+  }
+
+  function membersOf(group: string) {
+    return workers.flatMap((worker) =>
+      [...worker.running.values()]
+        .filter((run) => run.group === group)
+        .map((run) => ({ worker, run }))
+    );
+  }
+
+  /** Ends all members; a gang that lost one has ended before. */
+  function endGroup(group: string, ending: RunEnding): void {
+    const members = membersOf(group);
+    if (members.some(({ run }) => run.stopping)) return;
+    for (const { worker, run } of members) end(worker, run, ending);
+  }
+
+  function end(worker: TimedWorker, run: LiveRun, ending: RunEnding): void {
+    worker.running.delete(runKey(run.name));
+    const number = worker.nextEnd++;
+    worker.ended.push({ number, ...run.name, ending, checkpoint: "" });
+    reportSoon(worker);
+  }
+
+  function stopRun(worker: TimedWorker, name: RunName): void {
+    const run = worker.running.get(runKey(name));
+    if (!run) {
+      const listed = worker.ended
+        .some((each) => runKey(each) === runKey(name));
+      if (worker.seen.has(runKey(name)) || listed) return;
+      worker.seen.add(runKey(name));
+      worker.absent.set(runKey(name), name);
+      return reportSoon(worker);
+    }
+    if (run.stopping) return;
+    run.stopping = true;
+    after(fields.stopDelay, () => {
+      if (!worker.running.has(runKey(name))) return;
+      end(worker, run, "stopped");
+      for (const other of membersOf(run.group)) {
+        end(other.worker, other.run, "broken");
+      }
+    });
+  }
+
+  function reportSoon(worker: TimedWorker): void {
+    after(LINK_DELAY, () => report(worker));
+  }
+
+  function report(worker: TimedWorker): void {
+    const { index } = worker;
+    const absent = [...worker.absent.values()];
+    worker.absent.clear();
+    dispatch({
+      kind: "report",
+      now,
+      date: now,
+      agent: `agent-${index}`,
+      report: {
+        kind: "report",
+        sentAt: now,
+        vacant: false,
+        worker: {
+          key: `worker-${index}@1`,
+          born: 1,
+          service: "service",
+          rack: `rack-${Math.floor(index / fields.workersPerRack)}`,
+          labels: [],
+          millicores: 64_000,
+          megabytes: 131_072,
+          accelerators: 8,
+          draining: false,
+          remaining: 0,
+          reachable: true,
+        },
+        listed: true,
+        running: [...worker.running.values()].map(({ name }) => ({
+          ...name,
+          checkpoint: "",
+          percent: 0,
+        })),
+        ended: [...worker.ended],
+        refused: [],
+        absent,
+        emptied: [],
+      },
+    });
+  }
+
+  function repeat(interval: number, act: () => void): void {
+    act();
+    after(interval, () => repeat(interval, act));
+  }
+
+  for (const worker of workers) {
+    repeat(REPORT_INTERVAL, () => report(worker));
+  }
+  repeat(TICK_INTERVAL, () => dispatch({ kind: "tick", now, date: now }));
+
+  return {
+    scheduler,
+    logs,
+    now: () => now,
+    after,
+    submit: (request: JobRequest) => {
+      requests.set(request.id, request);
+      dispatch({ kind: "job", now, request });
+    },
+    guarantee: (guarantees: Map<string, number>) => {
+      const policies = { queues: new Map(), guarantees };
+      dispatch({ kind: "policies", now, policies });
+    },
+    /** Passes time until `end`. */
+    runUntil: (end: number) => {
+      for (;;) {
+        const next = actions[0];
+        if (!next || next.at > end) break;
+        actions = actions.slice(1);
+        now = next.at;
+        next.act();
+      }
+      now = end;
+    },
+  };
+}
