Place no task on a worker whose agent is silent

Cause: a worker counted as a place until its agent was lost, 8.3 s after its last report. A machine that is gone for good drew tasks for all that time; a gang with one member there did not begin before the agent was lost, far beyond the limit of a reclaim.

Change: a worker takes tasks only if its agent was heard within 2 s; agents report every 0.8 s. Runs that are there already are judged as before.

Evidence: 'no task is placed on a worker whose agent is silent' fails before (two tasks wait on the silent worker) and passes now.

--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -4,10 +4,11 @@
  * @module
  */
 
+import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import type { Step } from "./job.ts";
 import { addCapacity, gangOf, taskCapacity } from "./runs.ts";
-import type { Capacity, Job, Run, Worker } from "./state.ts";
+import type { Capacity, Job, Run, SchedulerState, Worker } from "./state.ts";
 
 /** Number of cores that one accelerator counts as when work is weighed. */
 const CORES_PER_ACCELERATOR = 8;
@@ -19,6 +20,12 @@
  */
 const STOPPING_COST = 0.5;
 
+/**
+ * A worker whose agent was not heard for this long gets no tasks. Agents report
+ * at least every 0.8 s.
+ */
+const AGENT_SILENCE_LIMIT: Milliseconds = 2 * SECOND;
+
 /** A worker that may take tasks of a step, with its free capacity. */
 export interface CandidateWorker {
   worker: Worker;
@@ -29,7 +36,7 @@
 
 /** Lists the workers that may take tasks of a step, grouped by rack. */
 export function listCandidates(fields: {
-  workers: Iterable<Worker>;
+  state: SchedulerState;
   job: Job;
   step: Step;
   occurrence: number;
@@ -42,10 +49,10 @@
 }): CandidateWorker[] {
   const { job, step, now, reserved } = fields;
   const candidates: CandidateWorker[] = [];
-  for (const worker of fields.workers) {
+  for (const worker of fields.state.workers.values()) {
     const { state } = worker;
     if (state.service !== job.policy.service) continue;
-    if (state.draining || !state.reachable) continue;
+    if (!isUsable(fields.state, worker, now)) continue;
     if (step.label !== "" && !state.labels.includes(step.label)) continue;
     if (fields.avoid && worker.avoidUntil > now) continue;
     const free: Capacity = {
@@ -65,6 +72,21 @@
   return candidates.sort(compareByRack);
 }
 
+/**
+ * Whether a task that is placed on the worker now can be expected to start: the
+ * worker does not drain, and both it and its agent answer.
+ */
+export function isUsable(
+  state: SchedulerState,
+  worker: Worker,
+  now: Milliseconds,
+): boolean {
+  const { draining, reachable } = worker.state;
+  if (draining || !reachable) return false;
+  const agent = state.agents.get(worker.agent);
+  return agent !== undefined && now - agent.lastHeard < AGENT_SILENCE_LIMIT;
+}
+
 /** Orders by rack and then by key, so that a rack's workers are adjacent. */
 function compareByRack(a: CandidateWorker, b: CandidateWorker): number {
   const left = `${a.worker.state.rack} ${a.worker.state.key}`;
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -73,7 +73,7 @@
   const waitsForLocality =
     waited < (urgent ? URGENT_LOCALITY_WAIT : LOCALITY_WAIT);
   const candidates = listCandidates({
-    workers: state.workers.values(),
+    state,
     job,
     step,
     occurrence: unit.occurrence.index,
--- a/core/scheduler/reclaim_test.ts
+++ b/core/scheduler/reclaim_test.ts
@@ -43,3 +43,19 @@
   t.match(fleet.starts(stopped[0]!), [{ task: "first.0.0.0" }]);
   t.end();
 });
+
+// Guards against an urgent job that waits for a machine that is gone, until the
+// grant of its agent has expired.
+test("no task is placed on a worker whose agent is silent", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  fleet.silence(1);
+  fleet.advance(2500);
+  const steps = [step({ count: 4, accelerators: 4 })];
+  fleet.submit(request({ id: "a", priority: 0, steps }));
+  t.equal(fleet.starts(0).length, 2);
+  t.equal(fleet.starts(1).length, 0);
+  fleet.report(1);
+  fleet.advance(500);
+  t.equal(fleet.starts(1).length, 2, "the agent reports again");
+  t.end();
+});
--- a/core/scheduler/waits.ts
+++ b/core/scheduler/waits.ts
@@ -6,6 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
+import { isUsable } from "./fit.ts";
 import type { GuaranteeCover } from "./guarantees.ts";
 import { stepKey } from "./state.ts";
 import type { Run, SchedulerState, Worker } from "./state.ts";
@@ -17,7 +18,7 @@
 /** Accelerators of the workers of one service by what they are used for. */
 interface Usage {
   free: number;
-  /** On workers that drain or that their agent does not reach. */
+  /** On workers that drain or do not answer. */
   unavailable: number;
   /** On workers that failed or refused a run a moment ago. */
   avoided: number;
@@ -92,7 +93,7 @@
   };
   for (const worker of state.workers.values()) {
     if (worker.state.service !== unit.job.policy.service) continue;
-    usage[freeKind(worker, now)] += worker.state.accelerators -
+    usage[freeKind(state, worker, now)] += worker.state.accelerators -
       worker.used.accelerators;
     for (const run of worker.runs) {
       usage[runKind(run, cover)] += run.step.accelerators;
@@ -101,8 +102,12 @@
   return usage;
 }
 
-function freeKind(worker: Worker, now: Milliseconds): keyof Usage {
-  if (worker.state.draining || !worker.state.reachable) return "unavailable";
+function freeKind(
+  state: SchedulerState,
+  worker: Worker,
+  now: Milliseconds,
+): keyof Usage {
+  if (!isUsable(state, worker, now)) return "unavailable";
   return worker.avoidUntil > now ? "avoided" : "free";
 }
 
