Give a team that asks for more its guaranteed part at low cost first

Cause: covered jobs of a team in excess took capacity back at any cost, at once, where they had stopped only cheap work before. In a burst most urgent jobs are of such teams, and many of them find a cheap place a moment later.

Change: such a job looks for free or cheap capacity for 1.8 s, and takes it back at any cost after that, so that stopped runs still end within the reclaim limit. A team whose urgent jobs all fit its guarantee reclaims at once, as before.

--- a/core/scheduler/guarantees.ts
+++ b/core/scheduler/guarantees.ts
@@ -10,6 +10,8 @@
 export interface GuaranteeCover {
   /** Whether the guarantee of the job's team covers the job. */
   covers(job: Job): boolean;
+  /** Whether the guarantee covers all urgent jobs of the team. */
+  fits(team: string): boolean;
   /** Accelerators that all urgent jobs of the team need together. */
   teamNeed(team: string): number;
 }
@@ -44,6 +46,9 @@
   }
   return {
     covers: (job) => teams.get(job.request.team)?.covered.has(job) ?? false,
+    fits: (team) =>
+      (teams.get(team)?.need ?? 0) <=
+        (state.policies.guarantees.get(team) ?? 0),
     teamNeed: (team) => teams.get(team)?.need ?? 0,
   };
 }
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -57,7 +57,7 @@
  * capacity once the locality wait is over or if no worker is near the data, and
  * then, for an urgent unit, by preemption of lower priorities. A gang that asks
  * for one rack is placed across racks only after the locality wait. A unit that
- * is guaranteed may at last preempt urgent runs that no guarantee covers.
+ * may reclaim preempts, at last, urgent runs that no guarantee covers.
  */
 function findPlacement(fields: {
   state: SchedulerState;
@@ -128,17 +128,17 @@
   const spread = acrossRacks
     ? place(never, false) ?? placeByPreemption(false)
     : undefined;
-  if (spread || !unit.guaranteed) return spread;
+  if (spread || !unit.mayReclaim) return spread;
   return place(isReclaimable, oneRack) ??
     (acrossRacks ? place(isReclaimable, false) : undefined);
 }
 
 /**
- * Whether the unit may stop the placement's victims. Beyond its team's
- * guarantee, the cost must not exceed `PREEMPTION_RATIO` of the unit's work.
+ * Whether the unit may stop the placement's victims. Unless the unit may
+ * reclaim, the cost must not exceed `PREEMPTION_RATIO` of the unit's work.
  */
 function isPreemptionWorthwhile(unit: Unit, placement: Placement): boolean {
-  if (unit.guaranteed) return true;
+  if (unit.mayReclaim) return true;
   const { step } = unit;
   const work = unit.tasks.length * taskWeight(step) * step.estimate / SECOND;
   return placement.cost <= PREEMPTION_RATIO * work;
--- a/core/scheduler/reclaim_test.ts
+++ b/core/scheduler/reclaim_test.ts
@@ -37,6 +37,7 @@
     );
   }
   fleet.guarantee("owner", 8);
+  fleet.advance(2000);
   const stopped = [0, 1].filter((index) => fleet.stops(index).length > 0);
   t.equal(stopped.length, 1);
   fleet.end(stopped[0]!, 0, "stopped");
--- a/core/scheduler/units.ts
+++ b/core/scheduler/units.ts
@@ -16,6 +16,13 @@
 /** Head start of each priority below the urgent one over the next lower one. */
 const PRIORITY_ADVANCE: Milliseconds = 5 * SECOND;
 
+/**
+ * A team that asks for more than its guarantee takes the guaranteed part back
+ * at any cost only after this time. Runs that are stopped then still end within
+ * the reclaim limit, which is 2.7 s at least.
+ */
+const RECLAIM_DELAY: Milliseconds = 1800;
+
 /** Tasks that are placed together: a whole gang or a single task. */
 export interface Unit {
   job: Job;
@@ -27,6 +34,8 @@
   readyAt: Milliseconds;
   /** Whether the guarantee of the job's team covers the job. */
   guaranteed: boolean;
+  /** Whether the job takes guaranteed capacity back at any cost. */
+  mayReclaim: boolean;
 }
 
 /** Lists the units that are ready to start, in the order of planning. */
@@ -62,13 +71,16 @@
   const key = stepKey({ occurrence: occurrence.index, step: stepIndex });
   const readyAt = job.readyAt.get(key) ?? now;
   job.readyAt.set(key, readyAt);
+  const guaranteed = cover.covers(job);
   const base = {
     job,
     occurrence,
     stepIndex,
     step,
     readyAt,
-    guaranteed: cover.covers(job),
+    guaranteed,
+    mayReclaim: guaranteed &&
+      (cover.fits(job.request.team) || now - readyAt >= RECLAIM_DELAY),
   };
   const waiting = tasks.flatMap((task, index) =>
     task.phase === TaskPhase.Waiting ? [index] : []
