Check with real programs that an owner reclaims from urgent jobs

The tests of the platform programs knew one team, so that no test could see what one team's urgent jobs keep from another's.

--- a/testing/platform/mod.ts
+++ b/testing/platform/mod.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-export { startPrograms } from "./programs.ts";
+export { BORROWER_KEY, startPrograms } from "./programs.ts";
 export type { Programs } from "./programs.ts";
 export { startStore } from "./store_server.ts";
 export type { StoreServer } from "./store_server.ts";
--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -23,6 +23,10 @@
 
 const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
 const SERVICE = "planning";
+/** Key of the configured team that has a guarantee of 8 accelerators. */
+export const TEAM_KEY = "key-1";
+/** Key of the configured team without a guarantee. */
+export const BORROWER_KEY = "key-2";
 /** Host name of all configured queues. */
 export const QUEUE_HOST = "jobs.example";
 /** Log lines that are kept for each process by default. */
@@ -72,15 +76,17 @@
   workers: WorkerServer[];
   entries: ProgramProcess[];
   agents: ProgramProcess[];
-  /** Calls an entry with the team's API key; a failure gives status 0. */
+  /**
+   * Calls an entry; a failure gives status 0. The API key is that of the team
+   * with a guarantee unless another one is given.
+   */
   call(
     entry: ProgramProcess,
     method: string,
     path: string,
     body?: unknown,
-  ): Promise<
-    CallAnswer
-  >;
+    key?: string,
+  ): Promise<CallAnswer>;
   /** Kills all programs and stops the stand-ins; fails if one goes on. */
   stop(): Promise<void>;
 }
@@ -240,6 +246,7 @@
   method: string,
   path: string,
   body?: unknown,
+  key = TEAM_KEY,
 ): Promise<CallAnswer> {
   const { request } = await import("node:http");
   const [host, port] = entry.callerAddress.split(":");
@@ -249,7 +256,7 @@
       port,
       method,
       path,
-      headers: { host: QUEUE_HOST, "x-api-key": "key-1" },
+      headers: { host: QUEUE_HOST, "x-api-key": key },
     }, (response) => {
       let text = "";
       response.on("data", (chunk) => text += chunk);
@@ -284,7 +291,10 @@
     ],
     services: [{ name: SERVICE }],
     limits: {},
-    tenants: [{ name: "team", apiKeys: ["key-1"], guaranteed: { gpu: 8 } }],
+    tenants: [
+      { name: "team", apiKeys: [TEAM_KEY], guaranteed: { gpu: 8 } },
+      { name: "borrower", apiKeys: [BORROWER_KEY] },
+    ],
   };
 }
 
--- a/testing/platform/programs_test.ts
+++ b/testing/platform/programs_test.ts
@@ -3,7 +3,7 @@
 import { performance } from "node:perf_hooks";
 import { test } from "tap";
 import type { Test } from "tap";
-import { startPrograms } from "./mod.ts";
+import { BORROWER_KEY, startPrograms } from "./mod.ts";
 import type { Programs } from "./mod.ts";
 
 /** Guaranteed bound on recovery after a fault, in milliseconds. */
@@ -158,3 +158,27 @@
   );
   checkTasksDoneOnce(t, programs, 3);
 });
+
+// Guards against an owner that waits while the urgent jobs of a team without a
+// guarantee hold all workers.
+test("an owner's urgent job stops those of a team without a guarantee", async (t) => {
+  const programs = await start(t, 10 * RECOVERY_BOUND);
+  const { entries, call } = programs;
+  const whole = { cpu: 1000, memMb: 10, gpu: 8, gang: true };
+  const startedBy = (number: number) =>
+    programs.workers.flatMap((worker) => worker.started)
+      .filter((task) => task.startsWith(jobId(number))).length;
+  const submit = async (number: number, count: number, key?: string) => {
+    const body = { spec: "text", steps: [{ ...whole, count }] };
+    const answer = await call(entries[0]!, "POST", path(number), body, key);
+    t.equal(answer.status, 200);
+    await waitUntil(
+      `all tasks of job ${number} start`,
+      RECOVERY_BOUND,
+      () => Promise.resolve(startedBy(number) >= count),
+    );
+  };
+  await submit(1, 2, BORROWER_KEY);
+  await submit(2, 1);
+  t.equal(await stateAt(programs, 0, 2), "running");
+});
--- a/testing/platform/soak/callers.ts
+++ b/testing/platform/soak/callers.ts
@@ -7,7 +7,7 @@
 
 import { Agent, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { QUEUE_HOST } from "../programs.ts";
+import { QUEUE_HOST, TEAM_KEY } from "../programs.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
 import type { JobRecord, Ledger, SoakJob, SoakStep } from "./ledger.ts";
 
@@ -70,7 +70,7 @@
       agent: fields.agent,
       headers: {
         host: QUEUE_HOST,
-        "x-api-key": "key-1",
+        "x-api-key": TEAM_KEY,
         "deadline-ms": String(REQUEST_TIMEOUT),
       },
     }, (response) => {
