--- a/core/scheduler/timed_fleet_for_tests.ts
+++ b/core/scheduler/timed_fleet_for_tests.ts
@@ -61,7 +61,6 @@
     times: { agentLoss: 8300, agentRetention: 60_000, retention: 1000 },
   });
   const requests = new Map<string, JobRequest>();
-  const logs: Extract<SchedulerEffect, { kind: "log" }>[] = [];
   let now = 0;
   let actions: { at: number; act: () => void }[] = [];
   const workers: TimedWorker[] = Array.from(
@@ -96,10 +95,8 @@
   }
 
   function observe(effect: Extract<SchedulerEffect, { kind: "log" }>): void {
-    logs.push(effect);
-    if (effect.text === "Job finished.") {
-      fields.onFinished?.(String(effect.fields.job));
-    }
+    if (effect.text !== "Job finished.") return;
+    fields.onFinished?.(String(effect.fields.job));
   }
 
   function confirmLater(job: string): void {
@@ -237,8 +234,6 @@
   repeat(TICK_INTERVAL, () => dispatch({ kind: "tick", now, date: now }));
 
   return {
-    scheduler,
-    logs,
     now: () => now,
     after,
     submit: (request: JobRequest) => {
