Let requests wait for a store that is away

Cause: an entry refused whatever it could not store at that moment, however short the absence.

Change: a request that no entry can carry out waits until the store answers again, for at most half of the caller's timeout, and is refused after that. Nothing is sent to the store meanwhile, so that the refusal is true. At most 500 requests of an entry wait; further ones are refused at once.

The new tests failed before: the submission was answered 503 at once.

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -39,6 +39,14 @@
 /** Attempts of a store call that is refused or stays unanswered. */
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY: Milliseconds = 100;
+/**
+ * Share of the caller's timeout for which a request may wait for the store to
+ * answer again; the rest is left for the calls to the store.
+ */
+const STORE_WAIT_SHARE = 0.5;
+const STORE_CHECK_INTERVAL: Milliseconds = 50;
+/** Requests beyond this number do not wait for the store. */
+const MAX_WAITING_REQUESTS = 500;
 /** How long the store keeps the cancel of a job that it doesn't hold. */
 const EARLY_CANCEL_TTL: Milliseconds = 2 * MINUTE;
 /** Header for callers whose request was not carried out. */
@@ -81,15 +89,19 @@
   log: Log;
 }): CallerApi {
   const { store, replica, clock, timer, log } = fields;
+  let waitingRequests = 0;
 
   const sleep = (delay: Milliseconds) =>
     new Promise<void>((resolve) => {
       timer.after(delay, resolve);
     });
 
+  /** Whether this entry can carry out no request at present. */
+  const isFailing = () => fields.storeFails() || !fields.deployment();
+
   async function answer(request: HttpRequest): Promise<HttpAnswer> {
     const startedAt = clock.now();
-    const failing = fields.storeFails() || !fields.deployment();
+    const failing = isFailing();
     const local = failing ? UNAVAILABLE : await answerLocally(request);
     if (!isInconclusive(local)) return local;
     const left = startedAt + callerTimeout(request) - ANSWER_MARGIN -
@@ -103,7 +115,30 @@
       outcome: forwarded.kind,
       status: forwarded.kind === "answer" ? forwarded.answer.status : 0,
     });
-    return resolveForwarded({ request, local, forwarded, failing });
+    const resolved = await resolveForwarded({
+      request,
+      local,
+      forwarded,
+      failing,
+    });
+    if (resolved.status !== Status.Unavailable || !isFailing()) return resolved;
+    const waitEnd = startedAt + callerTimeout(request) * STORE_WAIT_SHARE;
+    return await waitForStore(waitEnd)
+      ? await answerLocally(request)
+      : resolved;
+  }
+
+  /**
+   * Waits until the store answers again, for requests that no entry could
+   * carry out. An absence of the store is often shorter than the caller's next
+   * attempt is away. Returns whether the store answers.
+   */
+  async function waitForStore(end: Milliseconds): Promise<boolean> {
+    if (waitingRequests >= MAX_WAITING_REQUESTS) return false;
+    waitingRequests++;
+    while (isFailing() && clock.now() < end) await sleep(STORE_CHECK_INTERVAL);
+    waitingRequests--;
+    return !isFailing();
   }
 
   /**
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -19,11 +19,16 @@
 function createEntryApi(fields: {
   commits?: CommitOutcome[];
   storeFails?: boolean;
+  /** Time at which the store answers again. */
+  storeReturnsAt?: number;
   forward?: (request: HttpRequest) => ForwardOutcome;
 }) {
   const commits = [...fields.commits ?? []];
   const keys: string[] = [];
   let reads = 0;
+  let now = 0;
+  const storeFails = () =>
+    (fields.storeFails ?? false) && now < (fields.storeReturnsAt ?? Infinity);
   const replica = createReplica({ onBadItem: () => {} });
   const store = {
     commit: (commit: Parameters<KeyValue["commit"]>[0]) => {
@@ -35,7 +40,7 @@
     grant: () => Promise.resolve(ok(1)),
     read: () => {
       reads++;
-      return Promise.resolve(fields.storeFails ? err(refused) : ok(undefined));
+      return Promise.resolve(storeFails() ? err(refused) : ok(undefined));
     },
   } as unknown as KeyValue;
   const api = createCallerApi({
@@ -58,12 +63,13 @@
       headerTimeout: 1000,
       idleTimeout: 1000,
     }),
-    storeFails: () => fields.storeFails ?? false,
+    storeFails,
     forward: (request) =>
       Promise.resolve(fields.forward?.(request) ?? { kind: "notSent" }),
-    clock: { now: () => 0, date: () => new Date(0) },
+    clock: { now: () => now, date: () => new Date(0) },
     timer: {
-      after: (_, task) => {
+      after: (delay, task) => {
+        now += delay;
         setImmediate(task);
         return () => {};
       },
@@ -74,7 +80,7 @@
       stream: new PassThrough(),
     }),
   });
-  return { api, keys, replica, reads: () => reads };
+  return { api, keys, replica, reads: () => reads, now: () => now };
 }
 
 function createRequest(
@@ -104,6 +110,30 @@
   t.same(keys, [jobKey(ID)]);
 });
 
+// Guards against jobs that are refused for good because the store is away for
+// longer than the caller's attempts last.
+test("a submission waits for a store that is away for a second", async (t) => {
+  const { api, keys, now } = createEntryApi({
+    storeFails: true,
+    storeReturnsAt: 1000,
+    forward: () => answered(503),
+  });
+  t.equal((await api.answer(createRequest("POST"))).status, 200);
+  t.same(keys, [jobKey(ID)]);
+  t.ok(now() < 1200, "it is stored as soon as the store answers");
+});
+
+// Guards against a caller that is held until its own timeout, and against a
+// refusal after something was sent to the store.
+test("a submission is refused while the caller still listens", async (t) => {
+  const { api, keys, now } = createEntryApi({ storeFails: true });
+  const answer = await api.answer(createRequest("POST"));
+  t.equal(answer.status, 503);
+  t.equal(answer.headers?.["retry-after"], "1");
+  t.same(keys, []);
+  t.ok(now() <= 1600, "half of the caller's timeout is left");
+});
+
 // Guards against a refusal of a write that may still take effect.
 test("a write that the store left unanswered is not refused", async (t) => {
   for (const status of [401, 404, 503]) {
