Replace a lost leader sooner, and keep one whose renewals are lost

Cause: the leader's lease lasted 2 s, since a renewal was sent only after the answer to the one before, which may take 700 ms to fail; and standbys looked for a vacancy every 250 ms.

Change: renewals go out every 250 ms whatever became of earlier ones, so that a lease of 1.5 s survives two answers lost in a row. A standby campaigns when it sees the leader key removed. Machines with less than a whole core wait a little first, so that a slow machine leads only if no other can.

--- a/daemons/scheduler/election.ts
+++ b/daemons/scheduler/election.ts
@@ -11,14 +11,24 @@
 import { LEADER_KEY } from "@dragonflyledge/scheduler";
 
 /** A leader that stops renewing its lease is replaced after this time. */
-const LEADER_LEASE: Milliseconds = 2000;
-const RENEWAL_INTERVAL: Milliseconds = 500;
-const RENEWAL_RETRY: Milliseconds = 150;
+const LEADER_LEASE: Milliseconds = 1500;
+/**
+ * A renewal is sent at this interval even if earlier ones are unanswered, so
+ * that the lease survives the loss of a few answers.
+ */
+const RENEWAL_INTERVAL: Milliseconds = 250;
 /** The leader steps down this long before its lease may end. */
 const SAFETY_MARGIN: Milliseconds = 150;
 const CHECK_INTERVAL: Milliseconds = 250;
 /** After `pause`, other entries have this long to be elected. */
 const ELECTION_PAUSE: Milliseconds = 3000;
+/**
+ * A process with less than a whole core waits this long for each core that it
+ * lacks before it campaigns, since a slow leader delays all starts.
+ */
+const DELAY_PER_MISSING_CORE: Milliseconds = 250;
+/** Range of the delays by which processes of equal capacity differ. */
+const CANDIDACY_SPREAD: Milliseconds = 60;
 
 /** Takes part in the election for this process. */
 export interface Election {
@@ -32,11 +42,15 @@
   pause(reason: string): void;
   /** Steps down; this process may be elected again at once. */
   stepDown(reason: string): void;
+  /** Tells that the leader key was seen to be removed. */
+  noteVacancy(): void;
 }
 
 /** Tries to become leader whenever `isVacant` tells that there is no leader. */
 export function startElection(fields: {
   name: string;
+  /** Processor capacity of the machine, in cores. */
+  cores: number;
   store: KeyValue;
   clock: Clock;
   timer: Timer;
@@ -54,6 +68,7 @@
   let busy = false;
   let resigned = false;
   let pausedUntil = -Infinity;
+  const delay = candidacyDelay(fields.name, fields.cores);
 
   const leads = () => held !== undefined && clock.now() < held.validUntil;
 
@@ -97,7 +112,7 @@
     held = { epoch: outcome.revision, lease: lease.value, validUntil };
     log.info("Leadership won.", { epoch: outcome.revision });
     fields.onWon(outcome.revision);
-    renewAfter(RENEWAL_INTERVAL, held);
+    startRenewals(held);
   }
 
   /** Removes the leader key that an earlier process of this machine left. */
@@ -112,21 +127,26 @@
     });
   }
 
-  function renewAfter(delay: Milliseconds, own: typeof held): void {
-    timer.after(delay, () => void renew(own));
+  /** Renews the lease at intervals for as long as `own` is held. */
+  function startRenewals(own: NonNullable<typeof held>): void {
+    timer.after(RENEWAL_INTERVAL, () => {
+      if (held !== own) return;
+      if (clock.now() >= own.validUntil) {
+        return stepDown("the lease was not renewed");
+      }
+      void renew(own);
+      startRenewals(own);
+    });
   }
 
-  /** Renews the lease in time, or steps down once it may have ended. */
-  async function renew(own: typeof held): Promise<void> {
-    if (!own || held !== own) return;
+  /** Renews the lease once; a renewal that fails is not repeated here. */
+  async function renew(own: NonNullable<typeof held>): Promise<void> {
     const sentAt = clock.now();
-    if (sentAt >= own.validUntil) return stepDown("the lease was not renewed");
     const renewed = await store.renew(own.lease);
-    if (held !== own) return;
-    if (renewed.isErr()) return renewAfter(RENEWAL_RETRY, own);
+    if (held !== own || renewed.isErr()) return;
     if (!renewed.value) return stepDown("the lease has ended");
-    own.validUntil = sentAt + ttl - SAFETY_MARGIN;
-    renewAfter(RENEWAL_INTERVAL, own);
+    const validUntil = sentAt + ttl - SAFETY_MARGIN;
+    own.validUntil = Math.max(own.validUntil, validUntil);
   }
 
   /** Steps down after the lease, or tries to lead if there is no leader. */
@@ -138,11 +158,19 @@
     const stale = fields.staleRevision();
     if (stale === undefined && !fields.isVacant()) return;
     busy = true;
-    if (stale === undefined) await campaign();
-    else await clearStaleKey(stale);
+    if (stale !== undefined) await clearStaleKey(stale);
+    else await campaignAfterDelay();
     busy = false;
   }
 
+  /** Campaigns unless a process that may go first is elected meanwhile. */
+  async function campaignAfterDelay(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      timer.after(delay, resolve);
+    });
+    if (!resigned && fields.isVacant()) await campaign();
+  }
+
   const repeat = () => {
     void check();
     timer.after(CHECK_INTERVAL, repeat);
@@ -152,6 +180,7 @@
     epoch: () => held?.epoch,
     leads,
     stepDown,
+    noteVacancy: () => void check(),
     pause: (reason) => {
       pausedUntil = clock.now() + ELECTION_PAUSE;
       stepDown(reason);
@@ -167,3 +196,13 @@
     },
   };
 }
+
+/** Time that a process waits for others before it campaigns. */
+function candidacyDelay(name: string, cores: number): Milliseconds {
+  const rank = [...name].reduce(
+    (hash, character) => (hash * 31 + character.charCodeAt(0)) % 997,
+    0,
+  );
+  const missing = Math.max(0, 1 - cores);
+  return DELAY_PER_MISSING_CORE * missing + CANDIDACY_SPREAD * rank / 997;
+}
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -144,6 +144,7 @@
     onChanges: (changes) => {
       replica.apply(changes);
       term?.applyChanges(changes);
+      if (replica.leader() === undefined) election.noteVacancy();
     },
     onTrouble: logTrouble("jobs"),
   });
@@ -170,6 +171,7 @@
 
   const election = startElection({
     name: settings.name,
+    cores: settings.cores,
     store,
     clock,
     timer,
