Let a new leader hear the fleet before it stops runs

Callers saw: work begun again after each change of leader.

Cause: a new leader planned at each first report of an agent, as if the workers that had reported were the whole fleet.

It also plans once for many first reports.

--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -84,7 +84,12 @@
 
 /** Creates a scheduler with `workers` workers of eight accelerators each. */
 export function createFleet(
-  fields: { workers: number; manualStore?: boolean },
+  fields: {
+    workers: number;
+    manualStore?: boolean;
+    /** Whether the scheduler takes over a fleet that has not reported yet. */
+    takesOver?: boolean;
+  },
 ) {
   const scheduler = createScheduler({
     times: {
@@ -92,6 +97,7 @@
       agentRetention: AGENT_RETENTION,
       retention: 240_000,
     },
+    takesOver: fields.takesOver ?? false,
   });
   const logs: Extract<SchedulerEffect, { kind: "log" }>[] = [];
   let now = 0;
@@ -147,6 +153,18 @@
     running: (index: number) => workers[index]!.running,
     status: (job: string) => scheduler.snapshot(job)?.progress.status,
     progress: (job: string) => scheduler.snapshot(job)!.progress,
+    /** Tells the scheduler that it knows all jobs and agents of the store. */
+    endLoading: () => {
+      for (const { name: agent } of workers) {
+        applyEffects(scheduler.reduce({ kind: "agent", now, agent }));
+      }
+      applyEffects(scheduler.reduce({ kind: "loaded", now }));
+    },
+    /** Passes a short time with a tick, and without reports. */
+    tickAfter: (duration: number) => {
+      now += duration;
+      applyEffects(scheduler.reduce({ kind: "tick", now, date: now }));
+    },
     silence: (index: number) => {
       workers[index]!.silent = true;
     },
@@ -247,6 +265,6 @@
     );
   }
 
-  workers.forEach((_, index) => report(index));
+  if (!fields.takesOver) workers.forEach((_, index) => report(index));
   return fleet;
 }
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -108,7 +108,7 @@
       reverseOrder: urgent,
     });
   const placeByPreemption = (rack: boolean) => {
-    if (!urgent) return undefined;
+    if (!urgent || state.survey) return undefined;
     const placement = place(isLower, rack);
     return placement && isPreemptionWorthwhile(unit, placement)
       ? placement
@@ -128,7 +128,7 @@
   const spread = acrossRacks
     ? place(never, false) ?? placeByPreemption(false)
     : undefined;
-  if (spread || !unit.mayReclaim) return spread;
+  if (spread || !unit.mayReclaim || state.survey) return spread;
   return place(isReclaimable, oneRack) ??
     (acrossRacks ? place(isReclaimable, false) : undefined);
 }
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -15,6 +15,12 @@
 import { advanceAcknowledged, applyReport, markAgentLost } from "./reports.ts";
 import { addRun, stopRun } from "./runs.ts";
 import { noteUnconfirmedStarts } from "./waits.ts";
+import {
+  beginSurvey,
+  createSurvey,
+  isSurveyComplete,
+  noteReport,
+} from "./survey.ts";
 import type {
   Agent,
   Job,
@@ -36,9 +42,13 @@
   readonly state: SchedulerState;
 }
 
-/** Creates a scheduler without jobs, agents and policies. */
+/**
+ * Creates a scheduler without jobs, agents and policies. With `takesOver`, it
+ * gets those of an earlier leader up to the event `loaded`, and then waits for
+ * the fleet's reports before it stops runs.
+ */
 export function createScheduler(
-  fields: { times: SchedulerTimes },
+  fields: { times: SchedulerTimes; takesOver?: boolean },
 ): Scheduler {
   const state: SchedulerState = {
     times: fields.times,
@@ -50,6 +60,7 @@
     runs: new Map(),
     unsavedJobs: new Set(),
     checkpointsSavedAt: 0,
+    survey: fields.takesOver ? createSurvey() : undefined,
     planDue: false,
     changedAgents: new Set(),
     changedJobs: new Set(),
@@ -61,6 +72,9 @@
     // Most reports change nothing, so that they alone don't start planning.
     state.planDue = event.kind !== "report" && event.kind !== "stored";
     applyEvent(state, event);
+    // Most of the fleet's first reports arrive together. One round of planning
+    // at the next tick serves them all.
+    if (state.survey) state.planDue = event.kind === "tick";
     if (state.planDue) plan(state, event.now);
     return collectEffects(state);
   }
@@ -86,8 +100,13 @@
     case "cancel":
       return cancelJob(state, event.job, event.date);
     case "agent":
+      state.survey?.awaited.add(event.agent);
       return addAgent(state, event.agent, event.now);
+    case "loaded":
+      if (state.survey) beginSurvey(state.survey, event.now);
+      return;
     case "report": {
+      if (state.survey) noteReport(state.survey, event.agent, event.now);
       addAgent(state, event.agent, event.now);
       const agent = state.agents.get(event.agent)!;
       return applyReport({ ...event, state, agent });
@@ -231,6 +250,7 @@
   now: Milliseconds,
   date: Milliseconds,
 ): void {
+  endSurvey(state, now);
   checkAgents(state, now);
   noteUnconfirmedStarts(state, now);
   saveCheckpoints(state, now);
@@ -244,6 +264,23 @@
   }
 }
 
+/** Ends the survey of the fleet once it is complete. */
+function endSurvey(state: SchedulerState, now: Milliseconds): void {
+  const { survey } = state;
+  if (!survey || !isSurveyComplete(survey, now)) return;
+  state.survey = undefined;
+  state.effects.push({
+    kind: "log",
+    level: "info",
+    text: "Fleet surveyed.",
+    fields: {
+      workers: state.workers.size,
+      silent: survey.awaited.size,
+      took: Math.round(now - (survey.begunAt ?? now)),
+    },
+  });
+}
+
 /** Stores new checkpoints at intervals, for a new leader to resume from. */
 function saveCheckpoints(state: SchedulerState, now: Milliseconds): void {
   if (now - state.checkpointsSavedAt < CHECKPOINT_INTERVAL) return;
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -12,6 +12,7 @@
   Step,
   TaskName,
 } from "./job.ts";
+import type { Survey } from "./survey.ts";
 import type {
   AgentOrders,
   AgentReport,
@@ -131,6 +132,8 @@
   unsavedJobs: Set<Job>;
   /** When checkpoints were last given to the store. */
   checkpointsSavedAt: Milliseconds;
+  /** Set while a new leader waits for the first reports of the fleet. */
+  survey?: Survey;
   /** Whether a change may let waiting tasks start, so that planning is due. */
   planDue: boolean;
   /** Agents to which new orders are to be sent. */
@@ -148,6 +151,8 @@
     | { kind: "job"; request: JobRequest; progress?: JobProgress }
     | { kind: "cancel"; job: string; date: Milliseconds }
     | { kind: "agent"; agent: string }
+    /** All jobs and agents of the store were passed to a new leader. */
+    | { kind: "loaded" }
     | { kind: "report"; agent: string; report: AgentReport; date: Milliseconds }
     | { kind: "stored"; job: string; version: number }
     | { kind: "tick"; date: Milliseconds }
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -21,6 +21,8 @@
 import { createProgressWriter } from "./writer.ts";
 
 const TICK_INTERVAL: Milliseconds = 250;
+/** Same interval while the first reports of the fleet are awaited. */
+const SURVEY_TICK_INTERVAL: Milliseconds = 50;
 /** The address of an agent that stays lost for this long is removed. */
 const AGENT_RETENTION: Milliseconds = MINUTE;
 /**
@@ -70,6 +72,7 @@
       agentRetention: AGENT_RETENTION,
       retention: fields.retention,
     },
+    takesOver: true,
   });
   const loop = createLoop<SchedulerEvent, SchedulerEffect>({
     reduce: scheduler.reduce,
@@ -176,10 +179,14 @@
     }
     const date = clock.date().getTime();
     dispatch({ kind: "tick", now: clock.now(), date });
-    timer.after(TICK_INTERVAL, tick);
+    const interval = scheduler.state.survey
+      ? SURVEY_TICK_INTERVAL
+      : TICK_INTERVAL;
+    timer.after(interval, tick);
   };
   dispatch({ kind: "policies", now: clock.now(), policies: fields.policies });
   loadReplica();
+  dispatch({ kind: "loaded", now: clock.now() });
   tick();
   return {
     applyChanges: (changes) => {
