Plan once for each need instead of once for each task

Callers saw: starts that are decided late while many tasks wait. A leader has 0.32 to 1.35 of a core, and one round of planning took 34 ms of a whole core at 160 workers with 1,950 waiting tasks, and 95 ms at 860 workers. A round follows each new job and each run that ends.

Cause: for each waiting step a round listed and sorted all workers and copied their capacity, and for each task it went through all runs of each worker, also where no run may be stopped.

Change: a round lists the workers once, keeps their free capacity up to date, remembers the needs that found no room and the cost of stopping a run, and copies only the workers that a placement changes. Workers count their runs with checkpoints and those that are stopping. Tasks of a step are one unit instead of one each, in the same order as before.

--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -1,5 +1,5 @@
 /**
- * Lists the workers that can run a task, and the cost of stopping runs.
+ * Tells whether a worker can run a task, and what stopping a run costs.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import type { Step } from "./job.ts";
 import { addCapacity, gangOf, taskCapacity } from "./runs.ts";
-import type { Capacity, Job, Run, SchedulerState, Worker } from "./state.ts";
+import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
 
 /** Number of cores that one accelerator counts as when work is weighed. */
 const CORES_PER_ACCELERATOR = 8;
@@ -34,44 +34,6 @@
   stepTasks: number;
 }
 
-/** Lists the workers that may take tasks of a step, grouped by rack. */
-export function listCandidates(fields: {
-  state: SchedulerState;
-  job: Job;
-  step: Step;
-  occurrence: number;
-  stepIndex: number;
-  now: Milliseconds;
-  /** Capacity that is reserved for more urgent tasks. */
-  reserved: Map<Worker, Capacity>;
-  /** Whether workers with a recent failure or refusal are left out. */
-  avoid: boolean;
-}): CandidateWorker[] {
-  const { job, step, now, reserved } = fields;
-  const candidates: CandidateWorker[] = [];
-  for (const worker of fields.state.workers.values()) {
-    const { state } = worker;
-    if (state.service !== job.policy.service) continue;
-    if (!isUsable(fields.state, worker, now)) continue;
-    if (step.label !== "" && !state.labels.includes(step.label)) continue;
-    if (fields.avoid && worker.avoidUntil > now) continue;
-    const free: Capacity = {
-      millicores: state.millicores,
-      megabytes: state.megabytes,
-      accelerators: state.accelerators,
-    };
-    addCapacity(free, worker.used, -1);
-    const kept = reserved.get(worker);
-    if (kept) addCapacity(free, kept, -1);
-    candidates.push({
-      worker,
-      free,
-      stepTasks: countStepTasks(fields, worker),
-    });
-  }
-  return candidates.sort(compareByRack);
-}
-
 /**
  * Whether a task that is placed on the worker now can be expected to start: the
  * worker does not drain, and both it and its agent answer.
@@ -87,34 +49,12 @@
   return agent !== undefined && now - agent.lastHeard < AGENT_SILENCE_LIMIT;
 }
 
-/** Orders by rack and then by key, so that a rack's workers are adjacent. */
-function compareByRack(a: CandidateWorker, b: CandidateWorker): number {
-  const left = `${a.worker.state.rack} ${a.worker.state.key}`;
-  const right = `${b.worker.state.rack} ${b.worker.state.key}`;
-  return left < right ? -1 : 1;
-}
-
-/** Counts the runs of a step that are on the worker. */
-function countStepTasks(
-  fields: { job: Job; occurrence: number; stepIndex: number },
-  worker: Worker,
-): number {
-  let count = 0;
-  for (const run of worker.runs) {
-    if (
-      run.job === fields.job && run.task.occurrence === fields.occurrence &&
-      run.task.step === fields.stepIndex
-    ) count++;
-  }
-  return count;
-}
-
 /** Whether one more task of the step fits on the worker. */
 export function fits(candidate: CandidateWorker, step: Step): boolean {
-  const need = taskCapacity(step);
-  return candidate.free.millicores >= need.millicores &&
-    candidate.free.megabytes >= need.megabytes &&
-    candidate.free.accelerators >= need.accelerators &&
+  const { free } = candidate;
+  return free.accelerators >= step.accelerators &&
+    free.megabytes >= step.megabytes &&
+    (step.fillsIdleCores || free.millicores >= step.millicores) &&
     (step.maxPerWorker === 0 || candidate.stepTasks < step.maxPerWorker);
 }
 
--- a/core/scheduler/place.ts
+++ b/core/scheduler/place.ts
@@ -4,9 +4,8 @@
  * @module
  */
 
-import type { Milliseconds } from "@dragonflyledge/model";
 import type { Step } from "./job.ts";
-import { allocateTask, fits, stopCost } from "./fit.ts";
+import { allocateTask, fits } from "./fit.ts";
 import type { CandidateWorker } from "./fit.ts";
 import { addCapacity, gangOf, taskCapacity } from "./runs.ts";
 import type { Run, Worker } from "./state.ts";
@@ -30,15 +29,19 @@
   cost: number;
 }
 
-/** Tells whether a run may be stopped to make room for the step. */
-export type PreemptionRule = (run: Run) => boolean;
+/**
+ * Tells whether a run may be stopped to make room for the step. Without a rule,
+ * none may; runs that are stopping already count as room in any case.
+ */
+export type PreemptionRule = ((run: Run) => boolean) | undefined;
 
 interface PlacementFields {
   candidates: CandidateWorker[];
   step: Step;
   count: number;
-  now: Milliseconds;
   mayPreempt: PreemptionRule;
+  /** Cost, in core-seconds, of stopping a run. */
+  stopCost: (run: Run) => number;
   /**
    * Whether workers of equal cost are taken from the end of the list. Urgent
    * and other tasks fill the workers from opposite ends, so that they share
@@ -73,24 +76,39 @@
 /** Places the tasks one after the other, each at the lowest cost. */
 function placeOnCandidates(
   fields: PlacementFields,
-  from: CandidateWorker[],
+  candidates: CandidateWorker[],
 ): Placement | undefined {
-  const candidates = from.map((candidate) => ({
-    ...candidate,
-    free: { ...candidate.free },
-  }));
-  const victims = new Set<Run>();
+  const trial: Trial = { changed: new Map(), victims: new Set() };
   const workers: Worker[] = [];
   let cost = 0;
   for (let index = 0; index < fields.count; index++) {
-    const choice = chooseWorker(fields, candidates, victims);
+    const choice = chooseWorker(fields, candidates, trial);
     if (!choice) return undefined;
-    for (const victim of choice.victims) addVictim(candidates, victims, victim);
-    allocateTask(choice.candidate, fields.step);
+    for (const victim of choice.victims) addVictim(candidates, trial, victim);
+    allocateTask(changeCandidate(trial, choice.candidate), fields.step);
     workers.push(choice.candidate.worker);
     cost += choice.cost;
   }
-  return { workers, victims, cost };
+  return { workers, victims: trial.victims, cost };
+}
+
+/** What the tasks placed so far change, until the placement is accepted. */
+interface Trial {
+  /** Copies of the candidates that differ from their state in the round. */
+  changed: Map<Worker, CandidateWorker>;
+  victims: Set<Run>;
+}
+
+/** Returns the trial's own copy of a candidate. */
+function changeCandidate(
+  trial: Trial,
+  candidate: CandidateWorker,
+): CandidateWorker {
+  const known = trial.changed.get(candidate.worker);
+  if (known) return known;
+  const copy = { ...candidate, free: { ...candidate.free } };
+  trial.changed.set(candidate.worker, copy);
+  return copy;
 }
 
 /** A worker for one task, and the runs that must end on it first. */
@@ -104,15 +122,14 @@
 function chooseWorker(
   fields: PlacementFields,
   candidates: CandidateWorker[],
-  victims: Set<Run>,
+  trial: Trial,
 ): WorkerChoice | undefined {
   let best: WorkerChoice | undefined;
-  for (
-    const candidate of fields.reverseOrder
-      ? candidates.toReversed()
-      : candidates
-  ) {
-    const choice = evaluateWorker(fields, candidate, victims);
+  const last = candidates.length - 1;
+  for (let index = 0; index <= last; index++) {
+    const listed = candidates[fields.reverseOrder ? last - index : index]!;
+    const candidate = trial.changed.get(listed.worker) ?? listed;
+    const choice = evaluateWorker(fields, candidate, trial.victims);
     if (choice && (!best || choice.cost < best.cost)) best = choice;
   }
   return best;
@@ -127,20 +144,23 @@
   candidate: CandidateWorker,
   chosen: Set<Run>,
 ): WorkerChoice | undefined {
-  const { step, now } = fields;
+  const { step } = fields;
   const unused = candidate.free.accelerators - step.accelerators;
   const baseCost = FRAGMENTATION_COST * Math.max(0, unused) +
-    (wouldMix(candidate, step) ? MIXING_COST : 0);
+    (wouldMix(candidate.worker, step) ? MIXING_COST : 0);
   if (fits(candidate, step)) return { candidate, victims: [], cost: baseCost };
   if (step.maxPerWorker > 0 && candidate.stepTasks >= step.maxPerWorker) {
     return undefined;
   }
-  const stoppable = [...candidate.worker.runs]
-    .filter((run) =>
-      !chosen.has(run) && (run.stopping || fields.mayPreempt(run))
-    )
-    .map((run) => ({ run, cost: stopCost(run, now) }))
-    .sort((a, b) => a.cost - b.cost);
+  const { mayPreempt } = fields;
+  if (!mayPreempt && candidate.worker.stoppingRuns === 0) return undefined;
+  const stoppable: { run: Run; cost: number }[] = [];
+  for (const run of candidate.worker.runs) {
+    if (chosen.has(run) || !(run.stopping || mayPreempt?.(run))) continue;
+    stoppable.push({ run, cost: fields.stopCost(run) });
+  }
+  if (stoppable.length === 0) return undefined;
+  stoppable.sort((a, b) => a.cost - b.cost);
   const trial: CandidateWorker = { ...candidate, free: { ...candidate.free } };
   const victims: Run[] = [];
   let cost = baseCost;
@@ -154,26 +174,28 @@
 }
 
 /** Whether tasks with and without checkpoints would share the worker. */
-function wouldMix(candidate: CandidateWorker, step: Step): boolean {
-  for (const run of candidate.worker.runs) {
-    if (run.step.checkpointing !== step.checkpointing) return true;
-  }
-  return false;
+function wouldMix(worker: Worker, step: Step): boolean {
+  const alike = step.checkpointing
+    ? worker.checkpointingRuns
+    : worker.runs.size - worker.checkpointingRuns;
+  return alike < worker.runs.size;
 }
 
 /** Adds a victim and its gang, and counts the capacity that they will free. */
 function addVictim(
   candidates: CandidateWorker[],
-  victims: Set<Run>,
+  trial: Trial,
   victim: Run,
 ): void {
   const ending = victim.stopping ? [victim] : gangOf(victim);
   for (const run of ending) {
-    if (victims.has(run)) continue;
-    victims.add(run);
+    if (trial.victims.has(run)) continue;
+    trial.victims.add(run);
     const candidate = candidates.find((each) =>
       each.worker.state.key === run.worker
     );
-    if (candidate) addCapacity(candidate.free, taskCapacity(run.step), 1);
+    if (!candidate) continue;
+    const changed = changeCandidate(trial, candidate);
+    addCapacity(changed.free, taskCapacity(run.step), 1);
   }
 }
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -9,13 +9,15 @@
 import { createGuaranteeCover } from "./guarantees.ts";
 import type { GuaranteeCover } from "./guarantees.ts";
 import { JobStatus, TaskPhase } from "./job.ts";
-import { listCandidates, taskWeight } from "./fit.ts";
+import { taskWeight } from "./fit.ts";
 import { placeTasks } from "./place.ts";
 import type { Placement, PreemptionRule } from "./place.ts";
 import { markChanged } from "./progress.ts";
-import { addCapacity, addRun, stopRun, taskCapacity } from "./runs.ts";
+import { createRound } from "./round.ts";
+import type { PlanningRound } from "./round.ts";
+import { addRun, stopRun } from "./runs.ts";
 import { stepKey } from "./state.ts";
-import type { Capacity, SchedulerState, Worker } from "./state.ts";
+import type { SchedulerState } from "./state.ts";
 import { isUrgent, listUnits } from "./units.ts";
 import type { Unit } from "./units.ts";
 import { noteUrgentWait } from "./waits.ts";
@@ -32,24 +34,44 @@
 
 /** Starts the tasks that fit, the most urgent first, preempting if need be. */
 export function plan(state: SchedulerState, now: Milliseconds): void {
-  const reserved = new Map<Worker, Capacity>();
-  // All tasks of a step need the same, so if one does not fit, none does.
-  const unplaceable = new Set<unknown>();
+  const round = createRound(state, now);
   const cover = createGuaranteeCover(state);
   for (const unit of listUnits(state, cover, now)) {
-    const tasks = unit.occurrence.steps[unit.stepIndex]!;
-    if (unplaceable.has(tasks)) continue;
-    const placement = findPlacement({ state, unit, cover, now, reserved });
-    if (placement?.victims.size === 0) {
-      startUnit(state, unit, placement, now);
-      continue;
-    }
-    if (placement) preemptForUnit(state, unit, placement, reserved);
-    else unplaceable.add(tasks);
-    if (!isUrgent(unit)) continue;
+    if (unit.step.gang) planUnit(round, unit, cover);
+    else planTasks(round, unit, cover);
+  }
+}
+
+/** Plans the tasks of a unit one by one. */
+function planTasks(
+  round: PlanningRound,
+  unit: Unit,
+  cover: GuaranteeCover,
+): void {
+  for (const index of unit.tasks) {
+    // All tasks of a step need the same, so if one does not fit, none does.
+    if (!planUnit(round, { ...unit, tasks: [index] }, cover)) return;
+  }
+}
+
+/** Starts the unit or makes room for it. Returns false if there is no place. */
+function planUnit(
+  round: PlanningRound,
+  unit: Unit,
+  cover: GuaranteeCover,
+): boolean {
+  const { state, now } = round;
+  const placement = findPlacement({ round, unit, cover });
+  if (placement?.victims.size === 0) {
+    startUnit(round, unit, placement);
+    return true;
+  }
+  if (placement) preemptForUnit(round, unit, placement);
+  if (isUrgent(unit)) {
     const victims = placement?.victims.size ?? 0;
     noteUrgentWait({ state, unit, cover, victims, now });
   }
+  return placement !== undefined;
 }
 
 /**
@@ -60,32 +82,24 @@
  * may reclaim preempts, at last, urgent runs that no guarantee covers.
  */
 function findPlacement(fields: {
-  state: SchedulerState;
+  round: PlanningRound;
   unit: Unit;
   cover: GuaranteeCover;
-  now: Milliseconds;
-  reserved: Map<Worker, Capacity>;
 }): Placement | undefined {
-  const { state, unit, cover, now, reserved } = fields;
-  const { job, step } = unit;
+  const { round, unit, cover } = fields;
+  const { state, now } = round;
+  const { step } = unit;
   const urgent = isUrgent(unit);
   const waited = now - unit.readyAt;
   const waitsForLocality =
     waited < (urgent ? URGENT_LOCALITY_WAIT : LOCALITY_WAIT);
-  const candidates = listCandidates({
-    state,
-    job,
-    step,
-    occurrence: unit.occurrence.index,
-    stepIndex: unit.stepIndex,
-    now,
-    reserved,
-    avoid: waited < AVOIDANCE_WAIT,
-  });
+  const avoid = waited < AVOIDANCE_WAIT;
+  const mayPreempt = urgent && !state.survey;
+  if (!mayPreempt && round.isFull(unit, avoid)) return undefined;
+  const candidates = round.candidates(unit, avoid);
   const nearData = step.dataRack === ""
     ? []
     : candidates.filter((each) => each.worker.state.rack === step.dataRack);
-  const never = () => false;
   // Long-running tasks are not preempted, since it is not known here how many
   // tasks of such a step may be down at once.
   const isLower: PreemptionRule = (run) =>
@@ -94,45 +108,66 @@
     !cover.covers(run.job) && !run.step.longRunning;
   const oneRack = step.gang && step.sameRack && unit.tasks.length > 1;
   const place = (
-    mayPreempt: PreemptionRule,
+    rule: PreemptionRule,
     rack: boolean,
     from = candidates,
   ) =>
     placeTasks({
       step,
       count: unit.tasks.length,
-      now,
       candidates: from,
-      mayPreempt,
+      mayPreempt: rule,
+      stopCost: round.stopCost,
       oneRack: rack,
       reverseOrder: urgent,
     });
   const placeByPreemption = (rack: boolean) => {
-    if (!urgent || state.survey) return undefined;
+    if (!mayPreempt) return undefined;
     const placement = place(isLower, rack);
     return placement && isPreemptionWorthwhile(unit, placement)
       ? placement
       : undefined;
   };
   const local = nearData.length > 0
-    ? place(never, oneRack, nearData)
+    ? place(undefined, oneRack, nearData)
     : undefined;
   if (local) return local;
   const free = nearData.length === 0 || !waitsForLocality
-    ? place(never, oneRack)
+    ? place(undefined, oneRack)
     : undefined;
   if (free) return free;
   const preempted = placeByPreemption(oneRack);
   if (preempted) return preempted;
   const acrossRacks = oneRack && !waitsForLocality;
   const spread = acrossRacks
-    ? place(never, false) ?? placeByPreemption(false)
+    ? place(undefined, false) ?? placeByPreemption(false)
     : undefined;
-  if (spread || !unit.mayReclaim || state.survey) return spread;
+  if (spread) return spread;
+  if (!mayPreempt) noteIfFull(round, unit, avoid);
+  if (!mayPreempt || !unit.mayReclaim) return undefined;
   return place(isReclaimable, oneRack) ??
     (acrossRacks ? place(isReclaimable, false) : undefined);
 }
 
+/**
+ * Notes that the need of the unit finds no room in this round, if not even one
+ * of its tasks would fit.
+ */
+function noteIfFull(round: PlanningRound, unit: Unit, avoid: boolean): void {
+  const { step } = unit;
+  if (step.maxPerWorker > 0) return;
+  const single = placeTasks({
+    step,
+    count: 1,
+    candidates: round.candidates(unit, avoid),
+    mayPreempt: undefined,
+    stopCost: round.stopCost,
+    oneRack: false,
+    reverseOrder: false,
+  });
+  if (!single) round.noteFull(unit, avoid);
+}
+
 /**
  * Whether the unit may stop the placement's victims. Unless the unit may
  * reclaim, the cost must not exceed `PREEMPTION_RATIO` of the unit's work.
@@ -146,11 +181,11 @@
 
 /** Assigns the unit's tasks to the workers of the placement under a new run. */
 function startUnit(
-  state: SchedulerState,
+  round: PlanningRound,
   unit: Unit,
   placement: Placement,
-  now: Milliseconds,
 ): void {
+  const { state, now } = round;
   const { job, occurrence, stepIndex } = unit;
   const tasks = occurrence.steps[stepIndex]!;
   const highest = Math.max(...unit.tasks.map((index) => tasks[index]!.run));
@@ -165,6 +200,7 @@
     task.agent = worker.agent;
     task.worker = worker.state.key;
     if (unit.step.gang) task.checkpoint = checkpoint;
+    round.take(worker, unit.step);
     addRun({
       state,
       job,
@@ -221,19 +257,14 @@
  * starts in a later round once they have ended.
  */
 function preemptForUnit(
-  state: SchedulerState,
+  round: PlanningRound,
   unit: Unit,
   placement: Placement,
-  reserved: Map<Worker, Capacity>,
 ): void {
+  const { state } = round;
   const fresh = [...placement.victims].filter((run) => !run.stopping);
   for (const run of fresh) stopRun(state, run);
-  for (const worker of placement.workers) {
-    const amount = reserved.get(worker) ??
-      { millicores: 0, megabytes: 0, accelerators: 0 };
-    addCapacity(amount, taskCapacity(unit.step), 1);
-    reserved.set(worker, amount);
-  }
+  for (const worker of placement.workers) round.take(worker, unit.step);
   if (fresh.length === 0) return;
   state.effects.push({
     kind: "log",
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -148,6 +148,8 @@
     agent: agent.name,
     used: { millicores: 0, megabytes: 0, accelerators: 0 },
     runs: new Set(),
+    checkpointingRuns: 0,
+    stoppingRuns: 0,
     avoidUntil: 0,
     failures: 0,
     unstoredEnds: [],
--- /dev/null
+++ b/core/scheduler/round.ts
@@ -0,0 +1,134 @@
+/**
+ * What one round of planning knows of the workers: free capacity, candidates
+ * for a step, and the cost of stopping runs.
+ *
+ * Load pattern: thousands of tasks wait while hundreds of workers are full. A
+ * round then looks at each worker once for each different need, not once for
+ * each task.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { isUsable, stopCost } from "./fit.ts";
+import type { CandidateWorker } from "./fit.ts";
+import type { Step } from "./job.ts";
+import { addCapacity, taskCapacity } from "./runs.ts";
+import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
+import type { Unit } from "./units.ts";
+
+/** Workers and costs as of one round; kept up to date by `take`. */
+export interface PlanningRound {
+  readonly state: SchedulerState;
+  readonly now: Milliseconds;
+  /**
+   * Workers that may take tasks of the unit, grouped by rack.
+   *
+   * @param avoid whether workers with a recent failure or refusal are left out
+   */
+  candidates(unit: Unit, avoid: boolean): CandidateWorker[];
+  /** Subtracts a task of the step from the free capacity of the worker. */
+  take(worker: Worker, step: Step): void;
+  /** Work, in core-seconds, that is lost if the run and its gang are stopped. */
+  stopCost(run: Run): number;
+  /** Notes that no worker has room for a task with the needs of the unit. */
+  noteFull(unit: Unit, avoid: boolean): void;
+  /** Whether the same need found no room earlier in this round. */
+  isFull(unit: Unit, avoid: boolean): boolean;
+}
+
+/** A usable worker with its free capacity. */
+interface UsableWorker {
+  worker: Worker;
+  free: Capacity;
+  /** Sorts the workers by rack, so that those of a rack are adjacent. */
+  order: string;
+}
+
+/** Starts a round on the present state. */
+export function createRound(
+  state: SchedulerState,
+  now: Milliseconds,
+): PlanningRound {
+  const usable = listUsable(state, now);
+  const free = new Map(usable.map((each) => [each.worker, each.free]));
+  const lists = new Map<string, CandidateWorker[]>();
+  const costs = new Map<Run, number>();
+  const full = new Set<string>();
+
+  function listFor(unit: Unit, avoid: boolean): CandidateWorker[] {
+    const { service } = unit.job.policy;
+    const { label } = unit.step;
+    return usable
+      .filter(({ worker }) =>
+        worker.state.service === service &&
+        (label === "" || worker.state.labels.includes(label)) &&
+        !(avoid && worker.avoidUntil > now)
+      )
+      .map((each) => ({ worker: each.worker, free: each.free, stepTasks: 0 }));
+  }
+
+  return {
+    state,
+    now,
+    candidates: (unit, avoid) => {
+      const key = listKey(unit, avoid);
+      const known = lists.get(key) ?? listFor(unit, avoid);
+      lists.set(key, known);
+      if (unit.step.maxPerWorker === 0) return known;
+      return known.map((each) => ({
+        ...each,
+        stepTasks: countStepTasks(unit, each.worker),
+      }));
+    },
+    take: (worker, step) => {
+      const amount = free.get(worker);
+      if (amount) addCapacity(amount, taskCapacity(step), -1);
+    },
+    stopCost: (run) => {
+      const cost = run.stopping ? undefined : costs.get(run);
+      if (cost !== undefined) return cost;
+      const computed = stopCost(run, now);
+      costs.set(run, computed);
+      return computed;
+    },
+    noteFull: (unit, avoid) => full.add(needKey(unit, avoid)),
+    isFull: (unit, avoid) => full.has(needKey(unit, avoid)),
+  };
+}
+
+function listUsable(state: SchedulerState, now: Milliseconds): UsableWorker[] {
+  const usable: UsableWorker[] = [];
+  for (const worker of state.workers.values()) {
+    if (!isUsable(state, worker, now)) continue;
+    const { millicores, megabytes, accelerators, rack, key } = worker.state;
+    const free: Capacity = { millicores, megabytes, accelerators };
+    addCapacity(free, worker.used, -1);
+    usable.push({ worker, free, order: `${rack} ${key}` });
+  }
+  return usable.sort((a, b) => a.order < b.order ? -1 : 1);
+}
+
+/** Counts the runs of the unit's step that are on the worker. */
+function countStepTasks(unit: Unit, worker: Worker): number {
+  let count = 0;
+  for (const run of worker.runs) {
+    const { occurrence, step } = run.task;
+    if (
+      run.job === unit.job && occurrence === unit.occurrence.index &&
+      step === unit.stepIndex
+    ) count++;
+  }
+  return count;
+}
+
+/** Key of the list of candidates that the unit shares with others. */
+function listKey(unit: Unit, avoid: boolean): string {
+  return `${avoid} ${unit.job.policy.service} ${unit.step.label}`;
+}
+
+/** Key of the unit's candidates and of what one of its tasks needs. */
+function needKey(unit: Unit, avoid: boolean): string {
+  const { millicores, megabytes, accelerators } = taskCapacity(unit.step);
+  return `${listKey(unit, avoid)} ${millicores} ${megabytes} ${accelerators}`;
+}
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -74,6 +74,8 @@
 export function addToWorker(worker: Worker, run: Run): void {
   if (worker.runs.has(run)) return;
   worker.runs.add(run);
+  if (run.step.checkpointing) worker.checkpointingRuns++;
+  if (run.stopping) worker.stoppingRuns++;
   addCapacity(worker.used, taskCapacity(run.step), 1);
 }
 
@@ -84,6 +86,8 @@
   run.job.runs.delete(run);
   const worker = state.workers.get(run.worker);
   if (worker?.runs.delete(run)) {
+    if (run.step.checkpointing) worker.checkpointingRuns--;
+    if (run.stopping) worker.stoppingRuns--;
     addCapacity(worker.used, taskCapacity(run.step), -1);
   }
   state.changedAgents.add(run.agent);
@@ -107,6 +111,8 @@
 export function stopRun(state: SchedulerState, run: Run): void {
   if (run.stopping) return;
   run.stopping = true;
+  const worker = state.workers.get(run.worker);
+  if (worker?.runs.has(run)) worker.stoppingRuns++;
   state.changedAgents.add(run.agent);
 }
 
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -73,6 +73,10 @@
   agent: string;
   used: Capacity;
   runs: Set<Run>;
+  /** Number of `runs` that save checkpoints. */
+  checkpointingRuns: number;
+  /** Number of `runs` that were told to stop. */
+  stoppingRuns: number;
   /** Time until which the worker is avoided after a failure or refusal. */
   avoidUntil: Milliseconds;
   /** Number of failed runs since the last one that succeeded. */
--- a/core/scheduler/units.ts
+++ b/core/scheduler/units.ts
@@ -23,13 +23,16 @@
  */
 const RECLAIM_DELAY: Milliseconds = 1800;
 
-/** Tasks that are placed together: a whole gang or a single task. */
+/** Tasks of one step that are ready to start. */
 export interface Unit {
   job: Job;
   occurrence: Occurrence;
   stepIndex: number;
   step: Step;
-  /** Indexes of the tasks within the step. */
+  /**
+   * Indexes of the tasks within the step. Those of a gang are placed together,
+   * others one by one.
+   */
   tasks: number[];
   readyAt: Milliseconds;
   /** Whether the guarantee of the job's team covers the job. */
@@ -87,9 +90,8 @@
   );
   if (!step.gang) {
     const busy = busyTasks(job, occurrence.index, stepIndex);
-    for (const index of waiting) {
-      if (!busy.has(index)) units.push({ ...base, tasks: [index] });
-    }
+    const ready = waiting.filter((index) => !busy.has(index));
+    if (ready.length > 0) units.push({ ...base, tasks: ready });
     return;
   }
   // A gang starts again only when no member of its previous run is left.
@@ -116,7 +118,7 @@
     Number(b.guaranteed) - Number(a.guaranteed) ||
     effectiveAcceptedAt(a) - effectiveAcceptedAt(b) ||
     (a.job.request.id < b.job.request.id ? -1 : 1) ||
-    a.stepIndex - b.stepIndex || a.tasks[0]! - b.tasks[0]!;
+    a.stepIndex - b.stepIndex || a.occurrence.index - b.occurrence.index;
 }
 
 /** Whether the unit may preempt work of lower priority. */
