Refuse malformed messages on links instead of ending the process

A frame with the CBOR value null on the link port ended an entry and an agent, as did a request of a peer without headers.

Cause: links passed on any decoded value, and the handlers read fields of it outside of any guard. The error of an async handler was an unhandled rejection.

Change: a link is closed by a frame that is no object with a kind. An error while a passed request is answered is logged.

--- a/daemons/scheduler/agent_links.ts
+++ b/daemons/scheduler/agent_links.ts
@@ -8,6 +8,7 @@
 import type { Link } from "@dragonflyledge/link";
 import type { Log } from "@dragonflyledge/log";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
+import { decodeReport } from "@dragonflyledge/scheduler";
 import type { AgentReport } from "@dragonflyledge/scheduler";
 
 const CONNECT_TIMEOUT: Milliseconds = 700;
@@ -65,8 +66,9 @@
         log.debug("Agent connected.", { agent: name });
       },
       onMessage: (message) => {
-        const report = message as AgentReport;
-        if (report.kind !== "report" || agent.link !== link) return;
+        if (agent.link !== link) return;
+        const report = decodeReport(message);
+        if (!report) return link.close();
         agent.lastHeard = clock.now();
         agent.lastReport = report.sentAt;
         fields.onReport(name, report);
--- a/daemons/scheduler/peers.ts
+++ b/daemons/scheduler/peers.ts
@@ -6,7 +6,7 @@
  */
 
 import { dialLink, listenLinks } from "@dragonflyledge/link";
-import type { Link } from "@dragonflyledge/link";
+import type { Link, LinkMessage } from "@dragonflyledge/link";
 import type { Log } from "@dragonflyledge/log";
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
@@ -88,14 +88,27 @@
     host: fields.host,
     port: fields.port,
     onLink: () => {},
-    onMessage: (link, message) => void serve(link, message as PeerRequest),
+    onMessage: (link, message) => {
+      const request = decodePeerRequest(message);
+      if (request) {
+        serve(link, request).catch((error) => {
+          log.error("A passed request failed.", {
+            path: request.request.path,
+            error: `${error}`,
+          });
+          link.close();
+        });
+        return;
+      }
+      log.warn("A message holds no request.", { kind: message.kind });
+      link.close();
+    },
     onClose: () => {},
     onError: (error) =>
       log.error("The link server failed.", { error: `${error}` }),
   });
 
   async function serve(link: Link, message: PeerRequest): Promise<void> {
-    if (message.kind !== "request") return;
     const { id, request, version } = message;
     const own = fields.configuration()?.version ?? 0;
     // A caller must not be answered by an older configuration than the one that
@@ -140,8 +153,9 @@
           opened.send({ kind: "request", id, request, version });
         },
         onMessage: (message) => {
-          const reply = message as PeerAnswer;
-          if (reply.kind !== "answer" || reply.id !== id) return;
+          const reply = decodePeerAnswer(message);
+          if (!reply) return link.close();
+          if (reply.id !== id) return;
           if (reply.configuration) fields.onConfiguration(reply.configuration);
           finish({ kind: "answer", answer: reply.answer });
         },
@@ -165,3 +179,28 @@
     close: () => server.close(),
   };
 }
+
+/** Returns the message if it forwards a request, otherwise undefined. */
+function decodePeerRequest(message: LinkMessage): PeerRequest | undefined {
+  const { kind, id, version } = message;
+  const request = message.request as Partial<HttpRequest> | null | undefined;
+  const whole = kind === "request" && typeof id === "number" &&
+    typeof version === "number" && typeof request?.method === "string" &&
+    typeof request.path === "string" && isObject(request.headers) &&
+    request.body instanceof Uint8Array;
+  return whole ? message as unknown as PeerRequest : undefined;
+}
+
+/** Returns the message if it answers a request, otherwise undefined. */
+function decodePeerAnswer(message: LinkMessage): PeerAnswer | undefined {
+  const { kind, id, configuration } = message;
+  const answer = message.answer as Partial<HttpAnswer> | null | undefined;
+  const whole = kind === "answer" && typeof id === "number" &&
+    Number.isInteger(answer?.status) &&
+    (configuration === undefined || configuration instanceof Uint8Array);
+  return whole ? message as unknown as PeerAnswer : undefined;
+}
+
+function isObject(value: unknown): value is object {
+  return typeof value === "object" && value !== null;
+}
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -28,8 +28,7 @@
 } from "@dragonflyledge/program";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
 import { createLoop } from "@dragonflyledge/runtime";
-import type { AgentOrders } from "@dragonflyledge/scheduler";
-import { agentKey, runKey } from "@dragonflyledge/scheduler";
+import { agentKey, decodeOrders, runKey } from "@dragonflyledge/scheduler";
 import {
   createWorkerControl,
   grantLength,
@@ -185,9 +184,12 @@
       log.info("A leader connected.", { links: links.size });
       dispatch({ kind: "linked", now: clock.now() });
     },
-    onMessage: (_, message) => {
-      const orders = message as AgentOrders;
-      if (orders.kind !== "orders") return;
+    onMessage: (link, message) => {
+      const orders = decodeOrders(message);
+      if (!orders) {
+        log.warn("A message holds no orders.", { kind: message.kind });
+        return link.close();
+      }
       dispatch({ kind: "orders", now: clock.now(), orders });
     },
     onClose: (link, reason) => {
--- a/wire/link/dial.ts
+++ b/wire/link/dial.ts
@@ -7,7 +7,7 @@
 import { connect } from "node:net";
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
 import { createLink } from "./link.ts";
-import type { Link } from "./link.ts";
+import type { Link, LinkMessage } from "./link.ts";
 
 /**
  * Connects to `host` and `port`. `onOpen` is called when the connection is
@@ -20,7 +20,7 @@
   timeout: Milliseconds;
   timer: Timer;
   onOpen: (link: Link) => void;
-  onMessage: (message: unknown) => void;
+  onMessage: (message: LinkMessage) => void;
   onClose: (reason: string) => void;
 }): Link {
   const socket = connect({ host: fields.host, port: fields.port });
--- a/wire/link/link.ts
+++ b/wire/link/link.ts
@@ -17,6 +17,9 @@
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
+/** Any value with the text field `kind`; what else it holds is not checked. */
+export type LinkMessage = { kind: string } & Record<string, unknown>;
+
 /** A connection to another process of the system, which carries messages. */
 export interface Link {
   /**
@@ -32,12 +35,12 @@
 
 /**
  * Creates a link on a socket that is connected or connecting. `onMessage` is
- * called with each decoded value, which is not validated, and `onClose` once
- * with the reason, which may be an error of the socket.
+ * called with each message, and `onClose` once with the reason, which may be an
+ * error of the socket. A frame that holds no message closes the link.
  */
 export function createLink(fields: {
   socket: Socket;
-  onMessage: (message: unknown) => void;
+  onMessage: (message: LinkMessage) => void;
   onClose: (reason: string) => void;
 }): Link {
   const { socket } = fields;
@@ -66,6 +69,7 @@
       } catch (error) {
         return end(`a frame is not CBOR: ${error}`);
       }
+      if (!isMessage(message)) return end("a frame holds no message");
       fields.onMessage(message);
     }
   }
@@ -91,3 +95,8 @@
     },
   };
 }
+
+function isMessage(value: unknown): value is LinkMessage {
+  return typeof value === "object" && value !== null && "kind" in value &&
+    typeof value.kind === "string";
+}
--- a/wire/link/listen.ts
+++ b/wire/link/listen.ts
@@ -7,7 +7,7 @@
 import { createServer } from "node:net";
 import type { Server } from "node:net";
 import { createLink } from "./link.ts";
-import type { Link } from "./link.ts";
+import type { Link, LinkMessage } from "./link.ts";
 
 /**
  * Accepts links on `host` and `port`. `onError` is called if the port can't be
@@ -17,7 +17,7 @@
   host: string;
   port: number;
   onLink: (link: Link) => void;
-  onMessage: (link: Link, message: unknown) => void;
+  onMessage: (link: Link, message: LinkMessage) => void;
   onClose: (link: Link, reason: string) => void;
   onError: (error: Error) => void;
 }): Server {
