--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -59,6 +59,16 @@
   return encode(request);
 }
 
+/** Decodes a stored request; throws if it is none. */
+function decodeRequest(value: Uint8Array): JobRequest {
+  const request = decode(value) as Partial<JobRequest> | null | undefined;
+  const whole = typeof request?.id === "string" &&
+    Array.isArray(request.steps) &&
+    request.steps.length > 0 && typeof request.policy?.service === "string";
+  if (!whole) throw new Error("the value is no request of a job");
+  return request as JobRequest;
+}
+
 /** Creates an empty replica; `onBadItem` gets items that can't be decoded. */
 export function createReplica(
   fields: { onBadItem: (key: string, error: unknown) => void },
@@ -81,9 +91,11 @@
     const { kind, id } = parseStoreKey(item.key);
     const text = () => Buffer.from(item.value).toString();
     switch (kind) {
-      case "job":
-        findOrAddJob(id).request = decode(item.value) as JobRequest;
+      case "job": {
+        const request = decodeRequest(item.value);
+        findOrAddJob(id).request = request;
         return;
+      }
       case "cancel":
         findOrAddJob(id).cancelled = true;
         return;
--- /dev/null
+++ b/daemons/scheduler/replica_test.ts
@@ -0,0 +1,46 @@
+import { Buffer } from "node:buffer";
+import { encode } from "cbor-x";
+import fc from "fast-check";
+import { test } from "tap";
+import { jobKey, JobStatus, progressKey } from "@dragonflyledge/scheduler";
+import { createReplica } from "./replica.ts";
+
+const ID = "5c0e7a21d94b36f8";
+const request = {
+  id: ID,
+  queue: "queue",
+  steps: [{ count: 1 }],
+  policy: { service: "service", priority: 0, maxAttempts: 2 },
+};
+
+function put(key: string, value: Uint8Array, revision = 1) {
+  return { kind: "put" as const, item: { key, value, revision } };
+}
+
+// Guards against a record of another writer that ends each leader that reads it.
+test("records that can't be decoded are reported and left out", (t) => {
+  const bad: string[] = [];
+  const replica = createReplica({ onBadItem: (key) => bad.push(key) });
+  const values = fc.oneof(
+    fc.uint8Array(),
+    fc.anything().map((value) => encode(value)),
+  );
+  fc.assert(fc.property(values, (value) => {
+    bad.length = 0;
+    replica.apply([put(jobKey(ID), value)]);
+    replica.apply([put(progressKey(ID), value)]);
+    return replica.status(ID) === undefined && bad.length === 2;
+  }));
+  t.end();
+});
+
+// Guards against a bad record that hides the sound ones beside it.
+test("records beside a bad one are kept", (t) => {
+  const replica = createReplica({ onBadItem: () => {} });
+  replica.apply([
+    put(jobKey("other"), Buffer.from("text")),
+    put(jobKey(ID), encode(request)),
+  ]);
+  t.equal(replica.status(ID), JobStatus.Queued);
+  t.end();
+});
--- a/testing/platform/mod.ts
+++ b/testing/platform/mod.ts
@@ -6,7 +6,7 @@
  */
 
 export { BORROWER_KEY, startPrograms } from "./programs.ts";
-export type { Programs } from "./programs.ts";
+export type { ProgramProcess, Programs } from "./programs.ts";
 export { startStore } from "./store_server.ts";
 export type { StoreServer } from "./store_server.ts";
 export { startWorker } from "./worker_server.ts";
