Give up starts that the leader no longer orders

Callers saw: nothing yet; found while tracing tasks that run twice after a machine had stood still. An agent that could not send a start, for want of a grant or of its worker's lists, sent it as soon as it could, also if the leader had taken the run for lost meanwhile and started the task elsewhere.

Cause: orders list all starts that are wanted, but a start that was missing from later ones was kept.

Change: such a start is dropped if no call was sent for it, and stopped if one was sent whose effect is not known.

Both new tests failed before: the start was sent, and no stop was.

--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -53,6 +53,9 @@
       });
     }
   }
+  for (const [key, control] of state.runs) {
+    if (!wanted.has(key)) withdrawStart(state, key, control);
+  }
   // Runs that the leader no longer names are forgotten, unless a start or a
   // call is still under way.
   for (const [key, control] of state.runs) {
@@ -63,6 +66,22 @@
   }
 }
 
+/**
+ * Gives up a start that the leader no longer orders, since it may have started
+ * the task elsewhere. A start that the worker may still carry out is stopped.
+ */
+function withdrawStart(
+  state: ControlState,
+  key: string,
+  control: RunControl,
+): void {
+  if (control.phase !== ControlPhase.Starting || control.stopRequested) return;
+  log(state, "Start withdrawn.", { run: key });
+  if (control.callPending || control.unansweredStarts > 0) {
+    control.stopRequested = true;
+  } else state.runs.delete(key);
+}
+
 /** Returns the fields of a run for which no call was sent yet. */
 function createIdleControl(now: Milliseconds) {
   return {
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -306,3 +306,43 @@
   t.same(reports, [false]);
   t.end();
 });
+
+const starts = (effects: ControlEffect[]) =>
+  effects.filter((effect) => effect.kind === "start");
+// Guards against a start that is carried out after the leader gave the task to
+// another worker.
+test("a start that the leader no longer orders is withdrawn", (t) => {
+  const { reduce } = createWithWorker();
+  reduce({
+    kind: "orders",
+    now: 10,
+    orders: orders({ answersReport: 5, starts: [START_ORDER] }),
+  });
+  reduce({ kind: "orders", now: 15, orders: orders({ answersReport: 12 }) });
+  t.same(starts(reduce(holdAnswer(20, 16))), [], "it was never sent");
+  t.end();
+});
+
+// Guards against a withdrawn start that the worker carries out late.
+test("a withdrawn start that may be carried out late is stopped", (t) => {
+  const { reduce } = createWithWorker();
+  reduce(holdAnswer(8, 5));
+  const sent = reduce({
+    kind: "orders",
+    now: 10,
+    orders: orders({ answersReport: 5, starts: [START_ORDER] }),
+  });
+  t.equal(starts(sent).length, 1);
+  reduce({ kind: "orders", now: 15, orders: orders({ answersReport: 12 }) });
+  const effects = reduce({
+    kind: "startAnswered",
+    now: 20,
+    worker: WORKER,
+    run: "a.0.0.0#1",
+    outcome: { kind: "unknown" },
+  });
+  t.match(effects.filter((effect) => effect.kind === "stop"), [{
+    run: { task: "a.0.0.0", run: 1 },
+  }]);
+  t.end();
+});
