Count the time of a suspension against grants and leadership

Callers saw: tasks that ran twice at the same time.

Cause: the monotonic clock stands still while a machine is suspended. Orders that were sent before or during the suspension renewed the agent's grant as if no time had passed, and its lease and start calls followed that grant. A leader's lease and the age of an entry's copy of the store were reckoned in the same way.

Change: a clock finds suspensions by the lead of the wall clock over the monotonic one. Reports carry elapsed time, and a suspension shortens the grant. Election and copies of the store use elapsed time. Waits for the end of another process's permission stay on the monotonic clock, which may only be late.

--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -78,7 +78,7 @@
  */
 export interface AgentReport {
   kind: "report";
-  /** Time on the agent's monotonic clock when it sent the report. */
+  /** Time on the agent's clock, with suspensions, when it sent the report. */
   sentAt: Milliseconds;
   worker?: WorkerState;
   /** Whether `running` and `ended` come from an answer of `worker`. */
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -26,7 +26,7 @@
     state.epoch = orders.epoch;
     log(state, "New leader.", { epoch: orders.epoch });
   }
-  const grantEnd = orders.answersReport + state.times.grant;
+  const grantEnd = orders.answersReport - state.suspended + state.times.grant;
   state.grantEnd = Math.max(state.grantEnd, grantEnd);
   const { worker } = state;
   if (!worker || worker.state.key !== orders.worker) return;
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -53,6 +53,7 @@
     times: fields.times,
     epoch: 0,
     grantEnd: 0,
+    suspended: 0,
     runs: new Map(),
     hold: { callPending: false, nextCallAt: 0, failures: 0 },
     emptied: [],
@@ -64,6 +65,7 @@
     reduce: (event) => {
       state.effects = [];
       state.startedAt ??= event.now;
+      noteSuspension(state, event.suspended ?? state.suspended);
       applyEvent(state, event);
       markIfEmptied(state, event.now);
       sendHoldIfDue(state, event.now);
@@ -99,6 +101,16 @@
   }
 }
 
+/** Shortens the grant by the time for which the machine was suspended. */
+function noteSuspension(state: ControlState, total: Milliseconds): void {
+  if (total <= state.suspended) return;
+  const duration = total - state.suspended;
+  state.suspended = total;
+  state.grantEnd -= duration;
+  state.reportDue = true;
+  log(state, "The machine was suspended.", { duration: Math.round(duration) });
+}
+
 /** Takes over the lists of the worker's answer to a hold call. */
 function applyHoldAnswer(
   state: ControlState,
@@ -288,7 +300,7 @@
     kind: "report",
     report: {
       kind: "report",
-      sentAt: now,
+      sentAt: now + state.suspended,
       vacant: isVacant(state, now),
       worker: worker && { ...worker.state },
       listed: worker !== undefined && worker.listed && !gone,
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -124,6 +124,8 @@
   startedAt?: Milliseconds;
   /** The worker's lease may be extended up to this time. */
   grantEnd: Milliseconds;
+  /** Total time for which the machine was suspended. */
+  suspended: Milliseconds;
   /** Undefined until the first heartbeat. */
   worker?: ControlledWorker;
   /** Ordered runs by `runKey`. */
@@ -146,7 +148,12 @@
 
 /** Events that an agent's reducer handles. */
 export type ControlEvent =
-  & { now: Milliseconds }
+  & {
+    /** Monotonic time, which stands still while the machine is suspended. */
+    now: Milliseconds;
+    /** Total time of all suspensions; unchanged if it is left out. */
+    suspended?: Milliseconds;
+  }
   & (
     /** A heartbeat of a worker arrived. */
     | { kind: "announced"; announcement: Announcement }
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -309,6 +309,52 @@
 
 const starts = (effects: ControlEffect[]) =>
   effects.filter((effect) => effect.kind === "start");
+const lastUntil = (effects: ControlEffect[]) => {
+  const [hold] = effects.filter((effect) => effect.kind === "hold");
+  return hold?.until;
+};
+
+// Guards against tasks that run twice: an agent whose machine was suspended
+// used up the rest of a grant that had ended, while the leader had started the
+// tasks elsewhere.
+test("a suspension shortens the grant", (t) => {
+  const { control, reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 10, orders: orders({ answersReport: 5 }) });
+  reduce(holdAnswer(20, 10));
+  t.equal(control.state.grantEnd, 8005);
+  reduce({ kind: "tick", now: 30, suspended: 7000 });
+  t.equal(control.state.grantEnd, 1005);
+  const effects = reduce({ kind: "tick", now: 40, suspended: 9500 });
+  t.ok(control.state.grantEnd < 0);
+  t.equal(lastUntil(effects), undefined, "no lease is extended");
+  t.end();
+});
+
+// Guards against orders that were under way during a suspension and renew the
+// grant as if no time had passed.
+test("orders that answer a report from before a suspension grant less", (t) => {
+  const { control, reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 10, orders: orders({ answersReport: 5 }) });
+  reduce(holdAnswer(20, 10));
+  const effects = reduce({
+    kind: "orders",
+    now: 30,
+    suspended: 9500,
+    orders: orders({ answersReport: 25, starts: [START_ORDER] }),
+  });
+  t.same(starts(effects), []);
+  t.ok(control.state.grantEnd < 30);
+  const [report] = reduce({ kind: "linked", now: 40 })
+    .flatMap((effect) => effect.kind === "report" ? [effect.report] : []);
+  reduce({
+    kind: "orders",
+    now: 50,
+    orders: orders({ answersReport: report!.sentAt }),
+  });
+  t.equal(control.state.grantEnd, 8040, "a later report is granted in full");
+  t.end();
+});
+
 // Guards against a start that is carried out after the leader gave the task to
 // another worker.
 test("a start that the leader no longer orders is withdrawn", (t) => {
--- a/daemons/runtime/mod.ts
+++ b/daemons/runtime/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./elapsed_clock.ts";
 export * from "./loop.ts";
 export type { Observer } from "./observer.ts";
 export * from "./report_failure.ts";
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -32,6 +32,7 @@
   STORE_PREFIX,
 } from "@dragonflyledge/scheduler";
 import type { Policies } from "@dragonflyledge/scheduler";
+import { createElapsedClock } from "@dragonflyledge/runtime";
 import { grantLength } from "@dragonflyledge/worker-control";
 import { createCallerApi } from "./caller_api.ts";
 import { startElection } from "./election.ts";
@@ -70,6 +71,9 @@
   instruments: Instruments;
 }): RunningEntry {
   const { settings, clock, timer, log, instruments } = fields;
+  // Leadership and the copies of the store are as old as the time that passed,
+  // also while the machine was suspended.
+  const elapsed = createElapsedClock(clock);
   const store = instrumentStore({
     store: createKeyValue({ address: settings.storeAddress, timer }),
     instruments,
@@ -116,7 +120,7 @@
   const configuration = follow({
     store,
     listPrefix: OPERATOR_PREFIX,
-    clock,
+    clock: elapsed,
     timer,
     pause: () => 0,
     onList: applyConfigurationItems,
@@ -129,7 +133,7 @@
   const jobs = follow({
     store,
     listPrefix: STORE_PREFIX,
-    clock,
+    clock: elapsed,
     timer,
     pause: () => epoch === undefined ? STANDBY_PAUSE : LEADER_PAUSE,
     onList: (items) => {
@@ -173,7 +177,7 @@
     name: settings.name,
     cores: settings.cores,
     store,
-    clock,
+    clock: elapsed,
     timer,
     shortestLease: settings.shortestLease,
     isVacant: () => jobs.isListed() && replica.leader() === undefined,
@@ -199,7 +203,7 @@
 
   const isReady = () =>
     !draining && deployment !== undefined && jobs.isListed() &&
-    clock.now() - jobs.freshAt() < READY_FRESHNESS;
+    elapsed.now() - jobs.freshAt() < READY_FRESHNESS;
 
   const peers = createPeers({
     name: settings.name,
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -27,7 +27,7 @@
   registerAddress,
 } from "@dragonflyledge/program";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
-import { createLoop } from "@dragonflyledge/runtime";
+import { createElapsedClock, createLoop } from "@dragonflyledge/runtime";
 import { agentKey, decodeOrders, runKey } from "@dragonflyledge/scheduler";
 import {
   createWorkerControl,
@@ -82,7 +82,9 @@
     onFailure: (error) =>
       log.error("The reducer failed.", { error: `${error}` }),
   });
-  const dispatch = loop.dispatch;
+  const elapsed = createElapsedClock(clock);
+  const dispatch = (event: ControlEvent) =>
+    loop.dispatch({ ...event, suspended: elapsed.suspended() });
 
   function perform(effect: ControlEffect): void {
     switch (effect.kind) {
