Show what keeps a process alive that does not end in a test

Five entries of KNOWN-RED.txt read "not within ... ms: process ... ends" and say nothing of the process. When the wait for an exit times out, the test now prints the load, the state and wait channel of each thread, the processor time, active handles and stack from Node's diagnostic report, and the last output. Processes of tests are started with the report option; the product has no switch for it.

--- a/testing/processes/daemon_process.ts
+++ b/testing/processes/daemon_process.ts
@@ -5,10 +5,14 @@
  */
 
 import { spawn } from "node:child_process";
+import { mkdtempSync } from "node:fs";
 import { readFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { describeHang, reportOptions } from "./describe_hang.ts";
 import { waitUntil } from "./wait.ts";
 
 const MAIN = fileURLToPath(
@@ -21,6 +25,10 @@
 /** Bytes of a memory page, the unit of resident memory in that file. */
 const PAGE_SIZE = 4096;
 
+const REPORT_DIRECTORY = mkdtempSync(join(tmpdir(), "dragonflyledge-reports-"));
+/** Output lines that are shown of a process that does not end in time. */
+const SHOWN_LINES = 20;
+
 /** Exit code of a process, or the signal that ended it. */
 export interface Ending {
   code: number | null;
@@ -52,7 +60,8 @@
   parameters: string[],
   environment: Record<string, string> = {},
 ): DaemonProcess {
-  const child = spawn(process.execPath, [MAIN, ...parameters], {
+  const options = reportOptions(REPORT_DIRECTORY);
+  const child = spawn(process.execPath, [...options, MAIN, ...parameters], {
     env: { PATH: process.env["PATH"] ?? "", ...environment },
     stdio: ["ignore", "pipe", "pipe"],
   });
@@ -96,9 +105,15 @@
     },
     signal: (name) => void (ending ?? process.kill(child.pid!, name)),
     ended: async (limit) => {
-      await waitUntil(`process ${parameters.join(" ")} ends`, limit, () => {
-        return ending !== undefined;
-      });
+      const what = `process ${parameters.join(" ")} ends`;
+      try {
+        await waitUntil(what, limit, () => ending !== undefined);
+      } catch (error) {
+        const pid = child.pid!;
+        const hang = await describeHang({ pid, directory: REPORT_DIRECTORY });
+        const output = lines.slice(-SHOWN_LINES).join("\n");
+        throw new Error(`${(error as Error).message}\n${hang}\n${output}`);
+      }
       return ending!;
     },
     usage,
