Don't step down when the first agent of a fleet registers

Callers saw: nothing that is traced to it. A fleet whose agents register more than 3 s after the entries start lost its first leader at that moment, which then stayed out of the election for 3 s. It may have had a part in the listed failure of programs_test (a gang did not start in 12 s on a loaded machine); no run shows that.

Cause: the time without reports was counted from the start of the term, also while no agent was known.

Change: it is counted from the time at which an agent is known.

The new test failed before: the leader stepped down with the registration.

--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -173,10 +173,8 @@
   const tick = () => {
     if (ended) return;
     links.closeSilent();
-    const silence = clock.now() - lastReport;
-    if (silence > ISOLATION_LIMIT && replica.agents.size > 0) {
-      return fields.onIsolated();
-    }
+    if (replica.agents.size === 0) lastReport = clock.now();
+    if (clock.now() - lastReport > ISOLATION_LIMIT) return fields.onIsolated();
     const date = clock.date().getTime();
     dispatch({ kind: "tick", now: clock.now(), date });
     const interval = scheduler.state.survey
