Move runs off workers that leave before these can end

Callers saw: urgent jobs that waited for seconds, and work that was begun again, when workers left after a notice.

Cause: a notice only kept new tasks away. Running ones went on until the worker was gone, and then had to be proven gone.

Change: a run that needs more time than its worker has left, by its progress or its estimate, is stopped with its gang while the worker can still confirm it. Long-running tasks are left alone, since it is not known here how many may be down at once.

--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -29,6 +29,8 @@
   nextEnd: number;
   /** Whether its agent sends no reports on its own. */
   silent: boolean;
+  /** Time that the worker has left, as it announced it. */
+  remaining?: number;
   /**
    * Whether its agent reports no worker, and if so whether it also reports
    * that none can hold a lease.
@@ -160,6 +162,13 @@
       }
       applyEffects(scheduler.reduce({ kind: "loaded", now }));
     },
+    /** Lets the worker announce that it leaves, with its current progress. */
+    announceLeaving: (index: number, remaining: number, percent = 0) => {
+      const worker = workers[index]!;
+      worker.remaining = remaining;
+      for (const running of worker.running) running.percent = percent;
+      report(index);
+    },
     /** Passes a short time with a tick, and without reports. */
     tickAfter: (duration: number) => {
       now += duration;
@@ -243,8 +252,8 @@
         millicores: 32_000,
         megabytes: 128_000,
         accelerators: 8,
-        draining: false,
-        remaining: 0,
+        draining: worker.remaining !== undefined,
+        remaining: worker.remaining ?? 0,
         reachable: true,
       },
       listed: worker.away === "no",
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -6,6 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
+import { evacuateRuns } from "./evacuate.ts";
 import { createGuaranteeCover } from "./guarantees.ts";
 import type { GuaranteeCover } from "./guarantees.ts";
 import { JobStatus, TaskPhase } from "./job.ts";
@@ -34,6 +35,7 @@
 
 /** Starts the tasks that fit, the most urgent first, preempting if need be. */
 export function plan(state: SchedulerState, now: Milliseconds): void {
+  evacuateRuns(state, now);
   const round = createRound(state, now);
   const cover = createGuaranteeCover(state);
   for (const unit of listUnits(state, cover, now)) {
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -14,6 +14,7 @@
   WorkerState,
 } from "./messages.ts";
 import { applyEnding, loseRun } from "./endings.ts";
+import { noteLeaving } from "./evacuate.ts";
 import { addRun, addToWorker, findTask, stopRun } from "./runs.ts";
 import { isApplied } from "./state.ts";
 import type { Agent, SchedulerState, Worker } from "./state.ts";
@@ -40,6 +41,7 @@
   if (!report.worker) return handleMissingWorker(state, agent, report);
   const worker = updateWorker(state, agent, report.worker);
   if (worker === undefined) return;
+  noteLeaving(worker, now);
   if (report.listed) {
     applyEndedTasks(fields, worker);
     applyRunningTasks(fields, worker);
@@ -132,7 +134,10 @@
 ): Worker | undefined {
   const known = agent.worker;
   if (known?.state.key === reported.key) {
-    if (known.state.reachable !== reported.reachable) state.planDue = true;
+    const { reachable, draining } = known.state;
+    if (reachable !== reported.reachable || draining !== reported.draining) {
+      state.planDue = true;
+    }
     known.state = reported;
     return known;
   }
@@ -200,6 +205,7 @@
     if (run && run.worker === worker.state.key) {
       run.confirmed = true;
       run.percent = running.percent;
+      run.progressAt = now;
       const task = findTask(run.job, run.task);
       const isNew = running.checkpoint !== "" && task?.run === run.run &&
         task.checkpoint !== running.checkpoint;
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -61,6 +61,7 @@
     stopping: false,
     overdue: false,
     percent: 0,
+    progressAt: fields.now,
     startedAt: fields.now,
   };
   state.runs.set(runKey({ task: run.name, run: run.run }), run);
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -63,7 +63,9 @@
   stopping: boolean;
   /** Whether its start was logged as not confirmed in time. */
   overdue: boolean;
+  /** Progress in percent, as of `progressAt`. */
   percent: number;
+  progressAt: Milliseconds;
   startedAt: Milliseconds;
 }
 
@@ -79,6 +81,8 @@
   stoppingRuns: number;
   /** Time until which the worker is avoided after a failure or refusal. */
   avoidUntil: Milliseconds;
+  /** When a draining worker leaves at the earliest, by its latest notice. */
+  leaving?: { remaining: Milliseconds; at: Milliseconds };
   /** Number of failed runs since the last one that succeeded. */
   failures: number;
   /** Ended runs whose job version is not stored yet, in order. */
