Place tasks only on workers that have listed their runs

Callers saw: nothing yet; found while looking for "a server that had left was in use again after a restart". An agent that restarted took a late heartbeat for a worker that is there, and the leader placed tasks on it. A start without an answer must then be proven void before the task goes on elsewhere.

Change: a worker gets tasks only after it has answered its agent with its lists.

--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -36,7 +36,8 @@
 
 /**
  * Whether a task that is placed on the worker now can be expected to start: the
- * worker does not drain, and both it and its agent answer.
+ * worker does not drain, and both it and its agent answer. Its heartbeat alone
+ * does not show that it is there; a late one may come from a worker that left.
  */
 export function isUsable(
   state: SchedulerState,
@@ -44,7 +45,7 @@
   now: Milliseconds,
 ): boolean {
   const { draining, reachable } = worker.state;
-  if (draining || !reachable) return false;
+  if (draining || !reachable || !worker.listed) return false;
   const agent = state.agents.get(worker.agent);
   return agent !== undefined && now - agent.lastHeard < AGENT_SILENCE_LIMIT;
 }
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -31,6 +31,8 @@
   silent: boolean;
   /** Time that the worker has left, as it announced it. */
   remaining?: number;
+  /** Whether only its heartbeats reach its agent. */
+  mute: boolean;
   /**
    * Whether its agent reports no worker, and if so whether it also reports
    * that none can hold a lease.
@@ -111,6 +113,7 @@
       ended: [],
       nextEnd: 1,
       silent: false,
+      mute: false,
       away: "no",
     }),
   );
@@ -162,6 +165,10 @@
       }
       applyEffects(scheduler.reduce({ kind: "loaded", now }));
     },
+    /** Lets the worker answer its agent's calls, or not. */
+    mute: (index: number, mute: boolean) => {
+      workers[index]!.mute = mute;
+    },
     /** Lets the worker announce that it leaves, with its current progress. */
     announceLeaving: (index: number, remaining: number, percent = 0) => {
       const worker = workers[index]!;
@@ -256,7 +263,7 @@
         remaining: worker.remaining ?? 0,
         reachable: true,
       },
-      listed: worker.away === "no",
+      listed: worker.away === "no" && !worker.mute,
       running: worker.running.map((running) => ({ ...running })),
       ended: worker.ended,
       refused: [],
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -43,6 +43,8 @@
   if (worker === undefined) return;
   noteLeaving(worker, now);
   if (report.listed) {
+    if (!worker.listed) state.planDue = true;
+    worker.listed = true;
     applyEndedTasks(fields, worker);
     applyRunningTasks(fields, worker);
   }
@@ -151,6 +153,7 @@
   const worker: Worker = {
     state: reported,
     agent: agent.name,
+    listed: false,
     used: { millicores: 0, megabytes: 0, accelerators: 0 },
     runs: new Set(),
     checkpointingRuns: 0,
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -73,6 +73,8 @@
 export interface Worker {
   state: WorkerState;
   agent: string;
+  /** Whether the worker itself has listed its runs to its agent. */
+  listed: boolean;
   used: Capacity;
   runs: Set<Run>;
   /** Number of `runs` that save checkpoints. */
--- a/testing/platform/mod.ts
+++ b/testing/platform/mod.ts
@@ -5,7 +5,11 @@
  * @module
  */
 
-export { BORROWER_KEY, startPrograms } from "./programs.ts";
+export {
+  BORROWER_KEY,
+  createConfiguration,
+  startPrograms,
+} from "./programs.ts";
 export type { ProgramProcess, Programs } from "./programs.ts";
 export { startStore } from "./store_server.ts";
 export type { StoreServer } from "./store_server.ts";
