Add the command "causes": which jobs had trouble, and why

On-call engineers could follow one id with "explain", but had to know which id to follow. A leader that was killed writes no line of its end; its last line as a leader stands for it.

A plot, and counts by second, are not built.

--- a/cli/command/commands/list.ts
+++ b/cli/command/commands/list.ts
@@ -7,6 +7,7 @@
 
 import { registerAgent } from "./agent.ts";
 import { registerAudit } from "./audit.ts";
+import { registerCauses } from "./causes.ts";
 import { registerConfigCheck } from "./config_check.ts";
 import { registerConfigDiff } from "./config_diff.ts";
 import { registerConfigHistory } from "./config_history.ts";
@@ -40,6 +41,7 @@
   registerJobsCancel,
   registerAudit,
   registerExplain,
+  registerCauses,
   registerDrain,
   registerEntry,
   registerAgent,
