Let runs go on whose start is no longer ordered since they are listed

Callers saw: work begun again after a restart of all processes.

Cause: a start is missing from later orders also when the leader knows that the run has begun.

Change: a run that the worker lists as running is not withdrawn.

The new test failed before: the run was stopped.

--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -53,8 +53,11 @@
       });
     }
   }
+  const running = new Set(worker.running.map(runKey));
   for (const [key, control] of state.runs) {
-    if (!wanted.has(key)) withdrawStart(state, key, control);
+    // The leader also stops naming a start once it knows that the run began.
+    if (wanted.has(key) || running.has(key)) continue;
+    withdrawStart(state, key, control);
   }
   // Runs that the leader no longer names are forgotten, unless a start or a
   // call is still under way.
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -392,3 +392,27 @@
   }]);
   t.end();
 });
+
+// Guards against running work that is stopped after a restart of all processes:
+// a new leader orders the start of a run until it hears that it is running.
+test("a start that is no longer ordered since the run is listed goes on", (t) => {
+  const { control, reduce } = createWithWorker();
+  const running = [{ task: "a.0.0.0", run: 1, checkpoint: "", percent: 40 }];
+  reduce({ ...holdAnswer(8, 5), running } as ControlEvent);
+  reduce({
+    kind: "orders",
+    now: 10,
+    orders: orders({ answersReport: 5, starts: [START_ORDER] }),
+  });
+  reduce({ kind: "orders", now: 15, orders: orders({ answersReport: 12 }) });
+  const effects = reduce({
+    kind: "startAnswered",
+    now: 20,
+    worker: WORKER,
+    run: "a.0.0.0#1",
+    outcome: { kind: "started", clock: 50_020 },
+  });
+  t.same(effects.filter((effect) => effect.kind === "stop"), []);
+  t.notOk([...control.state.runs.values()].some((run) => run.stopRequested));
+  t.end();
+});
