Plan once for the reports that arrive together

Callers saw: urgent jobs that waited 0.3 to 0.75 s for stops that take 0.2 s.

Cause: a round of planning, which looks at the whole fleet, followed each run that ended. Besides, each write of a job's progress sent orders to all agents with a run of that job, although only a start waits for the store.

Change: at least 15 ms lie between two rounds; what comes alone is planned at once. A confirmed write sends orders only to agents with a start in it.

The tests of rounds and of orders failed before. The test of an urgent job that waits for the runs it has stopped holds what was found in order.

--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -91,6 +91,8 @@
   fields: {
     workers: number;
     manualStore?: boolean;
+    /** Shortest time between rounds of planning; 0 by default. */
+    planningInterval?: number;
     /** Whether the scheduler takes over a fleet that has not reported yet. */
     takesOver?: boolean;
   },
@@ -100,6 +102,7 @@
       agentLoss: AGENT_LOSS,
       agentRetention: AGENT_RETENTION,
       retention: 240_000,
+      planningInterval: fields.planningInterval ?? 0,
     },
     takesOver: fields.takesOver ?? false,
   });
@@ -176,6 +179,11 @@
       for (const running of worker.running) running.percent = percent;
       report(index);
     },
+    /** Passes the event that asks for the round of planning that is due. */
+    planAfter: (duration: number) => {
+      now += duration;
+      applyEffects(scheduler.reduce({ kind: "plan", now }));
+    },
     /** Passes a short time with a tick, and without reports. */
     tickAfter: (duration: number) => {
       now += duration;
--- a/core/scheduler/reclaim_test.ts
+++ b/core/scheduler/reclaim_test.ts
@@ -22,6 +22,27 @@
   t.end();
 });
 
+// Guards against an urgent job that stops further runs, and waits for these too,
+// each time that one of those it waits for has ended.
+test("an urgent job waits for the runs that it has stopped", (t) => {
+  const fleet = createFleet({ workers: 3 });
+  const fill = [step({ count: 24, checkpointing: true })];
+  fleet.submit(request({ id: "fill", steps: fill }));
+  fleet.runStarts();
+  fleet.submit(urgent("urgent", "team"));
+  const counts = () => [0, 1, 2].map((index) => fleet.stops(index).length);
+  const stopped = counts().indexOf(8);
+  t.equal(counts().reduce((sum, count) => sum + count), 8);
+  while (fleet.running(stopped).length > 0) {
+    fleet.end(stopped, 0, "stopped");
+    fleet.tickAfter(20);
+    const others = counts().filter((_, index) => index !== stopped);
+    t.same(others, [0, 0], "nothing else is stopped");
+  }
+  t.match(fleet.starts(stopped), [{ task: "urgent.0.0.0" }]);
+  t.end();
+});
+
 // Guards against a team that loses its whole guarantee by asking for more.
 test("a team that asks for more than its guarantee keeps that part", (t) => {
   const fleet = createFleet({ workers: 2 });
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -62,6 +62,8 @@
     checkpointsSavedAt: 0,
     survey: fields.takesOver ? createSurvey() : undefined,
     planDue: false,
+    plannedAt: -Infinity,
+    planRequested: false,
     changedAgents: new Set(),
     changedJobs: new Set(),
     effects: [],
@@ -75,7 +77,7 @@
     // Most of the fleet's first reports arrive together. One round of planning
     // at the next tick serves them all.
     if (state.survey) state.planDue = event.kind === "tick";
-    if (state.planDue) plan(state, event.now);
+    if (state.planDue) planInTurn(state, event);
     return collectEffects(state);
   }
 
@@ -115,9 +117,29 @@
       return confirmStored(state, event.job, event.version);
     case "tick":
       return tick(state, event.now, event.date);
+    case "plan":
+      state.planRequested = false;
+      return;
   }
 }
 
+/**
+ * Plans now, or asks for a later round if the last one was a moment ago. A
+ * round looks at the whole fleet, and dozens of reports arrive together when
+ * runs are stopped for an urgent job.
+ */
+function planInTurn(state: SchedulerState, event: SchedulerEvent): void {
+  const { now } = event;
+  const dueAt = state.plannedAt + state.times.planningInterval;
+  if (now >= dueAt || event.kind === "plan") {
+    state.plannedAt = now;
+    return plan(state, now);
+  }
+  if (state.planRequested) return;
+  state.planRequested = true;
+  state.effects.push({ kind: "planLater", delay: dueAt - now });
+}
+
 /** Returns the effects of an event, with the writes and orders now due. */
 function collectEffects(state: SchedulerState): SchedulerEffect[] {
   const effects = state.effects;
@@ -238,8 +260,13 @@
 ): void {
   const job = state.jobs.get(id);
   if (!job || job.storedVersion >= version) return;
+  const before = job.storedVersion;
   job.storedVersion = version;
-  for (const run of job.runs) state.changedAgents.add(run.agent);
+  // Only starts wait for the store; other agents have their orders already.
+  for (const run of job.runs) {
+    const startable = run.version > before && run.version <= version;
+    if (startable && !run.confirmed) state.changedAgents.add(run.agent);
+  }
   for (const worker of state.workers.values()) {
     advanceAcknowledged(state, worker);
   }
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -126,6 +126,11 @@
   agentRetention: Milliseconds;
   /** Jobs with a final status are kept for this long. */
   retention: Milliseconds;
+  /**
+   * Shortest time between two rounds of planning, so that the reports that
+   * arrive together lead to one round; 0 to plan after each event.
+   */
+  planningInterval: Milliseconds;
 }
 
 /** State of the scheduler; changed in place by its reducer. */
@@ -146,6 +151,10 @@
   survey?: Survey;
   /** Whether a change may let waiting tasks start, so that planning is due. */
   planDue: boolean;
+  /** Time of the last round of planning. */
+  plannedAt: Milliseconds;
+  /** Whether a round was asked for that is due after `planningInterval`. */
+  planRequested: boolean;
   /** Agents to which new orders are to be sent. */
   changedAgents: Set<string>;
   /** Jobs whose progress is to be stored. */
@@ -166,12 +175,16 @@
     | { kind: "report"; agent: string; report: AgentReport; date: Milliseconds }
     | { kind: "stored"; job: string; version: number }
     | { kind: "tick"; date: Milliseconds }
+    /** Answers the effect `planLater`. */
+    | { kind: "plan" }
   );
 
 /** Output of the reducer: what the process around it is to do. */
 export type SchedulerEffect =
   | { kind: "store"; job: string }
   | { kind: "remove"; job: string }
+  /** Pass the event `plan` after `delay`. */
+  | { kind: "planLater"; delay: Milliseconds }
   /** Remove the agent's address; it was lost for the retention time. */
   | { kind: "forget"; agent: string }
   | {
--- a/core/scheduler/timed_fleet_for_tests.ts
+++ b/core/scheduler/timed_fleet_for_tests.ts
@@ -17,6 +17,7 @@
 const LINK_DELAY = 3;
 const TICK_INTERVAL = 250;
 const REPORT_INTERVAL = 800;
+const PLANNING_INTERVAL = 15;
 
 /** How one run of a job's tasks goes on a sound worker. */
 export interface RunPlan {
@@ -58,7 +59,12 @@
   onFinished?: (job: string) => void;
 }) {
   const scheduler = createScheduler({
-    times: { agentLoss: 8300, agentRetention: 60_000, retention: 1000 },
+    times: {
+      agentLoss: 8300,
+      agentRetention: 60_000,
+      retention: 1000,
+      planningInterval: PLANNING_INTERVAL,
+    },
   });
   const requests = new Map<string, JobRequest>();
   let now = 0;
@@ -87,7 +93,9 @@
     for (const effect of effects) {
       if (effect.kind === "store") confirmLater(effect.job);
       else if (effect.kind === "log") observe(effect);
-      else if (effect.kind === "orders") {
+      else if (effect.kind === "planLater") {
+        after(effect.delay, () => dispatch({ kind: "plan", now }));
+      } else if (effect.kind === "orders") {
         const index = Number(effect.agent.split("-")[1]);
         after(LINK_DELAY, () => obey(workers[index]!, effect.orders));
       }
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -23,6 +23,8 @@
 const TICK_INTERVAL: Milliseconds = 250;
 /** Same interval while the first reports of the fleet are awaited. */
 const SURVEY_TICK_INTERVAL: Milliseconds = 50;
+/** Shortest time between two rounds of planning. */
+const PLANNING_INTERVAL: Milliseconds = 15;
 /** The address of an agent that stays lost for this long is removed. */
 const AGENT_RETENTION: Milliseconds = MINUTE;
 /**
@@ -71,6 +73,7 @@
       agentLoss: fields.grant + LOSS_MARGIN,
       agentRetention: AGENT_RETENTION,
       retention: fields.retention,
+      planningInterval: PLANNING_INTERVAL,
     },
     takesOver: true,
   });
@@ -134,6 +137,11 @@
         );
         return;
       }
+      case "planLater":
+        timer.after(effect.delay, () => {
+          dispatch({ kind: "plan", now: clock.now() });
+        });
+        return;
       case "log":
         return log.write(effect.level, effect.text, effect.fields);
     }
