Let grants last as long as the longest lease

Callers saw: work that was lost with its lease when the store was away.

Cause: where leases last at most 6 s, a grant lasted 4.8 s from the last report that a leader answered, which is up to 0.8 s old when the store goes; and a leader that can't renew its lease stops answering 0.9 s sooner since the lease is 1.1 s.

Change: a grant lasts as long as the longest lease, 6 s there. Where leases may last 10 s it is 8 s as before. Runs on a machine that is gone without notice start elsewhere 1.2 s later there.

--- a/core/worker_control/grant.ts
+++ b/core/worker_control/grant.ts
@@ -10,10 +10,8 @@
 
 /** Runs survive an absence of the leader that is shorter than this. */
 const MAX_GRANT: Milliseconds = 8 * SECOND;
-/** Largest share of the longest lease that a grant may last. */
-const MAX_LEASE_SHARE = 0.8;
 
 /** Returns the length of a grant if leases last at most `longestLease`. */
 export function grantLength(longestLease: Milliseconds): Milliseconds {
-  return Math.min(MAX_GRANT, longestLease * MAX_LEASE_SHARE);
+  return Math.min(MAX_GRANT, longestLease);
 }
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -1,6 +1,6 @@
 import { test } from "tap";
 import type { AgentOrders } from "@dragonflyledge/scheduler";
-import { createWorkerControl } from "./mod.ts";
+import { createWorkerControl, grantLength } from "./mod.ts";
 import type { Announcement, ControlEffect, ControlEvent } from "./mod.ts";
 
 const WORKER = "i-1@1000";
@@ -416,3 +416,27 @@
   t.notOk([...control.state.runs.values()].some((run) => run.stopRequested));
   t.end();
 });
+
+// Guards against running work that is lost with its leases in an absence of the
+// store of 4.5 s, in which no leader answers reports.
+test("leases of at most 6 s outlast an absence of the store of 4.5 s", (t) => {
+  const control = createWorkerControl({
+    times: { grant: grantLength(6000), longestLease: 6000 },
+  });
+  control.reduce({ kind: "announced", now: 0, announcement: announcement() });
+  // The last report that was answered is as old as the interval of reports.
+  control.reduce({
+    kind: "orders",
+    now: 800,
+    orders: orders({ answersReport: 0 }),
+  });
+  const backAt = 800 + 4500;
+  let until = 0;
+  for (let now = 800; now < backAt; now += 200) {
+    const effects = control.reduce({ ...holdAnswer(now, now - 10) });
+    until = Math.max(until, lastUntil(effects) ?? 0);
+  }
+  const left = until - (50_000 + backAt);
+  t.ok(left >= 500, `${left} ms are left for the election of a leader`);
+  t.end();
+});
