Check a stored progress whole

Callers saw: nothing; found by the generated inputs of replica_test. The CBOR value [0, {}, 0, []] under a progress key passed as the progress of a job that has no occurrences, so that a leader would have taken the job up with a finishing time that is no number.

Change: each field of a progress row is checked before it is taken, and a record of another shape is logged and left out. The counterexample is pinned.

--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -35,8 +35,13 @@
   ];
 }
 
-/** Converts the stored form, as written by `packProgress`, to progress. */
-export function unpackProgress(row: ProgressRow): JobProgress {
+/**
+ * Converts the stored form, as written by `packProgress`, to progress. Throws
+ * an error for another value.
+ */
+export function unpackProgress(value: unknown): JobProgress {
+  if (!isProgressRow(value)) throw new Error("the value is no progress row");
+  const row = value;
   const unpackTask = (task: TaskRow): TaskProgress => ({
     phase: task[0] as TaskPhase,
     run: task[1],
@@ -65,3 +70,32 @@
     occurrence.steps.some((tasks) => tasks.some((task) => task.run > 0))
   );
 }
+
+/** Types of the fields of a task's row; the last one is missing in old rows. */
+const TASK_FIELDS = [
+  "number",
+  "number",
+  "string",
+  "string",
+  "string",
+  "number",
+  "number",
+];
+const MIN_TASK_FIELDS = 6;
+
+function isProgressRow(value: unknown): value is ProgressRow {
+  return Array.isArray(value) && typeof value[0] === "string" &&
+    typeof value[1] === "number" && typeof value[2] === "number" &&
+    Array.isArray(value[3]) && value[3].every(isOccurrenceRow);
+}
+
+function isOccurrenceRow(value: unknown): boolean {
+  return Array.isArray(value) && typeof value[0] === "number" &&
+    Array.isArray(value[1]) &&
+    value[1].every((step) => Array.isArray(step) && step.every(isTaskRow));
+}
+
+function isTaskRow(value: unknown): boolean {
+  return Array.isArray(value) && value.length >= MIN_TASK_FIELDS &&
+    value.every((field, index) => typeof field === TASK_FIELDS[index]);
+}
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -14,11 +14,7 @@
   parseStoreKey,
   unpackProgress,
 } from "@dragonflyledge/scheduler";
-import type {
-  JobProgress,
-  JobRequest,
-  ProgressRow,
-} from "@dragonflyledge/scheduler";
+import type { JobProgress, JobRequest } from "@dragonflyledge/scheduler";
 
 /** Records of one job. */
 export interface JobCopy {
@@ -103,7 +99,7 @@
         const job = findOrAddJob(id);
         if (item.revision < job.progressRevision) return;
         job.progressRevision = item.revision;
-        job.progress = unpackProgress(decode(item.value) as ProgressRow);
+        job.progress = unpackProgress(decode(item.value));
         return;
       }
       case "agent":
--- a/daemons/scheduler/replica_test.ts
+++ b/daemons/scheduler/replica_test.ts
@@ -25,12 +25,17 @@
     fc.uint8Array(),
     fc.anything().map((value) => encode(value)),
   );
-  fc.assert(fc.property(values, (value) => {
-    bad.length = 0;
-    replica.apply([put(jobKey(ID), value)]);
-    replica.apply([put(progressKey(ID), value)]);
-    return replica.status(ID) === undefined && bad.length === 2;
-  }));
+  fc.assert(
+    fc.property(values, (value) => {
+      bad.length = 0;
+      replica.apply([put(jobKey(ID), value)]);
+      replica.apply([put(progressKey(ID), value)]);
+      return replica.status(ID) === undefined && bad.length === 2;
+    }),
+    {
+      examples: [[encode([0, {}, 0, []])], [encode(["", 0, 0, [[0, [[1]]]]])]],
+    },
+  );
   t.end();
 });
 
