Move the wait for the store and the routing of calls to modules of their own

How long a request waits for the store is a decision with its own load pattern; which queue and team a call names is another matter. Nothing that a test checks has changed.

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -18,9 +18,11 @@
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
 import { cancelKey, jobKey, progressKey } from "@dragonflyledge/scheduler";
 import type { JobRequest } from "@dragonflyledge/scheduler";
+import { findQueue, findTeam } from "./call_routing.ts";
 import type { ForwardOutcome, Peers } from "./peers.ts";
 import { encodeRequest } from "./replica.ts";
 import type { Replica } from "./replica.ts";
+import { createStoreWait } from "./store_wait.ts";
 
 const Status = {
   Ok: 200,
@@ -39,14 +41,6 @@
 /** Attempts of a store call that is refused or stays unanswered. */
 const MAX_ATTEMPTS = 3;
 const RETRY_DELAY: Milliseconds = 100;
-/**
- * Share of the caller's timeout for which a request may wait for the store to
- * answer again; the rest is left for the calls to the store.
- */
-const STORE_WAIT_SHARE = 0.5;
-const STORE_CHECK_INTERVAL: Milliseconds = 50;
-/** Requests beyond this number do not wait for the store. */
-const MAX_WAITING_REQUESTS = 500;
 /** How long the store keeps the cancel of a job that it doesn't hold. */
 const EARLY_CANCEL_TTL: Milliseconds = 2 * MINUTE;
 /** Header for callers whose request was not carried out. */
@@ -89,7 +83,6 @@
   log: Log;
 }): CallerApi {
   const { store, replica, clock, timer, log } = fields;
-  let waitingRequests = 0;
 
   const sleep = (delay: Milliseconds) =>
     new Promise<void>((resolve) => {
@@ -98,6 +91,7 @@
 
   /** Whether this entry can carry out no request at present. */
   const isFailing = () => fields.storeFails() || !fields.deployment();
+  const waitForStore = createStoreWait({ isFailing, clock, timer });
 
   async function answer(request: HttpRequest): Promise<HttpAnswer> {
     const startedAt = clock.now();
@@ -122,23 +116,9 @@
       failing,
     });
     if (resolved.status !== Status.Unavailable || !isFailing()) return resolved;
-    const waitEnd = startedAt + callerTimeout(request) * STORE_WAIT_SHARE;
-    return await waitForStore(waitEnd)
-      ? await answerLocally(request)
-      : resolved;
-  }
-
-  /**
-   * Waits until the store answers again, for requests that no entry could
-   * carry out. An absence of the store is often shorter than the caller's next
-   * attempt is away. Returns whether the store answers.
-   */
-  async function waitForStore(end: Milliseconds): Promise<boolean> {
-    if (waitingRequests >= MAX_WAITING_REQUESTS) return false;
-    waitingRequests++;
-    while (isFailing() && clock.now() < end) await sleep(STORE_CHECK_INTERVAL);
-    waitingRequests--;
-    return !isFailing();
+    const timeout = callerTimeout(request);
+    const answers = await waitForStore({ startedAt, timeout });
+    return answers ? await answerLocally(request) : resolved;
   }
 
   /**
@@ -357,27 +337,3 @@
   return answer.status === Status.Unavailable ||
     answer.status === Status.GatewayTimeout;
 }
-
-/** Finds the queue of the request's host with the longest matching prefix. */
-function findQueue(
-  deployment: Deployment,
-  request: HttpRequest,
-): Queue | undefined {
-  const host = (request.headers.host ?? "").toLowerCase().split(":")[0];
-  let best: Queue | undefined;
-  for (const queue of deployment.queues) {
-    if (queue.host !== host || !request.path.startsWith(queue.prefix)) continue;
-    if (!best || queue.prefix.length > best.prefix.length) best = queue;
-  }
-  return best;
-}
-
-/** Finds the team of the request's API key; undefined without a valid key. */
-function findTeam(
-  deployment: Deployment,
-  request: HttpRequest,
-): string | undefined {
-  const key = request.headers[CallerHeader.Key];
-  if (typeof key !== "string" || key === "") return undefined;
-  return deployment.teams.find((team) => team.keys.includes(key))?.name;
-}
--- a/scripts/regression.mjs
+++ b/scripts/regression.mjs
@@ -7,7 +7,6 @@
  */
 import { readFileSync, writeFileSync } from "node:fs";
 import { dirname, join, resolve } from "node:path";
-import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
 
--- a/testing/platform/malformed_test.ts
+++ b/testing/platform/malformed_test.ts
@@ -1,11 +1,11 @@
 import { Buffer } from "node:buffer";
 import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { performance } from "node:perf_hooks";
 import { encode } from "cbor-x";
 import { test } from "tap";
 import { startPrograms } from "./mod.ts";
 import type { ProgramProcess, Programs } from "./mod.ts";
+import { holdsWithin } from "./wait.ts";
 
 const START_TIMEOUT = 20_000;
 const JOB_TIMEOUT = 12_000;
@@ -64,18 +64,6 @@
   return Buffer.concat([header, body]);
 }
 
-async function waitFor(
-  limit: number,
-  condition: () => Promise<boolean>,
-): Promise<boolean> {
-  const end = performance.now() + limit;
-  while (!await condition()) {
-    if (performance.now() > end) return false;
-    await sleep(50);
-  }
-  return true;
-}
-
 async function post(programs: Programs, id: string, body: string) {
   const { request } = await import("node:http");
   const [host, port] = programs.entries[0]!.callerAddress.split(":");
@@ -102,7 +90,7 @@
   });
   t.teardown(() => programs.stop());
   const [entry] = programs.entries as [ProgramProcess];
-  const ready = await waitFor(START_TIMEOUT, async () => {
+  const ready = await holdsWithin(START_TIMEOUT, async () => {
     return (await programs.call(entry, "GET", "/plans/")).status === 200;
   });
   t.ok(ready, "the entry answers");
@@ -119,7 +107,7 @@
   }
   const job = { spec: "", steps: [{ cpu: 1000, memMb: 1, gpu: 1 }] };
   t.equal(await post(programs, "1".repeat(16), JSON.stringify(job)), 200);
-  const done = await waitFor(JOB_TIMEOUT, async () => {
+  const done = await holdsWithin(JOB_TIMEOUT, async () => {
     const path = `/plans/${"1".repeat(16)}`;
     return (await programs.call(entry, "GET", path)).body
       .includes("completed");
--- a/testing/platform/programs_test.ts
+++ b/testing/platform/programs_test.ts
@@ -1,15 +1,14 @@
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
-import { performance } from "node:perf_hooks";
 import { test } from "tap";
 import type { Test } from "tap";
 import { BORROWER_KEY, startPrograms } from "./mod.ts";
 import type { Programs } from "./mod.ts";
+import { waitUntil } from "./wait.ts";
 
 /** Guaranteed bound on recovery after a fault, in milliseconds. */
 const RECOVERY_BOUND = 12_000;
 const START_TIMEOUT = 20_000;
-const POLL_INTERVAL = 50;
 
 const jobId = (number: number) => number.toString(16).padStart(16, "0");
 const path = (number: number) => `/plans/${jobId(number)}`;
@@ -18,18 +17,6 @@
   steps: [{ count: 3, cpu: 1000, memMb: 10, gpu: 1 }],
 };
 
-async function waitUntil(
-  what: string,
-  limit: number,
-  condition: () => Promise<boolean>,
-): Promise<void> {
-  const end = performance.now() + limit;
-  while (!await condition()) {
-    if (performance.now() > end) throw new Error(`not in ${limit} ms: ${what}`);
-    await sleep(POLL_INTERVAL);
-  }
-}
-
 async function start(t: Test, duration: number): Promise<Programs> {
   const programs = await startPrograms({ entries: 2, agents: 2, duration });
   t.teardown(() => programs.stop());
--- a/testing/platform/restart_test.ts
+++ b/testing/platform/restart_test.ts
@@ -5,6 +5,7 @@
 import type { Test } from "tap";
 import { BORROWER_KEY, createConfiguration, startPrograms } from "./mod.ts";
 import type { ProgramProcess, Programs } from "./mod.ts";
+import { holdsWithin } from "./wait.ts";
 
 const START_TIMEOUT = 20_000;
 const CHANGE_TIMEOUT = 5000;
@@ -12,18 +13,6 @@
 const WATCH_TIME = 3000;
 const POLL_INTERVAL = 20;
 
-async function holdsWithin(
-  limit: number,
-  condition: () => Promise<boolean>,
-): Promise<boolean> {
-  const end = performance.now() + limit;
-  while (!await condition()) {
-    if (performance.now() > end) return false;
-    await sleep(POLL_INTERVAL);
-  }
-  return true;
-}
-
 async function start(t: Test): Promise<Programs> {
   const programs = await startPrograms({
     entries: 2,
