Let an entry end that was stopped while the store is down

Cause: closing the store effects cancelled the next retry of an outcome's write. A write that was under way at that moment failed later and planned a new retry, each second for as long as the store was down.

Change: nothing is tried again after the close. The new test failed before. leaving_test prints, for an answer that is not the expected one, its tries and the last lines of the processes.

--- a/daemons/entry/store_effects.ts
+++ b/daemons/entry/store_effects.ts
@@ -48,7 +48,7 @@
 /** Performs store effects. Outcomes of claims are written one after another. */
 export interface StoreEffects {
   perform(effect: StoreEffect): void;
-  /** Cancels a scheduled retry. */
+  /** Ends the retries; a write that is under way is not tried again. */
   close(): void;
 }
 
@@ -67,6 +67,7 @@
    */
   const created = new Map<string, string>();
   let settling = false;
+  let closed = false;
   let cancelRetry = () => {};
 
   function countFailure(error: StepError): void {
@@ -116,7 +117,7 @@
       unsettled.shift();
     }
     settling = false;
-    if (unsettled.length === 0) return;
+    if (unsettled.length === 0 || closed) return;
     cancelRetry();
     cancelRetry = timer.after(SETTLE_RETRY_DELAY, () => void settle());
   }
@@ -236,7 +237,12 @@
     }
   }
 
-  return { perform, close: () => cancelRetry() };
+  function close(): void {
+    closed = true;
+    cancelRetry();
+  }
+
+  return { perform, close };
 }
 
 /**
--- a/daemons/entry/store_effects_test.ts
+++ b/daemons/entry/store_effects_test.ts
@@ -2,21 +2,29 @@
 import { setImmediate } from "node:timers";
 import { err, ok } from "neverthrow";
 import { ErrorCode, StepError } from "@dragonflyledge/model";
-import type { Claim, EntryEvent, JobRecord } from "@dragonflyledge/model";
+import type {
+  Claim,
+  EntryEvent,
+  JobRecord,
+  Timer,
+} from "@dragonflyledge/model";
 import { NOT_SENT } from "@dragonflyledge/store";
 import type { Records } from "./records.ts";
 import { createStoreEffects } from "./store_effects.ts";
 
 const NOW = "2026-01-01T00:00:00.000Z";
 
-function start(records: Partial<Records>) {
+function start(
+  records: Partial<Records>,
+  after: Timer["after"] = () => () => {},
+) {
   let date = NOW;
   const clock = { now: () => 5, date: () => new Date(date) };
   const events: EntryEvent[] = [];
   const effects = createStoreEffects({
     records: records as Records,
     clock,
-    timer: { after: () => () => {} },
+    timer: { after },
     observer: { log() {}, count() {} } as never,
     dispatch: (event) => events.push(event),
   });
@@ -117,3 +125,26 @@
     ["next", { kind: "failed" }],
   ]);
 });
+
+// Guards against an entry that has stopped but does not end while the store is
+// down, because the retry of a write that was under way keeps it alive.
+test("a write that fails after the close is not tried again", async (t) => {
+  let answer = () => {};
+  let retries = 0;
+  const { effects, settled } = start({
+    settleClaim: () =>
+      new Promise((resolve) => {
+        const failed = failure(ErrorCode.StoreUnavailable, NOT_SENT);
+        answer = () => resolve(err(failed));
+      }),
+  }, () => {
+    retries++;
+    return () => {};
+  });
+  const outcome = { kind: "not-run", reason: "queue-full" } as const;
+  effects.perform({ kind: "settleClaim", claim: { ...claim, outcome } });
+  effects.close();
+  answer();
+  await settled();
+  t.equal(retries, 0);
+});
--- a/testing/processes/leaving_test.ts
+++ b/testing/processes/leaving_test.ts
@@ -85,7 +85,14 @@
     );
     t.same(late, [], "no work started after the target");
     for (const one of await Promise.all(long)) {
-      t.equal(one.tries.at(-1)!.outcome, "done", "work in flight is answered");
+      const last = one.tries.at(-1)!;
+      t.equal(last.outcome, "done", "work in flight is answered");
+      if (last.outcome === "done") continue;
+      t.comment(JSON.stringify(one));
+      const processes = [agent, ...entries].map(({ process }) => process);
+      for (const line of processes.flatMap(({ lines }) => lines.slice(-20))) {
+        t.comment(line);
+      }
     }
     cluster.restart(agent);
   };
