Report crashes of workers with the runs that were on them

The log could not tell whether the worker of a lost run crashed, left as planned or went with its machine, nor which runs had just begun there. Change: the agent records, when another incarnation of its worker appears or the worker refuses connections until its lease ends, which runs may have been at work, and whether each had settled (listed for 0.5 s). It repeats the last three crashes in its reports, so that a new leader hears of them. The leader logs and counts them. Changed capacities are reported at once, logged, and shown as gauges. No decision changes.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -10,11 +10,13 @@
 import type {
   AgentOrders,
   AgentReport,
+  CrashedRun,
   EndedTask,
   RefusedStart,
   RunName,
   RunningTask,
   StartOrder,
+  WorkerCrash,
   WorkerState,
 } from "./messages.ts";
 
@@ -82,6 +84,16 @@
   remaining: isNumber,
   reachable: isFlag,
 });
+const isCrashedRun = objectWith<CrashedRun>({
+  task: isText,
+  run: isNumber,
+  settled: isFlag,
+});
+const isCrash = objectWith<WorkerCrash>({
+  worker: isText,
+  runs: listOf(isCrashedRun),
+});
+const isCrashList = listOf(isCrash);
 const isReport = objectWith<AgentReport>({
   kind: (value): value is "report" => value === "report",
   sentAt: isNumber,
@@ -94,6 +106,8 @@
   absent: listOf(isRunName),
   vacant: isFlag,
   emptied: listOf(isText),
+  crashes: (value): value is WorkerCrash[] | undefined =>
+    value === undefined || isCrashList(value),
 });
 const isOrders = objectWith<AgentOrders>({
   kind: (value): value is "orders" => value === "orders",
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -72,6 +72,20 @@
   run: number;
 }
 
+/** A run that may have been at work on a worker that crashed. */
+export interface CrashedRun extends RunName {
+  /** Whether the worker had listed the run for a while, beyond its start. */
+  settled: boolean;
+}
+
+/** A worker incarnation that ended without notice. */
+export interface WorkerCrash {
+  /** Key of the incarnation. */
+  worker: string;
+  /** Every run that may have been on it; runs that never reached it are not. */
+  runs: CrashedRun[];
+}
+
 /**
  * State of an agent and its worker. The agent sends it on each change and at
  * intervals.
@@ -95,6 +109,11 @@
   vacant: boolean;
   /** Keys of worker incarnations on which no run is left. */
   emptied: string[];
+  /**
+   * The latest crashes of workers beside this agent, repeated so that a new
+   * leader hears of them; undefined in reports of older builds.
+   */
+  crashes?: WorkerCrash[];
 }
 
 /** A start that a leader orders. */
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -13,6 +13,8 @@
   RunningTask,
   WorkerState,
 } from "./messages.ts";
+import { capacityOf, noteCapacity } from "./capacity.ts";
+import { applyCrash } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { addRun, addToWorker, findTask, stopRun } from "./runs.ts";
@@ -37,6 +39,7 @@
   agent.lost = false;
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
+  for (const crash of report.crashes ?? []) applyCrash(state, crash);
   for (const key of report.emptied) loseRunsOn(state, key, "worker emptied");
   if (!report.worker) return handleMissingWorker(state, agent, report);
   const worker = updateWorker(state, agent, report.worker);
@@ -140,6 +143,7 @@
     if (reachable !== reported.reachable || draining !== reported.draining) {
       state.planDue = true;
     }
+    noteCapacity(state, known, reported);
     known.state = reported;
     return known;
   }
@@ -152,6 +156,7 @@
   }
   const worker: Worker = {
     state: reported,
+    full: capacityOf(reported),
     agent: agent.name,
     listed: false,
     used: { millicores: 0, megabytes: 0, accelerators: 0 },
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -72,6 +72,8 @@
 /** A worker incarnation. */
 export interface Worker {
   state: WorkerState;
+  /** Most of each resource that the incarnation has announced. */
+  full: Capacity;
   agent: string;
   /** Whether the worker itself has listed its runs to its agent. */
   listed: boolean;
@@ -199,6 +201,8 @@
     guaranteed: boolean;
     wait: Milliseconds;
   }
+  /** Count a worker that crashed with runs, `begun` of them just begun. */
+  | { kind: "workerCrashed"; begun: number }
   | { kind: "log"; level: LogLevel; text: string; fields: Fields };
 
 /** Key of a step within its job, used for in-memory maps. */
--- /dev/null
+++ b/core/worker_control/crash.ts
@@ -0,0 +1,71 @@
+/**
+ * Records what may have been at work on a worker when it crashed.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { runKey } from "@dragonflyledge/scheduler";
+import type { CrashedRun } from "@dragonflyledge/scheduler";
+import { log } from "./log.ts";
+import { ControlPhase } from "./state.ts";
+import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
+
+/** A run that was listed for this long does not crash its worker by starting. */
+const SETTLE_TIME: Milliseconds = 500;
+/** Number of crashes that are kept and reported. */
+const KEPT_CRASHES = 3;
+
+/**
+ * Records that the worker incarnation ended. One that drained or announced its
+ * shutdown did not crash.
+ */
+export function recordCrash(
+  state: ControlState,
+  worker: ControlledWorker,
+): void {
+  const { key, draining } = worker.state;
+  if (draining || worker.leftAt !== undefined) return;
+  if (state.crashes.some((crash) => crash.worker === key)) return;
+  const runs = listExposedRuns(state, worker);
+  state.crashes.push({ worker: key, runs });
+  state.crashes.splice(0, state.crashes.length - KEPT_CRASHES);
+  log(state, "Worker crashed.", {
+    worker: key,
+    settled: namesOf(runs.filter((run) => run.settled)),
+    begun: namesOf(runs.filter((run) => !run.settled)),
+  });
+}
+
+/**
+ * Runs that the worker listed last, and those that may have begun since. A run
+ * is settled if the worker still answered some time after it had listed it.
+ */
+function listExposedRuns(
+  state: ControlState,
+  worker: ControlledWorker,
+): CrashedRun[] {
+  const settledSince = worker.answeredAt - SETTLE_TIME;
+  const listed = worker.running.map(({ task, run }) => ({
+    task,
+    run,
+    settled: worker.listedAt.get(runKey({ task, run }))! <= settledSince,
+  }));
+  const known = new Set([...worker.running, ...worker.ended].map(runKey));
+  const begun = [...state.runs.values()]
+    .filter((control) =>
+      mayHaveBegun(control) && !known.has(runKey(control.name))
+    )
+    .map(({ name }) => ({ ...name, settled: false }));
+  return [...listed, ...begun];
+}
+
+/** Whether the worker accepted the start, or may have got a call for it. */
+function mayHaveBegun({ phase, startSent }: RunControl): boolean {
+  return phase === ControlPhase.Started ||
+    (phase === ControlPhase.Starting && startSent);
+}
+
+function namesOf(runs: CrashedRun[]): string {
+  return runs.map(runKey).join();
+}
--- /dev/null
+++ b/core/worker_control/crash_test.ts
@@ -0,0 +1,139 @@
+import { test } from "tap";
+import type { ControlEffect, ControlEvent } from "./mod.ts";
+import {
+  announcement,
+  createWithWorker,
+  holdAnswer,
+  orders,
+  START_ORDER,
+  WORKER,
+} from "./setup_for_tests.ts";
+
+/** Time after which no lease from before it can still hold. */
+const LEASE_OVER = 25_000;
+
+const second = { ...START_ORDER, task: "b.0.0.0" };
+const third = { ...START_ORDER, task: "c.0.0.0" };
+
+function crashesOf(effects: ControlEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.kind === "report" ? [effect.report.crashes] : []
+  ).at(-1);
+}
+
+/** An agent whose worker runs `a` and was called to start `b`, not yet `c`. */
+function createBusy() {
+  const { reduce } = createWithWorker();
+  const starts = [START_ORDER, second];
+  reduce({ kind: "orders", now: 10, orders: orders({ starts }) });
+  const running = [{ task: "a.0.0.0", run: 1, checkpoint: "", percent: 0 }];
+  reduce({ ...holdAnswer(20, 10), running } as ControlEvent);
+  reduce({ kind: "tick", now: 900 });
+  reduce({ ...holdAnswer(1000, 900), running } as ControlEvent);
+  for (const run of ["a.0.0.0#1", "b.0.0.0#1"]) {
+    const outcome = { kind: "started", clock: 50_030 } as const;
+    reduce({ kind: "startAnswered", now: 1010, worker: WORKER, run, outcome });
+  }
+  reduce({
+    kind: "orders",
+    now: 1020,
+    orders: orders({ starts: [...starts, third] }),
+  });
+  const outcome = { kind: "refused", reason: "no process" } as const;
+  reduce({
+    kind: "startAnswered",
+    now: 1030,
+    worker: WORKER,
+    run: "c.0.0.0#1",
+    outcome,
+  });
+  return reduce;
+}
+
+const EXPOSED = [{
+  worker: WORKER,
+  runs: [
+    { task: "a.0.0.0", run: 1, settled: true },
+    { task: "b.0.0.0", run: 1, settled: false },
+  ],
+}];
+
+// Guards against runs that are suspected though they never reached the worker,
+// and against one that crashed it at once and is not.
+test("a crash is reported with the runs that may have been at work", (t) => {
+  const reduce = createBusy();
+  const effects = reduce({
+    kind: "announced",
+    now: 3000,
+    announcement: announcement({ id: "i-2", born: 3900 }),
+  });
+  t.same(crashesOf(effects), EXPOSED);
+  t.same(
+    crashesOf(reduce({ kind: "linked", now: 4000 })),
+    EXPOSED,
+    "a new leader hears of it, too",
+  );
+  t.end();
+});
+
+// Guards against a run that crashes its worker at once and is taken for an old
+// one, because its worker still listed it.
+test("a run that was only just listed is not settled", (t) => {
+  const { reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 10, orders: orders() });
+  const running = [{ task: "a.0.0.0", run: 1, checkpoint: "", percent: 0 }];
+  reduce({ ...holdAnswer(20, 10), running } as ControlEvent);
+  const effects = reduce({
+    kind: "announced",
+    now: 3000,
+    announcement: announcement({ id: "i-2", born: 3900 }),
+  });
+  t.same(crashesOf(effects)?.[0]?.runs.map((run) => run.settled), [false]);
+  t.end();
+});
+
+// Guards against a planned end that counts as a crash.
+test("a worker that drains or leaves does not crash", (t) => {
+  for (const draining of [true, false]) {
+    const { reduce } = createWithWorker();
+    if (draining) {
+      const leaving = announcement({ draining, sequence: 2 });
+      reduce({ kind: "announced", now: 100, announcement: leaving });
+    } else reduce({ kind: "left", now: 100, id: "i-1" });
+    const effects = reduce({
+      kind: "announced",
+      now: 3000,
+      announcement: announcement({ id: "i-2", born: 3900 }),
+    });
+    t.same(crashesOf(effects), [], `draining: ${draining}`);
+  }
+  t.end();
+});
+
+// Guards against a crash that is not noticed because the worker stays away for
+// longer than its lease, and against a cut that is taken for one.
+test("a worker that refuses connections until its lease ends has crashed", (t) => {
+  for (const refused of [true, false]) {
+    const reduce = createBusy();
+    for (const now of [2000, 2200, LEASE_OVER]) {
+      reduce({ kind: "tick", now: now - 10 });
+      reduce({ kind: "holdFailed", now, worker: WORKER, reason: "", refused });
+    }
+    const effects = reduce({ kind: "tick", now: LEASE_OVER + 1000 });
+    t.same(crashesOf(effects), refused ? EXPOSED : [], `refused: ${refused}`);
+  }
+  t.end();
+});
+
+// Guards against starts that are planned for capacity that the worker has lost.
+test("a changed capacity is reported at once", (t) => {
+  const { reduce } = createWithWorker();
+  const effects = reduce({
+    kind: "announced",
+    now: 100,
+    announcement: announcement({ accelerators: 4, sequence: 2 }),
+  });
+  const report = effects.find((effect) => effect.kind === "report");
+  t.equal(report?.report.worker?.accelerators, 4);
+  t.end();
+});
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -7,6 +7,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
+import { recordCrash } from "./crash.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
@@ -55,8 +56,9 @@
     grantEnd: 0,
     suspended: 0,
     runs: new Map(),
-    hold: { callPending: false, nextCallAt: 0, failures: 0 },
+    hold: { callPending: false, nextCallAt: 0, failures: 0, refused: false },
     emptied: [],
+    crashes: [],
     lastReportAt: 0,
     reportDue: true,
     effects: [],
@@ -89,7 +91,7 @@
     case "held":
       return applyHoldAnswer(state, event);
     case "holdFailed":
-      return applyHoldFailure(state, event.worker, event.reason, now);
+      return applyHoldFailure(state, event);
     case "startAnswered":
     case "stopAnswered":
       return applyCallAnswer(state, event);
@@ -135,6 +137,11 @@
   state.emptied = state.emptied.filter((key) => key !== worker.state.key);
   const before = listsFingerprint(worker);
   worker.running = event.running;
+  worker.answeredAt = event.now;
+  worker.listedAt = new Map(event.running.map((each) => {
+    const key = runKey(each);
+    return [key, worker.listedAt.get(key) ?? event.now];
+  }));
   worker.ended = event.ended.filter((end) => end.number > worker.acknowledged);
   worker.listed = true;
   if (listsFingerprint(worker) !== before) state.reportDue = true;
@@ -155,15 +162,15 @@
 /** Counts a failed hold call; too many make the worker unreachable. */
 function applyHoldFailure(
   state: ControlState,
-  key: string,
-  reason: string,
-  now: Milliseconds,
+  event: Extract<ControlEvent, { kind: "holdFailed" }>,
 ): void {
   const { worker } = state;
+  const { worker: key, reason, refused } = event;
   if (!worker || worker.state.key !== key) return;
   state.hold.callPending = false;
-  state.hold.nextCallAt = now + HOLD_RETRY_DELAY;
+  state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
   state.hold.failures++;
+  state.hold.refused = refused;
   if (state.hold.failures < FAILED_HOLD_LIMIT) return;
   if (!worker.state.reachable) return;
   worker.state.reachable = false;
@@ -192,6 +199,9 @@
   }
   if (control.phase !== ControlPhase.Starting) return;
   const { outcome } = event;
+  if (outcome.kind === "refused" && control.unansweredStarts === 0) {
+    control.startSent = false;
+  }
   log(state, "Start answered.", {
     run: event.run,
     outcome: outcome.kind,
@@ -238,6 +248,9 @@
     now > worker.leftAt + LEAVE_DURATION;
   const lapsed = !worker.state.reachable && now > worker.latestLeaseEnd;
   if (!left && !lapsed) return;
+  // A worker that does not answer may be cut off; one that refuses connections
+  // is not there.
+  if (lapsed && state.hold.refused) recordCrash(state, worker);
   state.emptied.push(worker.state.key);
   worker.state.reachable = false;
   worker.running = [];
@@ -313,6 +326,7 @@
         .filter((control) => control.phase === ControlPhase.Absent)
         .map((control) => control.name),
       emptied: state.emptied,
+      crashes: state.crashes,
     },
   });
 }
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -113,6 +113,7 @@
   if (until === undefined) return;
   recordExtension(state, worker);
   control.callPending = true;
+  control.startSent = true;
   state.effects.push({
     kind: "start",
     worker: worker.state.key,
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -12,6 +12,7 @@
   RunName,
   RunningTask,
   StartOrder,
+  WorkerCrash,
   WorkerState,
 } from "@dragonflyledge/scheduler";
 
@@ -51,6 +52,10 @@
   leftAt?: Milliseconds;
   /** Runs that the worker last listed as running. */
   running: RunningTask[];
+  /** When each of these runs was first listed, by `runKey`. */
+  listedAt: Map<string, Milliseconds>;
+  /** When the worker last answered a hold call. */
+  answeredAt: Milliseconds;
   /** Ends that the worker last listed and that are not acknowledged. */
   ended: EndedTask[];
   /** Whether this incarnation has answered a hold call with its lists. */
@@ -92,6 +97,8 @@
   stopRequested: boolean;
   /** Whether a start or stop call is waiting for its answer. */
   callPending: boolean;
+  /** Whether a start call was sent that the worker has not refused. */
+  startSent: boolean;
   /** Start calls without an answer, which the worker may still carry out. */
   unansweredStarts: number;
   /** No call is sent before this time. */
@@ -113,6 +120,8 @@
   nextCallAt: Milliseconds;
   /** Failed calls since the last one that succeeded. */
   failures: number;
+  /** Whether the last call found no process at the worker's address. */
+  refused: boolean;
 }
 
 /** State of an agent's reducer. */
@@ -133,6 +142,8 @@
   hold: HoldLoop;
   /** Keys of worker incarnations on which nothing runs any more. */
   emptied: string[];
+  /** The latest crashes of the worker, the last one at the end. */
+  crashes: WorkerCrash[];
   lastReportAt: Milliseconds;
   /** Whether a report is sent at the end of the current event. */
   reportDue: boolean;
@@ -170,7 +181,8 @@
       running: RunningTask[];
       ended: EndedTask[];
     }
-    | { kind: "holdFailed"; worker: string; reason: string }
+    /** A hold call failed; `refused` if no process listens there. */
+    | { kind: "holdFailed"; worker: string; reason: string; refused: boolean }
     | {
       kind: "startAnswered";
       worker: string;
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
+import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
 import type { Announcement, ControlledWorker, ControlState } from "./state.ts";
@@ -25,6 +26,7 @@
     if (sequence <= worker.sequence) return;
     worker.sequence = sequence;
     const drainingChanged = worker.state.draining !== announcement.draining;
+    noteCapacity(state, worker, announcement);
     worker.state = {
       ...worker.state,
       ...described,
@@ -44,12 +46,35 @@
     clock: { value: clock, at: now },
     latestLeaseEnd: latestEarlierLeaseEnd(state, now),
     running: [],
+    listedAt: new Map(),
+    answeredAt: now,
     ended: [],
     listed: false,
     acknowledged: 0,
   }, now);
 }
 
+/** Reports a changed capacity at once, since starts have to fit it. */
+function noteCapacity(
+  state: ControlState,
+  worker: ControlledWorker,
+  announcement: Announcement,
+): void {
+  const { millicores, megabytes, accelerators } = announcement;
+  const known = worker.state;
+  if (
+    known.millicores === millicores && known.megabytes === megabytes &&
+    known.accelerators === accelerators
+  ) return;
+  state.reportDue = true;
+  log(state, "Worker capacity changed.", {
+    worker: known.key,
+    millicores,
+    megabytes,
+    accelerators,
+  });
+}
+
 /** Switches to a new incarnation of the worker, started at `born`. */
 export function replaceIncarnation(
   state: ControlState,
@@ -71,6 +96,8 @@
     latestLeaseEnd: latestEarlierLeaseEnd(state, now),
     leftAt: undefined,
     running: [],
+    listedAt: new Map(),
+    answeredAt: now,
     ended: [],
     listed: false,
     acknowledged: 0,
@@ -97,10 +124,20 @@
   worker: ControlledWorker,
   now: Milliseconds,
 ): void {
+  const former = state.worker;
+  // The lists of a former worker that was emptied are gone.
+  if (former && !state.emptied.includes(former.state.key)) {
+    recordCrash(state, former);
+  }
   state.worker = worker;
   state.runs.clear();
   state.emptied = [];
-  state.hold = { callPending: false, nextCallAt: now, failures: 0 };
+  state.hold = {
+    callPending: false,
+    nextCallAt: now,
+    failures: 0,
+    refused: false,
+  };
   state.reportDue = true;
   log(state, "New worker incarnation.", { worker: worker.state.key });
 }
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -221,7 +221,13 @@
   reduce(holdAnswer(20, 10));
   reduce({ kind: "orders", now: 30, orders: orders({ answersReport: 25 }) });
   const fail = (now: number) =>
-    reduce({ kind: "holdFailed", now, worker: WORKER, reason: "silent" });
+    reduce({
+      kind: "holdFailed",
+      now,
+      worker: WORKER,
+      reason: "silent",
+      refused: false,
+    });
   fail(1700);
   fail(3400);
   t.equal(control.state.worker?.state.reachable, false);
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -10,8 +10,13 @@
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
 import { createLoop } from "@dragonflyledge/runtime";
-import { createScheduler, parseStoreKey } from "@dragonflyledge/scheduler";
+import {
+  createScheduler,
+  missingCapacity,
+  parseStoreKey,
+} from "@dragonflyledge/scheduler";
 import type {
+  Capacity,
   Policies,
   SchedulerEffect,
   SchedulerEvent,
@@ -137,6 +142,10 @@
         );
         return;
       }
+      case "workerCrashed":
+        return fields.instruments.increment("worker_crashes_total", {
+          begun: quantify(effect.begun),
+        });
       case "planLater":
         timer.after(effect.delay, () => {
           dispatch({ kind: "plan", now: clock.now() });
@@ -178,6 +187,11 @@
     for (const name of replica.agents.keys()) addAgent(name);
   }
 
+  function showMissing({ accelerators, millicores }: Capacity): void {
+    fields.instruments.set("missing_accelerators", accelerators);
+    fields.instruments.set("missing_cores", millicores / 1000);
+  }
+
   const tick = () => {
     if (ended) return;
     links.closeSilent();
@@ -185,6 +199,7 @@
     if (clock.now() - lastReport > ISOLATION_LIMIT) return fields.onIsolated();
     const date = clock.date().getTime();
     dispatch({ kind: "tick", now: clock.now(), date });
+    showMissing(missingCapacity(scheduler.state));
     const interval = scheduler.state.survey
       ? SURVEY_TICK_INTERVAL
       : TICK_INTERVAL;
@@ -210,8 +225,16 @@
       dispatch({ kind: "policies", now: clock.now(), policies }),
     end: () => {
       ended = true;
+      // Only the leader knows; another process shows it from now on.
+      showMissing({ accelerators: 0, millicores: 0, megabytes: 0 });
       writer.stop();
       links.close();
     },
   };
 }
+
+/** Word for a number in the label of a metric. */
+function quantify(count: number): "none" | "one" | "several" {
+  if (count === 0) return "none";
+  return count === 1 ? "one" : "several";
+}
--- a/daemons/scheduler/leader_test.ts
+++ b/daemons/scheduler/leader_test.ts
@@ -30,7 +30,11 @@
       level: "error",
       stream: new PassThrough(),
     }),
-    instruments: { increment: () => {}, time: () => {} } as never,
+    instruments: {
+      increment: () => {},
+      set: () => {},
+      time: () => {},
+    } as never,
   });
   const registerAgent = () =>
     replica.apply([{
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -116,8 +116,7 @@
     const now = clock.now();
     recordCall("hold", outcome.kind, sentAt);
     if (outcome.kind === "failed") {
-      const { reason } = outcome;
-      dispatch({ kind: "holdFailed", now, worker: effect.worker, reason });
+      dispatch({ ...outcome, kind: "holdFailed", now, worker: effect.worker });
       return;
     }
     dispatch({ ...outcome, kind: "held", now, worker: effect.worker, sentAt });
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -6,7 +6,7 @@
 
 /** Kind, description and labels of an instrument. */
 export interface Instrument {
-  kind: "counter" | "histogram";
+  kind: "counter" | "gauge" | "histogram";
   help: string;
   labels: readonly string[];
 }
@@ -69,6 +69,23 @@
     help: "Time from a task being ready to its placement.",
     labels: ["priority", "guaranteed"],
   },
+  worker_crashes_total: {
+    kind: "counter",
+    help:
+      "Workers that crashed with runs, by whether none, one or several of " +
+      "these had just begun.",
+    labels: ["begun"],
+  },
+  missing_accelerators: {
+    kind: "gauge",
+    help: "Accelerators that workers announced before and do not announce now.",
+    labels: [],
+  },
+  missing_cores: {
+    kind: "gauge",
+    help: "Cores that workers announced before and do not announce now.",
+    labels: [],
+  },
   log_lines_total: {
     kind: "counter",
     help: "Lines of the log by text, those left out included.",
