Leave runs out of a crash that were sent to a silent worker

What callers would see: a job sent to a worker that had gone dark is suspected of having crashed it. Change: an unanswered start counts only if the worker had answered within the wait of a hold call before it. The test failed before.

--- a/core/worker_control/crash.ts
+++ b/core/worker_control/crash.ts
@@ -8,11 +8,13 @@
 import { runKey } from "@dragonflyledge/scheduler";
 import type { CrashedRun } from "@dragonflyledge/scheduler";
 import { log } from "./log.ts";
-import { ControlPhase } from "./state.ts";
+import { ControlPhase, HOLD_WAIT } from "./state.ts";
 import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
 
 /** A run that was listed for this long does not crash its worker by starting. */
 const SETTLE_TIME: Milliseconds = 500;
+/** A worker that answers does so this long after the wait of a hold call. */
+const ANSWER_DELAY: Milliseconds = 200;
 /** Number of crashes that are kept and reported. */
 const KEPT_CRASHES = 3;
 
@@ -54,16 +56,23 @@
   const known = new Set([...worker.running, ...worker.ended].map(runKey));
   const begun = [...state.runs.values()]
     .filter((control) =>
-      mayHaveBegun(control) && !known.has(runKey(control.name))
+      mayHaveBegun(control, worker) && !known.has(runKey(control.name))
     )
     .map(({ name }) => ({ ...name, settled: false }));
   return [...listed, ...begun];
 }
 
-/** Whether the worker accepted the start, or may have got a call for it. */
-function mayHaveBegun({ phase, startSent }: RunControl): boolean {
-  return phase === ControlPhase.Started ||
-    (phase === ControlPhase.Starting && startSent);
+/**
+ * Whether the worker accepted the start, or may have carried out a call for it.
+ * A worker that had been silent before the call was gone already.
+ */
+function mayHaveBegun(
+  { phase, startSentAt }: RunControl,
+  worker: ControlledWorker,
+): boolean {
+  if (phase === ControlPhase.Started) return true;
+  return phase === ControlPhase.Starting && startSentAt !== undefined &&
+    startSentAt - worker.answeredAt <= HOLD_WAIT + ANSWER_DELAY;
 }
 
 function namesOf(runs: CrashedRun[]): string {
--- a/core/worker_control/crash_test.ts
+++ b/core/worker_control/crash_test.ts
@@ -92,6 +92,26 @@
   t.end();
 });
 
+// Guards against a task that is suspected because it was sent to a worker that
+// had gone silent before.
+test("a run that was sent to a silent worker was not on it", (t) => {
+  const { reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 10, orders: orders() });
+  reduce(holdAnswer(20, 10));
+  reduce({
+    kind: "orders",
+    now: 1500,
+    orders: orders({ starts: [START_ORDER] }),
+  });
+  const effects = reduce({
+    kind: "announced",
+    now: 3000,
+    announcement: announcement({ id: "i-2", born: 3900 }),
+  });
+  t.same(crashesOf(effects), [{ worker: WORKER, runs: [] }]);
+  t.end();
+});
+
 // Guards against a planned end that counts as a crash.
 test("a worker that drains or leaves does not crash", (t) => {
   for (const draining of [true, false]) {
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -90,7 +90,6 @@
   return {
     stopRequested: false,
     callPending: false,
-    startSent: false,
     unansweredStarts: 0,
     nextCallAt: now,
     answeredAt: 0,
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -12,7 +12,7 @@
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
 import { sendDueCalls, updateFromLists } from "./run_control.ts";
-import { ControlPhase } from "./state.ts";
+import { ControlPhase, HOLD_WAIT } from "./state.ts";
 import type {
   ControlEffect,
   ControlEvent,
@@ -26,8 +26,6 @@
   replaceIncarnation,
 } from "./worker.ts";
 
-/** How long the worker delays the answer to a hold call until a run ends. */
-const HOLD_WAIT: Milliseconds = 1000;
 /** Delay before a hold or a stop call that failed is repeated. */
 const HOLD_RETRY_DELAY: Milliseconds = 150;
 /** Failed hold calls in a row after which the worker counts as unreachable. */
@@ -200,7 +198,7 @@
   if (control.phase !== ControlPhase.Starting) return;
   const { outcome } = event;
   if (outcome.kind === "refused" && control.unansweredStarts === 0) {
-    control.startSent = false;
+    control.startSentAt = undefined;
   }
   log(state, "Start answered.", {
     run: event.run,
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -113,7 +113,7 @@
   if (until === undefined) return;
   recordExtension(state, worker);
   control.callPending = true;
-  control.startSent = true;
+  control.startSentAt ??= now;
   state.effects.push({
     kind: "start",
     worker: worker.state.key,
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -97,8 +97,8 @@
   stopRequested: boolean;
   /** Whether a start or stop call is waiting for its answer. */
   callPending: boolean;
-  /** Whether a start call was sent that the worker has not refused. */
-  startSent: boolean;
+  /** When the first start call was sent that the worker has not refused. */
+  startSentAt?: Milliseconds;
   /** Start calls without an answer, which the worker may still carry out. */
   unansweredStarts: number;
   /** No call is sent before this time. */
@@ -112,6 +112,9 @@
   refusalReason: string;
 }
 
+/** How long the worker delays the answer to a hold call until a run ends. */
+export const HOLD_WAIT: Milliseconds = 1000;
+
 /** The hold calls, which extend the worker's lease and return its lists. */
 export interface HoldLoop {
   /** Whether a hold call is waiting for its answer. */
