--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -12,6 +12,7 @@
   EndedTask,
   RunEnding,
   RunningTask,
+  WorkerCrash,
 } from "./messages.ts";
 import type { SchedulerEffect } from "./state.ts";
 
@@ -23,6 +24,10 @@
 
 interface FakeWorker {
   name: string;
+  /** Number of the present incarnation, which is also when it was born. */
+  incarnation: number;
+  crashes: WorkerCrash[];
+  accelerators: number;
   running: RunningTask[];
   ended: EndedTask[];
   /** Number of the next ended run. */
@@ -112,6 +117,9 @@
     { length: fields.workers },
     (_, index) => ({
       name: `agent-${index}`,
+      incarnation: 1,
+      crashes: [],
+      accelerators: 8,
       running: [],
       ended: [],
       nextEnd: 1,
@@ -218,6 +226,36 @@
       });
       report(index);
     },
+    /**
+     * Crashes the worker, which comes back at once. Its agent reports which
+     * runs had settled; without `evidence` it reports no crash.
+     */
+    crash: (
+      index: number,
+      fields: { settled?: string[]; evidence?: boolean } = {},
+    ) => {
+      const worker = workers[index]!;
+      const { settled = [], evidence = true } = fields;
+      const runs = worker.running.map(({ task, run }) => ({
+        task,
+        run,
+        settled: settled.includes(task),
+      }));
+      if (evidence) {
+        worker.crashes.push({ worker: keyOf(worker, index), runs });
+      }
+      worker.incarnation++;
+      worker.running = [];
+      worker.ended = [];
+      worker.nextEnd = 1;
+      worker.orders = undefined;
+      report(index);
+    },
+    /** Changes the number of accelerators that the worker announces. */
+    resize: (index: number, accelerators: number) => {
+      workers[index]!.accelerators = accelerators;
+      report(index);
+    },
     /** Passes time, with reports and ticks at the report interval. */
     advance: (duration: number) => {
       const end = now + duration;
@@ -259,14 +297,14 @@
       sentAt: now,
       vacant: worker.away === "vacant",
       worker: worker.away !== "no" ? undefined : {
-        key: `worker-${index}@1`,
-        born: 1,
+        key: keyOf(worker, index),
+        born: worker.incarnation,
         service: "service",
         rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
         labels: [],
         millicores: 32_000,
         megabytes: 128_000,
-        accelerators: 8,
+        accelerators: worker.accelerators,
         draining: worker.remaining !== undefined,
         remaining: worker.remaining ?? 0,
         reachable: true,
@@ -277,6 +315,7 @@
       refused: [],
       absent: [],
       emptied: [],
+      crashes: worker.crashes,
     };
     return applyEffects(
       scheduler.reduce({
@@ -289,6 +328,10 @@
     );
   }
 
+  function keyOf({ incarnation }: FakeWorker, index: number): string {
+    return `worker-${index}@${incarnation}`;
+  }
+
   if (!fields.takesOver) workers.forEach((_, index) => report(index));
   return fleet;
 }
