Give up tasks that crash the workers that start them

Cause: only ends that a worker lists as failed counted as attempts. A crash leaves no such end; the lost run made its task wait again without limit. The class: a failure that leaves no record is retried without a budget. Ruled out: counts lost with the leader (there were none), starts repeated by the agent (each run number was started once). A crash counts for the tasks that had just begun on the worker, or if none had, for all; a crash with one such task or gang is its sole one. Two sole crashes right after the start, three sole ones, or five of any kind fail the job. Suspects start on a worker without other tasks, on another machine than before, and others join only once they have settled; after 2 s (urgent: 0.3 s) they join where least work is at stake. A loss without evidence of a crash counts only for suspects.

--- a/core/scheduler/endings.ts
+++ b/core/scheduler/endings.ts
@@ -5,8 +5,7 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { JobStatus, TaskPhase } from "./job.ts";
-import type { TaskProgress } from "./job.ts";
+import { FailureCode, JobStatus, TaskPhase } from "./job.ts";
 import { RunEnding } from "./messages.ts";
 import type { EndedTask } from "./messages.ts";
 import { completeIfDone, finishJob, markChanged } from "./progress.ts";
@@ -17,6 +16,7 @@
   isLatest,
   removeRun,
   stopRun,
+  tasksOf,
 } from "./runs.ts";
 import type { Run, SchedulerState, Worker } from "./state.ts";
 
@@ -104,28 +104,18 @@
 ): void {
   const { state, run } = fields;
   // A gang is done once any of its members is.
-  for (const task of tasksOf(run)) task.phase = TaskPhase.Done;
+  for (const task of tasksOf(run.job, run.task)) task.phase = TaskPhase.Done;
   markChanged(state, run.job);
   completeIfDone({ state, job: run.job, date: fields.date });
 }
 
 /** Keeps a checkpoint for the task, or for the whole gang. */
 function keepCheckpoint(run: Run, checkpoint: string): void {
-  for (const task of tasksOf(run)) {
+  for (const task of tasksOf(run.job, run.task)) {
     if (task.run === run.run) task.checkpoint = checkpoint;
   }
 }
 
-/** Progress of the run's task, or of all tasks of its gang. */
-function tasksOf(run: Run): TaskProgress[] {
-  const occurrence = run.job.progress.occurrences
-    .find((each) => each.index === run.task.occurrence);
-  const tasks = occurrence?.steps[run.task.step] ?? [];
-  return run.step.gang
-    ? tasks
-    : tasks.slice(run.task.index, run.task.index + 1);
-}
-
 /**
  * Counts a failed run, and fails the job after its last attempt. A gang's run
  * counts once, whichever member's end is listed first.
@@ -136,7 +126,7 @@
   date: Milliseconds;
 }): void {
   const { state, run } = fields;
-  const tasks = tasksOf(run);
+  const tasks = tasksOf(run.job, run.task);
   const { failedRun, phase } = tasks[0]!;
   if (run.run <= failedRun || phase === TaskPhase.Done) return;
   for (const task of tasks) {
@@ -146,10 +136,16 @@
   markChanged(state, run.job);
   if (run.step.longRunning) return;
   if (tasks[0]!.failures < run.job.policy.maxAttempts) return;
+  const failure = {
+    code: FailureCode.Attempts,
+    task: run.name,
+    count: tasks[0]!.failures,
+  };
   finishJob({
     state,
     job: run.job,
     status: JobStatus.Failed,
+    failure,
     date: fields.date,
   });
 }
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -130,6 +130,8 @@
   );
 
   const fleet = {
+    /** Number of workers. */
+    size: fields.workers,
     manualStore: fields.manualStore ?? false,
     submit: (request: JobRequest) => {
       applyEffects(scheduler.reduce({ kind: "job", now, request }));
@@ -251,6 +253,10 @@
       worker.orders = undefined;
       report(index);
     },
+    /** Lets a run be on the worker, which its agent has not reported yet. */
+    runOn: (index: number, task: string, run: number) => {
+      workers[index]!.running.push({ task, run, checkpoint: "", percent: 0 });
+    },
     /** Changes the number of accelerators that the worker announces. */
     resize: (index: number, accelerators: number) => {
       workers[index]!.accelerators = accelerators;
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -105,6 +105,35 @@
   failures: number;
   /** Run number of the latest run that was counted as failed. */
   failedRun: number;
+  crashes: CrashCounts;
+}
+
+/** Workers that crashed while they ran a task. */
+export interface CrashCounts {
+  /** All of them. */
+  total: number;
+  /** Those that crashed soon after they had started the task. */
+  early: number;
+  /** Those for whose crash no other task may be the cause. */
+  sole: number;
+}
+
+/** Why a job failed, as callers are told. */
+export const FailureCode = {
+  /** A task, or a gang, failed as often as its queue permits. */
+  Attempts: "attempts-failed",
+  /** Workers that started a task crashed again and again. */
+  WorkerCrashes: "workers-crashed",
+} as const;
+export type FailureCode = typeof FailureCode[keyof typeof FailureCode];
+
+/** Why a job failed, and the task that it failed for. */
+export interface JobFailure {
+  code: FailureCode;
+  /** Name of the task. */
+  task: string;
+  /** Number of failed runs or of crashed workers. */
+  count: number;
 }
 
 /** One execution of all steps of a job; a scheduled job has several. */
@@ -118,6 +147,8 @@
   status: JobStatus;
   /** Unix time at which the status became final; 0 before that. */
   finishedAt: Milliseconds;
+  /** Set when the status is `failed`; missing in records of older builds. */
+  failure?: JobFailure;
   /** Index of the next occurrence to be created. */
   nextOccurrence: number;
   occurrences: Occurrence[];
@@ -177,6 +208,7 @@
       checkpoint: "",
       failures: 0,
       failedRun: 0,
+      crashes: { total: 0, early: 0, sole: 0 },
     }))
   );
   return { index: fields.index, steps };
--- a/core/scheduler/place.ts
+++ b/core/scheduler/place.ts
@@ -42,6 +42,8 @@
   mayPreempt: PreemptionRule;
   /** Cost, in core-seconds, of stopping a run. */
   stopCost: (run: Run) => number;
+  /** Cost, in core-seconds, of joining the runs on a worker; 0 by default. */
+  joinCost?: (worker: Worker) => number;
   /**
    * Whether workers of equal cost are taken from the end of the list. Urgent
    * and other tasks fill the workers from opposite ends, so that they share
@@ -147,7 +149,8 @@
   const { step } = fields;
   const unused = candidate.free.accelerators - step.accelerators;
   const baseCost = FRAGMENTATION_COST * Math.max(0, unused) +
-    (wouldMix(candidate.worker, step) ? MIXING_COST : 0);
+    (wouldMix(candidate.worker, step) ? MIXING_COST : 0) +
+    (fields.joinCost?.(candidate.worker) ?? 0);
   if (fits(candidate, step)) return { candidate, victims: [], cost: baseCost };
   if (step.maxPerWorker > 0 && candidate.stepTasks >= step.maxPerWorker) {
     return undefined;
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -10,8 +10,11 @@
 import { createGuaranteeCover } from "./guarantees.ts";
 import type { GuaranteeCover } from "./guarantees.ts";
 import { JobStatus, TaskPhase } from "./job.ts";
+import type { TaskProgress } from "./job.ts";
 import { taskWeight } from "./fit.ts";
+import type { CandidateWorker } from "./fit.ts";
 import { placeTasks } from "./place.ts";
+import { listElsewhere, listIdle, waitsForIsolation } from "./place_suspect.ts";
 import type { Placement, PreemptionRule } from "./place.ts";
 import { markChanged } from "./progress.ts";
 import { createRound } from "./round.ts";
@@ -19,6 +22,7 @@
 import { addRun, stopRun } from "./runs.ts";
 import { stepKey } from "./state.ts";
 import type { SchedulerState } from "./state.ts";
+import { Isolation, isolationOf } from "./suspects.ts";
 import { isUrgent, listUnits } from "./units.ts";
 import type { Unit } from "./units.ts";
 import { noteUrgentWait } from "./waits.ts";
@@ -51,8 +55,11 @@
   cover: GuaranteeCover,
 ): void {
   for (const index of unit.tasks) {
-    // All tasks of a step need the same, so if one does not fit, none does.
-    if (!planUnit(round, { ...unit, tasks: [index] }, cover)) return;
+    const single = { ...unit, tasks: [index] };
+    if (planUnit(round, single, cover)) continue;
+    // All tasks of a step need the same, so if one does not fit, none does. A
+    // suspect needs a worker of its own, too.
+    if (!isSuspected(single)) return;
   }
 }
 
@@ -76,6 +83,50 @@
   return placement !== undefined;
 }
 
+/** Whether any task of the unit is suspected of crashing workers. */
+function isSuspected(unit: Unit): boolean {
+  return isolationOf(tasksOf(unit)) !== Isolation.None;
+}
+
+/** Progress of the tasks of the unit. */
+function tasksOf(unit: Unit): TaskProgress[] {
+  const tasks = unit.occurrence.steps[unit.stepIndex]!;
+  return unit.tasks.map((index) => tasks[index]!);
+}
+
+/**
+ * Finds workers for the unit. Those of a suspect have no other tasks, or after
+ * a wait the fewest that are lost if they crash.
+ */
+function findPlacement(fields: {
+  round: PlanningRound;
+  unit: Unit;
+  cover: GuaranteeCover;
+}): Placement | undefined {
+  const { round, unit } = fields;
+  if (!isSuspected(unit)) return findUsualPlacement(fields);
+  const candidates = listElsewhere(unit, round.candidates(unit, false));
+  const { step } = unit;
+  const place = (from: CandidateWorker[], oneRack: boolean) =>
+    placeTasks({
+      step,
+      count: unit.tasks.length,
+      candidates: from,
+      mayPreempt: undefined,
+      stopCost: round.stopCost,
+      joinCost: round.joinCost,
+      oneRack,
+      reverseOrder: isUrgent(unit),
+    });
+  const oneRack = step.gang && step.sameRack && unit.tasks.length > 1;
+  const idle = listIdle(candidates);
+  const isolated = place(idle, oneRack);
+  if (isolated) return isolated;
+  if (waitsForIsolation(unit, round.now)) return undefined;
+  return (oneRack ? place(idle, false) : undefined) ??
+    place(candidates, oneRack) ?? findUsualPlacement(fields);
+}
+
 /**
  * Finds workers for the unit: free capacity near its data first, then any free
  * capacity once the locality wait is over or if no worker is near the data, and
@@ -83,7 +134,7 @@
  * for one rack is placed across racks only after the locality wait. A unit that
  * may reclaim preempts, at last, urgent runs that no guarantee covers.
  */
-function findPlacement(fields: {
+function findUsualPlacement(fields: {
   round: PlanningRound;
   unit: Unit;
   cover: GuaranteeCover;
@@ -192,6 +243,7 @@
   const tasks = occurrence.steps[stepIndex]!;
   const highest = Math.max(...unit.tasks.map((index) => tasks[index]!.run));
   const checkpoint = unit.step.gang ? latestCheckpoint(unit) : "";
+  const isolation = isolationOf(tasksOf(unit));
   job.progress.status = JobStatus.Running;
   markChanged(state, job);
   unit.tasks.forEach((index, position) => {
@@ -219,6 +271,9 @@
       now,
     });
   });
+  if (isolation !== Isolation.None) {
+    for (const worker of placement.workers) round.close(worker);
+  }
   state.effects.push({
     kind: "placed",
     priority: job.policy.priority,
@@ -241,6 +296,7 @@
       guaranteed: unit.guaranteed,
       waited: Math.round(now - unit.readyAt),
       version: job.version,
+      ...(isolation === Isolation.None ? {} : { isolation }),
     },
   });
 }
--- a/core/scheduler/progress.ts
+++ b/core/scheduler/progress.ts
@@ -6,7 +6,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { createOccurrence, isFinal, JobStatus, TaskPhase } from "./job.ts";
-import type { Occurrence } from "./job.ts";
+import type { JobFailure, Occurrence } from "./job.ts";
 import { stopRun } from "./runs.ts";
 import type { Job, SchedulerState } from "./state.ts";
 
@@ -21,12 +21,15 @@
   state: SchedulerState;
   job: Job;
   status: JobStatus;
+  /** Why the job failed; only for that status. */
+  failure?: JobFailure;
   date: Milliseconds;
 }): void {
-  const { state, job, status } = fields;
+  const { state, job, status, failure } = fields;
   if (isFinal(job.progress.status)) return;
   job.progress.status = status;
   job.progress.finishedAt = fields.date;
+  job.progress.failure = failure;
   state.active.delete(job);
   for (const run of job.runs) stopRun(state, run);
   markChanged(state, job);
@@ -34,7 +37,13 @@
     kind: "log",
     level: "info",
     text: "Job finished.",
-    fields: { job: job.request.id, status, version: job.version },
+    fields: {
+      job: job.request.id,
+      status,
+      version: job.version,
+      ...(failure &&
+        { failure: failure.code, task: failure.task, count: failure.count }),
+    },
   });
 }
 
--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -4,14 +4,39 @@
  * @module
  */
 
-import { JobStatus } from "./job.ts";
-import type { JobProgress, TaskPhase, TaskProgress } from "./job.ts";
+import { FailureCode, JobStatus } from "./job.ts";
+import type {
+  JobFailure,
+  JobProgress,
+  TaskPhase,
+  TaskProgress,
+} from "./job.ts";
 
-type TaskRow = [number, number, string, string, string, number, number];
+/** Counts of crashes are left out if there are none. */
+type TaskRow = [
+  number,
+  number,
+  string,
+  string,
+  string,
+  number,
+  number,
+  ...([number, number, number] | []),
+];
 type OccurrenceRow = [number, TaskRow[][]];
+type FailureRow = [string, string, number];
 
-/** Progress as plain arrays, which the store's encoder writes compactly. */
-export type ProgressRow = [string, number, number, OccurrenceRow[]];
+/**
+ * Progress as plain arrays, which the store's encoder writes compactly. Only
+ * that of a failed job has a failure.
+ */
+export type ProgressRow = [
+  string,
+  number,
+  number,
+  OccurrenceRow[],
+  ...([FailureRow] | []),
+];
 
 /** Converts progress to its stored form. */
 export function packProgress(progress: JobProgress): ProgressRow {
@@ -23,6 +48,7 @@
     task.checkpoint,
     task.failures,
     task.failedRun,
+    ...packCrashes(task),
   ];
   return [
     progress.status,
@@ -32,9 +58,26 @@
       occurrence.index,
       occurrence.steps.map((tasks) => tasks.map(packTask)),
     ]),
+    ...packFailure(progress.failure),
   ];
 }
 
+function packCrashes(
+  { crashes }: TaskProgress,
+): [number, number, number] | [] {
+  const { total, early, sole } = crashes;
+  return total === 0 ? [] : [total, early, sole];
+}
+
+function packFailure(failure: JobFailure | undefined): [FailureRow] | [] {
+  return failure ? [[failure.code, failure.task, failure.count]] : [];
+}
+
+function unpackFailure(row: FailureRow | undefined): JobFailure | undefined {
+  const code = Object.values(FailureCode).find((each) => each === row?.[0]);
+  return row && code && { code, task: row[1], count: row[2] };
+}
+
 /**
  * Converts the stored form, as written by `packProgress`, to progress. Throws
  * an error for another value.
@@ -50,12 +93,14 @@
     checkpoint: task[4],
     failures: task[5],
     failedRun: task[6] ?? 0,
+    crashes: { total: task[7] ?? 0, early: task[8] ?? 0, sole: task[9] ?? 0 },
   });
   const statuses: string[] = Object.values(JobStatus);
   return {
     status:
       (statuses.includes(row[0]) ? row[0] : JobStatus.Queued) as JobStatus,
     finishedAt: row[1],
+    failure: unpackFailure(row[4]),
     nextOccurrence: row[2],
     occurrences: row[3].map(([index, steps]) => ({
       index,
@@ -71,7 +116,7 @@
   );
 }
 
-/** Types of the fields of a task's row; the last one is missing in old rows. */
+/** Types of the fields of a task's row; the last ones may be missing. */
 const TASK_FIELDS = [
   "number",
   "number",
@@ -80,13 +125,22 @@
   "string",
   "number",
   "number",
+  "number",
+  "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
 
 function isProgressRow(value: unknown): value is ProgressRow {
   return Array.isArray(value) && typeof value[0] === "string" &&
     typeof value[1] === "number" && typeof value[2] === "number" &&
-    Array.isArray(value[3]) && value[3].every(isOccurrenceRow);
+    Array.isArray(value[3]) && value[3].every(isOccurrenceRow) &&
+    (value[4] === undefined || isFailureRow(value[4]));
+}
+
+function isFailureRow(value: unknown): value is FailureRow {
+  return Array.isArray(value) && typeof value[0] === "string" &&
+    typeof value[1] === "string" && typeof value[2] === "number";
 }
 
 function isOccurrenceRow(value: unknown): boolean {
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -278,7 +278,7 @@
   date: Milliseconds,
 ): void {
   endSurvey(state, now);
-  checkAgents(state, now);
+  checkAgents(state, now, date);
   noteUnconfirmedStarts(state, now);
   saveCheckpoints(state, now);
   for (const job of state.active) createDueOccurrences({ state, job, date });
@@ -319,11 +319,17 @@
 }
 
 /** Marks agents without a recent report as lost, and later forgets them. */
-function checkAgents(state: SchedulerState, now: Milliseconds): void {
+function checkAgents(
+  state: SchedulerState,
+  now: Milliseconds,
+  date: Milliseconds,
+): void {
   const { agentLoss, agentRetention } = state.times;
   for (const agent of state.agents.values()) {
     const silence = now - agent.lastHeard;
-    if (silence > agentLoss && !agent.lost) markAgentLost(state, agent);
+    if (silence > agentLoss && !agent.lost) {
+      markAgentLost({ state, agent, date });
+    }
     if (!agent.lost || silence < agentRetention) continue;
     state.agents.delete(agent.name);
     state.effects.push({ kind: "forget", agent: agent.name });
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -14,12 +14,12 @@
   WorkerState,
 } from "./messages.ts";
 import { capacityOf, noteCapacity } from "./capacity.ts";
-import { applyCrash } from "./crashes.ts";
+import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { addRun, addToWorker, findTask, stopRun } from "./runs.ts";
 import { isApplied } from "./state.ts";
-import type { Agent, SchedulerState, Worker } from "./state.ts";
+import type { Agent, Run, SchedulerState, Worker } from "./state.ts";
 
 /** A worker that refused a start is avoided for this long. */
 const REFUSAL_AVOIDANCE: Milliseconds = 500;
@@ -39,10 +39,12 @@
   agent.lost = false;
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
-  for (const crash of report.crashes ?? []) applyCrash(state, crash);
-  for (const key of report.emptied) loseRunsOn(state, key, "worker emptied");
-  if (!report.worker) return handleMissingWorker(state, agent, report);
-  const worker = updateWorker(state, agent, report.worker);
+  for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
+  for (const key of report.emptied) {
+    loseRuns(fields, (run) => run.worker === key, "worker emptied");
+  }
+  if (!report.worker) return handleMissingWorker(fields);
+  const worker = updateWorker(fields, report.worker);
   if (worker === undefined) return;
   noteLeaving(worker, now);
   if (report.listed) {
@@ -65,45 +67,45 @@
  * Handles a report without a worker. Nothing more is started on the worker
  * known so far; once it can't hold a lease any more, its runs are lost.
  */
-function handleMissingWorker(
-  state: SchedulerState,
-  agent: Agent,
-  report: AgentReport,
-): void {
+function handleMissingWorker(fields: ReportFields): void {
+  const { state, agent, report } = fields;
   const known = agent.worker;
   if (known) known.state = { ...known.state, reachable: false };
   if (!report.vacant) return;
-  loseRunsOfAgent(state, agent, "the agent has no worker");
+  loseRunsOfAgent(fields, "the agent has no worker");
   if (known) state.workers.delete(known.state.key);
   agent.worker = undefined;
 }
 
+interface LossFields {
+  state: SchedulerState;
+  agent: Agent;
+  date: Milliseconds;
+}
+
 /** Treats all runs under an agent as ended. */
-function loseRunsOfAgent(
-  state: SchedulerState,
-  agent: Agent,
-  reason: string,
-): void {
-  for (const run of [...state.runs.values()]) {
-    if (run.agent === agent.name) loseRun(state, run, reason);
-  }
+function loseRunsOfAgent(fields: LossFields, reason: string): void {
+  loseRuns(fields, (run) => run.agent === fields.agent.name, reason);
 }
 
-/** Treats all runs on a worker incarnation as ended. */
-export function loseRunsOn(
-  state: SchedulerState,
-  key: string,
+/** Treats the selected runs, whose worker is gone, as ended. */
+function loseRuns(
+  fields: LossFields,
+  isLost: (run: Run) => boolean,
   reason: string,
 ): void {
-  for (const run of [...state.runs.values()]) {
-    if (run.worker === key) loseRun(state, run, reason);
+  for (const run of [...fields.state.runs.values()]) {
+    if (!isLost(run)) continue;
+    noteUnexplainedLoss(fields, run);
+    loseRun(fields.state, run, reason);
   }
 }
 
 /** Marks an agent as lost and removes its worker, where nothing can run now. */
-export function markAgentLost(state: SchedulerState, agent: Agent): void {
+export function markAgentLost(fields: LossFields): void {
+  const { state, agent } = fields;
   agent.lost = true;
-  loseRunsOfAgent(state, agent, "agent lost");
+  loseRunsOfAgent(fields, "agent lost");
   if (agent.worker) state.workers.delete(agent.worker.state.key);
   agent.worker = undefined;
   state.effects.push({
@@ -133,10 +135,10 @@
  * Returns undefined if the reported incarnation is older than the known one.
  */
 function updateWorker(
-  state: SchedulerState,
-  agent: Agent,
+  fields: ReportFields,
   reported: WorkerState,
 ): Worker | undefined {
+  const { state, agent } = fields;
   const known = agent.worker;
   if (known?.state.key === reported.key) {
     const { reachable, draining } = known.state;
@@ -149,11 +151,11 @@
   }
   if (known && known.state.born > reported.born) return undefined;
   if (known) state.workers.delete(known.state.key);
-  for (const run of [...state.runs.values()]) {
-    if (run.agent === agent.name && run.worker !== reported.key) {
-      loseRun(state, run, "worker replaced");
-    }
-  }
+  loseRuns(
+    fields,
+    (run) => run.agent === agent.name && run.worker !== reported.key,
+    "worker replaced",
+  );
   const worker: Worker = {
     state: reported,
     full: capacityOf(reported),
@@ -162,6 +164,7 @@
     used: { millicores: 0, megabytes: 0, accelerators: 0 },
     runs: new Set(),
     checkpointingRuns: 0,
+    isolatedRuns: 0,
     stoppingRuns: 0,
     avoidUntil: 0,
     failures: 0,
@@ -212,6 +215,7 @@
     const run = state.runs.get(key);
     if (run && run.worker === worker.state.key) {
       run.confirmed = true;
+      run.confirmedAt ??= now;
       run.percent = running.percent;
       run.progressAt = now;
       const task = findTask(run.job, run.task);
--- a/core/scheduler/round.ts
+++ b/core/scheduler/round.ts
@@ -15,6 +15,8 @@
 import type { Step } from "./job.ts";
 import { addCapacity, taskCapacity } from "./runs.ts";
 import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
+import { isClosed } from "./suspects.ts";
+import { isUrgent } from "./units.ts";
 import type { Unit } from "./units.ts";
 
 /** Workers and costs as of one round; kept up to date by `take`. */
@@ -29,8 +31,12 @@
   candidates(unit: Unit, avoid: boolean): CandidateWorker[];
   /** Subtracts a task of the step from the free capacity of the worker. */
   take(worker: Worker, step: Step): void;
+  /** Keeps all other tasks off the worker in this round. */
+  close(worker: Worker): void;
   /** Work, in core-seconds, that is lost if the run and its gang are stopped. */
   stopCost(run: Run): number;
+  /** Work, in core-seconds, that is lost if the worker crashes. */
+  joinCost(worker: Worker): number;
   /** Notes that no worker has room for a task with the needs of the unit. */
   noteFull(unit: Unit, avoid: boolean): void;
   /** Whether the same need found no room earlier in this round. */
@@ -62,12 +68,21 @@
     return usable
       .filter(({ worker }) =>
         worker.state.service === service &&
+        !isClosed(worker, isUrgent(unit), now) &&
         (label === "" || worker.state.labels.includes(label)) &&
         !(avoid && worker.avoidUntil > now)
       )
       .map((each) => ({ worker: each.worker, free: each.free, stepTasks: 0 }));
   }
 
+  function costOf(run: Run): number {
+    const cost = run.stopping ? undefined : costs.get(run);
+    if (cost !== undefined) return cost;
+    const computed = stopCost(run, now);
+    costs.set(run, computed);
+    return computed;
+  }
+
   return {
     state,
     now,
@@ -85,12 +100,18 @@
       const amount = free.get(worker);
       if (amount) addCapacity(amount, taskCapacity(step), -1);
     },
-    stopCost: (run) => {
-      const cost = run.stopping ? undefined : costs.get(run);
-      if (cost !== undefined) return cost;
-      const computed = stopCost(run, now);
-      costs.set(run, computed);
-      return computed;
+    close: (worker) => {
+      const amount = free.get(worker);
+      if (!amount) return;
+      amount.millicores = -Infinity;
+      amount.megabytes = -Infinity;
+      amount.accelerators = -Infinity;
+    },
+    stopCost: costOf,
+    joinCost: (worker) => {
+      let sum = 0;
+      for (const run of worker.runs) sum += costOf(run);
+      return sum;
     },
     noteFull: (unit, avoid) => full.add(needKey(unit, avoid)),
     isFull: (unit, avoid) => full.has(needKey(unit, avoid)),
@@ -124,7 +145,8 @@
 
 /** Key of the list of candidates that the unit shares with others. */
 function listKey(unit: Unit, avoid: boolean): string {
-  return `${avoid} ${unit.job.policy.service} ${unit.step.label}`;
+  const urgent = isUrgent(unit);
+  return `${avoid} ${urgent} ${unit.job.policy.service} ${unit.step.label}`;
 }
 
 /** Key of the unit's candidates and of what one of its tasks needs. */
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -8,6 +8,7 @@
 import type { Step, TaskName, TaskProgress } from "./job.ts";
 import { runKey } from "./messages.ts";
 import type { Capacity, Job, Run, SchedulerState, Worker } from "./state.ts";
+import { Isolation, isolationOf } from "./suspects.ts";
 
 /** Capacity that one task of a step occupies; idle cores count as none. */
 export function taskCapacity(step: Step): Capacity {
@@ -36,6 +37,16 @@
   return occurrence?.steps[name.step]?.[name.index];
 }
 
+/** Progress of the task, or of all tasks of its gang. */
+export function tasksOf(job: Job, name: TaskName): TaskProgress[] {
+  const occurrence = job.progress.occurrences
+    .find((each) => each.index === name.occurrence);
+  const tasks = occurrence?.steps[name.step] ?? [];
+  return job.request.steps[name.step]!.gang
+    ? tasks
+    : tasks.slice(name.index, name.index + 1);
+}
+
 /** Records a run that may occupy capacity on a worker. */
 export function addRun(fields: {
   state: SchedulerState;
@@ -58,6 +69,8 @@
     worker: fields.worker,
     version: job.version,
     confirmed: fields.confirmed,
+    confirmedAt: fields.confirmed ? fields.now : undefined,
+    isolation: isolationOf(tasksOf(job, task)),
     stopping: false,
     overdue: false,
     percent: 0,
@@ -76,6 +89,7 @@
   if (worker.runs.has(run)) return;
   worker.runs.add(run);
   if (run.step.checkpointing) worker.checkpointingRuns++;
+  if (run.isolation !== Isolation.None) worker.isolatedRuns++;
   if (run.stopping) worker.stoppingRuns++;
   addCapacity(worker.used, taskCapacity(run.step), 1);
 }
@@ -88,6 +102,7 @@
   const worker = state.workers.get(run.worker);
   if (worker?.runs.delete(run)) {
     if (run.step.checkpointing) worker.checkpointingRuns--;
+    if (run.isolation !== Isolation.None) worker.isolatedRuns--;
     if (run.stopping) worker.stoppingRuns--;
     addCapacity(worker.used, taskCapacity(run.step), -1);
   }
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -12,6 +12,7 @@
   Step,
   TaskName,
 } from "./job.ts";
+import type { Isolation } from "./suspects.ts";
 import type { Survey } from "./survey.ts";
 import type {
   AgentOrders,
@@ -59,6 +60,9 @@
   version: number;
   /** Whether the worker has listed the run. */
   confirmed: boolean;
+  /** When this process first saw the worker list the run. */
+  confirmedAt?: Milliseconds;
+  isolation: Isolation;
   /** Whether the run was told to stop; it still occupies its capacity. */
   stopping: boolean;
   /** Whether its start was logged as not confirmed in time. */
@@ -81,6 +85,8 @@
   runs: Set<Run>;
   /** Number of `runs` that save checkpoints. */
   checkpointingRuns: number;
+  /** Number of `runs` that are isolated. */
+  isolatedRuns: number;
   /** Number of `runs` that were told to stop. */
   stoppingRuns: number;
   /** Time until which the worker is avoided after a failure or refusal. */
@@ -203,6 +209,8 @@
   }
   /** Count a worker that crashed with runs, `begun` of them just begun. */
   | { kind: "workerCrashed"; begun: number }
+  /** Count a task that is suspected of crashing workers from now on. */
+  | { kind: "taskSuspected" }
   | { kind: "log"; level: LogLevel; text: string; fields: Fields };
 
 /** Key of a step within its job, used for in-memory maps. */
