Let suspects join the tasks of which a crash costs least

Cause: work that had just begun seemed to cost nothing, and the time until it starts again was not counted. The class: the harm of a crash is not the harm of a stop. Change: the cost of a crash counts the work, the time until the tasks start again, and urgent ones fourfold. A worker that will be empty within the wait of a suspect is kept free for it. Evidence: two tests, which fail without the change.

--- a/core/scheduler/crashes_test.ts
+++ b/core/scheduler/crashes_test.ts
@@ -1,5 +1,6 @@
 import { test } from "tap";
 import { createFleet, request, step } from "./fleet_for_tests.ts";
+import { createOccurrence, createProgress } from "./job.ts";
 import type { JobProgress } from "./job.ts";
 import { packProgress, unpackProgress } from "./records.ts";
 
@@ -239,3 +240,50 @@
   t.equal(workerOf(fleet, "suspect.0.0.0"), 1 - first, "then it joins");
   t.end();
 });
+
+/** Loads a job of one task that crashed a worker before. */
+function loadSuspect(fleet: Fleet, id: string): void {
+  const suspect = request({ id, steps: [step({})] });
+  const occurrence = createOccurrence({ request: suspect, index: 0 });
+  occurrence.steps[0]![0]!.crashes = { total: 1, early: 1, sole: 1 };
+  const progress = createProgress();
+  progress.nextOccurrence = 1;
+  progress.occurrences.push(occurrence);
+  fleet.load(suspect, progress);
+}
+
+// Guards against urgent work that is lost because a suspect joined it.
+test("a suspect joins tasks of which a crash costs least", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  const long = step({ accelerators: 6, estimate: 60_000 });
+  fleet.submit(request({ id: "urgent", priority: 0, steps: [long] }));
+  const other = { ...long, accelerators: 5 };
+  fleet.submit(request({ id: "batch", steps: [other] }));
+  fleet.runStarts();
+  loadSuspect(fleet, "suspect");
+  fleet.advance(3000);
+  fleet.runStarts();
+  t.equal(
+    workerOf(fleet, "suspect.0.0.0"),
+    workerOf(fleet, "batch.0.0.0"),
+    "it joins the batch task",
+  );
+  t.end();
+});
+
+// Guards against a suspect that finds no free worker because every one that
+// becomes empty is filled at once.
+test("a worker that is empty soon is kept free for a suspect", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  const brief = step({ estimate: 1500, accelerators: 4 });
+  fleet.submit(request({ id: "brief", steps: [brief] }));
+  const long = step({ estimate: 60_000, accelerators: 7 });
+  fleet.submit(request({ id: "long", steps: [long] }));
+  fleet.runStarts();
+  loadSuspect(fleet, "suspect");
+  const more = step({ count: 16 });
+  fleet.submit(request({ id: "more", steps: [more], acceptedAt: 1 }));
+  const soonEmpty = workerOf(fleet, "brief.0.0.0");
+  t.same(tasksOn(fleet, soonEmpty), ["brief.0.0.0"]);
+  t.end();
+});
--- a/core/scheduler/evacuate.ts
+++ b/core/scheduler/evacuate.ts
@@ -58,7 +58,7 @@
 }
 
 /** Time that the run still needs, by its progress or else by its estimate. */
-function remainingTime(run: Run, now: Milliseconds): Milliseconds {
+export function remainingTime(run: Run, now: Milliseconds): Milliseconds {
   const { percent, progressAt, startedAt } = run;
   const duration = percent < MIN_PROGRESS
     ? run.step.estimate
--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -14,6 +14,10 @@
 const CORES_PER_ACCELERATOR = 8;
 /** Run time that a checkpointing task loses when it is stopped and restored. */
 const CHECKPOINT_LOSS: Milliseconds = 300;
+/** Typical time from a crash until the tasks of the worker start again. */
+const CRASH_DELAY: Milliseconds = 4 * SECOND;
+/** How much more the crash of an urgent run counts. */
+const URGENT_CRASH_FACTOR = 4;
 /**
  * Cost, in core-seconds, of waiting for a run that is stopping already, so
  * that free capacity is preferred to it.
@@ -71,6 +75,20 @@
   return gangOf(run).reduce((sum, each) => sum + lostWork(each, now), 0);
 }
 
+/**
+ * Work, in core-seconds, that is lost if the run and its gang end with a crash,
+ * the time until they start again included.
+ */
+export function crashCost(run: Run, now: Milliseconds): number {
+  const urgency = run.job.policy.priority === 0 ? URGENT_CRASH_FACTOR : 1;
+  return urgency * gangOf(run).reduce(
+    (sum, each) =>
+      sum + lostWork(each, now) +
+      taskWeight(each.step) * CRASH_DELAY / SECOND,
+    0,
+  );
+}
+
 /** Work, in core-seconds, that is lost if this run alone is stopped. */
 function lostWork(run: Run, now: Milliseconds): number {
   const elapsed = Math.max(0, now - run.startedAt);
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -12,9 +12,8 @@
 import { JobStatus, TaskPhase } from "./job.ts";
 import type { TaskProgress } from "./job.ts";
 import { taskWeight } from "./fit.ts";
-import type { CandidateWorker } from "./fit.ts";
 import { placeTasks } from "./place.ts";
-import { listElsewhere, listIdle, waitsForIsolation } from "./place_suspect.ts";
+import { isolationWait, placeSuspect } from "./place_suspect.ts";
 import type { Placement, PreemptionRule } from "./place.ts";
 import { markChanged } from "./progress.ts";
 import { createRound } from "./round.ts";
@@ -105,26 +104,9 @@
 }): Placement | undefined {
   const { round, unit } = fields;
   if (!isSuspected(unit)) return findUsualPlacement(fields);
-  const candidates = listElsewhere(unit, round.candidates(unit, false));
-  const { step } = unit;
-  const place = (from: CandidateWorker[], oneRack: boolean) =>
-    placeTasks({
-      step,
-      count: unit.tasks.length,
-      candidates: from,
-      mayPreempt: undefined,
-      stopCost: round.stopCost,
-      joinCost: round.joinCost,
-      oneRack,
-      reverseOrder: isUrgent(unit),
-    });
-  const oneRack = step.gang && step.sameRack && unit.tasks.length > 1;
-  const idle = listIdle(candidates);
-  const isolated = place(idle, oneRack);
-  if (isolated) return isolated;
-  if (waitsForIsolation(unit, round.now)) return undefined;
-  return (oneRack ? place(idle, false) : undefined) ??
-    place(candidates, oneRack) ?? findUsualPlacement(fields);
+  const placement = placeSuspect(round, unit);
+  if (placement || isolationWait(unit, round.now) > 0) return placement;
+  return findUsualPlacement(fields);
 }
 
 /**
--- a/core/scheduler/round.ts
+++ b/core/scheduler/round.ts
@@ -10,7 +10,7 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { isUsable, stopCost } from "./fit.ts";
+import { crashCost, isUsable, stopCost } from "./fit.ts";
 import type { CandidateWorker } from "./fit.ts";
 import type { Step } from "./job.ts";
 import { addCapacity, taskCapacity } from "./runs.ts";
@@ -35,7 +35,7 @@
   close(worker: Worker): void;
   /** Work, in core-seconds, that is lost if the run and its gang are stopped. */
   stopCost(run: Run): number;
-  /** Work, in core-seconds, that is lost if the worker crashes. */
+  /** Cost, in core-seconds, of a crash of the worker. */
   joinCost(worker: Worker): number;
   /** Notes that no worker has room for a task with the needs of the unit. */
   noteFull(unit: Unit, avoid: boolean): void;
@@ -75,14 +75,6 @@
       .map((each) => ({ worker: each.worker, free: each.free, stepTasks: 0 }));
   }
 
-  function costOf(run: Run): number {
-    const cost = run.stopping ? undefined : costs.get(run);
-    if (cost !== undefined) return cost;
-    const computed = stopCost(run, now);
-    costs.set(run, computed);
-    return computed;
-  }
-
   return {
     state,
     now,
@@ -107,10 +99,16 @@
       amount.megabytes = -Infinity;
       amount.accelerators = -Infinity;
     },
-    stopCost: costOf,
+    stopCost: (run) => {
+      const cost = run.stopping ? undefined : costs.get(run);
+      if (cost !== undefined) return cost;
+      const computed = stopCost(run, now);
+      costs.set(run, computed);
+      return computed;
+    },
     joinCost: (worker) => {
       let sum = 0;
-      for (const run of worker.runs) sum += costOf(run);
+      for (const run of worker.runs) sum += crashCost(run, now);
       return sum;
     },
     noteFull: (unit, avoid) => full.add(needKey(unit, avoid)),
