Tell callers why their job failed

What callers saw: a job was shown as failed and nothing said why. Change: code, task and count are stored with the progress of the job, shown with a hint beside its state, written to the log, and counted by causes. Evidence: a test of the caller's API and one of causes, which fail before.

--- a/cli/command/causes_test.ts
+++ b/cli/command/causes_test.ts
@@ -69,6 +69,12 @@
     ...story("fails", 15, 0.02, 1),
     logLine(16, "Run ended.", { job: "fails", ending: "failed" }),
     logLine(16, "Job finished.", { job: "fails", status: "failed" }),
+    ...story("deadly", 16.5, 0.02, 1),
+    logLine(16.9, "Job finished.", {
+      job: "deadly",
+      status: "failed",
+      failure: "workers-crashed",
+    }),
     ...story("unwanted", 17, 2),
     logLine(18, "Job finished.", { job: "unwanted", status: "cancelled" }),
     ...story("unclear", 20, 1),
@@ -82,6 +88,7 @@
     "away": "refused: store away",
     "kept": "late: store away",
     "fails": "failed: runs failed",
+    "deadly": "failed: workers crashed",
     "unclear": "late: other",
   });
 });
--- a/cli/command/job_causes.ts
+++ b/cli/command/job_causes.ts
@@ -23,6 +23,8 @@
   Unconfirmed: "start not confirmed",
   /** A run was stopped, lost or broken, and the task began again. */
   BegunAgain: "begun again",
+  /** Workers crashed when they ran a task of the job. */
+  WorkersCrashed: "workers crashed",
   /** Runs ended as failed. */
   RunsFailed: "runs failed",
   Other: "other",
@@ -61,6 +63,8 @@
   noPlace: boolean;
   unconfirmed: boolean;
   begunAgain: boolean;
+  /** Code of the failure of a failed job. */
+  failure?: string;
   failedRuns: number;
 }
 
@@ -149,6 +153,7 @@
       return;
     case "Job finished.":
       story.status = String(fields.status);
+      if (fields.failure) story.failure = String(fields.failure);
       return;
   }
 }
@@ -224,6 +229,7 @@
   const to = story.begunAt ?? from;
   const meets = (spans: Spans) =>
     spans.some((span) => span.from <= to && span.to >= from);
+  if (story.failure === "workers-crashed") return Cause.WorkersCrashed;
   if (trouble === "failed") {
     return story.failedRuns > 0 ? Cause.RunsFailed : Cause.Other;
   }
--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -16,9 +16,15 @@
 } from "@dragonflyledge/platform";
 import type { Deployment, KeyValue, Queue } from "@dragonflyledge/platform";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
-import { cancelKey, jobKey, progressKey } from "@dragonflyledge/scheduler";
+import {
+  cancelKey,
+  jobKey,
+  JobStatus,
+  progressKey,
+} from "@dragonflyledge/scheduler";
 import type { JobRequest } from "@dragonflyledge/scheduler";
 import { findQueue, findTeam } from "./call_routing.ts";
+import { failureHint } from "./failure_hint.ts";
 import type { ForwardOutcome, Peers } from "./peers.ts";
 import { encodeRequest } from "./replica.ts";
 import type { Replica } from "./replica.ts";
@@ -256,7 +262,17 @@
     const known = replica.status(call.id) ?? await readJob(call);
     if (known === "unavailable") return UNAVAILABLE;
     if (known === undefined) return { status: Status.Gone };
-    return { status: Status.Ok, body: encodeJobState(known) };
+    return {
+      status: Status.Ok,
+      body: encodeJobState(known, explainFailure(call.id, known)),
+    };
+  }
+
+  /** Why the job failed; undefined if it did not or if nothing is recorded. */
+  function explainFailure(id: string, status: JobStatus) {
+    const failure = replica.jobs.get(id)?.progress?.failure;
+    if (status !== JobStatus.Failed || !failure) return undefined;
+    return { ...failure, hint: failureHint(failure.code) };
   }
 
   /** Reads the job from the store, since the replica may be behind. */
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -6,7 +6,15 @@
 import { createLog, Part } from "@dragonflyledge/log";
 import type { CommitOutcome, KeyValue } from "@dragonflyledge/platform";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
-import { cancelKey, jobKey, JobStatus } from "@dragonflyledge/scheduler";
+import {
+  cancelKey,
+  createProgress,
+  FailureCode,
+  jobKey,
+  JobStatus,
+  packProgress,
+  progressKey,
+} from "@dragonflyledge/scheduler";
 import { createCallerApi } from "./caller_api.ts";
 import type { ForwardOutcome } from "./peers.ts";
 import { createReplica } from "./replica.ts";
@@ -196,6 +204,32 @@
   t.equal(reads(), 1);
 });
 
+// Guards against a caller that is not told why its job failed.
+test("the state of a failed job says why", async (t) => {
+  const { api, replica } = createEntryApi({});
+  const failure = {
+    code: FailureCode.WorkerCrashes,
+    task: `${ID}.0.0.0`,
+    count: 2,
+  };
+  const progress = { ...createProgress(), status: JobStatus.Failed, failure };
+  const records: [string, Uint8Array][] = [
+    [jobKey(ID), STORED_REQUEST],
+    [progressKey(ID), encode(packProgress(progress))],
+  ];
+  replica.apply(
+    records.map(([key, value]) => ({
+      kind: "put",
+      item: { key, value, revision: 6 },
+    })),
+  );
+  const { body } = await api.answer(createRequest("GET"));
+  const shown = JSON.parse(String(body));
+  t.equal(shown.state, "failed");
+  t.match(shown.failure, failure);
+  t.match(shown.failure.hint, /Workers crashed/);
+});
+
 // Guards against a job that keeps running after its cancel was confirmed.
 test("a cancel is confirmed once it is stored", async (t) => {
   const { api, keys, replica } = createEntryApi({});
