Withdraw starts that a shrunk worker has no room for

What callers would see: a task is started on accelerators that its worker has lost (LIMIT). Cause: a changed capacity was only used for new placements. A start that was ordered before, waited for the store or at the agent, or was restored by a new leader, was carried out on the smaller worker. The class: a decision is carried out without a look at what it was based on. Change: the leader stops starts that are not confirmed, the latest first and whole gangs, until the rest fits; what runs goes on and counts, as does what is being stopped. The agent drops starts that it has not sent when the capacity changes; the leader repeats those that still fit. "A changed capacity is reported at once" moved from crash_test.ts to capacity_test.ts.

--- a/core/scheduler/capacity.ts
+++ b/core/scheduler/capacity.ts
@@ -5,7 +5,8 @@
  */
 
 import type { WorkerState } from "./messages.ts";
-import type { Capacity, SchedulerState, Worker } from "./state.ts";
+import { addCapacity, gangOf, stopRun, taskCapacity } from "./runs.ts";
+import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
 
 /** Capacity that the worker announces now. */
 export function capacityOf(reported: WorkerState): Capacity {
@@ -45,6 +46,45 @@
   });
 }
 
+/**
+ * Withdraws starts that a shrunk worker has no room for. Tasks that run go on;
+ * only new ones must not exceed its capacity.
+ */
+export function withdrawExcess(state: SchedulerState, worker: Worker): void {
+  const capacity = capacityOf(worker.state);
+  const kept = { ...worker.used };
+  if (isWithin(kept, capacity)) return;
+  const latestFirst = [...worker.runs].reverse();
+  for (const run of latestFirst) {
+    if (isWithin(kept, capacity)) return;
+    if (run.confirmed || run.stopping) continue;
+    for (const each of withdraw(state, run)) {
+      if (!worker.runs.has(each) || each.confirmed) continue;
+      addCapacity(kept, taskCapacity(each.step), -1);
+    }
+  }
+}
+
+/**
+ * Stops a start that is not confirmed, and the rest of its gang. Returns the
+ * runs that it stopped.
+ */
+function withdraw(state: SchedulerState, run: Run): Run[] {
+  const runs = gangOf(run).filter((each) => !each.stopping);
+  for (const each of runs) stopRun(state, each);
+  state.effects.push({
+    kind: "log",
+    level: "info",
+    text: "Starts withdrawn from a shrunk worker.",
+    fields: {
+      job: run.job.request.id,
+      worker: run.worker,
+      runs: runs.map((each) => each.name).join(),
+    },
+  });
+  return runs;
+}
+
 /** Capacity that the fleet's workers had at most and do not announce now. */
 export function missingCapacity(state: SchedulerState): Capacity {
   const missing: Capacity = { millicores: 0, megabytes: 0, accelerators: 0 };
@@ -64,6 +104,10 @@
   return kindsOf(a).every((kind) => a[kind] === b[kind]);
 }
 
+function isWithin(used: Capacity, capacity: Capacity): boolean {
+  return kindsOf(used).every((kind) => used[kind] <= capacity[kind]);
+}
+
 function isShrunk(full: Capacity, now: Capacity): boolean {
   return kindsOf(full).some((kind) => now[kind] < full[kind]);
 }
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -13,7 +13,7 @@
   RunningTask,
   WorkerState,
 } from "./messages.ts";
-import { capacityOf, noteCapacity } from "./capacity.ts";
+import { capacityOf, noteCapacity, withdrawExcess } from "./capacity.ts";
 import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
@@ -60,6 +60,8 @@
       loseRun(state, run, "not on the worker");
     }
   }
+  // A new leader may meet starts that were ordered before the worker shrank.
+  withdrawExcess(state, worker);
   advanceAcknowledged(state, worker);
 }
 
--- /dev/null
+++ b/core/worker_control/capacity_test.ts
@@ -0,0 +1,36 @@
+import { test } from "tap";
+import {
+  announcement,
+  createWithWorker,
+  holdAnswer,
+  orders,
+  START_ORDER,
+} from "./setup_for_tests.ts";
+
+// Guards against starts that are planned for capacity that the worker has lost.
+test("a changed capacity is reported at once", (t) => {
+  const { reduce } = createWithWorker();
+  const effects = reduce({
+    kind: "announced",
+    now: 100,
+    announcement: announcement({ accelerators: 4, sequence: 2 }),
+  });
+  const report = effects.find((effect) => effect.kind === "report");
+  t.equal(report?.report.worker?.accelerators, 4);
+  t.end();
+});
+
+// Guards against a start that waits at the agent, in the absence of a leader,
+// until the worker has no room for it any more.
+test("a start for a former capacity is not sent", (t) => {
+  const { reduce } = createWithWorker();
+  const starts = [START_ORDER];
+  reduce({ kind: "orders", now: 10, orders: orders({ starts }) });
+  const smaller = announcement({ accelerators: 4, sequence: 2 });
+  reduce({ kind: "announced", now: 15, announcement: smaller });
+  const listed = reduce(holdAnswer(20, 10));
+  t.notOk(listed.some((effect) => effect.kind === "start"));
+  const again = reduce({ kind: "orders", now: 30, orders: orders({ starts }) });
+  t.ok(again.some((effect) => effect.kind === "start"), "unless ordered again");
+  t.end();
+});
--- a/core/worker_control/crash_test.ts
+++ b/core/worker_control/crash_test.ts
@@ -144,16 +144,3 @@
   }
   t.end();
 });
-
-// Guards against starts that are planned for capacity that the worker has lost.
-test("a changed capacity is reported at once", (t) => {
-  const { reduce } = createWithWorker();
-  const effects = reduce({
-    kind: "announced",
-    now: 100,
-    announcement: announcement({ accelerators: 4, sequence: 2 }),
-  });
-  const report = effects.find((effect) => effect.kind === "report");
-  t.equal(report?.report.worker?.accelerators, 4);
-  t.end();
-});
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -8,7 +8,13 @@
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
-import type { Announcement, ControlledWorker, ControlState } from "./state.ts";
+import { ControlPhase } from "./state.ts";
+import type {
+  Announcement,
+  ControlledWorker,
+  ControlState,
+  RunControl,
+} from "./state.ts";
 
 /**
  * Applies a worker's heartbeat. Heartbeats that arrive out of order or come
@@ -54,7 +60,10 @@
   }, now);
 }
 
-/** Reports a changed capacity at once, since starts have to fit it. */
+/**
+ * Reports a changed capacity at once, and drops starts that were ordered for
+ * the former one and not sent yet.
+ */
 function noteCapacity(
   state: ControlState,
   worker: ControlledWorker,
@@ -67,6 +76,10 @@
     known.accelerators === accelerators
   ) return;
   state.reportDue = true;
+  // The leader may not know yet; it repeats the orders that still fit.
+  for (const [key, control] of state.runs) {
+    if (isUnsentStart(control)) state.runs.delete(key);
+  }
   log(state, "Worker capacity changed.", {
     worker: known.key,
     millicores,
@@ -75,6 +88,11 @@
   });
 }
 
+function isUnsentStart(control: RunControl): boolean {
+  return control.phase === ControlPhase.Starting && !control.callPending &&
+    control.startSentAt === undefined && !control.stopRequested;
+}
+
 /** Switches to a new incarnation of the worker, started at `born`. */
 export function replaceIncarnation(
   state: ControlState,
