Count crashes only for their likely causes, and clear suspicions

What callers would see: a job that did nothing wrong is shown as failed with `workers-crashed`. Cause: every task on a crashed worker counted the crash, and five crashes of any kind failed its job: a long task beside five tasks that crash their workers in turn, or a long-running one over weeks. A task that had begun beside a deadly one kept its count, though it ran well afterwards. The class: a count of evidence that is never weighed against later evidence. Change: agents report for how long each run of a crash had been listed, and which listed runs have not settled (0.5 s). If any run had just begun, only those count; a run of 10 s or more counts never, and clears its task. A run that settles clears the crashes at earlier starts, since a task that crashes each worker that starts it never settles. Whether a suspect has settled now follows from the worker's answers, not from the time since the first list, so that nothing joins it on a worker that has gone silent. A task that crashes its workers after 10 s of work or more is not recognized.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -6,19 +6,31 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { loseRun } from "./endings.ts";
-import { FailureCode, isFinal, JobStatus, TaskPhase } from "./job.ts";
+import {
+  createCrashCounts,
+  FailureCode,
+  isFinal,
+  JobStatus,
+  TaskPhase,
+} from "./job.ts";
+import type { CrashCounts } from "./job.ts";
 import { runKey } from "./messages.ts";
 import type { WorkerCrash } from "./messages.ts";
 import { finishJob, markChanged } from "./progress.ts";
 import { findTask } from "./runs.ts";
 import type { Run, SchedulerState } from "./state.ts";
-import { isGivenUp, isSuspect } from "./suspects.ts";
+import {
+  countOf,
+  isGivenUp,
+  isSuspect,
+  RunStage,
+  stageOf,
+} from "./suspects.ts";
 
 /** A run that was on a worker when it crashed. */
 interface CrashedWorkerRun {
   run: Run;
-  /** Whether the worker had listed the run for a while, beyond its start. */
-  settled: boolean;
+  stage: RunStage;
 }
 
 interface CrashFields {
@@ -27,8 +39,9 @@
 }
 
 /**
- * Counts a crash for each task that was on the worker, and loses their runs. A
- * crash whose runs are no longer known has been applied before.
+ * Counts a crash for each task that may be its cause, and loses all runs that
+ * were on the worker. A crash whose runs are no longer known has been applied
+ * before.
  */
 export function applyCrash(
   fields: CrashFields & { crash: WorkerCrash },
@@ -36,28 +49,29 @@
   const { state, crash } = fields;
   const present = findRuns(state, crash);
   if (present.length === 0) return;
-  const begun = present.filter((each) => !each.settled);
+  const inStage = (stage: RunStage) =>
+    present.filter((each) => each.stage === stage);
+  const begun = inStage(RunStage.Begun);
+  const settled = inStage(RunStage.Settled);
+  const proven = inStage(RunStage.Proven);
   state.effects.push({
     kind: "log",
     level: "warn",
     text: "Runs were on a worker that crashed.",
     fields: {
       worker: crash.worker,
-      settled: namesOf(present.filter((each) => each.settled)),
       begun: namesOf(begun),
+      settled: namesOf(settled),
+      proven: namesOf(proven),
     },
   });
   state.effects.push({ kind: "workerCrashed", begun: begun.length });
-  // A task that has just begun is the likelier cause.
-  const likely = begun.length > 0 ? begun : present;
-  const isSole = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
-  for (const each of present) {
-    const isLikely = likely.includes(each);
-    countCrash(fields, each.run, {
-      early: isLikely && !each.settled,
-      sole: isLikely && isSole,
-    });
+  const likely = begun.length > 0 ? begun : settled;
+  const sole = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
+  for (const { run, stage } of likely) {
+    countCrash(fields, run, { early: stage === RunStage.Begun, sole });
   }
+  for (const { run } of proven) clearCounts(state, run, createCrashCounts());
   for (const { run } of present) loseRun(state, run, "worker crashed");
 }
 
@@ -73,13 +87,52 @@
   countCrash(fields, run, { early: false, sole: false });
 }
 
+/**
+ * Clears the task's early crashes once a run of it has settled: a task that
+ * crashes each worker that starts it never does, so that another task or the
+ * worker was the cause.
+ */
+export function noteSettled(state: SchedulerState, run: Run): void {
+  const task = findTask(run.job, run.task);
+  if (!task || task.run !== run.run) return;
+  clearCounts(state, run, { ...task.crashes, early: 0, soleEarly: 0 });
+}
+
+/** Replaces the task's counts by lower ones. */
+function clearCounts(
+  state: SchedulerState,
+  run: Run,
+  counts: CrashCounts,
+): void {
+  const task = findTask(run.job, run.task);
+  if (!task || isFinal(run.job.progress.status)) return;
+  if (countOf(task.crashes) === countOf(counts)) return;
+  const wasSuspect = isSuspect(task.crashes);
+  task.crashes = counts;
+  markChanged(state, run.job);
+  state.effects.push({
+    kind: "log",
+    level: "info",
+    text: "A task is not the cause of earlier crashes.",
+    fields: {
+      job: run.job.request.id,
+      task: run.name,
+      run: run.run,
+      crashes: countOf(counts),
+      suspect: isSuspect(counts),
+      wasSuspect,
+    },
+  });
+}
+
 function findRuns(
   state: SchedulerState,
   crash: WorkerCrash,
 ): CrashedWorkerRun[] {
   return crash.runs.flatMap((name) => {
     const run = state.runs.get(runKey(name));
-    return run?.worker === crash.worker ? [{ run, settled: name.settled }] : [];
+    if (run?.worker !== crash.worker) return [];
+    return [{ run, stage: stageOf(name.workedFor) }];
   });
 }
 
@@ -96,9 +149,8 @@
   if (isFinal(job.progress.status)) return;
   const { crashes } = task;
   const wasSuspect = isSuspect(crashes);
-  crashes.total++;
-  if (kind.early) crashes.early++;
-  if (kind.sole) crashes.sole++;
+  crashes[kind.early ? "early" : "late"]++;
+  if (kind.sole) crashes[kind.early ? "soleEarly" : "soleLate"]++;
   markChanged(state, job);
   if (!wasSuspect && isSuspect(crashes)) {
     state.effects.push({ kind: "taskSuspected" });
@@ -112,18 +164,15 @@
       task: run.name,
       run: run.run,
       agent: run.agent,
-      crashes: crashes.total,
-      early: crashes.early,
-      sole: crashes.sole,
+      ...crashes,
       suspect: isSuspect(crashes),
     },
   });
   if (!isGivenUp(crashes)) return;
-  const { total: count } = crashes;
   const failure = {
     code: FailureCode.WorkerCrashes,
     task: run.name,
-    count,
+    count: countOf(crashes),
   };
   finishJob({ state, job, status: JobStatus.Failed, failure, date });
 }
--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -87,13 +87,14 @@
 const isCrashedRun = objectWith<CrashedRun>({
   task: isText,
   run: isNumber,
-  settled: isFlag,
+  workedFor: isNumber,
 });
 const isCrash = objectWith<WorkerCrash>({
   worker: isText,
   runs: listOf(isCrashedRun),
 });
 const isCrashList = listOf(isCrash);
+const isRunNameList = listOf(isRunName);
 const isReport = objectWith<AgentReport>({
   kind: (value): value is "report" => value === "report",
   sentAt: isNumber,
@@ -101,6 +102,8 @@
     value === undefined || isWorkerState(value),
   listed: isFlag,
   running: listOf(isRunningTask),
+  unsettled: (value): value is RunName[] | undefined =>
+    value === undefined || isRunNameList(value),
   ended: listOf(isEndedTask),
   refused: listOf(isRefusedStart),
   absent: listOf(isRunName),
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -108,14 +108,16 @@
   crashes: CrashCounts;
 }
 
-/** Workers that crashed while they ran a task. */
+/** Workers that crashed while they ran a task which may be the cause. */
 export interface CrashCounts {
-  /** All of them. */
-  total: number;
-  /** Those that crashed soon after they had started the task. */
+  /** Crashes before the task had settled; 0 once a run of it has settled. */
   early: number;
-  /** Those for whose crash no other task may be the cause. */
-  sole: number;
+  /** Those of `early` for which no other task may be the cause. */
+  soleEarly: number;
+  /** Crashes after it had settled, and losses without a known reason. */
+  late: number;
+  /** Those of `late` for which no other task may be the cause. */
+  soleLate: number;
 }
 
 /** Why a job failed, as callers are told. */
@@ -195,6 +197,11 @@
   };
 }
 
+/** Creates the counts of a task under which no worker has crashed. */
+export function createCrashCounts(): CrashCounts {
+  return { early: 0, soleEarly: 0, late: 0, soleLate: 0 };
+}
+
 /** Creates an occurrence of which all tasks are waiting. */
 export function createOccurrence(
   fields: { request: JobRequest; index: number },
@@ -208,7 +215,7 @@
       checkpoint: "",
       failures: 0,
       failedRun: 0,
-      crashes: { total: 0, early: 0, sole: 0 },
+      crashes: createCrashCounts(),
     }))
   );
   return { index: fields.index, steps };
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -74,8 +74,11 @@
 
 /** A run that may have been at work on a worker that crashed. */
 export interface CrashedRun extends RunName {
-  /** Whether the worker had listed the run for a while, beyond its start. */
-  settled: boolean;
+  /**
+   * How long the worker is known to have listed the run: from its first list
+   * with the run to its last answer; 0 if no list named the run.
+   */
+  workedFor: Milliseconds;
 }
 
 /** A worker incarnation that ended without notice. */
@@ -98,6 +101,11 @@
   /** Whether `running` and `ended` come from an answer of `worker`. */
   listed: boolean;
   running: RunningTask[];
+  /**
+   * Those of `running` that have not settled: the worker has not listed them
+   * for SETTLE_TIME yet. Undefined in reports of older builds.
+   */
+  unsettled?: RunName[];
   ended: EndedTask[];
   refused: RefusedStart[];
   /** Runs that are proven not to run on the worker, now or later. */
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -10,6 +10,7 @@
 export * from "./messages.ts";
 export * from "./records.ts";
 export * from "./store_keys.ts";
+export { SETTLE_TIME } from "./suspects.ts";
 export { createScheduler } from "./reducer.ts";
 export type { Scheduler } from "./reducer.ts";
 export type {
--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -21,7 +21,7 @@
   string,
   number,
   number,
-  ...([number, number, number] | []),
+  ...([number, number, number, number] | []),
 ];
 type OccurrenceRow = [number, TaskRow[][]];
 type FailureRow = [string, string, number];
@@ -64,9 +64,9 @@
 
 function packCrashes(
   { crashes }: TaskProgress,
-): [number, number, number] | [] {
-  const { total, early, sole } = crashes;
-  return total === 0 ? [] : [total, early, sole];
+): [number, number, number, number] | [] {
+  const { early, soleEarly, late, soleLate } = crashes;
+  return early + late === 0 ? [] : [early, soleEarly, late, soleLate];
 }
 
 function packFailure(failure: JobFailure | undefined): [FailureRow] | [] {
@@ -93,7 +93,12 @@
     checkpoint: task[4],
     failures: task[5],
     failedRun: task[6] ?? 0,
-    crashes: { total: task[7] ?? 0, early: task[8] ?? 0, sole: task[9] ?? 0 },
+    crashes: {
+      early: task[7] ?? 0,
+      soleEarly: task[8] ?? 0,
+      late: task[9] ?? 0,
+      soleLate: task[10] ?? 0,
+    },
   });
   const statuses: string[] = Object.values(JobStatus);
   return {
@@ -128,6 +133,7 @@
   "number",
   "number",
   "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
 
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -14,7 +14,7 @@
   WorkerState,
 } from "./messages.ts";
 import { capacityOf, noteCapacity, withdrawExcess } from "./capacity.ts";
-import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
+import { applyCrash, noteSettled, noteUnexplainedLoss } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { addRun, addToWorker, findTask, stopRun } from "./runs.ts";
@@ -211,6 +211,7 @@
 function applyRunningTasks(fields: ReportFields, worker: Worker): void {
   const { state, report, now } = fields;
   const listed = new Set<string>();
+  const unsettled = new Set(report.unsettled?.map(runKey));
   for (const running of report.running) {
     const key = runKey(running);
     listed.add(key);
@@ -218,6 +219,10 @@
     if (run && run.worker === worker.state.key) {
       run.confirmed = true;
       run.confirmedAt ??= now;
+      if (!run.settled && report.unsettled && !unsettled.has(key)) {
+        run.settled = true;
+        noteSettled(state, run);
+      }
       run.percent = running.percent;
       run.progressAt = now;
       const task = findTask(run.job, run.task);
--- a/core/scheduler/round.ts
+++ b/core/scheduler/round.ts
@@ -68,7 +68,7 @@
     return usable
       .filter(({ worker }) =>
         worker.state.service === service &&
-        !isClosed(worker, isUrgent(unit), now) &&
+        !isClosed(worker, isUrgent(unit)) &&
         (label === "" || worker.state.labels.includes(label)) &&
         !(avoid && worker.avoidUntil > now)
       )
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -70,6 +70,7 @@
     version: job.version,
     confirmed: fields.confirmed,
     confirmedAt: fields.confirmed ? fields.now : undefined,
+    settled: false,
     isolation: isolationOf(tasksOf(job, task)),
     stopping: false,
     overdue: false,
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -62,6 +62,8 @@
   confirmed: boolean;
   /** When this process first saw the worker list the run. */
   confirmedAt?: Milliseconds;
+  /** Whether the worker has listed it for SETTLE_TIME. */
+  settled: boolean;
   isolation: Isolation;
   /** Whether the run was told to stop; it still occupies its capacity. */
   stopping: boolean;
--- a/core/scheduler/suspects.ts
+++ b/core/scheduler/suspects.ts
@@ -13,24 +13,29 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { TaskPhase } from "./job.ts";
 import type { CrashCounts, TaskProgress } from "./job.ts";
-import type { Run, Worker } from "./state.ts";
+import type { Worker } from "./state.ts";
 
 /** A task that settles on no worker is given up after this many sole crashes. */
-const EARLY_CRASH_LIMIT = 2;
+const SOLE_EARLY_CRASH_LIMIT = 2;
 /**
- * Same limit for a task that ran for a while each time, so that a worker's own
- * fault is as likely.
+ * Same limit for all sole crashes, since a worker's own fault is as likely where
+ * the task had settled.
  */
 const SOLE_CRASH_LIMIT = 3;
-/** A task is given up after this many crashes, whatever else may be the cause. */
+/** A task is given up after this many crashes of which it may be the cause. */
 const CRASH_LIMIT = 5;
 /**
- * A task that has run for a while when its worker crashes is suspected only
- * after this many crashes. One crash may have any cause.
+ * A task that had settled when its worker crashed is suspected only after this
+ * many crashes. One crash may have any cause.
  */
-const SUSPICION_LIMIT = 2;
-/** A run that its worker has listed for this long has outlived its start. */
-const SETTLE_TIME: Milliseconds = SECOND;
+const LATE_SUSPICION_LIMIT = 2;
+/** A run that its worker has listed for this long has settled. */
+export const SETTLE_TIME: Milliseconds = 500;
+/**
+ * A run that was listed for this long does not count as the cause of a crash:
+ * its task does not crash each worker that starts it.
+ */
+const PROOF_TIME: Milliseconds = 10 * SECOND;
 
 /** How long others are kept off the worker of a run. */
 export const Isolation = {
@@ -43,14 +48,38 @@
 export type Isolation = typeof Isolation[keyof typeof Isolation];
 
 /** Whether the job of the task fails, since the task crashes its workers. */
-export function isGivenUp({ total, early, sole }: CrashCounts): boolean {
-  return total >= CRASH_LIMIT || sole >= SOLE_CRASH_LIMIT ||
-    (sole >= EARLY_CRASH_LIMIT && early >= EARLY_CRASH_LIMIT);
+export function isGivenUp(crashes: CrashCounts): boolean {
+  const { soleEarly, soleLate } = crashes;
+  return soleEarly >= SOLE_EARLY_CRASH_LIMIT ||
+    soleEarly + soleLate >= SOLE_CRASH_LIMIT ||
+    countOf(crashes) >= CRASH_LIMIT;
+}
+
+/** Number of crashes of which the task may be the cause. */
+export function countOf({ early, late }: CrashCounts): number {
+  return early + late;
 }
 
 /** Whether the task is suspected of crashing workers. */
-export function isSuspect({ total, early }: CrashCounts): boolean {
-  return early > 0 || total >= SUSPICION_LIMIT;
+export function isSuspect({ early, late }: CrashCounts): boolean {
+  return early > 0 || late >= LATE_SUSPICION_LIMIT;
+}
+
+/** How far a run had come when its worker crashed. */
+export const RunStage = {
+  /** It had not settled; a likely cause of the crash. */
+  Begun: "begun",
+  /** It had settled; a cause of the crash only if no other run had just begun. */
+  Settled: "settled",
+  /** It had worked for long; not the cause. */
+  Proven: "proven",
+} as const;
+export type RunStage = typeof RunStage[keyof typeof RunStage];
+
+/** Stage of a run that its worker had listed for `workedFor`. */
+export function stageOf(workedFor: Milliseconds): RunStage {
+  if (workedFor < SETTLE_TIME) return RunStage.Begun;
+  return workedFor < PROOF_TIME ? RunStage.Settled : RunStage.Proven;
 }
 
 /** Isolation of a run of these tasks, which start together. */
@@ -60,28 +89,18 @@
       phase !== TaskPhase.Done && isSuspect(crashes)
     );
   if (suspects.length === 0) return Isolation.None;
-  const early = suspects
-    .every(({ crashes }) => crashes.total === crashes.early);
+  const early = suspects.every(({ crashes }) => crashes.late === 0);
   return early ? Isolation.Start : Isolation.Whole;
 }
 
 /** Whether a run on the worker keeps off a new task. */
-export function isClosed(
-  worker: Worker,
-  urgent: boolean,
-  now: Milliseconds,
-): boolean {
+export function isClosed(worker: Worker, urgent: boolean): boolean {
   if (worker.isolatedRuns === 0) return false;
   for (const run of worker.runs) {
     if (run.isolation === Isolation.None) continue;
-    const open = isSettled(run, now) &&
+    const open = run.settled &&
       (run.isolation === Isolation.Start || urgent);
     if (!open) return true;
   }
   return false;
 }
-
-function isSettled(run: Run, now: Milliseconds): boolean {
-  return run.confirmedAt !== undefined &&
-    now - run.confirmedAt >= SETTLE_TIME;
-}
--- /dev/null
+++ b/core/scheduler/suspects_test.ts
@@ -0,0 +1,92 @@
+import { test } from "tap";
+import { createFleet, request, step } from "./fleet_for_tests.ts";
+
+type Fleet = ReturnType<typeof createFleet>;
+
+/** More crashes than a task may be the cause of before it is given up. */
+const MANY_CRASHES = 8;
+const LONG = 60_000;
+
+/** Index of the worker that runs the task; -1 if none does. */
+function workerOf(fleet: Fleet, task: string): number {
+  return Array.from({ length: fleet.size }, (_, index) => index)
+    .findIndex((index) =>
+      fleet.running(index).some((running) => running.task === task)
+    );
+}
+
+/** Waits until the task runs, and returns the index of its worker. */
+function runTask(fleet: Fleet, task: string): number {
+  for (let round = 0; round < 5 && workerOf(fleet, task) < 0; round++) {
+    fleet.advance(1000);
+    fleet.runStarts();
+  }
+  return workerOf(fleet, task);
+}
+
+// Guards against a job that fails because many tasks in turn crash the workers
+// on which it has long begun.
+test("a task beside many that crash workers in turn is not given up", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
+  for (let round = 0; round < MANY_CRASHES; round++) {
+    runTask(fleet, "innocent.0.0.0");
+    fleet.advance(2000);
+    const id = `deadly-${round}`;
+    fleet.submit(request({ id, steps: [step({})] }));
+    t.equal(runTask(fleet, `${id}.0.0.0`), 0);
+    fleet.cancel(id);
+    fleet.crash(0, { settled: ["innocent.0.0.0"] });
+  }
+  t.equal(fleet.status("innocent"), "running");
+  t.end();
+});
+
+// Guards against a job that fails because it began beside others several times
+// that crashed the worker at once, though it ran well in between.
+test("a task that has settled since is not suspected any more", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const task = "innocent.0.0.0";
+  fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
+  for (let round = 0; round < MANY_CRASHES; round++) {
+    runTask(fleet, task);
+    fleet.crash(0);
+    runTask(fleet, task);
+    fleet.advance(2000);
+    fleet.crash(0, { evidence: false });
+  }
+  t.equal(fleet.status("innocent"), "running");
+  t.equal(fleet.logsOf("Tasks placed.").at(-1)!.isolation, undefined);
+  t.end();
+});
+
+// Guards against a long-running task that is given up once enough workers have
+// crashed under it over the weeks.
+test("a task that worked for long is not the cause of a crash", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  const lasting = step({ accelerators: 8, longRunning: true });
+  fleet.submit(request({ id: "lasting", steps: [lasting] }));
+  const task = "lasting.0.0.0";
+  for (let round = 0; round < MANY_CRASHES; round++) {
+    const index = runTask(fleet, task);
+    fleet.crash(index, { settled: [task], workedFor: LONG });
+  }
+  t.equal(fleet.status("lasting"), "running");
+  t.end();
+});
+
+// Guards against a new leader that suspects a task which an earlier one cleared.
+test("a cleared suspicion outlives its leader", (t) => {
+  const suspect = request({ id: "suspect", steps: [step({})] });
+  const first = createFleet({ workers: 1 });
+  first.submit(suspect);
+  runTask(first, "suspect.0.0.0");
+  first.crash(0);
+  runTask(first, "suspect.0.0.0");
+  first.advance(2000);
+  const second = createFleet({ workers: 1, takesOver: true });
+  second.load(suspect, first.progress("suspect"));
+  const { crashes } = second.progress("suspect").occurrences[0]!.steps[0]![0]!;
+  t.same(crashes, { early: 0, soleEarly: 0, late: 0, soleLate: 0 });
+  t.end();
+});
--- a/core/worker_control/crash.ts
+++ b/core/worker_control/crash.ts
@@ -5,14 +5,12 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { runKey } from "@dragonflyledge/scheduler";
-import type { CrashedRun } from "@dragonflyledge/scheduler";
+import { runKey, SETTLE_TIME } from "@dragonflyledge/scheduler";
+import type { CrashedRun, RunName } from "@dragonflyledge/scheduler";
 import { log } from "./log.ts";
 import { ControlPhase, HOLD_WAIT } from "./state.ts";
 import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
 
-/** A run that was listed for this long does not crash its worker by starting. */
-const SETTLE_TIME: Milliseconds = 500;
 /** A worker that answers does so this long after the wait of a hold call. */
 const ANSWER_DELAY: Milliseconds = 200;
 /** Number of crashes that are kept and reported. */
@@ -34,34 +32,42 @@
   state.crashes.splice(0, state.crashes.length - KEPT_CRASHES);
   log(state, "Worker crashed.", {
     worker: key,
-    settled: namesOf(runs.filter((run) => run.settled)),
-    begun: namesOf(runs.filter((run) => !run.settled)),
+    settled: namesOf(runs.filter((run) => run.workedFor >= SETTLE_TIME)),
+    begun: namesOf(runs.filter((run) => run.workedFor < SETTLE_TIME)),
   });
 }
 
-/**
- * Runs that the worker listed last, and those that may have begun since. A run
- * is settled if the worker still answered some time after it had listed it.
- */
+/** Runs that the worker listed last, and those that may have begun since. */
 function listExposedRuns(
   state: ControlState,
   worker: ControlledWorker,
 ): CrashedRun[] {
-  const settledSince = worker.answeredAt - SETTLE_TIME;
   const listed = worker.running.map(({ task, run }) => ({
     task,
     run,
-    settled: worker.listedAt.get(runKey({ task, run }))! <= settledSince,
+    workedFor: workedFor(worker, { task, run }),
   }));
   const known = new Set([...worker.running, ...worker.ended].map(runKey));
   const begun = [...state.runs.values()]
     .filter((control) =>
       mayHaveBegun(control, worker) && !known.has(runKey(control.name))
     )
-    .map(({ name }) => ({ ...name, settled: false }));
+    .map(({ name }) => ({ ...name, workedFor: 0 }));
   return [...listed, ...begun];
 }
 
+/** Runs that the worker lists and has not listed for SETTLE_TIME yet. */
+export function listUnsettled(worker: ControlledWorker): RunName[] {
+  return worker.running
+    .filter((each) => workedFor(worker, each) < SETTLE_TIME)
+    .map(({ task, run }) => ({ task, run }));
+}
+
+/** Time from the first list with the run to the worker's last answer. */
+function workedFor(worker: ControlledWorker, run: RunName): Milliseconds {
+  return worker.answeredAt - worker.listedAt.get(runKey(run))!;
+}
+
 /**
  * Whether the worker accepted the start, or may have carried out a call for it.
  * A worker that had been silent before the call was gone already.
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -7,7 +7,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
-import { recordCrash } from "./crash.ts";
+import { listUnsettled, recordCrash } from "./crash.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
@@ -316,6 +316,7 @@
       worker: worker && { ...worker.state },
       listed: worker !== undefined && worker.listed && !gone,
       running: worker?.running ?? [],
+      unsettled: worker ? listUnsettled(worker) : [],
       ended: worker?.ended ?? [],
       refused: controls
         .filter((control) => control.phase === ControlPhase.Refused)
