Leave planned departures of workers out of the crashes of a suspect

What callers would see: a job whose task began once beside one that crashes workers is given up because its next workers were taken away as planned. Cause: a loss without a crash report counted for a suspect whatever the reason, planned departures included, since the worker was removed before its runs were looked at. Change: a draining worker's runs are not counted.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -84,6 +84,8 @@
   if (!task || !isSuspect(task.crashes)) return;
   // The start of this run was never ordered.
   if (run.job.storedVersion < run.version) return;
+  // The worker left as planned.
+  if (fields.state.workers.get(run.worker)?.state.draining) return;
   countCrash(fields, run, { early: false, sole: false });
 }
 
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -152,12 +152,12 @@
     return known;
   }
   if (known && known.state.born > reported.born) return undefined;
-  if (known) state.workers.delete(known.state.key);
   loseRuns(
     fields,
     (run) => run.agent === agent.name && run.worker !== reported.key,
     "worker replaced",
   );
+  if (known) state.workers.delete(known.state.key);
   const worker: Worker = {
     state: reported,
     full: capacityOf(reported),
--- a/core/scheduler/suspects_test.ts
+++ b/core/scheduler/suspects_test.ts
@@ -75,6 +75,22 @@
   t.end();
 });
 
+// Guards against a job that fails because its workers were taken away as
+// planned.
+test("a suspect on workers that leave is not given up", (t) => {
+  const fleet = createFleet({ workers: MANY_CRASHES + 2 });
+  const task = "suspect.0.0.0";
+  fleet.submit(request({ id: "suspect", steps: [step({ estimate: LONG })] }));
+  fleet.crash(runTask(fleet, task));
+  for (let round = 0; round < MANY_CRASHES; round++) {
+    const index = runTask(fleet, task);
+    fleet.announceLeaving(index, LONG);
+    fleet.crash(index, { evidence: false });
+  }
+  t.equal(fleet.status("suspect"), "running");
+  t.end();
+});
+
 // Guards against a new leader that suspects a task which an earlier one cleared.
 test("a cleared suspicion outlives its leader", (t) => {
   const suspect = request({ id: "suspect", steps: [step({})] });
