Show suspicions and shrunk capacity in causes, metrics and wait lines

What operators saw: `causes` named only jobs that were given up after crashes, not those that lost runs beside them or that are suspected; the leader dropped the effect that counts suspicions; a wait for capacity that workers have lost looked like any other. Evidence: the extended tests of causes and waits, which fail without it.

--- a/cli/command/causes_test.ts
+++ b/cli/command/causes_test.ts
@@ -75,9 +75,21 @@
       status: "failed",
       failure: "workers-crashed",
     }),
+    ...story("beside", 16.6, 0.02, 1),
+    logLine(16.8, "Run lost.", { job: "beside", reason: "worker crashed" }),
+    ...story("suspect", 16.7, 0.02, 1),
+    logLine(16.8, "A worker crashed under a task.", {
+      job: "suspect",
+      suspect: true,
+    }),
+    logLine(16.8, "Run lost.", { job: "suspect", reason: "worker crashed" }),
     ...story("unwanted", 17, 2),
     logLine(18, "Job finished.", { job: "unwanted", status: "cancelled" }),
     ...story("unclear", 20, 1),
+    logLine(30, "Worker capacity changed.", { worker: "i-1", shrunk: true }),
+    ...story("shrunk", 30.1, 2, 1),
+    logLine(33, "Worker capacity changed.", { worker: "i-1", shrunk: false }),
+    ...story("later", 34, 2, 1),
   ]);
   t.same(causes, {
     "leaderless": "late: no leader",
@@ -89,7 +101,11 @@
     "kept": "late: store away",
     "fails": "failed: runs failed",
     "deadly": "failed: workers crashed",
+    "beside": "restarted: workers crashed",
+    "suspect": "restarted: suspected of crashes",
     "unclear": "late: other",
+    "shrunk": "late: capacity shrunk",
+    "later": "late: behind in the queue",
   });
 });
 
--- a/cli/command/commands/causes.ts
+++ b/cli/command/commands/causes.ts
@@ -23,9 +23,10 @@
 ) => {
   program.command("causes [files...]")
     .description(
-      "Count the jobs of the users' platform that were refused, failed or " +
-        "began late, by priority and cause, from the log lines of all " +
-        "processes in files or standard input.",
+      "Count the jobs of the users' platform that were refused, failed, " +
+        "began late or lost runs with workers that crashed, by priority " +
+        "and cause, from the log lines of all processes in files or " +
+        "standard input.",
     )
     .option(
       "--late <milliseconds>",
--- a/cli/command/job_causes.ts
+++ b/cli/command/job_causes.ts
@@ -1,13 +1,13 @@
 /**
  * Finds, in the log lines of the platform's programs, which jobs were refused,
- * failed or began late, and why.
+ * failed, began late or lost runs with workers that crashed, and why.
  *
  * @module
  */
 
 import type { LogLine } from "./log_lines.ts";
 
-/** Why a job was refused, failed or began late. */
+/** Why a job was refused, failed, began late or began again. */
 export const Cause = {
   /** No entry led while the job waited. */
   NoLeader: "no leader",
@@ -21,18 +21,25 @@
   Behind: "behind in the queue",
   /** A start was not confirmed by its worker in time. */
   Unconfirmed: "start not confirmed",
+  /** Workers had less capacity than before. */
+  CapacityShrunk: "capacity shrunk",
   /** A run was stopped, lost or broken, and the task began again. */
   BegunAgain: "begun again",
-  /** Workers crashed when they ran a task of the job. */
+  /** Workers crashed while they ran a task of the job. */
   WorkersCrashed: "workers crashed",
+  /** The same, and the task is suspected to be the cause. */
+  Suspected: "suspected of crashes",
   /** Runs ended as failed. */
   RunsFailed: "runs failed",
   Other: "other",
 } as const;
 export type Cause = typeof Cause[keyof typeof Cause];
 
-/** What became of a job that was not served in time. */
-export type Trouble = "refused" | "failed" | "late";
+/**
+ * What became of a job that was not served in time. One is "restarted" if it
+ * began in time and lost a run with a worker that crashed.
+ */
+export type Trouble = "refused" | "failed" | "late" | "restarted";
 
 /** A job in trouble. */
 export interface JobCause {
@@ -63,6 +70,10 @@
   noPlace: boolean;
   unconfirmed: boolean;
   begunAgain: boolean;
+  /** Whether a run was lost with a worker that crashed. */
+  crashed: boolean;
+  /** Whether a task of the job is suspected of crashing workers. */
+  suspected: boolean;
   /** Code of the failure of a failed job. */
   failure?: string;
   failedRuns: number;
@@ -83,6 +94,7 @@
     begins: /The store does not answer\.$/,
     ends: /The store answers again\.$/,
   });
+  const shrunk = findShrunk(lines);
   const causes: JobCause[] = [];
   for (const [job, story] of stories) {
     const trouble = troubleOf(story, late);
@@ -91,7 +103,7 @@
       job,
       priority: story.priority,
       trouble,
-      cause: causeOf(story, trouble, leaderless, storeless),
+      cause: causeOf(story, trouble, { leaderless, storeless, shrunk }),
       at: new Date(story.submittedAt).toISOString(),
       wait: story.begunAt && story.begunAt - story.submittedAt,
     });
@@ -106,6 +118,8 @@
     noPlace: false,
     unconfirmed: false,
     begunAgain: false,
+    crashed: false,
+    suspected: false,
     failedRuns: 0,
   };
 }
@@ -146,6 +160,11 @@
       return;
     case "Run lost.":
       story.begunAgain = true;
+      if (fields.reason === "worker crashed") story.crashed = true;
+      return;
+    case "A worker crashed under a task.":
+    case "A task is not the cause of earlier crashes.":
+      story.suspected = fields.suspect === true;
       return;
     case "Run ended.":
       if (fields.ending === "failed") story.failedRuns++;
@@ -181,6 +200,29 @@
   return spans;
 }
 
+/** Spans in which any worker has less capacity than it had before. */
+function findShrunk(lines: LogLine[]): Spans {
+  const spans: Spans = [];
+  const workers = new Set<unknown>();
+  let from = 0;
+  for (const line of lines) {
+    const time = Date.parse(line.time);
+    const { worker } = line.fields;
+    const isChange = /Worker capacity changed\.$/.test(line.text) &&
+      line.fields.shrunk !== undefined;
+    if (isChange && line.fields.shrunk === true) {
+      if (workers.size === 0) from = time;
+      workers.add(worker);
+      continue;
+    }
+    const isGone = isChange || /Worker crashed\.$/.test(line.text);
+    if (!isGone || !workers.delete(worker) || workers.size > 0) continue;
+    spans.push({ from, to: time });
+  }
+  if (workers.size > 0) spans.push({ from, to: Infinity });
+  return spans;
+}
+
 /** Lines that only a leader writes. */
 const LEADER_LINE =
   /(Leadership won|Job taken up|Job finished|Run ended|Tasks placed)\.$/;
@@ -215,15 +257,19 @@
   if (story.begunAt === undefined) {
     return story.status === undefined ? "late" : undefined;
   }
-  return story.begunAt - story.submittedAt! > late ? "late" : undefined;
+  if (story.begunAt - story.submittedAt! > late) return "late";
+  return story.crashed ? "restarted" : undefined;
 }
 
 /** The cause that comes first on the way of a job explains the others. */
 function causeOf(
   story: Story,
   trouble: Trouble,
-  leaderless: Spans,
-  storeless: Spans,
+  { leaderless, storeless, shrunk }: {
+    leaderless: Spans;
+    storeless: Spans;
+    shrunk: Spans;
+  },
 ): Cause {
   const from = story.submittedAt!;
   const to = story.begunAt ?? from;
@@ -233,10 +279,16 @@
   if (trouble === "failed") {
     return story.failedRuns > 0 ? Cause.RunsFailed : Cause.Other;
   }
+  if (trouble === "restarted") {
+    return story.suspected ? Cause.Suspected : Cause.WorkersCrashed;
+  }
   if (meets(storeless)) return Cause.StoreAway;
   if (trouble === "refused") return Cause.Other;
   if (meets(leaderless)) return Cause.NoLeader;
   if (story.stopsOrdered) return Cause.StopsNotDone;
+  const waitsForCapacity = story.noPlace ||
+    (story.priority !== undefined && story.priority > 0);
+  if (waitsForCapacity && meets(shrunk)) return Cause.CapacityShrunk;
   if (story.noPlace) return Cause.NoPlace;
   if (story.priority !== undefined && story.priority > 0) return Cause.Behind;
   if (story.unconfirmed) return Cause.Unconfirmed;
--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -112,6 +112,9 @@
   const wasSuspect = isSuspect(task.crashes);
   task.crashes = counts;
   markChanged(state, run.job);
+  if (wasSuspect && !isSuspect(counts)) {
+    state.effects.push({ kind: "suspicion", change: "cleared" });
+  }
   state.effects.push({
     kind: "log",
     level: "info",
@@ -155,7 +158,7 @@
   if (kind.sole) crashes[kind.early ? "soleEarly" : "soleLate"]++;
   markChanged(state, job);
   if (!wasSuspect && isSuspect(crashes)) {
-    state.effects.push({ kind: "taskSuspected" });
+    state.effects.push({ kind: "suspicion", change: "raised" });
   }
   state.effects.push({
     kind: "log",
--- a/core/scheduler/progress.ts
+++ b/core/scheduler/progress.ts
@@ -33,6 +33,7 @@
   state.active.delete(job);
   for (const run of job.runs) stopRun(state, run);
   markChanged(state, job);
+  if (failure) state.effects.push({ kind: "jobFailed", code: failure.code });
   state.effects.push({
     kind: "log",
     level: "info",
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -6,6 +6,7 @@
 
 import type { Fields, LogLevel, Milliseconds } from "@dragonflyledge/model";
 import type {
+  FailureCode,
   JobProgress,
   JobRequest,
   QueuePolicy,
@@ -211,8 +212,10 @@
   }
   /** Count a worker that crashed with runs, `begun` of them just begun. */
   | { kind: "workerCrashed"; begun: number }
-  /** Count a task that is suspected of crashing workers from now on. */
-  | { kind: "taskSuspected" }
+  /** Count a task that is or is no longer suspected of crashing workers. */
+  | { kind: "suspicion"; change: "raised" | "cleared" }
+  /** Count a job that failed. */
+  | { kind: "jobFailed"; code: FailureCode }
   | { kind: "log"; level: LogLevel; text: string; fields: Fields };
 
 /** Key of a step within its job, used for in-memory maps. */
--- a/core/scheduler/waits.ts
+++ b/core/scheduler/waits.ts
@@ -18,6 +18,8 @@
 /** Accelerators of the workers of one service by what they are used for. */
 interface Usage {
   free: number;
+  /** That workers had before and do not announce now. */
+  missing: number;
   /** On workers that drain or do not answer. */
   unavailable: number;
   /** On workers that failed or refused a run a moment ago. */
@@ -83,6 +85,7 @@
 ): Usage {
   const usage: Usage = {
     free: 0,
+    missing: 0,
     unavailable: 0,
     avoided: 0,
     stopping: 0,
@@ -95,6 +98,7 @@
     if (worker.state.service !== unit.job.policy.service) continue;
     usage[freeKind(state, worker, now)] += worker.state.accelerators -
       worker.used.accelerators;
+    usage.missing += worker.full.accelerators - worker.state.accelerators;
     for (const run of worker.runs) {
       usage[runKind(run, cover)] += run.step.accelerators;
     }
--- a/core/scheduler/waits_test.ts
+++ b/core/scheduler/waits_test.ts
@@ -32,6 +32,18 @@
   t.end();
 });
 
+// Guards against a late urgent job that waits for capacity which its workers
+// have lost, without a line that shows it.
+test("an urgent task that waits is logged with the missing capacity", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const steps = [step({ accelerators: 4, estimate: 60_000 })];
+  fleet.resize(0, 2);
+  fleet.submit(request({ id: "first", priority: 0, steps }));
+  fleet.advance(1500);
+  t.match(fleet.logsOf("Urgent tasks wait."), [{ free: 2, missing: 6 }]);
+  t.end();
+});
+
 // Guards against a job that is placed and then waits unseen for its worker.
 test("a start that is not confirmed in time is logged once", (t) => {
   const fleet = createFleet({ workers: 1 });
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -146,6 +146,14 @@
         return fields.instruments.increment("worker_crashes_total", {
           begun: quantify(effect.begun),
         });
+      case "suspicion":
+        return fields.instruments.increment("suspicions_total", {
+          change: effect.change,
+        });
+      case "jobFailed":
+        return fields.instruments.increment("jobs_failed_total", {
+          code: effect.code,
+        });
       case "planLater":
         timer.after(effect.delay, () => {
           dispatch({ kind: "plan", now: clock.now() });
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -76,6 +76,16 @@
       "these had just begun.",
     labels: ["begun"],
   },
+  suspicions_total: {
+    kind: "counter",
+    help: "Tasks suspected of crashing workers, by change of the suspicion.",
+    labels: ["change"],
+  },
+  jobs_failed_total: {
+    kind: "counter",
+    help: "Jobs that failed, by the code of the failure.",
+    labels: ["code"],
+  },
   missing_accelerators: {
     kind: "gauge",
     help: "Accelerators that workers announced before and do not announce now.",
