Prove with real programs that a task that crashes its workers is given up

Two tests with real processes: a task whose workers crash 10 ms after its start, beside another job on the same workers; and the same with kills of all entries, of all agents in every second round, and an outage of the store after each crash. The caller's answer names code, task and hint.

--- /dev/null
+++ b/testing/platform/crash_test.ts
@@ -0,0 +1,171 @@
+import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
+import { test } from "tap";
+import type { Test } from "tap";
+import { startPrograms } from "./mod.ts";
+import type { ProgramProcess, Programs } from "./mod.ts";
+import { waitUntil } from "./wait.ts";
+
+/** Starts of a task that crashes its workers, at most; the rule's bound. */
+const MAX_STARTS = 5;
+const START_TIMEOUT = 20_000;
+/** Time in ms for crashes with outages and restarts between them. */
+const GIVE_UP_TIMEOUT = 60_000;
+/** Time in ms for which a worker that crashed accepts no connections. */
+const DOWN_TIME = 1500;
+/** Time in ms after which a task of the kind crashes its worker. */
+const CRASH_DELAY = 10;
+const OUTAGE = 2500;
+
+const DEADLY = "000000000000dead";
+const INNOCENT = "0000000000001111";
+const path = (id: string) => `/plans/${id}`;
+const job = {
+  spec: "text",
+  steps: [{ count: 1, cpu: 1000, memMb: 9, gpu: 1 }],
+};
+
+interface CrashScene {
+  programs: Programs;
+  /** Number of starts of the deadly task. */
+  starts(): number;
+  stateOf(id: string): Promise<string>;
+}
+
+/** Starts programs whose workers crash when they start a task of DEADLY. */
+async function start(t: Test, duration: number): Promise<CrashScene> {
+  let starts = 0;
+  const scene = { stopped: false };
+  const programs: Programs = await startPrograms({
+    entries: 2,
+    agents: 3,
+    duration: 0,
+    observer: {
+      accelerators: () => 1,
+      endingAt: ({ startedAt }, now) =>
+        now > startedAt + duration ? "done" : undefined,
+      started: ({ worker, run }) => {
+        if (!run.task.startsWith(DEADLY)) return;
+        starts++;
+        setTimeout(() => {
+          if (!scene.stopped) crashWorker(programs, worker);
+        }, CRASH_DELAY);
+      },
+      ended: () => {},
+      acknowledged: () => {},
+    },
+  });
+  t.teardown(() => {
+    scene.stopped = true;
+    return programs.stop();
+  });
+  await waitForEntries(programs);
+  return {
+    programs,
+    starts: () => starts,
+    stateOf: async (id) => {
+      const { status, body } = await programs.call(
+        programs.entries[0]!,
+        "GET",
+        path(id),
+      );
+      return status === 200 ? body : `status ${status}`;
+    },
+  };
+}
+
+/** Crashes the worker, which refuses connections for a while. */
+function crashWorker({ workers, agents }: Programs, worker: string): void {
+  const index = Number(worker.split("-")[1]);
+  const relay = agents[index]!.relays.worker!;
+  workers[index]!.crash();
+  relay.cut();
+  relay.refuse(true);
+  setTimeout(() => relay.refuse(false), DOWN_TIME);
+}
+
+async function waitForEntries({ entries, call }: Programs): Promise<void> {
+  await waitUntil("entries answer", START_TIMEOUT, async () => {
+    for (const entry of entries) {
+      if ((await call(entry, "GET", "/plans/")).status !== 200) return false;
+    }
+    return true;
+  });
+}
+
+async function submit({ programs }: CrashScene, id: string): Promise<void> {
+  await waitUntil("the job is accepted", START_TIMEOUT, async () => {
+    const { status } = await programs.call(
+      programs.entries[0]!,
+      "POST",
+      path(id),
+      job,
+    );
+    return status === 200;
+  });
+}
+
+async function restart(process: ProgramProcess): Promise<void> {
+  process.child.kill("SIGKILL");
+  await once(process.child, "exit");
+  process.start();
+}
+
+// Guards against one task that crashes worker after worker, a caller that does
+// not hear why its job failed, and a job that fails because of its neighbour.
+test("a task that crashes its workers is given up, and its neighbour is not", async (t) => {
+  const scene = await start(t, 4000);
+  await submit(scene, INNOCENT);
+  await submit(scene, DEADLY);
+  await waitUntil(
+    "the deadly job fails",
+    GIVE_UP_TIMEOUT,
+    async () => (await scene.stateOf(DEADLY)).includes("failed"),
+  );
+  t.ok(scene.starts() <= MAX_STARTS, `${scene.starts()} starts`);
+  t.match(JSON.parse(await scene.stateOf(DEADLY)), {
+    state: "failed",
+    failure: {
+      code: "workers-crashed",
+      task: `${DEADLY}.0.0.0`,
+      hint: /Do not submit it unchanged/,
+    },
+  });
+  await waitUntil(
+    "the other job is done",
+    GIVE_UP_TIMEOUT,
+    async () => (await scene.stateOf(INNOCENT)).includes("completed"),
+  );
+});
+
+// Guards against crashes that are forgotten because every process was killed
+// and the store was away between them.
+test("crashes outlive all processes and an outage of the store", async (t) => {
+  const scene = await start(t, 1000);
+  const { programs } = scene;
+  await submit(scene, DEADLY);
+  for (let round = 1; round <= MAX_STARTS; round++) {
+    await waitUntil(
+      `crash ${round}`,
+      GIVE_UP_TIMEOUT,
+      async () =>
+        scene.starts() >= round ||
+        (await scene.stateOf(DEADLY)).includes("failed"),
+    );
+    if (scene.starts() < round) break;
+    programs.store.silent = true;
+    // The agents have seen the crash, and the leader may have.
+    await sleep(OUTAGE);
+    const { entries, agents } = programs;
+    const killed = round % 2 === 0 ? [...entries, ...agents] : entries;
+    await Promise.all(killed.map(restart));
+    programs.store.silent = false;
+    await waitForEntries(programs);
+  }
+  await waitUntil(
+    "the job fails",
+    GIVE_UP_TIMEOUT,
+    async () => (await scene.stateOf(DEADLY)).includes("failed"),
+  );
+  t.ok(scene.starts() <= MAX_STARTS, `${scene.starts()} starts`);
+});
