Ignore starts that were decided on a former capacity

Cause: the agent carried out a start whose grounds it knew to have changed. The class: acting on a permission that has run out meanwhile. Change: orders carry the capacity that their starts were decided on, and the agent ignores starts that name another one than it knows. Evidence: "a start that was decided on a former capacity is not sent" fails with the check taken out.

--- a/core/scheduler/capacity.ts
+++ b/core/scheduler/capacity.ts
@@ -8,6 +8,8 @@
 import { addCapacity, gangOf, stopRun, taskCapacity } from "./runs.ts";
 import type { Capacity, Run, SchedulerState, Worker } from "./state.ts";
 
+const KINDS = ["millicores", "megabytes", "accelerators"] as const;
+
 /** Capacity that the worker announces now. */
 export function capacityOf(reported: WorkerState): Capacity {
   const { millicores, megabytes, accelerators } = reported;
@@ -22,9 +24,9 @@
 ): void {
   const before = capacityOf(worker.state);
   const now = capacityOf(reported);
-  if (isEqual(before, now)) return;
+  if (isEqualCapacity(before, now)) return;
   const { full } = worker;
-  for (const kind of kindsOf(full)) {
+  for (const kind of KINDS) {
     full[kind] = Math.max(full[kind], now[kind]);
   }
   state.planDue = true;
@@ -89,25 +91,22 @@
 export function missingCapacity(state: SchedulerState): Capacity {
   const missing: Capacity = { millicores: 0, megabytes: 0, accelerators: 0 };
   for (const { full, state: announced } of state.workers.values()) {
-    for (const kind of kindsOf(full)) {
+    for (const kind of KINDS) {
       missing[kind] += full[kind] - announced[kind];
     }
   }
   return missing;
 }
 
-function kindsOf(capacity: Capacity): (keyof Capacity)[] {
-  return Object.keys(capacity) as (keyof Capacity)[];
-}
-
-function isEqual(a: Capacity, b: Capacity): boolean {
-  return kindsOf(a).every((kind) => a[kind] === b[kind]);
+/** Whether both amounts are the same. */
+export function isEqualCapacity(a: Capacity, b: Capacity): boolean {
+  return KINDS.every((kind) => a[kind] === b[kind]);
 }
 
 function isWithin(used: Capacity, capacity: Capacity): boolean {
-  return kindsOf(used).every((kind) => used[kind] <= capacity[kind]);
+  return KINDS.every((kind) => used[kind] <= capacity[kind]);
 }
 
 function isShrunk(full: Capacity, now: Capacity): boolean {
-  return kindsOf(full).some((kind) => now[kind] < full[kind]);
+  return KINDS.some((kind) => now[kind] < full[kind]);
 }
--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -19,6 +19,7 @@
   WorkerCrash,
   WorkerState,
 } from "./messages.ts";
+import type { Capacity } from "./state.ts";
 
 type Guard<T> = (value: unknown) => value is T;
 
@@ -112,11 +113,18 @@
   crashes: (value): value is WorkerCrash[] | undefined =>
     value === undefined || isCrashList(value),
 });
+const isCapacity = objectWith<Capacity>({
+  millicores: isNumber,
+  megabytes: isNumber,
+  accelerators: isNumber,
+});
 const isOrders = objectWith<AgentOrders>({
   kind: (value): value is "orders" => value === "orders",
   epoch: isNumber,
   answersReport: isNumber,
   worker: isText,
+  capacity: (value): value is Capacity | undefined =>
+    value === undefined || isCapacity(value),
   starts: listOf(isStartOrder),
   stops: listOf(isRunName),
   acknowledged: isNumber,
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
+import type { Capacity } from "./state.ts";
 
 /** How a run ended, as its worker lists it. */
 export const RunEnding = {
@@ -141,6 +142,11 @@
   answersReport: Milliseconds;
   /** Key of the worker incarnation that the orders are for. */
   worker: string;
+  /**
+   * Capacity of the worker on which the starts were decided; undefined without
+   * starts, and in orders of older builds.
+   */
+  capacity?: Capacity;
   starts: StartOrder[];
   stops: RunName[];
   /** Ended runs up to this number are stored. */
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export { missingCapacity } from "./capacity.ts";
+export { isEqualCapacity, missingCapacity } from "./capacity.ts";
 export { decodeOrders, decodeReport } from "./decode.ts";
 export * from "./job.ts";
 export * from "./messages.ts";
--- a/core/scheduler/orders.ts
+++ b/core/scheduler/orders.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { capacityOf } from "./capacity.ts";
 import { findTask, isCurrent } from "./runs.ts";
 import type { Run, SchedulerEffect, SchedulerState } from "./state.ts";
 
@@ -16,12 +17,14 @@
   if (!worker) return undefined;
   const runs = [...worker.runs];
   const name = (run: Run) => ({ task: run.name, run: run.run });
+  const startable = runs.filter(isStartable);
   return {
     kind: "orders",
     agent: agentName,
     orders: {
       worker: worker.state.key,
-      starts: runs.filter(isStartable).map((run) => ({
+      capacity: startable.length > 0 ? capacityOf(worker.state) : undefined,
+      starts: startable.map((run) => ({
         ...name(run),
         spec: run.job.request.spec,
         checkpoint: findTask(run.job, run.task)?.checkpoint ?? "",
--- a/core/worker_control/capacity_test.ts
+++ b/core/worker_control/capacity_test.ts
@@ -34,3 +34,36 @@
   t.ok(again.some((effect) => effect.kind === "start"), "unless ordered again");
   t.end();
 });
+
+// Guards against a start that a leader orders before it hears that the worker
+// has shrunk.
+test("a start that was decided on a former capacity is not sent", (t) => {
+  const { reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 5, orders: orders() });
+  reduce(holdAnswer(10, 5));
+  const accelerators = 4;
+  const smaller = announcement({ accelerators, sequence: 2 });
+  reduce({ kind: "announced", now: 15, announcement: smaller });
+  const { millicores, megabytes } = smaller;
+  const sentStarts = (now: number, accelerators: number) => {
+    const capacity = { millicores, megabytes, accelerators };
+    const ordered = orders({ capacity, starts: [START_ORDER] });
+    return reduce({ kind: "orders", now, orders: ordered })
+      .filter((effect) => effect.kind === "start").length;
+  };
+  t.equal(sentStarts(20, 8), 0);
+  t.equal(sentStarts(30, accelerators), 1);
+  t.end();
+});
+
+// Guards against a start that is dropped at each heartbeat of its worker.
+test("a start that waits is kept while the capacity is the same", (t) => {
+  const { reduce } = createWithWorker();
+  const starts = [START_ORDER];
+  reduce({ kind: "orders", now: 10, orders: orders({ starts }) });
+  const same = announcement({ sequence: 2, labels: ["a"] });
+  reduce({ kind: "announced", now: 15, announcement: same });
+  const listed = reduce(holdAnswer(20, 10));
+  t.ok(listed.some((effect) => effect.kind === "start"));
+  t.end();
+});
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { runKey } from "@dragonflyledge/scheduler";
+import { isEqualCapacity, runKey } from "@dragonflyledge/scheduler";
 import type { AgentOrders } from "@dragonflyledge/scheduler";
 import { log } from "./log.ts";
 import { ControlPhase } from "./state.ts";
@@ -33,10 +33,18 @@
   worker.acknowledged = Math.max(worker.acknowledged, orders.acknowledged);
   worker.ended = worker.ended.filter((end) => end.number > worker.acknowledged);
   const wanted = new Set<string>();
+  const isOutdated = orders.capacity !== undefined &&
+    !isEqualCapacity(orders.capacity, worker.state);
+  if (isOutdated) {
+    log(state, "Starts for a former capacity ignored.", {
+      worker: worker.state.key,
+      runs: orders.starts.map(runKey).join(),
+    });
+  }
   for (const order of orders.starts) {
     const key = runKey(order);
     wanted.add(key);
-    if (state.runs.has(key)) continue;
+    if (state.runs.has(key) || isOutdated) continue;
     state.runs.set(key, createStartControl(state, key, order, now));
   }
   for (const name of orders.stops) {
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
+import { isEqualCapacity } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
@@ -69,12 +70,8 @@
   worker: ControlledWorker,
   announcement: Announcement,
 ): void {
-  const { millicores, megabytes, accelerators } = announcement;
   const known = worker.state;
-  if (
-    known.millicores === millicores && known.megabytes === megabytes &&
-    known.accelerators === accelerators
-  ) return;
+  if (isEqualCapacity(known, announcement)) return;
   state.reportDue = true;
   // The leader may not know yet; it repeats the orders that still fit.
   for (const [key, control] of state.runs) {
@@ -82,9 +79,9 @@
   }
   log(state, "Worker capacity changed.", {
     worker: known.key,
-    millicores,
-    megabytes,
-    accelerators,
+    millicores: announcement.millicores,
+    megabytes: announcement.megabytes,
+    accelerators: announcement.accelerators,
   });
 }
 
