Let the soak submit tasks that crash workers, and shrink workers

The soak of real processes had neither. 5 % of its jobs have a task that crashes each worker 10 ms after its start; the worker refuses connections for 1.5 s. A new fault takes accelerators from a worker while it runs. The ledger checks BUDGET (by machines in touch), LIMIT against the capacity of the last 3.3 s, and that no job is shown as failed for crashes that other tasks caused. Each seed draws other jobs than before, since one more number is drawn a job.

--- a/testing/platform/soak/callers.ts
+++ b/testing/platform/soak/callers.ts
@@ -27,6 +27,8 @@
 const MAX_POLLS = 12;
 /** Share of the jobs that their caller cancels, 0 to 1. */
 const CANCEL_SHARE = 0.15;
+/** Share of the jobs of which a task crashes its workers, 0 to 1. */
+const DEADLY_SHARE = 0.05;
 /** Share of the accepted jobs that are submitted once more, 0 to 1. */
 const REPEAT_SHARE = 0.1;
 /**
@@ -223,7 +225,8 @@
   };
   const id = (number * 0x10000 + integer(0, 0xffff)).toString(16);
   const steps = random() < 0.25 ? [step([]), step([0])] : [step([])];
-  return { id: id.padStart(16, "0"), steps };
+  const deadly = random() < DEADLY_SHARE;
+  return { id: id.padStart(16, "0"), steps, deadly };
 }
 
 function encodeJob(job: SoakJob) {
--- a/testing/platform/soak/faults.ts
+++ b/testing/platform/soak/faults.ts
@@ -8,6 +8,7 @@
 import type { Relay } from "@dragonflyledge/fakes";
 import { createConfiguration } from "../programs.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
+import { WORKER_ACCELERATORS } from "./ledger.ts";
 
 /**
  * Time between SIGTERM and SIGKILL in milliseconds; the default of the
@@ -28,6 +29,8 @@
   down: Set<ProgramProcess>;
   /** Ids of workers, without incarnation, on which every new run fails. */
   failingWorkers: Set<string>;
+  /** Crashes the worker with this index. */
+  crashWorker: (index: number) => void;
   /** Newest configuration version, and when the store took it. */
   version: { current: number; acknowledgedAt: number };
 }
@@ -243,7 +246,15 @@
   },
   /** Crashes a worker; it comes back as another incarnation. */
   crashWorker: (target) => {
-    pick(target, target.programs.workers).crash();
+    const { workers } = target.programs;
+    target.crashWorker(Math.floor(target.random() * workers.length));
+    return [];
+  },
+  /** Takes accelerators from a worker while it runs, and gives them back. */
+  shrinkWorker: (target, time) => {
+    const worker = pick(target, target.programs.workers);
+    worker.resize(Math.floor(target.random() * WORKER_ACCELERATORS));
+    setTimeout(() => worker.resize(WORKER_ACCELERATORS), time);
     return [];
   },
   /** Drains a worker, then crashes it. */
--- a/testing/platform/soak/ledger.ts
+++ b/testing/platform/soak/ledger.ts
@@ -20,6 +20,11 @@
  * to which the longest fault is added.
  */
 const CANCEL_BOUND = 3000;
+/** Crashes after which a task that causes them may start only LATE_STARTS times. */
+const CRASHES = 3;
+const LATE_STARTS = 2;
+/** Crashes under a task after which its job may be given up. */
+const CRASHES_TO_GIVE_UP = 2;
 
 /** A step of a job that the soak submits. */
 export interface SoakStep {
@@ -39,6 +44,18 @@
 export interface SoakJob {
   id: string;
   steps: SoakStep[];
+  /** Whether its first task crashes each worker that starts it. */
+  deadly?: boolean;
+}
+
+/** Crashes of a task's workers. */
+interface CrashRecord {
+  /** Crashes that the task itself caused. */
+  own: number;
+  /** Crashes without a deadly task. */
+  other: number;
+  /** Starts by machines in touch after the last permitted crash. */
+  lateStarts: number;
 }
 
 /** What the callers and workers have seen of a job. */
@@ -64,6 +81,7 @@
   /** Runs that ended as done, by run number. */
   done: Map<number, DoneEnd>;
   failures: number;
+  crashes: CrashRecord;
 }
 
 /**
@@ -92,7 +110,7 @@
  * UNASKED - a run starts without a job, after a cancellation, or stays behind;
  * ORDER - a step starts before the steps that it depends on;
  * LIMIT - a worker runs more than its accelerators allow;
- * BUDGET - a task starts again after its last permitted failure;
+ * BUDGET - a task starts again after its last permitted failure or crash;
  * LOST - an accepted job is unknown, ends wrongly or never ends, or a request
  * is cut off;
  * MIXED - a job is shown as completed before it is;
@@ -106,6 +124,10 @@
   maxFaultDuration: number;
   /** Whether runs that start on this worker now have to fail. */
   failsRuns: (worker: string) => boolean;
+  /** Whether no fault affected the agent of the worker a moment ago. */
+  isInTouch: (worker: string) => boolean;
+  /** Called when a task started that crashes the worker. */
+  onDeadlyStart: (worker: string, task: string) => void;
 }) {
   const jobs = new Map<string, JobRecord>();
   const tasks = new Map<string, TaskRecord>();
@@ -135,6 +157,7 @@
         running: new Map(),
         done: new Map(),
         failures: 0,
+        crashes: { own: 0, other: 0, lateStarts: 0 },
       };
       tasks.set(name, task);
     }
@@ -181,7 +204,12 @@
     }).flat();
   }
 
-  function checkStart(worker: string, run: WorkerRun, used: number): void {
+  function checkStart(
+    worker: string,
+    run: WorkerRun,
+    used: number,
+    capacity: number,
+  ): void {
     const name = `${run.task}#${run.run} at ${worker}`;
     const { record, step, prefix } = parse(run.task);
     if (!record || !step) return report("UNASKED", name);
@@ -196,15 +224,42 @@
     for (const earlier of step.after) {
       if (!isStepDone(prefix, record, earlier)) report("ORDER", name);
     }
-    if (used > WORKER_ACCELERATORS) report("LIMIT", `${name}: ${used}`);
+    const limit = fields.isInTouch(worker) ? capacity : WORKER_ACCELERATORS;
+    if (used > limit) report("LIMIT", `${name}: ${used} of ${limit}`);
     if (task.failures >= MAX_ATTEMPTS) report("BUDGET", name);
+    if (task.crashes.own >= CRASHES && fields.isInTouch(worker)) {
+      if (++task.crashes.lateStarts > LATE_STARTS) report("BUDGET", name);
+    }
     const { cancelledAt } = record;
-    const limit = CANCEL_BOUND + fields.maxFaultDuration;
-    if (cancelledAt !== undefined && fields.now() > cancelledAt + limit) {
+    const latestStart = (cancelledAt ?? Infinity) + CANCEL_BOUND +
+      fields.maxFaultDuration;
+    if (fields.now() > latestStart) {
       report("UNASKED", `${name}, cancelled at ${cancelledAt}`);
     }
   }
 
+  function isDeadly(task: string): boolean {
+    const { record, stepIndex, index } = parse(task);
+    return record?.job.deadly === true && stepIndex === 0 && index === 0;
+  }
+
+  /** Records a crash under these runs, caused by the deadly task if given. */
+  function crashed(runs: WorkerRun[], cause?: string): void {
+    for (const { task } of runs) {
+      const { crashes } = findTask(task);
+      if (task === cause) crashes.own++;
+      if (cause === undefined) crashes.other++;
+    }
+  }
+
+  /** Whether workers crashed under a task as often as a given-up job needs. */
+  function hasCrashes({ job }: JobRecord): boolean {
+    return [...tasks].some(([name, { crashes }]) =>
+      name.startsWith(job.id) &&
+      crashes.own + crashes.other >= CRASHES_TO_GIVE_UP
+    );
+  }
+
   function gangEndingAt(step: SoakStep, run: WorkerRun, now: number) {
     const gang = findGang(run);
     if (gang.ending) return gang.ending === "done" ? "done" : "broken";
@@ -225,11 +280,12 @@
       if (step.gang) return gangEndingAt(step, run, now);
       return now >= run.startedAt + step.duration ? "done" : undefined;
     },
-    started: ({ worker, run, used }) => {
-      checkStart(worker, run, used);
+    started: ({ worker, run, used, capacity }) => {
+      checkStart(worker, run, used, capacity);
       const { record, step } = parse(run.task);
       if (!record || !step) return;
       record.started = true;
+      if (isDeadly(run.task)) fields.onDeadlyStart(worker, run.task);
       findTask(run.task).running.set(worker, run.run);
       if (fields.failsRuns(worker)) failing.add(`${run.task}#${run.run}`);
       if (!step.gang) return;
@@ -284,7 +340,9 @@
     }
     if (state === "failed" && record.failures < MAX_ATTEMPTS) {
       // The programs count a failure before they acknowledge it at its worker.
-      if (!hasFailures(record)) report("LOST", `${id} is shown as failed`);
+      if (!hasFailures(record) && !hasCrashes(record)) {
+        report("LOST", `${id} is shown as failed`);
+      }
     }
   }
 
@@ -298,6 +356,7 @@
     jobs,
     observer,
     report,
+    crashed,
     isJobDone,
     sent: (job: SoakJob): JobRecord => {
       const record: JobRecord = {
--- a/testing/platform/soak/soak.ts
+++ b/testing/platform/soak/soak.ts
@@ -41,6 +41,11 @@
 /** Shortest duration of a fault in milliseconds. */
 const MIN_FAULT_DURATION = 300;
 
+/** Time from the start of a deadly task to the crash of its worker, in ms. */
+const CRASH_DELAY = 10;
+/** Time for which a worker that crashed refuses connections, in ms. */
+const CRASH_DURATION = 1500;
+
 /** An injected fault: its time span and what it affected. */
 interface InjectedFault {
   at: number;
@@ -88,10 +93,33 @@
     maxFaultDuration: MAX_FAULT_DURATION,
     failsRuns: (worker) =>
       failingWorkers.has(worker.split("-").slice(0, 2).join("-")),
+    isInTouch: (worker) => {
+      const agent = programs.agents[indexOf(worker)]!;
+      return isUnaffectedAndUp(agent, now() - FAULT_FREE_TIME);
+    },
+    onDeadlyStart: (worker, task) => {
+      setTimeout(() => crashWorker(indexOf(worker), task), CRASH_DELAY);
+    },
   });
+  const injected: InjectedFault[] = [];
   let over = false;
   let stopping = false;
 
+  /** Crashes a worker, which refuses connections for a while. */
+  function crashWorker(index: number, cause?: string): void {
+    if (stopping) return;
+    const worker = programs.workers[index]!;
+    const runs = worker.listRuns();
+    // Another crash came first.
+    if (cause && !runs.some(({ task }) => task === cause)) return;
+    const relay = programs.agents[index]!.relays.worker!;
+    ledger.crashed(runs, cause);
+    worker.crash();
+    relay.cut();
+    relay.refuse(true);
+    setTimeout(() => relay.refuse(false), CRASH_DURATION);
+  }
+
   /**
    * Reports a process that ended by itself, and starts it again as the platform
    * would.
@@ -111,12 +139,12 @@
     onExit: handleExit,
     random: createRandom(fields.seed + 1),
   });
-  const injected: InjectedFault[] = [];
   const target = {
     programs,
     random,
     down,
     failingWorkers,
+    crashWorker: (index: number) => crashWorker(index),
     version: { current: 1, acknowledgedAt: now() },
   };
 
@@ -234,6 +262,11 @@
   };
 }
 
+/** Index of the worker with this id, as in "i-2-1". */
+function indexOf(worker: string): number {
+  return Number(worker.split("-")[1]);
+}
+
 /** Waits until every entry answers; fails after START_TIMEOUT. */
 async function waitForEntries(programs: Programs): Promise<void> {
   const end = performance.now() + START_TIMEOUT;
--- a/testing/platform/worker_server.ts
+++ b/testing/platform/worker_server.ts
@@ -14,8 +14,13 @@
 const HEARTBEAT_INTERVAL = 300;
 /** Time between two checks of the runs, in milliseconds. */
 const POLL_INTERVAL = 10;
-/** Accelerators that the worker announces. */
+/** Accelerators that the worker announces at first. */
 const ACCELERATORS = 8;
+/**
+ * Time in milliseconds after which a smaller capacity binds those who start
+ * tasks; the bound of the platform and one heartbeat.
+ */
+const SHRINK_NOTICE = 3000 + HEARTBEAT_INTERVAL;
 
 /** A run on a worker. */
 export interface WorkerRun {
@@ -44,8 +49,16 @@
   accelerators(task: string): number;
   /** How the run ends at `now`; undefined while it goes on. */
   endingAt(run: WorkerRun, now: number): Ending | undefined;
-  /** A run started; `used` accelerators are now in use at the worker. */
-  started(fields: { worker: string; run: WorkerRun; used: number }): void;
+  /**
+   * A run started; `used` accelerators are now in use at the worker, of
+   * `capacity` that it has or had a moment ago.
+   */
+  started(fields: {
+    worker: string;
+    run: WorkerRun;
+    used: number;
+    capacity: number;
+  }): void;
   /** A run ended at the worker. */
   ended(fields: { worker: string; run: WorkerRun; ending: Ending }): void;
   /** The agent acknowledged the end, so that the worker forgets it. */
@@ -70,6 +83,8 @@
   startHeartbeats(agent: string): void;
   /** Loses all runs and ends, and comes back as another incarnation. */
   crash(): void;
+  /** Has and announces this number of accelerators until the next crash. */
+  resize(accelerators: number): void;
   /** Announces itself as draining until the next crash. */
   drain(): void;
   stop(): Promise<void>;
@@ -90,10 +105,10 @@
   const observer = fields.observer ?? observeFixedDuration(fields.duration);
   const started: string[] = [];
   const done: string[] = [];
+  const clock = () => Math.floor(performance.now());
   let incarnation = createIncarnation(1);
   let maxRunning = 0;
   let heartbeat: NodeJS.Timeout | undefined;
-  const clock = () => Math.floor(performance.now());
 
   function end(run: WorkerRun, ending: Ending): void {
     incarnation.running.delete(run.task);
@@ -120,6 +135,16 @@
     return sum;
   }
 
+  /** Most accelerators that the worker has or had a moment ago. */
+  function countedCapacity(): number {
+    const { capacities } = incarnation;
+    const since = clock() - SHRINK_NOTICE;
+    const counted = capacities.filter((_, index) =>
+      index === capacities.length - 1 || capacities[index + 1]!.from > since
+    );
+    return Math.max(...counted.map(({ accelerators }) => accelerators));
+  }
+
   function start(body: Record<string, unknown>): JsonReply {
     const task = String(body.task);
     const run = Number(body.run);
@@ -139,6 +164,7 @@
       worker: incarnation.id,
       run: startedRun,
       used: usedAccelerators(),
+      capacity: countedCapacity(),
     });
     return accept();
   }
@@ -217,6 +243,8 @@
       fence: 0,
       sequence: 0,
       draining: false,
+      /** Capacities in order, each with the time since when it holds. */
+      capacities: [{ from: clock(), accelerators: ACCELERATORS }],
     };
   }
 
@@ -238,7 +266,11 @@
         version: "v1",
         slots: ACCELERATORS,
         state: incarnation.draining ? "draining" : "ready",
-        capacity: { cpu: 32_000, memMb: 131_072, gpu: ACCELERATORS },
+        capacity: {
+          cpu: 32_000,
+          memMb: 131_072,
+          gpu: incarnation.capacities.at(-1)!.accelerators,
+        },
         labels: ["a", "r1-1"],
         born: incarnation.born,
         clockMs: clock(),
@@ -265,6 +297,9 @@
         observer.ended({ worker: former.id, run, ending: "lapsed" });
       }
     },
+    resize: (accelerators) => {
+      incarnation.capacities.push({ from: clock(), accelerators });
+    },
     drain: () => {
       incarnation.draining = true;
     },
