Keep the answers of a leaving agent for an entry that returns

What callers saw (own interface): a request in flight while its agent stops is answered as unknown with `deadline-passed`, long after the run had ended. Cause found in the code: an agent that was told to stop ended as soon as its last call had ended, also if the session with the entry was down at that moment. The answer was lost with it, and the entry waited for the same incarnation until the deadline. The class: work counts as over before its result is delivered. Change: the agent waits up to 5 s, and no longer than the caller, for the entry. Evidence: the two new tests of shutdown_test.ts fail without the change.

--- a/core/agent_reducer/answers.ts
+++ b/core/agent_reducer/answers.ts
@@ -25,6 +25,9 @@
  */
 export const ATTEMPT_RETENTION = MAX_REQUEST_DEADLINE + MINUTE;
 
+/** An entry that lost its session, and lives, opens another one in this time. */
+const SESSION_RETURN_TIME = 5 * SECOND;
+
 type AnswerEvent = Extract<AgentEvent, { kind: "endpointAnswer" }>;
 
 /**
@@ -43,6 +46,12 @@
   discard(record: AttemptRecord): void;
   /** Marks the answers of an entry whose session was lost: pieces may be lost. */
   handleEntryLost(entry: EntryId): void;
+  /**
+   * Whether a whole answer waits for its entry to open a session again. An
+   * entry that stays away for `SESSION_RETURN_TIME`, or whose caller waits no
+   * longer, is not waited for.
+   */
+  hasUndelivered(): boolean;
   /** Drops answers that were kept for `ANSWER_RETENTION` after their end. */
   sweep(): void;
 }
@@ -164,6 +173,14 @@
         if (record.entry === entry) record.outOfSync = true;
       }
     },
+    hasUndelivered() {
+      for (const record of kept) {
+        if (record.calling || !record.outOfSync) continue;
+        const until = record.endedAt + SESSION_RETURN_TIME;
+        if (core.now < Math.min(until, record.deadline)) return true;
+      }
+      return false;
+    },
     sweep() {
       for (const record of kept) {
         if (record.calling) continue;
--- a/core/agent_reducer/reducer.ts
+++ b/core/agent_reducer/reducer.ts
@@ -96,9 +96,10 @@
     runs,
     onCapacityFreed: reservations.grantPending,
   });
+  const attempts = createAttempts({ core });
   return {
     core,
-    attempts: createAttempts({ core }),
+    attempts,
     members,
     reservations,
     leases: createLeases({ core, runs, members, reservations }),
@@ -108,7 +109,12 @@
     }),
     usage: createUsageWatch({ core }),
     reporting: createReporting({ core }),
-    shutdown: createShutdown({ core, members, reservations }),
+    shutdown: createShutdown({
+      core,
+      answers: attempts.answers,
+      members,
+      reservations,
+    }),
     invariants: createInvariants({ core }),
   };
 }
--- a/core/agent_reducer/shutdown.ts
+++ b/core/agent_reducer/shutdown.ts
@@ -6,6 +6,7 @@
  */
 
 import { SECOND } from "@dragonflyledge/model";
+import type { Answers } from "./answers.ts";
 import type { Members } from "./members.ts";
 import type { Reservations } from "./reservations.ts";
 import { log } from "./state.ts";
@@ -23,8 +24,8 @@
   /** Drops all reservations, and stops all members after a checkpoint. */
   stopMembers(): void;
   /**
-   * Emits `exit`, once, if it was asked for and no attempt or task runs any
-   * more.
+   * Emits `exit`, once, if it was asked for, no attempt or task runs any more,
+   * and no answer waits for its entry.
    */
   exitIfIdle(): void;
 }
@@ -32,10 +33,11 @@
 /** Creates the shutdown over the state of one agent. */
 export function createShutdown(fields: {
   core: Core;
+  answers: Answers;
   members: Members;
   reservations: Reservations;
 }): Shutdown {
-  const { core, members, reservations } = fields;
+  const { core, answers, members, reservations } = fields;
 
   function stopMembers(): void {
     for (const run of [...core.runs.values()]) {
@@ -64,7 +66,7 @@
     },
     exitIfIdle() {
       if (!core.exitRequested || core.exitEmitted) return;
-      if (core.openCalls.size > 0) return;
+      if (core.openCalls.size > 0 || answers.hasUndelivered()) return;
       for (const run of core.runs.values()) {
         // The worker ends tasks after their lease even if it reports nothing.
         if (core.now < run.leaseUntil + LEASE_MARGIN) return;
--- a/core/agent_reducer/shutdown_test.ts
+++ b/core/agent_reducer/shutdown_test.ts
@@ -53,3 +53,38 @@
   t.ok(kinds(agent.advance(1)).includes("exit"));
   t.end();
 });
+
+/** A leaving agent whose entry lost its session before the answer came. */
+function createUndelivered(): Agent {
+  const agent = connectedAgent();
+  agent.send(attempt("a"));
+  agent.event({ kind: "stopRequested" });
+  agent.event({ kind: "entryLost", entry: "e1" });
+  return agent;
+}
+
+// Guards against a request that is told as unknown, since its agent ended while
+// its session with the entry was down for a moment.
+test("a leaving agent keeps its answers for an entry that returns", (t) => {
+  const agent = createUndelivered();
+  t.notOk(kinds(finishAttempt(agent)).includes("exit"));
+  agent.advance(1000);
+  agent.connect();
+  const id = { request: "a", number: 1 };
+  const effects = agent.deliver({ kind: "queryAttempt", attempt: id });
+  t.match(sentTo(effects), [
+    { kind: "attemptAnswer", last: true },
+    { kind: "attemptState", state: "done" },
+  ]);
+  t.ok(kinds(effects).includes("exit"));
+  t.end();
+});
+
+// Guards against an agent that waits without end for an entry that is gone.
+test("a leaving agent does not wait long for an entry", (t) => {
+  const agent = createUndelivered();
+  finishAttempt(agent);
+  t.notOk(kinds(agent.advance(4900)).includes("exit"));
+  t.ok(kinds(agent.advance(200)).includes("exit"));
+  t.end();
+});
