Print failures of tests in full

Cause: each line of a failure was cut at 200 characters, and the message of a hang, with its handles and last log lines, is one line of TAP. Change: the bound is 20,000 characters. The failure itself is not traced yet.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -8,6 +8,8 @@
 import process from "node:process";
 
 const files = process.argv.slice(2);
+/** A failure's message holds a report of the process that caused it. */
+const MAX_SHOWN_LINE = 20_000;
 const SOURCE_ROOTS = [
   "cli",
   "config",
@@ -145,6 +147,6 @@
     for (let near = index; near < index + 40; near++) shown.add(near);
   });
   return [...shown].slice(0, 600).map((index) =>
-    (lines[index] ?? "").slice(0, 200)
+    (lines[index] ?? "").slice(0, MAX_SHOWN_LINE)
   ).join("\n");
 }
