Leave starts out of a crash that never reached their worker

What callers would see: a suspected job is given up for crashes of workers that its task was never on. Found by a test of crashes at one moment. Cause: the agent's report of a crash names every run that may have been on the worker; other runs ordered there were lost as "worker replaced", which counted as a loss without a known reason. The class: a missing record is read as missing evidence where another record is complete. Change: such a loss counts only if no crash of that worker is reported. Evidence: "a start that its worker never began does not count as a crash" fails without it: the job is given up after four such losses.

--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -82,6 +82,8 @@
 interface LossFields {
   state: SchedulerState;
   agent: Agent;
+  /** The report that shows the loss; undefined without one. */
+  report?: AgentReport;
   date: Milliseconds;
 }
 
@@ -96,9 +98,12 @@
   isLost: (run: Run) => boolean,
   reason: string,
 ): void {
+  const crashes = fields.report?.crashes ?? [];
   for (const run of [...fields.state.runs.values()]) {
     if (!isLost(run)) continue;
-    noteUnexplainedLoss(fields, run);
+    // The report of a crash names every run that may have been on the worker.
+    const neverBegan = crashes.some(({ worker }) => worker === run.worker);
+    if (!neverBegan) noteUnexplainedLoss(fields, run);
     loseRun(fields.state, run, reason);
   }
 }
--- a/core/scheduler/suspects_test.ts
+++ b/core/scheduler/suspects_test.ts
@@ -106,3 +106,21 @@
   t.same(crashes, { early: 0, soleEarly: 0, late: 0, soleLate: 0 });
   t.end();
 });
+
+// Guards against a suspect that is given up for crashes of workers on which its
+// start had only been ordered.
+test("a start that its worker never began does not count as a crash", (t) => {
+  const fleet = createFleet({ workers: MANY_CRASHES + 2 });
+  const task = "suspect.0.0.0";
+  fleet.submit(request({ id: "suspect", steps: [step({ estimate: LONG })] }));
+  fleet.crash(runTask(fleet, task));
+  for (let round = 0; round < MANY_CRASHES; round++) {
+    const ordered = Array.from({ length: fleet.size }, (_, index) => index)
+      .find((index) => fleet.starts(index).length > 0);
+    t.ok(ordered !== undefined, "a start is ordered");
+    fleet.crash(ordered!);
+    fleet.advance(3000);
+  }
+  t.equal(fleet.status("suspect"), "running");
+  t.end();
+});
