Let an agent end that was told to stop in one of its ticks

Cause: the tick of the agent dispatches its event and then sets the next timer. When that event lets the agent end, the shutdown cancels the timer that has just run, and the tick sets a new one. The report of the hanging process names one active timer that fires in 4 to 10 ms, and all its sessions had ended 12 s before. Looked for elsewhere: the entry cancels its tick after a delay, gauges can't end their process, and sessions check whether they are closed.

--- a/daemons/agent/agent.ts
+++ b/daemons/agent/agent.ts
@@ -18,7 +18,11 @@
   Timer,
   Versions,
 } from "@dragonflyledge/model";
-import { createLoop, reportReducerError } from "@dragonflyledge/runtime";
+import {
+  createLoop,
+  repeat,
+  reportReducerError,
+} from "@dragonflyledge/runtime";
 import { createEndpointClient } from "./endpoint_client.ts";
 import { createEntrySessions } from "./entry_sessions.ts";
 import type { Observer } from "@dragonflyledge/runtime";
@@ -69,7 +73,6 @@
     perform,
     onFailure: (error) => reportReducerError(observer, error),
   });
-  let cancelTick = () => {};
   let end = () => {};
   const ended = new Promise<void>((resolve) => {
     end = resolve;
@@ -140,6 +143,7 @@
   });
   worker.watch();
   tick();
+  const cancelTick = repeat({ timer, interval: TICK_INTERVAL, task: tick });
 
   function versions(): Versions {
     return {
@@ -163,7 +167,6 @@
 
   function tick(): void {
     loop.dispatch({ kind: "tick", now: clock.now() });
-    cancelTick = timer.after(TICK_INTERVAL, tick);
   }
 
   function perform(effect: AgentEffect): void {
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -21,7 +21,11 @@
   Timer,
   Versions,
 } from "@dragonflyledge/model";
-import { createLoop, reportReducerError } from "@dragonflyledge/runtime";
+import {
+  createLoop,
+  repeat,
+  reportReducerError,
+} from "@dragonflyledge/runtime";
 import type { Observer } from "@dragonflyledge/runtime";
 import { createAdministrationRoutes } from "./administration.ts";
 import { acceptAgents } from "./agent_sessions.ts";
@@ -118,7 +122,6 @@
     onFailure: (error) => reportReducerError(observer, error),
   });
   const { dispatch } = loop;
-  let cancelTick = () => {};
   let end = () => {};
   const ended = new Promise<void>((resolve) => {
     end = resolve;
@@ -217,6 +220,7 @@
   });
   const gauges = startGauges({ state, records, clock, timer, observer });
   tick();
+  const cancelTick = repeat({ timer, interval: TICK_INTERVAL, task: tick });
   observer.log("info", "Entry started.", {
     entry: settings.id,
     port: sessions.port,
@@ -249,7 +253,6 @@
 
   function tick(): void {
     dispatch({ kind: "tick", now: clock.now() });
-    cancelTick = timer.after(TICK_INTERVAL, tick);
   }
 
   function perform(effect: EntryEffect): void {
--- a/daemons/entry/gauges.ts
+++ b/daemons/entry/gauges.ts
@@ -12,6 +12,7 @@
   Milliseconds,
   Timer,
 } from "@dragonflyledge/model";
+import { repeat } from "@dragonflyledge/runtime";
 import type { Observer } from "@dragonflyledge/runtime";
 import type { Records } from "./records.ts";
 import { countHeld, ownersByWorker, workerState } from "./status.ts";
@@ -34,14 +35,8 @@
 }): { stop(): void } {
   const { clock, timer } = fields;
   const sent: Record<string, number> = {};
-  let cancel = timer.after(GAUGE_INTERVAL, send);
-
-  function send(): void {
-    sendGauges({ ...fields, now: clock.now(), sent });
-    cancel = timer.after(GAUGE_INTERVAL, send);
-  }
-
-  return { stop: () => cancel() };
+  const task = () => sendGauges({ ...fields, now: clock.now(), sent });
+  return { stop: repeat({ timer, interval: GAUGE_INTERVAL, task }) };
 }
 
 /**
