Weigh what else happened when a worker crashed under a task

What callers would see: a job that did nothing wrong is shown as failed with "workers-crashed" after its workers crashed twice for reasons of their own. Cause: a crash counted as its task's own whenever no other task had just begun on the worker. That other workers ended within 6 ms of it, or that the worker had crashed before with nothing just begun, was not looked at. And a run that no list had named yet seemed to have just begun for up to a second. The class: evidence is weighed without what contradicts it. Change: agents tell with each crash, and as soon as calls fail, when their worker last lived and when it first failed; a lost connection shows until when it lived. A crash is not its task's own if another worker ended within 100 ms of it, unless a task of the same job had just begun there, or if a worker of this agent crashed in the last 10 minutes while no run had just begun. It still counts toward the limit of five. The log line of the crash names the other cause.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -15,10 +15,11 @@
 } from "./job.ts";
 import type { CrashCounts } from "./job.ts";
 import { runKey } from "./messages.ts";
-import type { WorkerCrash } from "./messages.ts";
+import type { AgentReport, WorkerCrash } from "./messages.ts";
+import { findOtherCause } from "./outages.ts";
 import { finishJob, markChanged } from "./progress.ts";
 import { findTask } from "./runs.ts";
-import type { Run, SchedulerState } from "./state.ts";
+import type { Agent, Run, SchedulerState } from "./state.ts";
 import {
   countOf,
   isGivenUp,
@@ -44,7 +45,12 @@
  * before.
  */
 export function applyCrash(
-  fields: CrashFields & { crash: WorkerCrash },
+  fields: CrashFields & {
+    agent: Agent;
+    /** The agent's report, which tells of the crash. */
+    report: AgentReport;
+    crash: WorkerCrash;
+  },
 ): void {
   const { state, crash } = fields;
   const present = findRuns(state, crash);
@@ -54,6 +60,12 @@
   const begun = inStage(RunStage.Begun);
   const settled = inStage(RunStage.Settled);
   const proven = inStage(RunStage.Proven);
+  state.effects.push({ kind: "workerCrashed", begun: begun.length });
+  const likely = begun.length > 0 ? begun : settled;
+  const one = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
+  const otherCause = likely[0] &&
+    findOtherCause({ ...fields, run: likely[0].run });
+  const sole = one && otherCause === undefined;
   state.effects.push({
     kind: "log",
     level: "warn",
@@ -63,11 +75,9 @@
       begun: namesOf(begun),
       settled: namesOf(settled),
       proven: namesOf(proven),
+      otherCause: otherCause ?? "",
     },
   });
-  state.effects.push({ kind: "workerCrashed", begun: begun.length });
-  const likely = begun.length > 0 ? begun : settled;
-  const sole = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
   for (const { run, stage } of likely) {
     countCrash(fields, run, { early: stage === RunStage.Begun, sole });
   }
--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -17,6 +17,7 @@
   RunningTask,
   StartOrder,
   WorkerCrash,
+  WorkerSilence,
   WorkerState,
 } from "./messages.ts";
 import type { Capacity } from "./state.ts";
@@ -90,9 +91,18 @@
   run: isNumber,
   workedFor: isNumber,
 });
+const isSilence = objectWith<WorkerSilence>({
+  aliveAgo: isNumber,
+  failedAgo: isNumber,
+});
+const isOptionalSilence = (
+  value: unknown,
+): value is WorkerSilence | undefined =>
+  value === undefined || isSilence(value);
 const isCrash = objectWith<WorkerCrash>({
   worker: isText,
   runs: listOf(isCrashedRun),
+  silence: isOptionalSilence,
 });
 const isCrashList = listOf(isCrash);
 const isRunNameList = listOf(isRunName);
@@ -112,6 +122,7 @@
   emptied: listOf(isText),
   crashes: (value): value is WorkerCrash[] | undefined =>
     value === undefined || isCrashList(value),
+  silence: isOptionalSilence,
 });
 const isCapacity = objectWith<Capacity>({
   millicores: isNumber,
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -14,6 +14,7 @@
   RunEnding,
   RunningTask,
   WorkerCrash,
+  WorkerSilence,
 } from "./messages.ts";
 import type { SchedulerEffect } from "./state.ts";
 import { SETTLE_TIME } from "./suspects.ts";
@@ -24,11 +25,18 @@
 const WORKERS_PER_RACK = 3;
 const REPORT_INTERVAL = 500;
 
+/** A crash of a worker, and when it happened. */
+interface FakeCrash extends WorkerCrash {
+  at: number;
+}
+
 interface FakeWorker {
   name: string;
   /** Number of the present incarnation, which is also when it was born. */
   incarnation: number;
-  crashes: WorkerCrash[];
+  crashes: FakeCrash[];
+  /** Since when the agent gets no answers from the worker. */
+  unansweredSince?: number;
   accelerators: number;
   running: RunningTask[];
   /** When each run was first reported as running, by `runKey`. */
@@ -254,8 +262,13 @@
         workedFor: settled.includes(task) ? workedFor : 0,
       }));
       if (evidence) {
-        worker.crashes.push({ worker: keyOf(worker, index), runs });
+        worker.crashes.push({
+          worker: keyOf(worker, index),
+          runs,
+          at: worker.unansweredSince ?? now,
+        });
       }
+      worker.unansweredSince = undefined;
       worker.incarnation++;
       worker.running = [];
       worker.ended = [];
@@ -263,6 +276,11 @@
       worker.orders = undefined;
       report(index);
     },
+    /** The agent reports that the worker does not answer any more. */
+    stopAnswering: (index: number) => {
+      workers[index]!.unansweredSince = now;
+      report(index);
+    },
     /** Lets a run be on the worker, which its agent has not reported yet. */
     runOn: (index: number, task: string, run: number) => {
       workers[index]!.running.push({ task, run, checkpoint: "", percent: 0 });
@@ -338,7 +356,13 @@
       refused: [],
       absent: [],
       emptied: [],
-      crashes: worker.crashes,
+      crashes: worker.crashes.map(({ at, ...crash }) => ({
+        ...crash,
+        silence: silenceSince(at),
+      })),
+      silence: worker.unansweredSince === undefined
+        ? undefined
+        : silenceSince(worker.unansweredSince),
     };
     return applyEffects(
       scheduler.reduce({
@@ -351,6 +375,10 @@
     );
   }
 
+  function silenceSince(time: number): WorkerSilence {
+    return { aliveAgo: now - time, failedAgo: now - time };
+  }
+
   function keyOf({ incarnation }: FakeWorker, index: number): string {
     return `worker-${index}@${incarnation}`;
   }
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -112,11 +112,11 @@
 export interface CrashCounts {
   /** Crashes before the task had settled; 0 once a run of it has settled. */
   early: number;
-  /** Those of `early` for which no other task may be the cause. */
+  /** Those of `early` for which no other cause is likely. */
   soleEarly: number;
   /** Crashes after it had settled, and losses without a known reason. */
   late: number;
-  /** Those of `late` for which no other task may be the cause. */
+  /** Those of `late` for which no other cause is likely. */
   soleLate: number;
 }
 
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -76,18 +76,29 @@
 /** A run that may have been at work on a worker that crashed. */
 export interface CrashedRun extends RunName {
   /**
-   * How long the worker is known to have listed the run: from its first list
-   * with the run to its last answer; 0 if no list named the run.
+   * Time for which the run is known to have been on the worker, from the first
+   * answer that shows it until the worker last showed that it lives; 0 if none
+   * does.
    */
   workedFor: Milliseconds;
 }
 
+/** When a worker ended or fell silent, as times before the report. */
+export interface WorkerSilence {
+  /** Time since it last showed that it lives. */
+  aliveAgo: Milliseconds;
+  /** Time since a call to it first failed. */
+  failedAgo: Milliseconds;
+}
+
 /** A worker incarnation that ended without notice. */
 export interface WorkerCrash {
   /** Key of the incarnation. */
   worker: string;
   /** Every run that may have been on it; runs that never reached it are not. */
   runs: CrashedRun[];
+  /** Undefined in reports of older builds. */
+  silence?: WorkerSilence;
 }
 
 /**
@@ -123,6 +134,8 @@
    * leader hears of them; undefined in reports of older builds.
    */
   crashes?: WorkerCrash[];
+  /** Set while calls to the worker fail. */
+  silence?: WorkerSilence;
 }
 
 /** A start that a leader orders. */
--- /dev/null
+++ b/core/scheduler/outages_test.ts
@@ -0,0 +1,96 @@
+import { test } from "tap";
+import { createFleet, request, step } from "./fleet_for_tests.ts";
+
+type Fleet = ReturnType<typeof createFleet>;
+
+const WORKERS = 6;
+/** Starts of a task that crashes its workers, at most; the rule's bound. */
+const MAX_STARTS = 5;
+const SILENCE = 300;
+
+/** Index of the worker that runs the task; -1 if none does. */
+function workerOf(fleet: Fleet, task: string): number {
+  return Array.from({ length: fleet.size }, (_, index) => index)
+    .findIndex((index) =>
+      fleet.running(index).some((running) => running.task === task)
+    );
+}
+
+/** Crashes the workers at one moment; they are back one after the other. */
+function crashTogether(fleet: Fleet, indices: number[]): void {
+  for (const index of indices) fleet.stopAnswering(index);
+  for (const index of indices) {
+    fleet.advance(SILENCE);
+    fleet.crash(index);
+  }
+}
+
+// Guards against a job that is given up because a rack, or all workers, crashed
+// twice just after it had begun.
+test("a task whose worker crashes along with others is not given up", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  fleet.submit(request({ id: "innocent", steps: [step({})] }));
+  for (let round = 0; round < MAX_STARTS - 1; round++) {
+    fleet.runStarts();
+    const index = workerOf(fleet, "innocent.0.0.0");
+    t.ok(index >= 0, "it runs");
+    crashTogether(fleet, [index, (index + 1) % WORKERS]);
+    fleet.advance(3000);
+  }
+  t.equal(fleet.status("innocent"), "running");
+  t.end();
+});
+
+// Guards against a job that is given up because it met workers twice that crash
+// by themselves again and again.
+test("a task on workers that crash by themselves is not given up", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  for (let index = 0; index < WORKERS; index++) {
+    fleet.crash(index);
+    fleet.advance(1000);
+  }
+  fleet.submit(request({ id: "innocent", steps: [step({})] }));
+  for (let round = 0; round < MAX_STARTS - 1; round++) {
+    fleet.runStarts();
+    fleet.crash(workerOf(fleet, "innocent.0.0.0"));
+    fleet.advance(3000);
+  }
+  t.equal(fleet.status("innocent"), "running");
+  t.end();
+});
+
+// Guards against a job whose tasks crash several workers at the same moment, so
+// that each crash seems to excuse the other.
+test("tasks of one job that crash their workers at once are given up", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  const deadly = step({ count: 2, accelerators: 8 });
+  fleet.submit(request({ id: "deadly", steps: [deadly] }));
+  let rounds = 0;
+  while (fleet.status("deadly") !== "failed" && rounds < 10) {
+    fleet.runStarts();
+    const indices = ["deadly.0.0.0", "deadly.0.0.1"]
+      .map((task) => workerOf(fleet, task));
+    crashTogether(fleet, indices);
+    fleet.advance(3000);
+    rounds++;
+  }
+  t.equal(rounds, 2);
+  t.end();
+});
+
+// Guards against a task that crashes workers without end because each crash
+// falls together with another one.
+test("a task whose crashes have other likely causes too is given up at last", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  fleet.submit(request({ id: "deadly", steps: [step({})] }));
+  let starts = 0;
+  while (fleet.status("deadly") !== "failed" && starts < 10) {
+    fleet.runStarts();
+    const index = workerOf(fleet, "deadly.0.0.0");
+    crashTogether(fleet, [index, (index + 1) % WORKERS]);
+    fleet.advance(3000);
+    starts++;
+  }
+  t.equal(starts, MAX_STARTS);
+  t.end();
+});
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -249,7 +249,7 @@
   now: Milliseconds,
 ): void {
   if (state.agents.has(name)) return;
-  const agent: Agent = { name, lastHeard: now, lost: false };
+  const agent: Agent = { name, lastHeard: now, lost: false, outages: [] };
   state.agents.set(name, agent);
 }
 
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -17,6 +17,7 @@
 import { applyCrash, noteSettled, noteUnexplainedLoss } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
+import { noteOutages } from "./outages.ts";
 import { addRun, addToWorker, findTask, stopRun } from "./runs.ts";
 import { isApplied } from "./state.ts";
 import type { Agent, Run, SchedulerState, Worker } from "./state.ts";
@@ -39,6 +40,7 @@
   agent.lost = false;
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
+  noteOutages(agent, report, now);
   for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
   for (const key of report.emptied) {
     loseRuns(fields, (run) => run.worker === key, "worker emptied");
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -13,6 +13,7 @@
   Step,
   TaskName,
 } from "./job.ts";
+import type { Outage } from "./outages.ts";
 import type { Isolation } from "./suspects.ts";
 import type { Survey } from "./survey.ts";
 import type {
@@ -120,6 +121,8 @@
   /** Whether its grant has run out since its last report. */
   lost: boolean;
   worker?: Worker;
+  /** Recent outages of the worker and of its earlier incarnations. */
+  outages: Outage[];
 }
 
 /** Settings of queues and teams in the newest configuration. */
--- a/core/worker_control/crash.ts
+++ b/core/worker_control/crash.ts
@@ -6,10 +6,21 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey, SETTLE_TIME } from "@dragonflyledge/scheduler";
-import type { CrashedRun, RunName } from "@dragonflyledge/scheduler";
+import type {
+  CrashedRun,
+  RunName,
+  WorkerCrash,
+  WorkerSilence,
+} from "@dragonflyledge/scheduler";
 import { log } from "./log.ts";
 import { ControlPhase, HOLD_WAIT } from "./state.ts";
-import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
+import type {
+  ControlledWorker,
+  ControlState,
+  RecordedCrash,
+  RunControl,
+  Silence,
+} from "./state.ts";
 
 /** A worker that answers does so this long after the wait of a hold call. */
 const ANSWER_DELAY: Milliseconds = 200;
@@ -23,12 +34,15 @@
 export function recordCrash(
   state: ControlState,
   worker: ControlledWorker,
+  now: Milliseconds,
 ): void {
   const { key, draining } = worker.state;
   if (draining || worker.leftAt !== undefined) return;
   if (state.crashes.some((crash) => crash.worker === key)) return;
-  const runs = listExposedRuns(state, worker);
-  state.crashes.push({ worker: key, runs });
+  const silence = state.hold.silence ??
+    { aliveAt: worker.answeredAt, failedAt: now };
+  const runs = listExposedRuns(state, worker, silence);
+  state.crashes.push({ worker: key, runs, silence });
   state.crashes.splice(0, state.crashes.length - KEPT_CRASHES);
   log(state, "Worker crashed.", {
     worker: key,
@@ -37,35 +51,65 @@
   });
 }
 
+/** Converts a recorded crash for a report that is sent now. */
+export function tellCrash(
+  { worker, runs, silence }: RecordedCrash,
+  now: Milliseconds,
+): WorkerCrash {
+  return { worker, runs, silence: tellSilence(silence, now) };
+}
+
+/** Converts the times of a silence for a report that is sent now. */
+export function tellSilence(
+  { aliveAt, failedAt }: Silence,
+  now: Milliseconds,
+): WorkerSilence {
+  return { aliveAgo: now - aliveAt, failedAgo: now - failedAt };
+}
+
 /** Runs that the worker listed last, and those that may have begun since. */
 function listExposedRuns(
   state: ControlState,
   worker: ControlledWorker,
+  silence: Silence,
 ): CrashedRun[] {
-  const listed = worker.running.map(({ task, run }) => ({
+  const expose = ({ task, run }: RunName): CrashedRun => ({
     task,
     run,
-    workedFor: workedFor(worker, { task, run }),
-  }));
+    workedFor: workedFor(state, worker, { task, run }, silence.aliveAt),
+  });
   const known = new Set([...worker.running, ...worker.ended].map(runKey));
   const begun = [...state.runs.values()]
     .filter((control) =>
-      mayHaveBegun(control, worker) && !known.has(runKey(control.name))
+      mayHaveBegun(control, worker, silence) && !known.has(runKey(control.name))
     )
-    .map(({ name }) => ({ ...name, workedFor: 0 }));
-  return [...listed, ...begun];
+    .map(({ name }) => name);
+  return [...worker.running, ...begun].map(expose);
 }
 
-/** Runs that the worker lists and has not listed for SETTLE_TIME yet. */
-export function listUnsettled(worker: ControlledWorker): RunName[] {
+/** Runs that the worker lists and that have not been there for SETTLE_TIME. */
+export function listUnsettled(
+  state: ControlState,
+  worker: ControlledWorker,
+): RunName[] {
   return worker.running
-    .filter((each) => workedFor(worker, each) < SETTLE_TIME)
+    .filter((run) =>
+      workedFor(state, worker, run, worker.answeredAt) < SETTLE_TIME
+    )
     .map(({ task, run }) => ({ task, run }));
 }
 
-/** Time from the first list with the run to the worker's last answer. */
-function workedFor(worker: ControlledWorker, run: RunName): Milliseconds {
-  return worker.answeredAt - worker.listedAt.get(runKey(run))!;
+/** Time from the first answer that shows the run on the worker until `end`. */
+function workedFor(
+  state: ControlState,
+  worker: ControlledWorker,
+  run: RunName,
+  end: Milliseconds,
+): Milliseconds {
+  const key = runKey(run);
+  const listedAt = worker.listedAt.get(key) ?? end;
+  const startedAt = state.runs.get(key)?.startedAt ?? end;
+  return Math.max(0, end - Math.min(listedAt, startedAt));
 }
 
 /**
@@ -75,9 +119,11 @@
 function mayHaveBegun(
   { phase, startSentAt }: RunControl,
   worker: ControlledWorker,
+  silence: Silence,
 ): boolean {
   if (phase === ControlPhase.Started) return true;
   return phase === ControlPhase.Starting && startSentAt !== undefined &&
+    startSentAt <= silence.failedAt &&
     startSentAt - worker.answeredAt <= HOLD_WAIT + ANSWER_DELAY;
 }
 
--- a/core/worker_control/crash_test.ts
+++ b/core/worker_control/crash_test.ts
@@ -15,12 +15,18 @@
 const second = { ...START_ORDER, task: "b.0.0.0" };
 const third = { ...START_ORDER, task: "c.0.0.0" };
 
-function crashesOf(effects: ControlEffect[]) {
+function reportOf(effects: ControlEffect[]) {
   return effects.flatMap((effect) =>
-    effect.kind === "report" ? [effect.report.crashes] : []
+    effect.kind === "report" ? [effect.report] : []
   ).at(-1);
 }
 
+/** The reported crashes, without their times. */
+function crashesOf(effects: ControlEffect[]) {
+  return reportOf(effects)?.crashes
+    ?.map(({ worker, runs }) => ({ worker, runs }));
+}
+
 /** An agent whose worker runs `a` and was called to start `b`, not yet `c`. */
 function createBusy() {
   const { reduce } = createWithWorker();
@@ -137,7 +143,14 @@
     const reduce = createBusy();
     for (const now of [2000, 2200, LEASE_OVER]) {
       reduce({ kind: "tick", now: now - 10 });
-      reduce({ kind: "holdFailed", now, worker: WORKER, reason: "", refused });
+      reduce({
+        kind: "holdFailed",
+        now,
+        worker: WORKER,
+        reason: "",
+        refused,
+        connectionLost: false,
+      });
     }
     const effects = reduce({ kind: "tick", now: LEASE_OVER + 1000 });
     t.same(crashesOf(effects), refused ? EXPOSED : [], `refused: ${refused}`);
@@ -165,3 +178,68 @@
   t.same(unsettledAt(3200), []);
   t.end();
 });
+
+/** An agent whose worker has accepted the start of `a` at 1000. */
+function createStarted() {
+  const { reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 10, orders: orders() });
+  reduce(holdAnswer(20, 10));
+  const starts = [START_ORDER];
+  reduce({ kind: "orders", now: 990, orders: orders({ starts }) });
+  const outcome = { kind: "started", clock: 51_000 } as const;
+  const run = "a.0.0.0#1";
+  reduce({ kind: "startAnswered", now: 1000, worker: WORKER, run, outcome });
+  return reduce;
+}
+
+// Guards against a run that seems to have just begun when its worker crashed,
+// because no list had named it yet.
+test("a lost connection shows until when a worker lived", (t) => {
+  for (const connectionLost of [true, false]) {
+    const reduce = createStarted();
+    reduce({
+      kind: "holdFailed",
+      now: 1700,
+      worker: WORKER,
+      reason: "",
+      refused: false,
+      connectionLost,
+    });
+    const effects = reduce({
+      kind: "announced",
+      now: 3000,
+      announcement: announcement({ id: "i-2", born: 3900 }),
+    });
+    const workedFor = connectionLost ? 700 : 0;
+    t.same(
+      crashesOf(effects)?.[0]?.runs,
+      [{ task: "a.0.0.0", run: 1, workedFor }],
+      `connection lost: ${connectionLost}`,
+    );
+    const aliveAgo = connectionLost ? 1300 : 2980;
+    t.same(reportOf(effects)?.crashes?.[0]?.silence, {
+      aliveAgo,
+      failedAgo: 1300,
+    });
+  }
+  t.end();
+});
+
+// Guards against a leader that takes the crash of many workers for that of one,
+// because it hears of the others too late.
+test("a worker that stops answering is reported at once", (t) => {
+  const reduce = createStarted();
+  const effects = reduce({
+    kind: "holdFailed",
+    now: 1700,
+    worker: WORKER,
+    reason: "",
+    refused: false,
+    connectionLost: true,
+  });
+  t.same(reportOf(effects)?.silence, { aliveAgo: 0, failedAgo: 0 });
+  const answered = reduce(holdAnswer(1900, 1850));
+  t.ok(reportOf(answered), "it is reported, too, when the worker answers");
+  t.equal(reportOf(answered)?.silence, undefined);
+  t.end();
+});
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -7,7 +7,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
-import { listUnsettled, recordCrash } from "./crash.ts";
+import { listUnsettled, recordCrash, tellCrash, tellSilence } from "./crash.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
@@ -126,6 +126,8 @@
   if (event.born < worker.state.born) return;
   state.hold.failures = 0;
   state.hold.nextCallAt = event.now;
+  if (state.hold.silence) state.reportDue = true;
+  state.hold.silence = undefined;
   worker.clock = { value: event.clock, at: event.now };
   if (!worker.state.reachable) {
     log(state, "Worker answers again.", { worker: worker.state.key });
@@ -163,9 +165,15 @@
   event: Extract<ControlEvent, { kind: "holdFailed" }>,
 ): void {
   const { worker } = state;
-  const { worker: key, reason, refused } = event;
+  const { worker: key, reason, refused, connectionLost } = event;
   if (!worker || worker.state.key !== key) return;
   state.hold.callPending = false;
+  if (!state.hold.silence) {
+    const aliveAt = connectionLost ? event.now : worker.answeredAt;
+    state.hold.silence = { aliveAt, failedAt: event.now };
+    // The leader compares it with what other workers do at this moment.
+    state.reportDue = true;
+  }
   state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
   state.hold.failures++;
   state.hold.refused = refused;
@@ -209,6 +217,7 @@
   if (outcome.kind === "started") {
     control.phase = ControlPhase.Started;
     control.answeredAt = event.now;
+    control.startedAt = event.now;
   } else if (outcome.kind === "unknown") control.unansweredStarts++;
   else if (control.unansweredStarts > 0) {
     // An earlier start call without an answer may still be carried out. An
@@ -248,7 +257,7 @@
   if (!left && !lapsed) return;
   // A worker that does not answer may be cut off; one that refuses connections
   // is not there.
-  if (lapsed && state.hold.refused) recordCrash(state, worker);
+  if (lapsed && state.hold.refused) recordCrash(state, worker, now);
   state.emptied.push(worker.state.key);
   worker.state.reachable = false;
   worker.running = [];
@@ -316,7 +325,7 @@
       worker: worker && { ...worker.state },
       listed: worker !== undefined && worker.listed && !gone,
       running: worker?.running ?? [],
-      unsettled: worker ? listUnsettled(worker) : [],
+      unsettled: worker ? listUnsettled(state, worker) : [],
       ended: worker?.ended ?? [],
       refused: controls
         .filter((control) => control.phase === ControlPhase.Refused)
@@ -325,7 +334,8 @@
         .filter((control) => control.phase === ControlPhase.Absent)
         .map((control) => control.name),
       emptied: state.emptied,
-      crashes: state.crashes,
+      crashes: state.crashes.map((crash) => tellCrash(crash, now)),
+      silence: state.hold.silence && tellSilence(state.hold.silence, now),
     },
   });
 }
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -8,11 +8,11 @@
 import type {
   AgentOrders,
   AgentReport,
+  CrashedRun,
   EndedTask,
   RunName,
   RunningTask,
   StartOrder,
-  WorkerCrash,
   WorkerState,
 } from "@dragonflyledge/scheduler";
 
@@ -99,6 +99,8 @@
   callPending: boolean;
   /** When the first start call was sent that the worker has not refused. */
   startSentAt?: Milliseconds;
+  /** When the worker answered that the run has started. */
+  startedAt?: Milliseconds;
   /** Start calls without an answer, which the worker may still carry out. */
   unansweredStarts: number;
   /** No call is sent before this time. */
@@ -125,6 +127,24 @@
   failures: number;
   /** Whether the last call found no process at the worker's address. */
   refused: boolean;
+  /** Set while the calls fail. */
+  silence?: Silence;
+}
+
+/** When a worker ended or fell silent, on the agent's clock. */
+export interface Silence {
+  /** When it last showed that it lives. */
+  aliveAt: Milliseconds;
+  /** When a call to it first failed. */
+  failedAt: Milliseconds;
+}
+
+/** A crash of the worker, with the runs that were on it. */
+export interface RecordedCrash {
+  /** Key of the incarnation. */
+  worker: string;
+  runs: CrashedRun[];
+  silence: Silence;
 }
 
 /** State of an agent's reducer. */
@@ -146,7 +166,7 @@
   /** Keys of worker incarnations on which nothing runs any more. */
   emptied: string[];
   /** The latest crashes of the worker, the last one at the end. */
-  crashes: WorkerCrash[];
+  crashes: RecordedCrash[];
   lastReportAt: Milliseconds;
   /** Whether a report is sent at the end of the current event. */
   reportDue: boolean;
@@ -184,8 +204,15 @@
       running: RunningTask[];
       ended: EndedTask[];
     }
-    /** A hold call failed; `refused` if no process listens there. */
-    | { kind: "holdFailed"; worker: string; reason: string; refused: boolean }
+    | {
+      kind: "holdFailed";
+      worker: string;
+      reason: string;
+      /** Whether no process listens at the worker's address. */
+      refused: boolean;
+      /** Whether the worker closed the connection, having lived until then. */
+      connectionLost: boolean;
+    }
     | {
       kind: "startAnswered";
       worker: string;
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -142,7 +142,7 @@
   const former = state.worker;
   // The lists of a former worker that was emptied are gone.
   if (former && !state.emptied.includes(former.state.key)) {
-    recordCrash(state, former);
+    recordCrash(state, former, now);
   }
   state.worker = worker;
   state.runs.clear();
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -227,6 +227,7 @@
       worker: WORKER,
       reason: "silent",
       refused: false,
+      connectionLost: false,
     });
   fail(1700);
   fail(3400);
