Leave runs at work out of a crash of several workers at once

Cause: a crash with another likely cause still counted toward the limit of five, also for a run that had settled, for which it says nothing. Change: such a crash counts for runs that had just begun only. And a crash of a worker with a run of the job itself does not excuse the next one there.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -16,7 +16,7 @@
 import type { CrashCounts } from "./job.ts";
 import { runKey } from "./messages.ts";
 import type { AgentReport, WorkerCrash } from "./messages.ts";
-import { findOtherCause } from "./outages.ts";
+import { findOtherCause, OtherCause } from "./outages.ts";
 import { finishJob, markChanged } from "./progress.ts";
 import { findTask } from "./runs.ts";
 import type { Agent, Run, SchedulerState } from "./state.ts";
@@ -39,20 +39,20 @@
   date: Milliseconds;
 }
 
+/** A crash, and the report that tells of it. */
+interface CrashNotice extends CrashFields {
+  agent: Agent;
+  report: AgentReport;
+  crash: WorkerCrash;
+}
+
 /**
  * Counts a crash for each task that may be its cause, and loses all runs that
  * were on the worker. A crash whose runs are no longer known has been applied
  * before.
  */
-export function applyCrash(
-  fields: CrashFields & {
-    agent: Agent;
-    /** The agent's report, which tells of the crash. */
-    report: AgentReport;
-    crash: WorkerCrash;
-  },
-): void {
-  const { state, crash } = fields;
+export function applyCrash(notice: CrashNotice): void {
+  const { state, crash } = notice;
   const present = findRuns(state, crash);
   if (present.length === 0) return;
   const inStage = (stage: RunStage) =>
@@ -60,12 +60,10 @@
   const begun = inStage(RunStage.Begun);
   const settled = inStage(RunStage.Settled);
   const proven = inStage(RunStage.Proven);
-  state.effects.push({ kind: "workerCrashed", begun: begun.length });
   const likely = begun.length > 0 ? begun : settled;
-  const one = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
   const otherCause = likely[0] &&
-    findOtherCause({ ...fields, run: likely[0].run });
-  const sole = one && otherCause === undefined;
+    findOtherCause({ ...notice, run: likely[0].run });
+  state.effects.push({ kind: "workerCrashed", begun: begun.length });
   state.effects.push({
     kind: "log",
     level: "warn",
@@ -78,13 +76,24 @@
       otherCause: otherCause ?? "",
     },
   });
-  for (const { run, stage } of likely) {
-    countCrash(fields, run, { early: stage === RunStage.Begun, sole });
-  }
+  const alone = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
+  for (const each of likely) countLikelyCause(notice, each, alone);
   for (const { run } of proven) clearCounts(state, run, createCrashCounts());
   for (const { run } of present) loseRun(state, run, "worker crashed");
 }
 
+/** Counts the crash for a task; `alone` if no other one is as likely. */
+function countLikelyCause(
+  notice: CrashNotice,
+  { run, stage }: CrashedWorkerRun,
+  alone: boolean,
+): void {
+  const otherCause = findOtherCause({ ...notice, run });
+  const early = stage === RunStage.Begun;
+  if (!early && otherCause === OtherCause.Shared) return;
+  countCrash(notice, run, { early, sole: alone && otherCause === undefined });
+}
+
 /**
  * Counts the loss of a run whose worker, agent or machine is gone for a reason
  * that nobody knows. It counts only for a task that is suspected already.
--- a/core/scheduler/outages.ts
+++ b/core/scheduler/outages.ts
@@ -12,7 +12,12 @@
 import { MINUTE } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { parseTask } from "./job.ts";
-import type { AgentReport, WorkerCrash, WorkerSilence } from "./messages.ts";
+import type {
+  AgentReport,
+  RunName,
+  WorkerCrash,
+  WorkerSilence,
+} from "./messages.ts";
 import type { Agent, Run, SchedulerState } from "./state.ts";
 import { RunStage, stageOf } from "./suspects.ts";
 
@@ -50,9 +55,18 @@
   agent.outages.push(createOutage(worker.key, silence, jobs, now));
 }
 
+/** What may have caused a crash beside the runs on the worker. */
+export const OtherCause = {
+  /** Another worker ended at the same moment. */
+  Shared: "another worker ended at the same moment",
+  /** The worker, or one before it, crashed before while nothing had begun. */
+  Unstable: "the worker crashed by itself before",
+} as const;
+export type OtherCause = typeof OtherCause[keyof typeof OtherCause];
+
 /**
- * Returns what may have caused the crash beside the run that had just begun on
- * the worker, and undefined if nothing is known.
+ * Returns what may have caused the crash beside a run that was on the worker,
+ * and undefined if nothing is known.
  */
 export function findOtherCause(fields: {
   state: SchedulerState;
@@ -61,26 +75,40 @@
   crash: WorkerCrash;
   report: AgentReport;
   run: Run;
-}): string | undefined {
-  const { state, agent, crash, report, run } = fields;
-  if (isUnstable(report, crash)) return "the worker crashed by itself before";
+}): OtherCause | undefined {
+  const { state, agent, crash, report } = fields;
+  const job = fields.run.job.request.id;
   const own = agent.outages.find(({ worker }) => worker === crash.worker);
-  if (!own) return undefined;
-  for (const other of state.agents.values()) {
-    if (other === agent) continue;
-    const atOnce = other.outages.find((outage) => isAtOnce(outage, own));
-    // Tasks of one job may each crash their worker.
-    if (!atOnce || atOnce.begunJobs.has(run.job.request.id)) continue;
-    return `${atOnce.worker} ended at the same moment`;
-  }
-  return undefined;
+  const isShared = own !== undefined &&
+    [...state.agents.values()].some((other) =>
+      other !== agent && hasOutageAtOnce(other, own, job)
+    );
+  if (isShared) return OtherCause.Shared;
+  return isUnstable(report, crash, job) ? OtherCause.Unstable : undefined;
+}
+
+/**
+ * Whether the agent's worker ended together with the outage. If a task of the
+ * job had just begun there, too, both may be the work of the job.
+ */
+function hasOutageAtOnce(agent: Agent, own: Outage, job: string): boolean {
+  return agent.outages.some((outage) =>
+    isAtOnce(outage, own) && !outage.begunJobs.has(job)
+  );
 }
 
-/** Whether a worker of the agent crashed before while no run had just begun. */
-function isUnstable(report: AgentReport, crash: WorkerCrash): boolean {
+/**
+ * Whether a worker of the agent crashed before while no run had just begun, and
+ * none of the job was there.
+ */
+function isUnstable(
+  report: AgentReport,
+  crash: WorkerCrash,
+  job: string,
+): boolean {
   const crashes = report.crashes ?? [];
   return crashes.slice(0, crashes.indexOf(crash)).some((earlier) =>
-    begunJobs(earlier).size === 0 &&
+    begunJobs(earlier).size === 0 && !jobsOf(earlier.runs).has(job) &&
     (earlier.silence?.failedAgo ?? Infinity) < UNSTABLE_TIME
   );
 }
@@ -99,8 +127,11 @@
 }
 
 function begunJobs({ runs }: WorkerCrash): Set<string> {
-  const begun = runs.filter(({ workedFor }) =>
-    stageOf(workedFor) === RunStage.Begun
+  return jobsOf(
+    runs.filter(({ workedFor }) => stageOf(workedFor) === RunStage.Begun),
   );
-  return new Set(begun.flatMap(({ task }) => parseTask(task)?.job ?? []));
+}
+
+function jobsOf(runs: RunName[]): Set<string> {
+  return new Set(runs.flatMap(({ task }) => parseTask(task)?.job ?? []));
 }
--- a/core/scheduler/outages_test.ts
+++ b/core/scheduler/outages_test.ts
@@ -94,3 +94,39 @@
   t.equal(starts, MAX_STARTS);
   t.end();
 });
+
+// Guards against a long job that is given up because many racks, or all
+// workers, crashed in turn while it was at work.
+test("a task at work when many workers crash at once counts no crash", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  fleet.submit(request({ id: "innocent", steps: [step({})] }));
+  const task = "innocent.0.0.0";
+  for (let round = 0; round < 2 * MAX_STARTS; round++) {
+    fleet.runStarts();
+    const index = workerOf(fleet, task);
+    const other = (index + 1) % WORKERS;
+    fleet.stopAnswering(index);
+    fleet.stopAnswering(other);
+    fleet.crash(index, { settled: [task] });
+    fleet.crash(other);
+    fleet.advance(3000);
+  }
+  t.equal(fleet.status("innocent"), "running");
+  t.end();
+});
+
+// Guards against a task that crashes its workers at work, and whose first crash
+// seems to show that its worker is at fault.
+test("a crash of a worker says nothing of it for a task that was there", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({ id: "deadly", steps: [step({})] }));
+  let starts = 0;
+  while (fleet.status("deadly") !== "failed" && starts < 10) {
+    fleet.runStarts();
+    fleet.crash(0, { settled: ["deadly.0.0.0"] });
+    fleet.advance(3000);
+    starts++;
+  }
+  t.equal(starts, 3);
+  t.end();
+});
