Count a gang as begun once its last member has begun

What callers would see: a job that joined a worker is given up for the crashes of a gang that waited there for its last member; or it is lost with it. Cause: a member that is listed and waits seemed to be at work. After 0.5 s it had settled: its crashes at the start were cleared, its worker was open to others, and the crash counted for runs that had begun beside it. The class: presence is taken for progress. Change: the leader notes when it first sees all members listed. A crash less than 0.5 s after that is one at the start for all of them, and a gang settles only after it, and while its workers answer. confirmedAt, which nothing read, is gone.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -17,6 +17,7 @@
 import { runKey } from "./messages.ts";
 import type { AgentReport, WorkerCrash } from "./messages.ts";
 import { findOtherCause, OtherCause } from "./outages.ts";
+import type { Outage } from "./outages.ts";
 import { finishJob, markChanged } from "./progress.ts";
 import { findTask } from "./runs.ts";
 import type { Agent, Run, SchedulerState } from "./state.ts";
@@ -25,9 +26,13 @@
   isGivenUp,
   isSuspect,
   RunStage,
+  SETTLE_TIME,
   stageOf,
 } from "./suspects.ts";
 
+/** Longest time between two answers of a worker that is not silent. */
+const ANSWER_INTERVAL: Milliseconds = 1200;
+
 /** A run that was on a worker when it crashed. */
 interface CrashedWorkerRun {
   run: Run;
@@ -53,7 +58,7 @@
  */
 export function applyCrash(notice: CrashNotice): void {
   const { state, crash } = notice;
-  const present = findRuns(state, crash);
+  const present = findRuns(notice);
   if (present.length === 0) return;
   const inStage = (stage: RunStage) =>
     present.filter((each) => each.stage === stage);
@@ -109,16 +114,33 @@
 }
 
 /**
- * Clears the task's early crashes once a run of it has settled: a task that
+ * Notes that a worker which still answers has listed the run for SETTLE_TIME.
+ * Once it has settled, the task's early crashes are cleared: a task that
  * crashes each worker that starts it never does, so that another task or the
  * worker was the cause.
  */
-export function noteSettled(state: SchedulerState, run: Run): void {
+export function noteSettled(
+  state: SchedulerState,
+  run: Run,
+  now: Milliseconds,
+): void {
+  if (run.settled || !hasAssembled(run, now)) return;
+  run.settled = true;
   const task = findTask(run.job, run.task);
   if (!task || task.run !== run.run) return;
   clearCounts(state, run, { ...task.crashes, early: 0, soleEarly: 0 });
 }
 
+/**
+ * Whether a gang has been at work for SETTLE_TIME at the latest answer of each
+ * of its workers; true for a run that works alone.
+ */
+function hasAssembled({ step, assembledAt }: Run, now: Milliseconds): boolean {
+  if (!step.gang) return true;
+  return assembledAt !== undefined &&
+    now - assembledAt >= SETTLE_TIME + ANSWER_INTERVAL;
+}
+
 /** Replaces the task's counts by lower ones. */
 function clearCounts(
   state: SchedulerState,
@@ -149,17 +171,23 @@
   });
 }
 
-function findRuns(
-  state: SchedulerState,
-  crash: WorkerCrash,
-): CrashedWorkerRun[] {
+function findRuns({ state, agent, crash }: CrashNotice): CrashedWorkerRun[] {
+  const outage = agent.outages.find(({ worker }) => worker === crash.worker);
   return crash.runs.flatMap((name) => {
     const run = state.runs.get(runKey(name));
     if (run?.worker !== crash.worker) return [];
-    return [{ run, stage: stageOf(name.workedFor) }];
+    const workedFor = Math.min(name.workedFor, workedTogether(run, outage));
+    return [{ run, stage: stageOf(workedFor) }];
   });
 }
 
+/** Longest time for which the run can have worked, since gangs work together. */
+function workedTogether(run: Run, outage: Outage | undefined): Milliseconds {
+  if (!run.step.gang || !outage) return Infinity;
+  if (run.assembledAt === undefined) return 0;
+  return Math.max(0, outage.from - run.assembledAt);
+}
+
 /** Counts a crash for the run's task, and gives the job up at the limit. */
 function countCrash(
   fields: CrashFields,
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -18,7 +18,7 @@
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { noteOutages } from "./outages.ts";
-import { addRun, addToWorker, findTask, stopRun } from "./runs.ts";
+import { addRun, addToWorker, findTask, noteListed, stopRun } from "./runs.ts";
 import { isApplied } from "./state.ts";
 import type { Agent, Run, SchedulerState, Worker } from "./state.ts";
 
@@ -224,12 +224,9 @@
     listed.add(key);
     const run = state.runs.get(key);
     if (run && run.worker === worker.state.key) {
-      run.confirmed = true;
-      run.confirmedAt ??= now;
-      if (!run.settled && report.unsettled && !unsettled.has(key)) {
-        run.settled = true;
-        noteSettled(state, run);
-      }
+      noteListed(run, now);
+      const listedLong = report.unsettled && !unsettled.has(key);
+      if (listedLong && !report.silence) noteSettled(state, run, now);
       run.percent = running.percent;
       run.progressAt = now;
       const task = findTask(run.job, run.task);
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Milliseconds } from "@dragonflyledge/model";
 import { formatTask, TaskPhase } from "./job.ts";
 import type { Step, TaskName, TaskProgress } from "./job.ts";
 import { runKey } from "./messages.ts";
@@ -69,7 +70,6 @@
     worker: fields.worker,
     version: job.version,
     confirmed: fields.confirmed,
-    confirmedAt: fields.confirmed ? fields.now : undefined,
     settled: false,
     isolation: isolationOf(tasksOf(job, task)),
     stopping: false,
@@ -85,6 +85,17 @@
   return run;
 }
 
+/** Notes that the worker lists the run, and with it perhaps its whole gang. */
+export function noteListed(run: Run, now: Milliseconds): void {
+  run.confirmed = true;
+  if (run.assembledAt !== undefined) return;
+  const members = gangOf(run).filter((member) => member.run === run.run);
+  const expected = run.step.gang ? run.step.count : 1;
+  if (members.length < expected) return;
+  if (!members.every(({ confirmed }) => confirmed)) return;
+  for (const member of members) member.assembledAt = now;
+}
+
 /** Adds the run to its worker and to the capacity in use there. */
 export function addToWorker(worker: Worker, run: Run): void {
   if (worker.runs.has(run)) return;
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -62,9 +62,12 @@
   version: number;
   /** Whether the worker has listed the run. */
   confirmed: boolean;
-  /** When this process first saw the worker list the run. */
-  confirmedAt?: Milliseconds;
-  /** Whether the worker has listed it for SETTLE_TIME. */
+  /**
+   * When this process first saw all runs listed that work only together with
+   * this one.
+   */
+  assembledAt?: Milliseconds;
+  /** Whether it has been at work for SETTLE_TIME. */
   settled: boolean;
   isolation: Isolation;
   /** Whether the run was told to stop; it still occupies its capacity. */
