Report the capacity that a worker had before it shrank

What operators saw: after a change of leader, missing_accelerators and the waits of urgent tasks show no missing capacity, though workers are still smaller than they were. Found by reading the code. Cause: the largest capacity was kept by the leader alone. Change: agents keep it for each incarnation and report it. Evidence: "a new leader knows how much capacity is missing" fails with the leader's use of it taken out; "the capacity that a worker had before is reported" is of the agent.

--- a/core/scheduler/capacity.ts
+++ b/core/scheduler/capacity.ts
@@ -11,11 +11,20 @@
 const KINDS = ["millicores", "megabytes", "accelerators"] as const;
 
 /** Capacity that the worker announces now. */
-export function capacityOf(reported: WorkerState): Capacity {
+export function capacityOf(reported: Capacity): Capacity {
   const { millicores, megabytes, accelerators } = reported;
   return { millicores, megabytes, accelerators };
 }
 
+/** Most of each resource that is in either amount. */
+export function largestOf(a: Capacity, b: Capacity): Capacity {
+  return {
+    millicores: Math.max(a.millicores, b.millicores),
+    megabytes: Math.max(a.megabytes, b.megabytes),
+    accelerators: Math.max(a.accelerators, b.accelerators),
+  };
+}
+
 /** Logs a capacity that changed, and plans anew. */
 export function noteCapacity(
   state: SchedulerState,
@@ -25,10 +34,7 @@
   const before = capacityOf(worker.state);
   const now = capacityOf(reported);
   if (isEqualCapacity(before, now)) return;
-  const { full } = worker;
-  for (const kind of KINDS) {
-    full[kind] = Math.max(full[kind], now[kind]);
-  }
+  worker.full = largestOf(worker.full, now);
   state.planDue = true;
   state.effects.push({
     kind: "log",
@@ -43,7 +49,7 @@
       usedMillicores: worker.used.millicores,
       usedMegabytes: worker.used.megabytes,
       usedAccelerators: worker.used.accelerators,
-      shrunk: isShrunk(full, now),
+      shrunk: isShrunk(worker.full, now),
     },
   });
 }
--- a/core/scheduler/capacity_test.ts
+++ b/core/scheduler/capacity_test.ts
@@ -72,3 +72,12 @@
   t.same(fleet.starts(0).map(({ task }) => task), ["next.0.0.0"]);
   t.end();
 });
+
+// Guards against a new leader whose metrics and waits show no missing capacity,
+// since it did not see the worker shrink.
+test("a new leader knows how much capacity is missing", (t) => {
+  const leader = createFleet({ workers: 1, takesOver: true });
+  leader.resize(0, 2);
+  t.equal(missingCapacity(leader.scheduler.state).accelerators, 6);
+  t.end();
+});
--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -73,6 +73,13 @@
   spec: isText,
   checkpoint: isText,
 });
+const isCapacity = objectWith<Capacity>({
+  millicores: isNumber,
+  megabytes: isNumber,
+  accelerators: isNumber,
+});
+const isOptionalCapacity = (value: unknown): value is Capacity | undefined =>
+  value === undefined || isCapacity(value);
 const isWorkerState = objectWith<WorkerState>({
   key: isText,
   born: isNumber,
@@ -82,6 +89,7 @@
   millicores: isNumber,
   megabytes: isNumber,
   accelerators: isNumber,
+  full: isOptionalCapacity,
   draining: isFlag,
   remaining: isNumber,
   reachable: isFlag,
@@ -124,18 +132,12 @@
     value === undefined || isCrashList(value),
   silence: isOptionalSilence,
 });
-const isCapacity = objectWith<Capacity>({
-  millicores: isNumber,
-  megabytes: isNumber,
-  accelerators: isNumber,
-});
 const isOrders = objectWith<AgentOrders>({
   kind: (value): value is "orders" => value === "orders",
   epoch: isNumber,
   answersReport: isNumber,
   worker: isText,
-  capacity: (value): value is Capacity | undefined =>
-    value === undefined || isCapacity(value),
+  capacity: isOptionalCapacity,
   starts: listOf(isStartOrder),
   stops: listOf(isRunName),
   acknowledged: isNumber,
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -38,6 +38,8 @@
   /** Since when the agent gets no answers from the worker. */
   unansweredSince?: number;
   accelerators: number;
+  /** Most accelerators that the incarnation has announced. */
+  mostAccelerators: number;
   running: RunningTask[];
   /** When each run was first reported as running, by `runKey`. */
   listedAt: Map<string, number>;
@@ -132,6 +134,7 @@
       incarnation: 1,
       crashes: [],
       accelerators: 8,
+      mostAccelerators: 8,
       running: [],
       listedAt: new Map(),
       ended: [],
@@ -270,6 +273,7 @@
       }
       worker.unansweredSince = undefined;
       worker.incarnation++;
+      worker.mostAccelerators = worker.accelerators;
       worker.running = [];
       worker.ended = [];
       worker.nextEnd = 1;
@@ -287,7 +291,9 @@
     },
     /** Changes the number of accelerators that the worker announces. */
     resize: (index: number, accelerators: number) => {
-      workers[index]!.accelerators = accelerators;
+      const worker = workers[index]!;
+      worker.accelerators = accelerators;
+      worker.mostAccelerators = Math.max(worker.mostAccelerators, accelerators);
       report(index);
     },
     /** Passes time, with reports and ticks at the report interval. */
@@ -343,6 +349,11 @@
         millicores: 32_000,
         megabytes: 128_000,
         accelerators: worker.accelerators,
+        full: {
+          millicores: 32_000,
+          megabytes: 128_000,
+          accelerators: worker.mostAccelerators,
+        },
         draining: worker.remaining !== undefined,
         remaining: worker.remaining ?? 0,
         reachable: true,
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -34,6 +34,11 @@
   millicores: number;
   megabytes: number;
   accelerators: number;
+  /**
+   * Most of each resource that the incarnation has announced; undefined in
+   * reports of older builds.
+   */
+  full?: Capacity;
   draining: boolean;
   /** Shortest time, in milliseconds, that a draining worker has left. */
   remaining: Milliseconds;
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-export { isEqualCapacity, missingCapacity } from "./capacity.ts";
+export {
+  capacityOf,
+  isEqualCapacity,
+  largestOf,
+  missingCapacity,
+} from "./capacity.ts";
 export { decodeOrders, decodeReport } from "./decode.ts";
 export * from "./job.ts";
 export * from "./messages.ts";
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -167,7 +167,7 @@
   if (known) state.workers.delete(known.state.key);
   const worker: Worker = {
     state: reported,
-    full: capacityOf(reported),
+    full: reported.full ?? capacityOf(reported),
     agent: agent.name,
     listed: false,
     used: { millicores: 0, megabytes: 0, accelerators: 0 },
--- a/core/worker_control/capacity_test.ts
+++ b/core/worker_control/capacity_test.ts
@@ -20,6 +20,31 @@
   t.end();
 });
 
+// Guards against shrunk capacity that nobody sees any more once the leader that
+// saw it shrink is gone.
+test("the capacity that a worker had before is reported", (t) => {
+  const { control, reduce } = createWithWorker();
+  const announce = (accelerators: number, sequence: number) =>
+    reduce({
+      kind: "announced",
+      now: 100 * sequence,
+      announcement: announcement({ accelerators, sequence }),
+    });
+  announce(4, 2);
+  announce(6, 3);
+  t.match(control.state.worker?.state, {
+    accelerators: 6,
+    full: { accelerators: 8 },
+  });
+  reduce({
+    kind: "announced",
+    now: 1000,
+    announcement: announcement({ id: "i-2", born: 3000, accelerators: 5 }),
+  });
+  t.equal(control.state.worker?.state.full?.accelerators, 5);
+  t.end();
+});
+
 // Guards against a start that waits at the agent, in the absence of a leader,
 // until the worker has no room for it any more.
 test("a start for a former capacity is not sent", (t) => {
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -18,7 +18,7 @@
 
 /** What a worker's heartbeat says about the worker. */
 export type Announcement =
-  & Omit<WorkerState, "key" | "reachable">
+  & Omit<WorkerState, "key" | "reachable" | "full">
   & {
     id: string;
     /** The worker's monotonic clock when it sent the heartbeat. */
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -5,7 +5,11 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { isEqualCapacity } from "@dragonflyledge/scheduler";
+import {
+  capacityOf,
+  isEqualCapacity,
+  largestOf,
+} from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
@@ -37,6 +41,7 @@
     worker.state = {
       ...worker.state,
       ...described,
+      full: largestOf(worker.state.full ?? announcement, announcement),
       draining: described.draining || worker.state.draining,
     };
     if (drainingChanged) {
@@ -48,7 +53,12 @@
   if (worker && worker.state.born >= announcement.born) return;
   switchWorker(state, {
     id,
-    state: { ...described, key, reachable: true },
+    state: {
+      ...described,
+      key,
+      reachable: true,
+      full: capacityOf(announcement),
+    },
     sequence,
     clock: { value: clock, at: now },
     latestLeaseEnd: latestEarlierLeaseEnd(state, now),
@@ -105,6 +115,7 @@
       key: workerKey(worker.id, born),
       draining: false,
       reachable: true,
+      full: capacityOf(worker.state),
     },
     sequence: 0,
     clock: undefined,
