Bound the starts of a task whose crashes nobody tells

What callers would see: a task crashes worker after worker if, each time, its agent is killed before it has reported the crash: the loss of the run has no known reason then, and counted only for tasks that were suspected already. Cause: what is stored was not looked at: that the worker incarnation to which the run was assigned is gone. They make no suspect, so that a loss of power does not set each task of the fleet apart, and are cleared once a run settles. Test changed: "a task on workers that are lost for another reason goes on" let eight workers be replaced right under the start of a task without a limit, which is the hole. Now the task has been at work for a second each time; that case still has no limit, and a new test holds the limit for the other. Evidence: "a task whose workers are replaced at each start is given up at last" fails without the change: the job goes on.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -44,6 +44,16 @@
   date: Milliseconds;
 }
 
+/** How a crash counts for a task. */
+interface CountedCrash {
+  kind: "early" | "late" | "untold";
+  /** Whether no other cause is likely. */
+  sole: boolean;
+}
+
+const UNEXPLAINED: CountedCrash = { kind: "late", sole: false };
+const UNTOLD: CountedCrash = { kind: "untold", sole: false };
+
 /** A crash, and the report that tells of it. */
 interface CrashNotice extends CrashFields {
   agent: Agent;
@@ -96,21 +106,28 @@
   const otherCause = findOtherCause({ ...notice, run });
   const early = stage === RunStage.Begun;
   if (!early && otherCause === OtherCause.Shared) return;
-  countCrash(notice, run, { early, sole: alone && otherCause === undefined });
+  const sole = alone && otherCause === undefined;
+  countCrash(notice, run, { kind: early ? "early" : "late", sole });
 }
 
 /**
  * Counts the loss of a run whose worker, agent or machine is gone for a reason
- * that nobody knows. It counts only for a task that is suspected already.
+ * that nobody knows. Unless its task is suspected already, it counts only if
+ * the worker was `replaced` while the run may have just begun.
  */
-export function noteUnexplainedLoss(fields: CrashFields, run: Run): void {
+export function noteUnexplainedLoss(
+  fields: CrashFields,
+  run: Run,
+  replaced: boolean,
+): void {
   const task = findTask(run.job, run.task);
-  if (!task || !isSuspect(task.crashes)) return;
+  if (!task) return;
   // The start of this run was never ordered.
   if (run.job.storedVersion < run.version) return;
   // The worker left as planned.
   if (fields.state.workers.get(run.worker)?.state.draining) return;
-  countCrash(fields, run, { early: false, sole: false });
+  if (isSuspect(task.crashes)) countCrash(fields, run, UNEXPLAINED);
+  else if (replaced && !run.settled) countCrash(fields, run, UNTOLD);
 }
 
 /**
@@ -128,7 +145,8 @@
   run.settled = true;
   const task = findTask(run.job, run.task);
   if (!task || task.run !== run.run) return;
-  clearCounts(state, run, { ...task.crashes, early: 0, soleEarly: 0 });
+  const cleared = { early: 0, soleEarly: 0, untold: 0 };
+  clearCounts(state, run, { ...task.crashes, ...cleared });
 }
 
 /**
@@ -192,7 +210,7 @@
 function countCrash(
   fields: CrashFields,
   run: Run,
-  kind: { early: boolean; sole: boolean },
+  { kind, sole }: CountedCrash,
 ): void {
   const { state, date } = fields;
   const { job } = run;
@@ -201,8 +219,8 @@
   if (isFinal(job.progress.status)) return;
   const { crashes } = task;
   const wasSuspect = isSuspect(crashes);
-  crashes[kind.early ? "early" : "late"]++;
-  if (kind.sole) crashes[kind.early ? "soleEarly" : "soleLate"]++;
+  crashes[kind]++;
+  if (sole) crashes[kind === "early" ? "soleEarly" : "soleLate"]++;
   markChanged(state, job);
   if (!wasSuspect && isSuspect(crashes)) {
     state.effects.push({ kind: "suspicion", change: "raised" });
--- a/core/scheduler/crashes_test.ts
+++ b/core/scheduler/crashes_test.ts
@@ -159,7 +159,7 @@
   second.runOn(0, "deadly.0.0.0", 1);
   second.crash(0);
   const { crashes } = second.progress("deadly").occurrences[0]!.steps[0]![0]!;
-  t.same(crashes, { early: 1, soleEarly: 1, late: 0, soleLate: 0 });
+  t.same(crashes, { early: 1, soleEarly: 1, late: 0, soleLate: 0, untold: 0 });
   t.end();
 });
 
@@ -171,6 +171,7 @@
   const task = "unlucky.0.0.0";
   for (let round = 0; round < 8; round++) {
     fleet.runStarts();
+    fleet.advance(1000);
     fleet.crash(workerOf(fleet, task), { evidence: false });
     fleet.advance(3000);
   }
@@ -195,8 +196,20 @@
   crashBeneath(fleet, "new.0.0.0", ["old.0.0.0"]);
   const counts = (id: string) =>
     fleet.progress(id).occurrences[0]!.steps[0]![0]!.crashes;
-  t.same(counts("old"), { early: 0, soleEarly: 0, late: 0, soleLate: 0 });
-  t.same(counts("new"), { early: 1, soleEarly: 1, late: 0, soleLate: 0 });
+  t.same(counts("old"), {
+    early: 0,
+    soleEarly: 0,
+    late: 0,
+    soleLate: 0,
+    untold: 0,
+  });
+  t.same(counts("new"), {
+    early: 1,
+    soleEarly: 1,
+    late: 0,
+    soleLate: 0,
+    untold: 0,
+  });
   const placed = fleet.logsOf("Tasks placed.").slice(-2);
   t.same(
     placed.map(({ job, isolation }) => [job, isolation ?? "none"]).sort(),
@@ -250,6 +263,7 @@
     soleEarly: 1,
     late: 0,
     soleLate: 0,
+    untold: 0,
   };
   const progress = createProgress();
   progress.nextOccurrence = 1;
@@ -292,3 +306,21 @@
   t.same(tasksOn(fleet, soonEmpty), ["brief.0.0.0"]);
   t.end();
 });
+
+// Guards against a task that crashes workers without end because each time all
+// processes are killed before the crash is told.
+test("a task whose workers are replaced at each start is given up at last", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  fleet.submit(request({ id: "deadly", steps: [step({})] }));
+  for (let start = 1; start <= MAX_STARTS; start++) {
+    t.equal(fleet.status("deadly"), "running");
+    fleet.runStarts();
+    fleet.crash(workerOf(fleet, "deadly.0.0.0"), { evidence: false });
+    const placed = fleet.logsOf("Tasks placed.").at(-1)!;
+    t.equal(placed.isolation, undefined, "it is no suspect");
+    const progress = fleet.progress("deadly");
+    t.same(unpackProgress(packProgress(progress)), progress, "it is stored");
+  }
+  t.equal(fleet.status("deadly"), "failed");
+  t.end();
+});
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -118,6 +118,11 @@
   late: number;
   /** Those of `late` for which no other cause is likely. */
   soleLate: number;
+  /**
+   * Workers that were replaced before the task had settled, without a report of
+   * what happened; 0 once a run of it has settled. They make no suspect.
+   */
+  untold: number;
 }
 
 /** Why a job failed, as callers are told. */
@@ -199,7 +204,7 @@
 
 /** Creates the counts of a task under which no worker has crashed. */
 export function createCrashCounts(): CrashCounts {
-  return { early: 0, soleEarly: 0, late: 0, soleLate: 0 };
+  return { early: 0, soleEarly: 0, late: 0, soleLate: 0, untold: 0 };
 }
 
 /** Creates an occurrence of which all tasks are waiting. */
--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -21,8 +21,9 @@
   string,
   number,
   number,
-  ...([number, number, number, number] | []),
+  ...(CrashRow | []),
 ];
+type CrashRow = [number, number, number, number, number];
 type OccurrenceRow = [number, TaskRow[][]];
 type FailureRow = [string, string, number];
 
@@ -64,9 +65,11 @@
 
 function packCrashes(
   { crashes }: TaskProgress,
-): [number, number, number, number] | [] {
-  const { early, soleEarly, late, soleLate } = crashes;
-  return early + late === 0 ? [] : [early, soleEarly, late, soleLate];
+): CrashRow | [] {
+  const { early, soleEarly, late, soleLate, untold } = crashes;
+  return early + late + untold === 0
+    ? []
+    : [early, soleEarly, late, soleLate, untold];
 }
 
 function packFailure(failure: JobFailure | undefined): [FailureRow] | [] {
@@ -98,6 +101,7 @@
       soleEarly: task[8] ?? 0,
       late: task[9] ?? 0,
       soleLate: task[10] ?? 0,
+      untold: task[11] ?? 0,
     },
   });
   const statuses: string[] = Object.values(JobStatus);
@@ -134,6 +138,7 @@
   "number",
   "number",
   "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
 
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -43,7 +43,7 @@
   noteOutages(agent, report, now);
   for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
   for (const key of report.emptied) {
-    loseRuns(fields, (run) => run.worker === key, "worker emptied");
+    loseRuns(fields, (run) => run.worker === key, LossReason.Emptied);
   }
   if (!report.worker) return handleMissingWorker(fields);
   const worker = updateWorker(fields, report.worker);
@@ -76,7 +76,11 @@
   const known = agent.worker;
   if (known) known.state = { ...known.state, reachable: false };
   if (!report.vacant) return;
-  loseRunsOfAgent(fields, "the agent has no worker");
+  loseRuns(
+    fields,
+    (run) => run.agent === agent.name,
+    LossReason.NoWorker,
+  );
   if (known) state.workers.delete(known.state.key);
   agent.worker = undefined;
 }
@@ -89,23 +93,29 @@
   date: Milliseconds;
 }
 
-/** Treats all runs under an agent as ended. */
-function loseRunsOfAgent(fields: LossFields, reason: string): void {
-  loseRuns(fields, (run) => run.agent === fields.agent.name, reason);
-}
+/** Why all runs of a worker or an agent are lost at once, as it is logged. */
+const LossReason = {
+  Emptied: "worker emptied",
+  Replaced: "worker replaced",
+  NoWorker: "the agent has no worker",
+  AgentLost: "agent lost",
+} as const;
+type LossReason = typeof LossReason[keyof typeof LossReason];
 
 /** Treats the selected runs, whose worker is gone, as ended. */
 function loseRuns(
   fields: LossFields,
   isLost: (run: Run) => boolean,
-  reason: string,
+  reason: LossReason,
 ): void {
+  const replaced = reason === LossReason.Replaced ||
+    reason === LossReason.NoWorker;
   const crashes = fields.report?.crashes ?? [];
   for (const run of [...fields.state.runs.values()]) {
     if (!isLost(run)) continue;
     // The report of a crash names every run that may have been on the worker.
     const neverBegan = crashes.some(({ worker }) => worker === run.worker);
-    if (!neverBegan) noteUnexplainedLoss(fields, run);
+    if (!neverBegan) noteUnexplainedLoss(fields, run, replaced);
     loseRun(fields.state, run, reason);
   }
 }
@@ -114,7 +124,7 @@
 export function markAgentLost(fields: LossFields): void {
   const { state, agent } = fields;
   agent.lost = true;
-  loseRunsOfAgent(fields, "agent lost");
+  loseRuns(fields, (run) => run.agent === agent.name, LossReason.AgentLost);
   if (agent.worker) state.workers.delete(agent.worker.state.key);
   agent.worker = undefined;
   state.effects.push({
@@ -162,7 +172,7 @@
   loseRuns(
     fields,
     (run) => run.agent === agent.name && run.worker !== reported.key,
-    "worker replaced",
+    LossReason.Replaced,
   );
   if (known) state.workers.delete(known.state.key);
   const worker: Worker = {
--- a/core/scheduler/suspects.ts
+++ b/core/scheduler/suspects.ts
@@ -56,8 +56,8 @@
 }
 
 /** Number of crashes of which the task may be the cause. */
-export function countOf({ early, late }: CrashCounts): number {
-  return early + late;
+export function countOf({ early, late, untold }: CrashCounts): number {
+  return early + late + untold;
 }
 
 /** Whether the task is suspected of crashing workers. */
--- a/core/scheduler/suspects_test.ts
+++ b/core/scheduler/suspects_test.ts
@@ -103,7 +103,7 @@
   const second = createFleet({ workers: 1, takesOver: true });
   second.load(suspect, first.progress("suspect"));
   const { crashes } = second.progress("suspect").occurrences[0]!.steps[0]![0]!;
-  t.same(crashes, { early: 0, soleEarly: 0, late: 0, soleLate: 0 });
+  t.same(crashes, { early: 0, soleEarly: 0, late: 0, soleLate: 0, untold: 0 });
   t.end();
 });
 
