Let deadly tasks that start together not excuse each other

What callers saw: tasks that crash their workers crashed more of them than needed. Cause: one round of planning starts several tasks at the same moment, so that two deadly ones crash their workers at the same moment, and each crash was taken for a sign that the other has a cause of its own. Change: a crash has a likely cause beside its task only if, at the same moment, a worker ended on which no run had just begun.

--- a/core/scheduler/outages.ts
+++ b/core/scheduler/outages.ts
@@ -12,12 +12,7 @@
 import { MINUTE } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { parseTask } from "./job.ts";
-import type {
-  AgentReport,
-  RunName,
-  WorkerCrash,
-  WorkerSilence,
-} from "./messages.ts";
+import type { AgentReport, WorkerCrash, WorkerSilence } from "./messages.ts";
 import type { Agent, Run, SchedulerState } from "./state.ts";
 import { RunStage, stageOf } from "./suspects.ts";
 
@@ -33,8 +28,8 @@
   from: Milliseconds;
   /** When a call to it first failed. */
   to: Milliseconds;
-  /** Jobs of the runs that had just begun on it. */
-  begunJobs: Set<string>;
+  /** Whether any run had just begun on it. */
+  begun: boolean;
 }
 
 /** Keeps what the report tells of outages beside the agent. */
@@ -45,19 +40,18 @@
 ): void {
   agent.outages = (report.crashes ?? []).flatMap((crash) =>
     crash.silence
-      ? [createOutage(crash.worker, crash.silence, begunJobs(crash), now)]
+      ? [createOutage(crash.worker, crash.silence, hasBegun(crash), now)]
       : []
   );
   const { worker, silence } = report;
   if (!worker || !silence) return;
-  const unsettled = [...agent.worker?.runs ?? []].filter((run) => !run.settled);
-  const jobs = new Set(unsettled.map((run) => run.job.request.id));
-  agent.outages.push(createOutage(worker.key, silence, jobs, now));
+  const begun = [...agent.worker?.runs ?? []].some((run) => !run.settled);
+  agent.outages.push(createOutage(worker.key, silence, begun, now));
 }
 
 /** What may have caused a crash beside the runs on the worker. */
 export const OtherCause = {
-  /** Another worker ended at the same moment. */
+  /** Another worker ended at the same moment, while nothing had begun there. */
   Shared: "another worker ended at the same moment",
   /** The worker, or one before it, crashed before while nothing had begun. */
   Unstable: "the worker crashed by itself before",
@@ -77,24 +71,22 @@
   run: Run;
 }): OtherCause | undefined {
   const { state, agent, crash, report } = fields;
-  const job = fields.run.job.request.id;
   const own = agent.outages.find(({ worker }) => worker === crash.worker);
   const isShared = own !== undefined &&
     [...state.agents.values()].some((other) =>
-      other !== agent && hasOutageAtOnce(other, own, job)
+      other !== agent && hasOutageAtOnce(other, own)
     );
   if (isShared) return OtherCause.Shared;
+  const job = fields.run.job.request.id;
   return isUnstable(report, crash, job) ? OtherCause.Unstable : undefined;
 }
 
 /**
- * Whether the agent's worker ended together with the outage. If a task of the
- * job had just begun there, too, both may be the work of the job.
+ * Whether the agent's worker ended together with the outage while no run had
+ * just begun there. Tasks that start together may each crash their worker.
  */
-function hasOutageAtOnce(agent: Agent, own: Outage, job: string): boolean {
-  return agent.outages.some((outage) =>
-    isAtOnce(outage, own) && !outage.begunJobs.has(job)
-  );
+function hasOutageAtOnce(agent: Agent, own: Outage): boolean {
+  return agent.outages.some((outage) => isAtOnce(outage, own) && !outage.begun);
 }
 
 /**
@@ -108,7 +100,7 @@
 ): boolean {
   const crashes = report.crashes ?? [];
   return crashes.slice(0, crashes.indexOf(crash)).some((earlier) =>
-    begunJobs(earlier).size === 0 && !jobsOf(earlier.runs).has(job) &&
+    !hasBegun(earlier) && !hasRunOf(earlier, job) &&
     (earlier.silence?.failedAgo ?? Infinity) < UNSTABLE_TIME
   );
 }
@@ -120,18 +112,16 @@
 function createOutage(
   worker: string,
   { aliveAgo, failedAgo }: WorkerSilence,
-  begunJobs: Set<string>,
+  begun: boolean,
   now: Milliseconds,
 ): Outage {
-  return { worker, from: now - aliveAgo, to: now - failedAgo, begunJobs };
+  return { worker, from: now - aliveAgo, to: now - failedAgo, begun };
 }
 
-function begunJobs({ runs }: WorkerCrash): Set<string> {
-  return jobsOf(
-    runs.filter(({ workedFor }) => stageOf(workedFor) === RunStage.Begun),
-  );
+function hasBegun({ runs }: WorkerCrash): boolean {
+  return runs.some(({ workedFor }) => stageOf(workedFor) === RunStage.Begun);
 }
 
-function jobsOf(runs: RunName[]): Set<string> {
-  return new Set(runs.flatMap(({ task }) => parseTask(task)?.job ?? []));
+function hasRunOf({ runs }: WorkerCrash, job: string): boolean {
+  return runs.some(({ task }) => parseTask(task)?.job === job);
 }
--- a/core/scheduler/outages_test.ts
+++ b/core/scheduler/outages_test.ts
@@ -130,3 +130,24 @@
   t.equal(starts, 3);
   t.end();
 });
+
+// Guards against tasks that crash more workers than they need to be known,
+// since they start, and crash their workers, at the same moment.
+test("two jobs that crash their workers at once do not excuse each other", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  const deadly = step({ accelerators: 8 });
+  fleet.submit(request({ id: "deadly", steps: [deadly] }));
+  fleet.submit(request({ id: "other", steps: [deadly] }));
+  let rounds = 0;
+  while (fleet.status("deadly") !== "failed" && rounds < 10) {
+    fleet.runStarts();
+    const indices = ["deadly.0.0.0", "other.0.0.0"]
+      .map((task) => workerOf(fleet, task));
+    crashTogether(fleet, indices);
+    fleet.advance(3000);
+    rounds++;
+  }
+  t.equal(rounds, 2);
+  t.equal(fleet.status("other"), "failed");
+  t.end();
+});
