Give up tasks that crash their workers at one point of long work

What callers would see: a task that crashes its workers after ten seconds or more goes on to crash them without end. The class: a sign of innocence that the guilty shows as well. Cause: a run of ten seconds cleared its task of all crashes, whatever came after. Change: the task keeps how long it had worked at such a crash. The next one after about the same time (10 %, 1.5 s at least) counts, if nothing else had begun on the worker and no other worker ended with it; after another time the count begins anew. Tasks that run without end are left out, since workers may be restarted regularly under them. Evidence: "a task that crashes workers at one point of its work is given up" fails with the comparison taken out; "a long task whose workers crash for other reasons is not given up" fails if all times are taken for the same.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -24,6 +24,7 @@
 import {
   countOf,
   isGivenUp,
+  isSameWork,
   isSuspect,
   RunStage,
   SETTLE_TIME,
@@ -36,6 +37,7 @@
 /** A run that was on a worker when it crashed. */
 interface CrashedWorkerRun {
   run: Run;
+  workedFor: Milliseconds;
   stage: RunStage;
 }
 
@@ -76,8 +78,8 @@
   const settled = inStage(RunStage.Settled);
   const proven = inStage(RunStage.Proven);
   const likely = begun.length > 0 ? begun : settled;
-  const otherCause = likely[0] &&
-    findOtherCause({ ...notice, run: likely[0].run });
+  const [first] = [...likely, ...proven];
+  const otherCause = first && findOtherCause({ ...notice, run: first.run });
   state.effects.push({ kind: "workerCrashed", begun: begun.length });
   state.effects.push({
     kind: "log",
@@ -91,12 +93,42 @@
       otherCause: otherCause ?? "",
     },
   });
-  const alone = new Set(likely.map(({ run }) => unitKey(run))).size === 1;
-  for (const each of likely) countLikelyCause(notice, each, alone);
-  for (const { run } of proven) clearCounts(state, run, createCrashCounts());
+  for (const each of likely) countLikelyCause(notice, each, isOneUnit(likely));
+  for (const each of proven) {
+    const possible = likely.length === 0 && otherCause === undefined;
+    weighLongWork(notice, each, { possible, alone: isOneUnit(proven) });
+  }
   for (const { run } of present) loseRun(state, run, "worker crashed");
 }
 
+/** Whether the runs are one task or one gang. */
+function isOneUnit(runs: CrashedWorkerRun[]): boolean {
+  return new Set(runs.map(({ run }) => unitKey(run))).size === 1;
+}
+
+/**
+ * Weighs a crash under a run that had worked for long. It clears the task of
+ * all crashes before it, unless the task crashed its worker at the same point
+ * of its work before. A task that runs without end is never the cause, since it
+ * may meet workers that are restarted regularly.
+ */
+function weighLongWork(
+  notice: CrashNotice,
+  { run, workedFor }: CrashedWorkerRun,
+  /** Whether no other cause is likely, and whether the run was the only one. */
+  { possible, alone }: { possible: boolean; alone: boolean },
+): void {
+  const task = findTask(run.job, run.task);
+  if (!task) return;
+  const counts = possible && !run.step.longRunning;
+  if (counts && isSameWork(task.crashes.workedFor, workedFor)) {
+    return countCrash(notice, run, { kind: "late", sole: alone });
+  }
+  const late = counts ? 1 : 0;
+  const weighed = { ...createCrashCounts(), late, workedFor };
+  replaceCounts(notice.state, run, weighed);
+}
+
 /** Counts the crash for a task; `alone` if no other one is as likely. */
 function countLikelyCause(
   notice: CrashNotice,
@@ -146,7 +178,7 @@
   const task = findTask(run.job, run.task);
   if (!task || task.run !== run.run) return;
   const cleared = { early: 0, soleEarly: 0, untold: 0 };
-  clearCounts(state, run, { ...task.crashes, ...cleared });
+  replaceCounts(state, run, { ...task.crashes, ...cleared });
 }
 
 /**
@@ -159,17 +191,18 @@
     now - assembledAt >= SETTLE_TIME + ANSWER_INTERVAL;
 }
 
-/** Replaces the task's counts by lower ones. */
-function clearCounts(
+/** Replaces the task's counts after it was cleared of earlier crashes. */
+function replaceCounts(
   state: SchedulerState,
   run: Run,
   counts: CrashCounts,
 ): void {
   const task = findTask(run.job, run.task);
   if (!task || isFinal(run.job.progress.status)) return;
-  if (countOf(task.crashes) === countOf(counts)) return;
-  const wasSuspect = isSuspect(task.crashes);
+  const before = task.crashes;
   task.crashes = counts;
+  if (countOf(before) <= countOf(counts)) return;
+  const wasSuspect = isSuspect(before);
   markChanged(state, run.job);
   if (wasSuspect && !isSuspect(counts)) {
     state.effects.push({ kind: "suspicion", change: "cleared" });
@@ -195,7 +228,7 @@
     const run = state.runs.get(runKey(name));
     if (run?.worker !== crash.worker) return [];
     const workedFor = Math.min(name.workedFor, workedTogether(run, outage));
-    return [{ run, stage: stageOf(workedFor) }];
+    return [{ run, workedFor, stage: stageOf(workedFor) }];
   });
 }
 
--- a/core/scheduler/crashes_test.ts
+++ b/core/scheduler/crashes_test.ts
@@ -1,6 +1,6 @@
 import { test } from "tap";
 import { createFleet, request, step } from "./fleet_for_tests.ts";
-import { createOccurrence, createProgress } from "./job.ts";
+import { createCrashCounts, createOccurrence, createProgress } from "./job.ts";
 import type { JobProgress } from "./job.ts";
 import { packProgress, unpackProgress } from "./records.ts";
 
@@ -159,7 +159,7 @@
   second.runOn(0, "deadly.0.0.0", 1);
   second.crash(0);
   const { crashes } = second.progress("deadly").occurrences[0]!.steps[0]![0]!;
-  t.same(crashes, { early: 1, soleEarly: 1, late: 0, soleLate: 0, untold: 0 });
+  t.same(crashes, { ...createCrashCounts(), early: 1, soleEarly: 1 });
   t.end();
 });
 
@@ -196,20 +196,8 @@
   crashBeneath(fleet, "new.0.0.0", ["old.0.0.0"]);
   const counts = (id: string) =>
     fleet.progress(id).occurrences[0]!.steps[0]![0]!.crashes;
-  t.same(counts("old"), {
-    early: 0,
-    soleEarly: 0,
-    late: 0,
-    soleLate: 0,
-    untold: 0,
-  });
-  t.same(counts("new"), {
-    early: 1,
-    soleEarly: 1,
-    late: 0,
-    soleLate: 0,
-    untold: 0,
-  });
+  t.same(counts("old"), createCrashCounts());
+  t.same(counts("new"), { ...createCrashCounts(), early: 1, soleEarly: 1 });
   const placed = fleet.logsOf("Tasks placed.").slice(-2);
   t.same(
     placed.map(({ job, isolation }) => [job, isolation ?? "none"]).sort(),
@@ -259,11 +247,9 @@
   const suspect = request({ id, steps: [step({})] });
   const occurrence = createOccurrence({ request: suspect, index: 0 });
   occurrence.steps[0]![0]!.crashes = {
+    ...createCrashCounts(),
     early: 1,
     soleEarly: 1,
-    late: 0,
-    soleLate: 0,
-    untold: 0,
   };
   const progress = createProgress();
   progress.nextOccurrence = 1;
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -123,6 +123,11 @@
    * what happened; 0 once a run of it has settled. They make no suspect.
    */
   untold: number;
+  /**
+   * How long the task had worked at its latest crash if that was long, in
+   * milliseconds; 0 otherwise.
+   */
+  workedFor: Milliseconds;
 }
 
 /** Why a job failed, as callers are told. */
@@ -204,7 +209,14 @@
 
 /** Creates the counts of a task under which no worker has crashed. */
 export function createCrashCounts(): CrashCounts {
-  return { early: 0, soleEarly: 0, late: 0, soleLate: 0, untold: 0 };
+  return {
+    early: 0,
+    soleEarly: 0,
+    late: 0,
+    soleLate: 0,
+    untold: 0,
+    workedFor: 0,
+  };
 }
 
 /** Creates an occurrence of which all tasks are waiting. */
--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -23,7 +23,7 @@
   number,
   ...(CrashRow | []),
 ];
-type CrashRow = [number, number, number, number, number];
+type CrashRow = [number, number, number, number, number, number];
 type OccurrenceRow = [number, TaskRow[][]];
 type FailureRow = [string, string, number];
 
@@ -66,10 +66,10 @@
 function packCrashes(
   { crashes }: TaskProgress,
 ): CrashRow | [] {
-  const { early, soleEarly, late, soleLate, untold } = crashes;
-  return early + late + untold === 0
+  const { early, soleEarly, late, soleLate, untold, workedFor } = crashes;
+  return early + late + untold + workedFor === 0
     ? []
-    : [early, soleEarly, late, soleLate, untold];
+    : [early, soleEarly, late, soleLate, untold, workedFor];
 }
 
 function packFailure(failure: JobFailure | undefined): [FailureRow] | [] {
@@ -102,6 +102,7 @@
       late: task[9] ?? 0,
       soleLate: task[10] ?? 0,
       untold: task[11] ?? 0,
+      workedFor: task[12] ?? 0,
     },
   });
   const statuses: string[] = Object.values(JobStatus);
@@ -139,6 +140,7 @@
   "number",
   "number",
   "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
 
--- a/core/scheduler/suspects.ts
+++ b/core/scheduler/suspects.ts
@@ -32,10 +32,14 @@
 /** A run that its worker has listed for this long has settled. */
 export const SETTLE_TIME: Milliseconds = 500;
 /**
- * A run that was listed for this long does not count as the cause of a crash:
- * its task does not crash each worker that starts it.
+ * A run that was listed for this long counts as the cause of a crash only if
+ * its task crashed its worker after the same time before.
  */
 const PROOF_TIME: Milliseconds = 10 * SECOND;
+/** Largest difference between two times of work that are taken for the same. */
+const SAME_WORK_TOLERANCE: Milliseconds = 1500;
+/** Same, as a share of the time. */
+const SAME_WORK_SHARE = 0.1;
 
 /** How long others are kept off the worker of a run. */
 export const Isolation = {
@@ -71,7 +75,7 @@
   Begun: "begun",
   /** It had settled; a cause of the crash only if no other run had just begun. */
   Settled: "settled",
-  /** It had worked for long; not the cause. */
+  /** It had worked for long; hardly the cause. */
   Proven: "proven",
 } as const;
 export type RunStage = typeof RunStage[keyof typeof RunStage];
@@ -82,6 +86,12 @@
   return workedFor < PROOF_TIME ? RunStage.Settled : RunStage.Proven;
 }
 
+/** Whether both times, in which a task worked, may end at the same point. */
+export function isSameWork(a: Milliseconds, b: Milliseconds): boolean {
+  const tolerance = Math.max(SAME_WORK_TOLERANCE, SAME_WORK_SHARE * b);
+  return Math.abs(a - b) <= tolerance;
+}
+
 /** Isolation of a run of these tasks, which start together. */
 export function isolationOf(tasks: TaskProgress[]): Isolation {
   const suspects = tasks
--- a/core/scheduler/suspects_test.ts
+++ b/core/scheduler/suspects_test.ts
@@ -1,5 +1,6 @@
 import { test } from "tap";
 import { createFleet, request, step } from "./fleet_for_tests.ts";
+import { createCrashCounts } from "./job.ts";
 
 type Fleet = ReturnType<typeof createFleet>;
 
@@ -103,7 +104,7 @@
   const second = createFleet({ workers: 1, takesOver: true });
   second.load(suspect, first.progress("suspect"));
   const { crashes } = second.progress("suspect").occurrences[0]!.steps[0]![0]!;
-  t.same(crashes, { early: 0, soleEarly: 0, late: 0, soleLate: 0, untold: 0 });
+  t.same(crashes, createCrashCounts());
   t.end();
 });
 
@@ -124,3 +125,45 @@
   t.equal(fleet.status("suspect"), "running");
   t.end();
 });
+
+/** Crashes the worker of the task each time after these milliseconds of work. */
+function crashAfter(fleet: Fleet, task: string, times: number[]): number {
+  let crashes = 0;
+  for (const workedFor of times) {
+    const index = runTask(fleet, task);
+    if (index < 0) break;
+    fleet.crash(index, { settled: [task], workedFor });
+    crashes++;
+  }
+  return crashes;
+}
+
+const TWELVE_SECONDS = [12_000, 11_500, 12_400, 12_100, 12_000, 11_800];
+
+// Guards against a task that crashes worker after worker without end, each time
+// after long work.
+test("a task that crashes workers at one point of its work is given up", (t) => {
+  const fleet = createFleet({ workers: 4 });
+  fleet.submit(request({ id: "deadly", steps: [step({ estimate: LONG })] }));
+  const crashes = crashAfter(fleet, "deadly.0.0.0", TWELVE_SECONDS);
+  t.equal(fleet.status("deadly"), "failed");
+  t.equal(crashes, 4);
+  t.end();
+});
+
+// Guards against a long task that is given up since its workers crashed at
+// unlike points of its work, or with others beside it.
+test("a long task whose workers crash for other reasons is not given up", (t) => {
+  const fleet = createFleet({ workers: 4 });
+  fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
+  const unlike = [12_000, 30_000, 20_000, 55_000, 15_000, 40_000, 11_000];
+  t.equal(crashAfter(fleet, "innocent.0.0.0", unlike), unlike.length);
+  for (const workedFor of TWELVE_SECONDS) {
+    const index = runTask(fleet, "innocent.0.0.0");
+    fleet.stopAnswering((index + 1) % fleet.size);
+    fleet.crash(index, { settled: ["innocent.0.0.0"], workedFor });
+    fleet.crash((index + 1) % fleet.size);
+  }
+  t.equal(fleet.status("innocent"), "running");
+  t.end();
+});
