Split the counting of crashes from their weighing

crashes.ts decided for which tasks a crash counts and kept the counts. The counts are now in crash_counts.ts. Four test files had a copy each of a search for the worker of a task; it is part of the fleet for tests. No behaviour changes.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -1,38 +1,22 @@
 /**
- * Applies the crashes of workers that agents report.
+ * Applies the crashes of workers that agents report, and decides for which
+ * tasks they count.
  *
  * @module
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
+import { countCrash, replaceCounts } from "./crash_counts.ts";
+import type { CountedCrash, CrashFields } from "./crash_counts.ts";
 import { loseRun } from "./endings.ts";
-import {
-  createCrashCounts,
-  FailureCode,
-  isFinal,
-  JobStatus,
-  TaskPhase,
-} from "./job.ts";
-import type { CrashCounts } from "./job.ts";
+import { createCrashCounts } from "./job.ts";
 import { runKey } from "./messages.ts";
 import type { AgentReport, WorkerCrash } from "./messages.ts";
 import { findOtherCause, OtherCause } from "./outages.ts";
 import type { Outage } from "./outages.ts";
-import { finishJob, markChanged } from "./progress.ts";
 import { findTask } from "./runs.ts";
-import type { Agent, Run, SchedulerState } from "./state.ts";
-import {
-  countOf,
-  isGivenUp,
-  isSameWork,
-  isSuspect,
-  RunStage,
-  SETTLE_TIME,
-  stageOf,
-} from "./suspects.ts";
-
-/** Longest time between two answers of a worker that is not silent. */
-const ANSWER_INTERVAL: Milliseconds = 1200;
+import type { Agent, Run } from "./state.ts";
+import { isSameWork, isSuspect, RunStage, stageOf } from "./suspects.ts";
 
 /** A run that was on a worker when it crashed. */
 interface CrashedWorkerRun {
@@ -41,18 +25,6 @@
   stage: RunStage;
 }
 
-interface CrashFields {
-  state: SchedulerState;
-  date: Milliseconds;
-}
-
-/** How a crash counts for a task. */
-interface CountedCrash {
-  kind: "early" | "late" | "untold";
-  /** Whether no other cause is likely. */
-  sole: boolean;
-}
-
 const UNEXPLAINED: CountedCrash = { kind: "late", sole: false };
 const UNTOLD: CountedCrash = { kind: "untold", sole: false };
 
@@ -110,12 +82,12 @@
  * Weighs a crash under a run that had worked for long. It clears the task of
  * all crashes before it, unless the task crashed its worker at the same point
  * of its work before. A task that runs without end is never the cause, since it
- * may meet workers that are restarted regularly.
+ * may meet workers that are restarted regularly. `possible` if no other cause is
+ * likely, `alone` if no other task had worked for long.
  */
 function weighLongWork(
   notice: CrashNotice,
   { run, workedFor }: CrashedWorkerRun,
-  /** Whether no other cause is likely, and whether the run was the only one. */
   { possible, alone }: { possible: boolean; alone: boolean },
 ): void {
   const task = findTask(run.job, run.task);
@@ -162,66 +134,6 @@
   else if (replaced && !run.settled) countCrash(fields, run, UNTOLD);
 }
 
-/**
- * Notes that a worker which still answers has listed the run for SETTLE_TIME.
- * Once it has settled, the task's early crashes are cleared: a task that
- * crashes each worker that starts it never does, so that another task or the
- * worker was the cause.
- */
-export function noteSettled(
-  state: SchedulerState,
-  run: Run,
-  now: Milliseconds,
-): void {
-  if (run.settled || !hasAssembled(run, now)) return;
-  run.settled = true;
-  const task = findTask(run.job, run.task);
-  if (!task || task.run !== run.run) return;
-  const cleared = { early: 0, soleEarly: 0, untold: 0 };
-  replaceCounts(state, run, { ...task.crashes, ...cleared });
-}
-
-/**
- * Whether a gang has been at work for SETTLE_TIME at the latest answer of each
- * of its workers; true for a run that works alone.
- */
-function hasAssembled({ step, assembledAt }: Run, now: Milliseconds): boolean {
-  if (!step.gang) return true;
-  return assembledAt !== undefined &&
-    now - assembledAt >= SETTLE_TIME + ANSWER_INTERVAL;
-}
-
-/** Replaces the task's counts after it was cleared of earlier crashes. */
-function replaceCounts(
-  state: SchedulerState,
-  run: Run,
-  counts: CrashCounts,
-): void {
-  const task = findTask(run.job, run.task);
-  if (!task || isFinal(run.job.progress.status)) return;
-  const before = task.crashes;
-  task.crashes = counts;
-  if (countOf(before) <= countOf(counts)) return;
-  const wasSuspect = isSuspect(before);
-  markChanged(state, run.job);
-  if (wasSuspect && !isSuspect(counts)) {
-    state.effects.push({ kind: "suspicion", change: "cleared" });
-  }
-  state.effects.push({
-    kind: "log",
-    level: "info",
-    text: "A task is not the cause of earlier crashes.",
-    fields: {
-      job: run.job.request.id,
-      task: run.name,
-      run: run.run,
-      crashes: countOf(counts),
-      suspect: isSuspect(counts),
-      wasSuspect,
-    },
-  });
-}
-
 function findRuns({ state, agent, crash }: CrashNotice): CrashedWorkerRun[] {
   const outage = agent.outages.find(({ worker }) => worker === crash.worker);
   return crash.runs.flatMap((name) => {
@@ -239,47 +151,6 @@
   return Math.max(0, outage.from - run.assembledAt);
 }
 
-/** Counts a crash for the run's task, and gives the job up at the limit. */
-function countCrash(
-  fields: CrashFields,
-  run: Run,
-  { kind, sole }: CountedCrash,
-): void {
-  const { state, date } = fields;
-  const { job } = run;
-  const task = findTask(job, run.task);
-  if (!task || task.run !== run.run || task.phase === TaskPhase.Done) return;
-  if (isFinal(job.progress.status)) return;
-  const { crashes } = task;
-  const wasSuspect = isSuspect(crashes);
-  crashes[kind]++;
-  if (sole) crashes[kind === "early" ? "soleEarly" : "soleLate"]++;
-  markChanged(state, job);
-  if (!wasSuspect && isSuspect(crashes)) {
-    state.effects.push({ kind: "suspicion", change: "raised" });
-  }
-  state.effects.push({
-    kind: "log",
-    level: "warn",
-    text: "A worker crashed under a task.",
-    fields: {
-      job: job.request.id,
-      task: run.name,
-      run: run.run,
-      agent: run.agent,
-      ...crashes,
-      suspect: isSuspect(crashes),
-    },
-  });
-  if (!isGivenUp(crashes)) return;
-  const failure = {
-    code: FailureCode.WorkerCrashes,
-    task: run.name,
-    count: countOf(crashes),
-  };
-  finishJob({ state, job, status: JobStatus.Failed, failure, date });
-}
-
 /** Names what starts together: the gang of the run, or the run alone. */
 function unitKey(run: Run): string {
   const { job, occurrence, step } = run.task;
--- a/core/scheduler/crashes_test.ts
+++ b/core/scheduler/crashes_test.ts
@@ -10,20 +10,12 @@
 /** Starts of a task that crashes its workers, at most; the rule's bound. */
 const MAX_STARTS = 5;
 
-/** Index of the worker that runs the task; -1 if none does. */
-function workerOf(fleet: Fleet, task: string): number {
-  return Array.from({ length: fleet.size }, (_, index) => index)
-    .findIndex((index) =>
-      fleet.running(index).some((running) => running.task === task)
-    );
-}
-
 /** Runs starts and crashes each worker that starts the task; counts these. */
 function crashUnder(fleet: Fleet, task: string, rounds: number): number {
   let crashes = 0;
   for (let round = 0; round < rounds; round++) {
     fleet.runStarts();
-    const index = workerOf(fleet, task);
+    const index = fleet.workerOf(task);
     if (index >= 0) {
       crashes++;
       fleet.crash(index);
@@ -45,7 +37,7 @@
 
 /** Crashes the worker of the task and returns its index. */
 function crashBeneath(fleet: Fleet, task: string, settled: string[] = []) {
-  const index = workerOf(fleet, task);
+  const index = fleet.workerOf(task);
   fleet.crash(index, { settled });
   return index;
 }
@@ -63,18 +55,18 @@
   fleet.submit(request({ id: "innocent", steps: [step({})] }));
   fleet.runStarts();
   t.equal(
-    workerOf(fleet, "deadly.0.0.0"),
-    workerOf(fleet, "innocent.0.0.0"),
+    fleet.workerOf("deadly.0.0.0"),
+    fleet.workerOf("innocent.0.0.0"),
     "both run on one worker",
   );
   crashBeneath(fleet, "deadly.0.0.0");
   fleet.runStarts();
-  const beside = workerOf(fleet, "innocent.0.0.0");
-  t.not(workerOf(fleet, "deadly.0.0.0"), beside, "they are kept apart");
+  const beside = fleet.workerOf("innocent.0.0.0");
+  t.not(fleet.workerOf("deadly.0.0.0"), beside, "they are kept apart");
   const crashes = 1 + crashUnder(fleet, "deadly.0.0.0", 10);
   t.ok(crashes <= 3, `${crashes} workers crashed`);
   t.equal(fleet.status("deadly"), "failed");
-  t.equal(workerOf(fleet, "innocent.0.0.0"), beside, "the other runs on");
+  t.equal(fleet.workerOf("innocent.0.0.0"), beside, "the other runs on");
   fleet.end(beside, 0, "done");
   t.equal(fleet.status("innocent"), "completed");
   t.end();
@@ -92,14 +84,14 @@
     for (const stop of [0, 1, 2, 3, 4, 5]) {
       if (fleet.stops(stop).length > 0) fleet.end(stop, 0, "broken");
     }
-    if (workerOf(fleet, "deadly.0.0.0") >= 0) {
+    if (fleet.workerOf("deadly.0.0.0") >= 0) {
       crashBeneath(fleet, "deadly.0.0.0");
     }
     fleet.advance(3000);
   }
   t.equal(fleet.status("deadly"), "failed");
   t.equal(fleet.status("gang"), "running");
-  t.ok(workerOf(fleet, "gang.0.0.0") >= 0);
+  t.ok(fleet.workerOf("gang.0.0.0") >= 0);
   t.end();
 });
 
@@ -112,10 +104,10 @@
   let crashes = 0;
   for (let round = 0; round < 10; round++) {
     fleet.runStarts();
-    if (workerOf(fleet, "gang.0.0.1") >= 0) {
+    if (fleet.workerOf("gang.0.0.1") >= 0) {
       crashBeneath(fleet, "gang.0.0.1");
       crashes++;
-      fleet.end(workerOf(fleet, "gang.0.0.0"), 0, "broken");
+      fleet.end(fleet.workerOf("gang.0.0.0"), 0, "broken");
     }
     fleet.advance(3000);
   }
@@ -172,7 +164,7 @@
   for (let round = 0; round < 8; round++) {
     fleet.runStarts();
     fleet.advance(1000);
-    fleet.crash(workerOf(fleet, task), { evidence: false });
+    fleet.crash(fleet.workerOf(task), { evidence: false });
     fleet.advance(3000);
   }
   t.equal(fleet.status("unlucky"), "running", "without evidence of a crash");
@@ -213,7 +205,7 @@
   fleet.runStarts();
   crashBeneath(fleet, "suspect.0.0.0");
   fleet.runStarts();
-  const index = workerOf(fleet, "suspect.0.0.0");
+  const index = fleet.workerOf("suspect.0.0.0");
   const others = step({ count: 16, accelerators: 1 });
   fleet.submit(request({ id: "others", steps: [others] }));
   t.same(tasksOn(fleet, index), ["suspect.0.0.0"]);
@@ -229,16 +221,16 @@
   const fleet = createFleet({ workers: 2 });
   fleet.submit(request({ id: "suspect", steps: [step({ accelerators: 4 })] }));
   fleet.runStarts();
-  const first = workerOf(fleet, "suspect.0.0.0");
+  const first = fleet.workerOf("suspect.0.0.0");
   const filler = step({ count: 2, accelerators: 3, maxPerWorker: 1 });
   fleet.submit(request({ id: "filler", steps: [filler] }));
   fleet.runStarts();
   crashBeneath(fleet, "suspect.0.0.0", ["filler.0.0.0", "filler.0.0.1"]);
   fleet.runStarts();
-  t.equal(workerOf(fleet, "suspect.0.0.0"), -1, "it waits at first");
+  t.equal(fleet.workerOf("suspect.0.0.0"), -1, "it waits at first");
   fleet.advance(3000);
   fleet.runStarts();
-  t.equal(workerOf(fleet, "suspect.0.0.0"), 1 - first, "then it joins");
+  t.equal(fleet.workerOf("suspect.0.0.0"), 1 - first, "then it joins");
   t.end();
 });
 
@@ -269,8 +261,8 @@
   fleet.advance(3000);
   fleet.runStarts();
   t.equal(
-    workerOf(fleet, "suspect.0.0.0"),
-    workerOf(fleet, "batch.0.0.0"),
+    fleet.workerOf("suspect.0.0.0"),
+    fleet.workerOf("batch.0.0.0"),
     "it joins the batch task",
   );
   t.end();
@@ -288,7 +280,7 @@
   loadSuspect(fleet, "suspect");
   const more = step({ count: 16 });
   fleet.submit(request({ id: "more", steps: [more], acceptedAt: 1 }));
-  const soonEmpty = workerOf(fleet, "brief.0.0.0");
+  const soonEmpty = fleet.workerOf("brief.0.0.0");
   t.same(tasksOn(fleet, soonEmpty), ["brief.0.0.0"]);
   t.end();
 });
@@ -301,7 +293,7 @@
   for (let start = 1; start <= MAX_STARTS; start++) {
     t.equal(fleet.status("deadly"), "running");
     fleet.runStarts();
-    fleet.crash(workerOf(fleet, "deadly.0.0.0"), { evidence: false });
+    fleet.crash(fleet.workerOf("deadly.0.0.0"), { evidence: false });
     const placed = fleet.logsOf("Tasks placed.").at(-1)!;
     t.equal(placed.isolation, undefined, "it is no suspect");
     const progress = fleet.progress("deadly");
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -185,6 +185,16 @@
       return job.request.steps[name.step]!.accelerators;
     },
     running: (index: number) => workers[index]!.running,
+    /** Index of the worker that runs the task; -1 if none does. */
+    workerOf: (task: string): number =>
+      workers.findIndex(({ running }) =>
+        running.some((each) => each.task === task)
+      ),
+    /** Index of the worker that runs the task or is to start it; -1 if none. */
+    assignedTo: (task: string): number =>
+      workers.findIndex(({ running, orders }) =>
+        [...running, ...orders?.starts ?? []].some((each) => each.task === task)
+      ),
     status: (job: string) => scheduler.snapshot(job)?.progress.status,
     progress: (job: string) => scheduler.snapshot(job)!.progress,
     /** Tells the scheduler that it knows all jobs and agents of the store. */
--- a/core/scheduler/gang_crash_test.ts
+++ b/core/scheduler/gang_crash_test.ts
@@ -6,15 +6,6 @@
 const WORKERS = 6;
 const GANG = step({ count: 2, accelerators: 4, maxPerWorker: 1, gang: true });
 
-/** Index of the worker that runs the task or is to start it; -1 if none is. */
-function workerOf(fleet: Fleet, task: string): number {
-  return Array.from({ length: fleet.size }, (_, index) => index)
-    .findIndex((index) =>
-      [...fleet.running(index), ...fleet.starts(index)]
-        .some((each) => each.task === task)
-    );
-}
-
 /** Lets the worker begin the starts that are ordered from it. */
 function begin(fleet: Fleet, index: number): void {
   const runs = new Set(fleet.running(index).map(({ task }) => task));
@@ -30,8 +21,8 @@
 /** Submits a gang whose second member begins late, while the first waits. */
 function startGang(fleet: Fleet): { first: number; second: number } {
   fleet.submit(request({ id: "gang", steps: [GANG] }));
-  const first = workerOf(fleet, "gang.0.0.0");
-  const second = workerOf(fleet, "gang.0.0.1");
+  const first = fleet.assignedTo("gang.0.0.0");
+  const second = fleet.assignedTo("gang.0.0.1");
   begin(fleet, first);
   fleet.advance(1500);
   return { first, second };
@@ -43,7 +34,7 @@
   const fleet = createFleet({ workers: WORKERS });
   const { first, second } = startGang(fleet);
   fleet.submit(request({ id: "beside", steps: [step({})] }));
-  const beside = workerOf(fleet, "beside.0.0.0");
+  const beside = fleet.assignedTo("beside.0.0.0");
   t.equal(beside, first, "another job joins the first member");
   begin(fleet, first);
   begin(fleet, second);
@@ -62,7 +53,7 @@
   fleet.crash(first, { settled: ["gang.0.0.0"], workedFor: 1500 });
   fleet.end(second, 0, "broken");
   fleet.advance(100);
-  const next = workerOf(fleet, "gang.0.0.0");
+  const next = fleet.assignedTo("gang.0.0.0");
   begin(fleet, next);
   fleet.advance(1500);
   t.match(countsOf(fleet, "gang"), { early: 1, soleEarly: 1 });
@@ -73,7 +64,7 @@
     [],
     "nothing joins it",
   );
-  begin(fleet, workerOf(fleet, "gang.0.0.1"));
+  begin(fleet, fleet.assignedTo("gang.0.0.1"));
   fleet.advance(3000);
   t.match(countsOf(fleet, "gang"), { early: 0, soleEarly: 0 });
   t.end();
--- a/core/scheduler/outages_test.ts
+++ b/core/scheduler/outages_test.ts
@@ -8,14 +8,6 @@
 const MAX_STARTS = 5;
 const SILENCE = 300;
 
-/** Index of the worker that runs the task; -1 if none does. */
-function workerOf(fleet: Fleet, task: string): number {
-  return Array.from({ length: fleet.size }, (_, index) => index)
-    .findIndex((index) =>
-      fleet.running(index).some((running) => running.task === task)
-    );
-}
-
 /** Crashes the workers at one moment; they are back one after the other. */
 function crashTogether(fleet: Fleet, indices: number[]): void {
   for (const index of indices) fleet.stopAnswering(index);
@@ -32,7 +24,7 @@
   fleet.submit(request({ id: "innocent", steps: [step({})] }));
   for (let round = 0; round < MAX_STARTS - 1; round++) {
     fleet.runStarts();
-    const index = workerOf(fleet, "innocent.0.0.0");
+    const index = fleet.workerOf("innocent.0.0.0");
     t.ok(index >= 0, "it runs");
     crashTogether(fleet, [index, (index + 1) % WORKERS]);
     fleet.advance(3000);
@@ -52,7 +44,7 @@
   fleet.submit(request({ id: "innocent", steps: [step({})] }));
   for (let round = 0; round < MAX_STARTS - 1; round++) {
     fleet.runStarts();
-    fleet.crash(workerOf(fleet, "innocent.0.0.0"));
+    fleet.crash(fleet.workerOf("innocent.0.0.0"));
     fleet.advance(3000);
   }
   t.equal(fleet.status("innocent"), "running");
@@ -69,7 +61,7 @@
   while (fleet.status("deadly") !== "failed" && rounds < 10) {
     fleet.runStarts();
     const indices = ["deadly.0.0.0", "deadly.0.0.1"]
-      .map((task) => workerOf(fleet, task));
+      .map((task) => fleet.workerOf(task));
     crashTogether(fleet, indices);
     fleet.advance(3000);
     rounds++;
@@ -86,7 +78,7 @@
   let starts = 0;
   while (fleet.status("deadly") !== "failed" && starts < 10) {
     fleet.runStarts();
-    const index = workerOf(fleet, "deadly.0.0.0");
+    const index = fleet.workerOf("deadly.0.0.0");
     crashTogether(fleet, [index, (index + 1) % WORKERS]);
     fleet.advance(3000);
     starts++;
@@ -103,7 +95,7 @@
   const task = "innocent.0.0.0";
   for (let round = 0; round < 2 * MAX_STARTS; round++) {
     fleet.runStarts();
-    const index = workerOf(fleet, task);
+    const index = fleet.workerOf(task);
     const other = (index + 1) % WORKERS;
     fleet.stopAnswering(index);
     fleet.stopAnswering(other);
@@ -142,7 +134,7 @@
   while (fleet.status("deadly") !== "failed" && rounds < 10) {
     fleet.runStarts();
     const indices = ["deadly.0.0.0", "other.0.0.0"]
-      .map((task) => workerOf(fleet, task));
+      .map((task) => fleet.workerOf(task));
     crashTogether(fleet, indices);
     fleet.advance(3000);
     rounds++;
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -14,7 +14,8 @@
   WorkerState,
 } from "./messages.ts";
 import { capacityOf, noteCapacity, withdrawExcess } from "./capacity.ts";
-import { applyCrash, noteSettled, noteUnexplainedLoss } from "./crashes.ts";
+import { noteSettled } from "./crash_counts.ts";
+import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { noteOutages } from "./outages.ts";
--- a/core/scheduler/suspects_test.ts
+++ b/core/scheduler/suspects_test.ts
@@ -8,21 +8,13 @@
 const MANY_CRASHES = 8;
 const LONG = 60_000;
 
-/** Index of the worker that runs the task; -1 if none does. */
-function workerOf(fleet: Fleet, task: string): number {
-  return Array.from({ length: fleet.size }, (_, index) => index)
-    .findIndex((index) =>
-      fleet.running(index).some((running) => running.task === task)
-    );
-}
-
 /** Waits until the task runs, and returns the index of its worker. */
 function runTask(fleet: Fleet, task: string): number {
-  for (let round = 0; round < 5 && workerOf(fleet, task) < 0; round++) {
+  for (let round = 0; round < 5 && fleet.workerOf(task) < 0; round++) {
     fleet.advance(1000);
     fleet.runStarts();
   }
-  return workerOf(fleet, task);
+  return fleet.workerOf(task);
 }
 
 // Guards against a job that fails because many tasks in turn crash the workers
