Send out what is left of a session before its process stops

Cause: a stopping process destroyed the sockets of its sessions, and with them what the peers had not read yet. Change: a session that is closed because its process stops ends its side of the connection, and goes on reading until the peer has closed the other one, for no longer than the session timeout. Looked for elsewhere: a session that is replaced by a newer one, or that fails, is still cut at once, since its peer asks for what it misses over the new one. The links of the platform carry reports and orders, which are repeated.

--- a/wire/session/session.ts
+++ b/wire/session/session.ts
@@ -83,7 +83,10 @@
   timeout: SESSION_TIMEOUT,
 };
 
-/** Runs a session on a socket, connected or connecting, until it ends. */
+/**
+ * Runs a session on a socket, connected or connecting, until it ends. `close`
+ * ends it after the peer has got all that was sent.
+ */
 export function runSession(fields: {
   socket: Socket;
   /** Returns the hello to send, with the present state. */
@@ -116,25 +119,41 @@
   const reader = createFrameReader({ peer: peerName });
 
   /** Ends the session once and reports why. */
-  function finish(error: StepError): void {
+  function finish(error: StepError, disconnect = destroy): void {
     if (closed) return;
     closed = true;
     cancelCheck();
     cancelHeartbeat();
-    socket.destroy();
+    disconnect();
     handlers.onClose(session, error);
   }
 
+  function destroy(): void {
+    socket.destroy();
+  }
+
+  /**
+   * Closes the connection once the peer has got all that was sent. It has
+   * `times.timeout` for that.
+   */
+  function flush(): void {
+    if (socket.connecting) return destroy();
+    const cancel = timer.after(times.timeout, destroy);
+    socket.once("close", cancel);
+    socket.end();
+  }
+
+  function createError(
+    step: string,
+    message: string,
+    cause?: unknown,
+  ): StepError {
+    const code = ErrorCode.Session;
+    return new StepError({ code, step, peer: peerName(), message, cause });
+  }
+
   function fail(step: string, message: string, cause?: unknown): void {
-    finish(
-      new StepError({
-        code: ErrorCode.Session,
-        step,
-        peer: peerName(),
-        message,
-        cause,
-      }),
-    );
+    finish(createError(step, message, cause));
   }
 
   function send(message: Message): boolean {
@@ -235,5 +254,5 @@
   send(fields.hello());
   checkSilence();
   sendHeartbeats();
-  return { close: (reason) => fail("close", reason) };
+  return { close: (reason) => finish(createError("close", reason), flush) };
 }
--- a/wire/session/session_test.ts
+++ b/wire/session/session_test.ts
@@ -5,6 +5,7 @@
 import {
   createRandom,
   ErrorCode,
+  MEBIBYTE,
   PROTOCOL_VERSION,
   StepError,
 } from "@dragonflyledge/model";
@@ -12,11 +13,15 @@
 import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import { createDialer } from "./dialer.ts";
 import { listen } from "./listener.ts";
+import { runSession } from "./session.ts";
 import type { Session, SessionHandlers } from "./session.ts";
 
 const versions = () => ({ configuration: 1, homes: 1 });
 const system = { clock: createSystemClock(), timer: createSystemTimer() };
 const times = { heartbeat: 20, timeout: 200 };
+/** More than the buffers of a connection hold. */
+const LARGE_MESSAGES = 24;
+const LARGE_SIZE = MEBIBYTE / 2;
 
 function hello(id: string, protocol = PROTOCOL_VERSION): () => Hello {
   const role = "agent" as const;
@@ -51,7 +56,9 @@
     }
     return seen.filter((entry) => entry.kind === kind)[count - 1]!;
   }
-  return { handlers, waitFor };
+  const count = (kind: string) =>
+    seen.filter((entry) => entry.kind === kind).length;
+  return { handlers, waitFor, count };
 }
 
 async function openListener(handlers: SessionHandlers, id = "entry") {
@@ -96,6 +103,41 @@
   await listener.close();
 });
 
+// Guards against an answer that is lost because its process stops before the
+// peer has read it.
+test("what was sent before a process stops arrives", async (t) => {
+  const server = createProbe();
+  const client = createProbe();
+  const listener = await openListener(server.handlers);
+  const dialer = openDialer(listener.port, client.handlers);
+  const { session } = await client.waitFor("open");
+  const text = "x".repeat(LARGE_SIZE);
+  const large: Message = { kind: "drain", text } as Message;
+  for (let sent = 0; sent < LARGE_MESSAGES; sent++) session!.send(large);
+  dialer.stop();
+  await server.waitFor("close");
+  t.equal(server.count("message"), LARGE_MESSAGES);
+  await listener.close();
+});
+
+// Guards against a process that does not end because a peer reads nothing.
+test("a peer that reads nothing does not keep a session open", async (t) => {
+  const sockets: Socket[] = [];
+  const deaf = createServer((socket) => sockets.push(socket.pause()));
+  await new Promise<void>((resolve) => deaf.listen(0, "127.0.0.1", resolve));
+  const socket = connect({ port: (deaf.address() as AddressInfo).port });
+  await new Promise<void>((resolve) => socket.once("connect", resolve));
+  const client = createProbe();
+  const run = { hello: hello("agent"), versions, times, ...system };
+  const session = runSession({ ...run, socket, handlers: client.handlers });
+  socket.write("x".repeat(LARGE_MESSAGES * LARGE_SIZE));
+  session.close("this process stops");
+  await new Promise<void>((resolve) => socket.once("close", () => resolve()));
+  t.ok(socket.destroyed);
+  for (const each of sockets) each.destroy();
+  await new Promise((resolve) => deaf.close(resolve));
+});
+
 // Guards against a session that waits for ever on a connection whose other
 // end no longer answers.
 test("a silent connection is closed and dialled again", async (t) => {
