Describe a cluster whose entries don't come to know all workers

Nothing tells which entry lacked which worker, or whether a process had ended. Change: the error has what each entry knows, and of each process whether it runs and its last lines.

--- a/testing/processes/cluster.ts
+++ b/testing/processes/cluster.ts
@@ -28,6 +28,7 @@
 import type { Configuration } from "@dragonflyledge/model";
 import { startProcess } from "./daemon_process.ts";
 import type { DaemonProcess, Ending } from "./daemon_process.ts";
+import { describeCluster } from "./describe_cluster.ts";
 import { waitUntil } from "./wait.ts";
 
 const HOST = "127.0.0.1";
@@ -251,7 +252,15 @@
         return documents.length > 0 &&
           documents.every((one) => one.workers.length === agents.length);
       },
-    );
+    ).catch(async (cause) => {
+      throw new Error(
+        `${cause.message}\n${await describeCluster({
+          entries,
+          agents,
+          status,
+        })}`,
+      );
+    });
     const { code, output } = await submit(document, 0);
     if (code !== 0) throw new Error(`configuration not submitted: ${output}`);
     await waitUntilReady();
