--- a/testing/platform/crash_test.ts
+++ b/testing/platform/crash_test.ts
@@ -27,13 +27,26 @@
 
 interface CrashScene {
   programs: Programs;
-  /** Number of starts of the deadly task. */
+  /** Number of starts of tasks that crash workers. */
   starts(): number;
   stateOf(id: string): Promise<string>;
 }
 
-/** Starts programs whose workers crash when they start a task of DEADLY. */
-async function start(t: Test, duration: number): Promise<CrashScene> {
+/** Returns the workers that crash when `worker` starts the task. */
+type CrashRule = (
+  fields: { task: string; worker: string; starts: number },
+) => string[];
+
+/** A worker crashes when it starts a task of DEADLY. */
+const crashUnderDeadly: CrashRule = ({ task, worker }) =>
+  task.startsWith(DEADLY) ? [worker] : [];
+
+/** Starts programs whose workers crash by the rule. */
+async function start(
+  t: Test,
+  duration: number,
+  crashes: CrashRule = crashUnderDeadly,
+): Promise<CrashScene> {
   let starts = 0;
   const scene = { stopped: false };
   const programs: Programs = await startPrograms({
@@ -45,10 +58,12 @@
       endingAt: ({ startedAt }, now) =>
         now > startedAt + duration ? "done" : undefined,
       started: ({ worker, run }) => {
-        if (!run.task.startsWith(DEADLY)) return;
+        const crashed = crashes({ task: run.task, worker, starts });
+        if (crashed.length === 0) return;
         starts++;
         setTimeout(() => {
-          if (!scene.stopped) crashWorker(programs, worker);
+          if (scene.stopped) return;
+          for (const each of crashed) crashWorker(programs, each);
         }, CRASH_DELAY);
       },
       ended: () => {},
@@ -169,3 +184,23 @@
   );
   t.ok(scene.starts() <= MAX_STARTS, `${scene.starts()} starts`);
 });
+
+// Guards against a job that fails because all workers crashed together, again
+// and again, just after it had started.
+test("a task whose workers crash with all others is not given up", async (t) => {
+  const crashes = 3;
+  const all = ["worker-0", "worker-1", "worker-2"];
+  const scene = await start(
+    t,
+    1000,
+    ({ starts }) => starts < crashes ? all : [],
+  );
+  await submit(scene, INNOCENT);
+  await waitUntil(
+    "the job is done",
+    GIVE_UP_TIMEOUT,
+    async () => /completed|failed/.test(await scene.stateOf(INNOCENT)),
+  );
+  t.equal(scene.starts(), crashes);
+  t.match(await scene.stateOf(INNOCENT), /completed/);
+});
