Keep the processes of a port test until all ports are compared

The test failed in 4 of 6 plays: a process that ended gave its reservations back while the others still looked for ports.

--- a/testing/fakes/free_port_test.ts
+++ b/testing/fakes/free_port_test.ts
@@ -7,8 +7,8 @@
 const HOST = "127.0.0.1";
 const PORTS = 400;
 
-/** Ports that another process finds while this one runs. */
-async function findElsewhere(): Promise<number[]> {
+/** Ports that another process finds, which runs until it is told to stop. */
+async function findElsewhere(): Promise<{ ports: number[]; stop(): void }> {
   const script = `
     const { findFreePort } = await import(process.argv[1]);
     const ports = [];
@@ -23,8 +23,10 @@
     { stdio: ["pipe", "pipe", "inherit"] },
   );
   const [output] = await once(child.stdout, "data");
-  child.stdin.end("end");
-  return String(output).trim().split(",").map(Number);
+  return {
+    ports: String(output).trim().split(",").map(Number),
+    stop: () => child.stdin.end("end"),
+  };
 }
 
 // Guards against a cluster that does not start since tests beside it, or the
@@ -32,12 +34,12 @@
 test("a port is given out once among all processes", async (t) => {
   const own: Promise<number>[] = [];
   while (own.length < PORTS) own.push(findFreePort(HOST));
-  const found = await Promise.all([
-    Promise.all(own),
-    findElsewhere(),
-    findElsewhere(),
-  ]);
-  const ports = found.flat();
+  const others = await Promise.all([findElsewhere(), findElsewhere()]);
+  const ports = [
+    ...await Promise.all(own),
+    ...others.flatMap((other) => other.ports),
+  ];
+  for (const other of others) other.stop();
   t.equal(ports.length, 3 * PORTS);
   t.equal(new Set(ports).size, ports.length);
 });
