Let the soak's check of versions see a newer one

Cause, from the logs kept: the operator wrote version 7 at 262261, and entry-1 logged it as in force before it answered a request for the queue of version 6, which had been sent before; the versions of that process only grow (6 to 11). The check compared with the version at the time of the request. Change: an entry has gone back only if the operator's newest version is still the one that was asked for when the answer arrives.

--- a/testing/platform/soak/found_seeds.ts
+++ b/testing/platform/soak/found_seeds.ts
@@ -39,4 +39,8 @@
     seed: 218,
     cause: "a gang ran again if its end arrived after the loss of a member",
   },
+  {
+    seed: 5102,
+    cause: "the soak's check took an entry with a newer version for an old one",
+  },
 ];
--- a/testing/platform/soak/soak.ts
+++ b/testing/platform/soak/soak.ts
@@ -13,6 +13,7 @@
 import { FAULTS, MAX_FAULT_DURATION } from "./faults.ts";
 import { createLedger, WORKER_ACCELERATORS } from "./ledger.ts";
 import type { JobRecord, Ledger } from "./ledger.ts";
+import { hasGoneBack } from "./version_check.ts";
 
 /** Time for which entries may take to answer after the start, in ms. */
 const START_TIMEOUT = 30_000;
@@ -207,7 +208,8 @@
     const since = sentAt - FAULT_FREE_TIME;
     if (answer.status === 404) {
       const known = seen.get(child) ?? 0;
-      if (known >= current) {
+      const newest = target.version.current;
+      if (hasGoneBack({ asked: current, known, newest })) {
         ledger.report(
           "CONFIG",
           `${entry.name} went back from version ${known}`,
