--- a/core/model/mod.ts
+++ b/core/model/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export * from "./address.ts";
 export * from "./agent.ts";
 export * from "./clock.ts";
 export * from "./configuration.ts";
