--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -123,7 +123,10 @@
     replaceIncarnation(state, event.born, event.now);
     return;
   }
-  if (event.born < worker.state.born) return;
+  if (event.born < worker.state.born) {
+    state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
+    return;
+  }
   state.hold.failures = 0;
   state.hold.nextCallAt = event.now;
   if (state.hold.silence) state.reportDue = true;
