Believe only the agent's own worker about itself

Cause: an agent took each well-formed heartbeat with a later start as a new life of its worker, whatever its id, service and address. The leader then counted the runs of the former worker as lost and started them elsewhere.

Change: one check at the agent's boundary (worker_check.ts) decides who may speak for the worker. The address must be the one in the agent's settings, and the service that of the settings or of the same life before. A sender that is not known yet is believed once the worker at that address has confirmed its id (another one answers 421) and the time of its start. Ids that no header may hold, numbers that are infinite or too large, ports out of range and fields of another type are refused. Refusals are counted by reason (worker_messages_refused_total) and each sender is logged once for each reason. A leader now also tells its epoch to agents without a worker: one that was restarted needs it to ask a worker that has heard a leader before.

--- a/core/scheduler/orders.ts
+++ b/core/scheduler/orders.ts
@@ -8,13 +8,22 @@
 import { findTask, isCurrent } from "./runs.ts";
 import type { Run, SchedulerEffect, SchedulerState } from "./state.ts";
 
-/** Creates the orders to an agent, or undefined if its worker is not known. */
+/**
+ * Creates the orders to an agent, or undefined for an unknown one. Without a
+ * worker they only tell the agent the leader's epoch, which it needs to call
+ * its worker.
+ */
 export function createOrders(
   state: SchedulerState,
   agentName: string,
 ): SchedulerEffect | undefined {
-  const worker = state.agents.get(agentName)?.worker;
-  if (!worker) return undefined;
+  const agent = state.agents.get(agentName);
+  if (!agent) return undefined;
+  const { worker } = agent;
+  if (!worker) {
+    const none = { worker: "", starts: [], stops: [], acknowledged: 0 };
+    return { kind: "orders", agent: agentName, orders: none };
+  }
   const runs = [...worker.runs];
   const name = (run: Run) => ({ task: run.name, run: run.run });
   const startable = runs.filter(isStartable);
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -16,7 +16,6 @@
 import {
   createKeyValue,
   createWorkerClient,
-  decodeAnnouncement,
   parseHeartbeatPath,
 } from "@dragonflyledge/platform";
 import type { ProcessSettings } from "@dragonflyledge/platform";
@@ -37,6 +36,7 @@
   ControlEffect,
   ControlEvent,
 } from "@dragonflyledge/worker-control";
+import { createWorkerCheck, Refusal } from "./worker_check.ts";
 
 /** Interval of the events that let the reducer apply its timeouts. */
 const TICK_INTERVAL: Milliseconds = 200;
@@ -47,6 +47,23 @@
 /** How long idle connections of the heartbeat listener stay open. */
 const HEARTBEAT_KEEP_ALIVE: Milliseconds = 60_000;
 
+const Status = {
+  Ok: 200,
+  BadRequest: 400,
+  NotFound: 404,
+  Misdirected: 421,
+  Unavailable: 503,
+} as const;
+/** Statuses of the answers to heartbeats that are refused. */
+const REFUSAL_STATUS: Record<Refusal, number> = {
+  [Refusal.Id]: Status.BadRequest,
+  [Refusal.Body]: Status.BadRequest,
+  [Refusal.Address]: Status.Misdirected,
+  [Refusal.Service]: Status.Misdirected,
+  [Refusal.Identity]: Status.Misdirected,
+  [Refusal.Unconfirmed]: Status.Unavailable,
+};
+
 /** A running agent. */
 export interface RunningAgent {
   /** Closes the listeners for heartbeats and links. */
@@ -152,21 +169,33 @@
     });
   }
 
+  const check = createWorkerCheck({
+    worker,
+    address: settings.workerAddress,
+    service: settings.workerService,
+    epoch: () => control.state.epoch,
+    clock,
+    timer,
+    log,
+    instruments,
+  });
+
   /** Handles a worker's heartbeat, or with DELETE its announced shutdown. */
-  function handle(request: HttpRequest): HttpAnswer {
+  async function handle(request: HttpRequest): Promise<HttpAnswer> {
     const id = parseHeartbeatPath(request.path);
-    if (id === undefined) return { status: 404 };
+    if (id === undefined) return { status: Status.NotFound };
     if (request.method === "DELETE") {
-      dispatch({ kind: "left", now: clock.now(), id });
-      return { status: 200 };
+      // Whoever sent it, nothing is registered under its id afterwards.
+      if (check.goodbye(id)) dispatch({ kind: "left", now: clock.now(), id });
+      return { status: Status.Ok };
     }
-    const announcement = decodeAnnouncement({ id, bytes: request.body });
-    if (!announcement) {
-      log.warn("A heartbeat describes no usable worker.", { id });
-      return { status: 400 };
+    const decision = await check.heartbeat(id, request.body);
+    if (decision.kind === "refused") {
+      return { status: REFUSAL_STATUS[decision.reason] };
     }
+    const { announcement } = decision;
     dispatch({ kind: "announced", now: clock.now(), announcement });
-    return { status: 200, body: "{}" };
+    return { status: Status.Ok, body: "{}" };
   }
 
   const heartbeats = listenHttp({
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -64,6 +64,13 @@
     help: "Time of calls to the worker, the wait of holds included.",
     labels: ["call"],
   },
+  worker_messages_refused_total: {
+    kind: "counter",
+    help:
+      "Heartbeats and goodbyes that do not come from the agent's worker, by " +
+      "the reason.",
+    labels: ["message", "reason"],
+  },
   placement_wait_seconds: {
     kind: "histogram",
     help: "Time from a task being ready to its placement.",
--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -49,6 +49,8 @@
   name: string;
   /** Where callers reach the program, as "host:port". */
   callerAddress: string;
+  /** Where an agent takes heartbeats, as "host:port". */
+  heartbeatAddress: string;
   /** The process that was started last. */
   child: ChildProcess;
   /** Where metrics are served, as "host:port". */
@@ -162,6 +164,7 @@
     const created = {
       name,
       callerAddress: `${HOST}:${caller}`,
+      heartbeatAddress: `${HOST}:${heartbeats}`,
       metricsAddress: `${HOST}:${metrics}`,
       lines: [] as string[],
       relays,
@@ -185,7 +188,8 @@
     } as ProgramProcess;
     created.start();
     processes.push(created);
-    worker?.startHeartbeats(`${HOST}:${heartbeats}`);
+    const agent = `${HOST}:${heartbeats}`;
+    worker?.startHeartbeats({ agent, address: addressOf(relays.worker) });
     return created;
   }
 
--- a/testing/platform/worker_server.ts
+++ b/testing/platform/worker_server.ts
@@ -69,6 +69,8 @@
 export interface WorkerServer {
   /** Host and port, as "host:port". */
   address: string;
+  /** Id of the present incarnation. */
+  id(): string;
   /** All runs that started, as "task#run". */
   readonly started: string[];
   /** Tasks of all runs that ended as done. */
@@ -79,8 +81,11 @@
   usedAccelerators(): number;
   /** Highest number of tasks that ran at one time. */
   maxRunning(): number;
-  /** Starts sending heartbeats to the agent at this "host:port". */
-  startHeartbeats(agent: string): void;
+  /**
+   * Starts sending heartbeats to an agent, which calls the worker at `address`.
+   * Both are given as "host:port".
+   */
+  startHeartbeats(fields: { agent: string; address: string }): void;
   /** Loses all runs and ends, and comes back as another incarnation. */
   crash(): void;
   /** Has and announces this number of accelerators until the next crash. */
@@ -248,7 +253,9 @@
     };
   }
 
-  function startHeartbeats(agent: string): void {
+  function startHeartbeats(
+    { agent, address }: { agent: string; address: string },
+  ): void {
     const [host, port] = agent.split(":");
     const send = () => {
       const call = request({
@@ -261,7 +268,7 @@
       call.on("error", () => {});
       call.end(JSON.stringify({
         service: fields.service,
-        address: server.address,
+        address,
         zone: "zone-a",
         version: "v1",
         slots: ACCELERATORS,
@@ -283,6 +290,7 @@
 
   return {
     address: server.address,
+    id: () => incarnation.id,
     started,
     done,
     listRuns: () => [...incarnation.running.values()],
