Count a job as begun once a worker shows a run of it

Cause: a job counted as begun once its stored progress had a run number. The leader stores that before the start is ordered, so whatever goes between the order and the start (the machine, its worker, the leader, the link) leaves a job that is neither running nor pending. Ruled out: an old copy of the store at the entries; the leader itself gave 0 as well. Evidence from the programs' log: "Tasks placed." for all four jobs, then "Start not confirmed." with `stored: true` for each, 8 s before they start elsewhere.

Change: the progress of a job says whether a worker has listed a run of it, running or ended. It is stored with the job's next change, or within a second, so that all entries and the next leader know. Entries count jobs without it as pending and show them as queued. Records of older builds count as before.

--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -70,7 +70,7 @@
   acceptedAt: Milliseconds;
 }
 
-/** Status of a job as shown to callers. */
+/** Status of a job; it is running once a task was placed on a worker. */
 export const JobStatus = {
   Queued: "queued",
   Running: "running",
@@ -157,6 +157,8 @@
 /** Progress of a job, stored separately from its request. */
 export interface JobProgress {
   status: JobStatus;
+  /** Whether any task has started, as a worker has shown. */
+  begun: boolean;
   /** Unix time at which the status became final; 0 before that. */
   finishedAt: Milliseconds;
   /** Set when the status is `failed`; missing in records of older builds. */
@@ -178,6 +180,7 @@
 export function createProgress(): JobProgress {
   return {
     status: JobStatus.Queued,
+    begun: false,
     finishedAt: 0,
     nextOccurrence: 0,
     occurrences: [],
--- a/core/scheduler/progress.ts
+++ b/core/scheduler/progress.ts
@@ -14,6 +14,17 @@
 export function markChanged(state: SchedulerState, job: Job): void {
   job.version++;
   state.changedJobs.add(job);
+  state.unsavedBegun.delete(job);
+}
+
+/**
+ * Notes that a worker has shown a run of the job. It is stored with the next
+ * change of the job, or soon after.
+ */
+export function noteBegun(state: SchedulerState, job: Job): void {
+  if (job.progress.begun) return;
+  job.progress.begun = true;
+  state.unsavedBegun.add(job);
 }
 
 /** Gives the job its final status and stops its remaining runs. */
--- a/core/scheduler/records.ts
+++ b/core/scheduler/records.ts
@@ -29,14 +29,16 @@
 
 /**
  * Progress as plain arrays, which the store's encoder writes compactly. Only
- * that of a failed job has a failure.
+ * that of a failed job has a failure. Records of older builds do not tell at the
+ * end whether a task has started.
  */
 export type ProgressRow = [
   string,
   number,
   number,
   OccurrenceRow[],
-  ...([FailureRow] | []),
+  (FailureRow | undefined)?,
+  boolean?,
 ];
 
 /** Converts progress to its stored form. */
@@ -59,7 +61,8 @@
       occurrence.index,
       occurrence.steps.map((tasks) => tasks.map(packTask)),
     ]),
-    ...packFailure(progress.failure),
+    packFailure(progress.failure),
+    progress.begun,
   ];
 }
 
@@ -72,8 +75,10 @@
     : [early, soleEarly, late, soleLate, untold, workedFor];
 }
 
-function packFailure(failure: JobFailure | undefined): [FailureRow] | [] {
-  return failure ? [[failure.code, failure.task, failure.count]] : [];
+function packFailure(
+  failure: JobFailure | undefined,
+): FailureRow | undefined {
+  return failure && [failure.code, failure.task, failure.count];
 }
 
 function unpackFailure(row: FailureRow | undefined): JobFailure | undefined {
@@ -109,6 +114,7 @@
   return {
     status:
       (statuses.includes(row[0]) ? row[0] : JobStatus.Queued) as JobStatus,
+    begun: row[5] ?? hasRuns(row),
     finishedAt: row[1],
     failure: unpackFailure(row[4]),
     nextOccurrence: row[2],
@@ -119,10 +125,10 @@
   };
 }
 
-/** Whether any task of the job was ever started. */
-export function hasBegun(progress: JobProgress): boolean {
-  return progress.occurrences.some((occurrence) =>
-    occurrence.steps.some((tasks) => tasks.some((task) => task.run > 0))
+/** Whether any task of the job was ever placed on a worker. */
+function hasRuns(row: ProgressRow): boolean {
+  return row[3].some(([, steps]) =>
+    steps.some((tasks) => tasks.some(([, run]) => run > 0))
   );
 }
 
@@ -148,7 +154,8 @@
   return Array.isArray(value) && typeof value[0] === "string" &&
     typeof value[1] === "number" && typeof value[2] === "number" &&
     Array.isArray(value[3]) && value[3].every(isOccurrenceRow) &&
-    (value[4] === undefined || isFailureRow(value[4]));
+    (value[4] === undefined || isFailureRow(value[4])) &&
+    (value[5] === undefined || typeof value[5] === "boolean");
 }
 
 function isFailureRow(value: unknown): value is FailureRow {
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -33,6 +33,9 @@
 /** Interval at which the checkpoints of running tasks are stored. */
 const CHECKPOINT_INTERVAL: Milliseconds = 2 * SECOND;
 
+/** Same interval for the knowledge which jobs have begun. */
+const BEGUN_INTERVAL: Milliseconds = SECOND;
+
 /** Decides on all jobs while this process is the leader. */
 export interface Scheduler {
   /** Applies an event and returns what is to be done. */
@@ -58,6 +61,8 @@
     agents: new Map(),
     workers: new Map(),
     runs: new Map(),
+    unsavedBegun: new Set(),
+    begunSavedAt: 0,
     unsavedJobs: new Set(),
     checkpointsSavedAt: 0,
     survey: fields.takesOver ? createSurvey() : undefined,
@@ -280,6 +285,7 @@
   endSurvey(state, now);
   checkAgents(state, now, date);
   noteUnconfirmedStarts(state, now);
+  saveBegun(state, now);
   saveCheckpoints(state, now);
   for (const job of state.active) createDueOccurrences({ state, job, date });
   for (const job of state.jobs.values()) {
@@ -308,6 +314,13 @@
   });
 }
 
+/** Stores at intervals which jobs have begun, for callers of all entries. */
+function saveBegun(state: SchedulerState, now: Milliseconds): void {
+  if (now - state.begunSavedAt < BEGUN_INTERVAL) return;
+  state.begunSavedAt = now;
+  for (const job of [...state.unsavedBegun]) markChanged(state, job);
+}
+
 /** Stores new checkpoints at intervals, for a new leader to resume from. */
 function saveCheckpoints(state: SchedulerState, now: Milliseconds): void {
   if (now - state.checkpointsSavedAt < CHECKPOINT_INTERVAL) return;
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -18,6 +18,7 @@
 import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
 import { applyEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
+import { noteBegun } from "./progress.ts";
 import { noteOutages } from "./outages.ts";
 import { addRun, addToWorker, findTask, noteListed, stopRun } from "./runs.ts";
 import { isApplied } from "./state.ts";
@@ -216,7 +217,10 @@
     worker.appliedEnd = ended.number;
     const run = state.runs.get(runKey(ended));
     const matches = run !== undefined && run.worker === worker.state.key;
-    if (matches) applyEnding({ state, worker, run, ended, now, date });
+    if (matches) {
+      noteBegun(state, run.job);
+      applyEnding({ state, worker, run, ended, now, date });
+    }
     worker.unstoredEnds.push({
       number: ended.number,
       job: matches ? run.job : undefined,
@@ -236,6 +240,7 @@
     const run = state.runs.get(key);
     if (run && run.worker === worker.state.key) {
       noteListed(run, now);
+      noteBegun(state, run.job);
       const listedLong = report.unsettled && !unsettled.has(key);
       if (listedLong && !report.silence) noteSettled(state, run, now);
       run.percent = running.percent;
@@ -287,6 +292,7 @@
     confirmed: true,
     now,
   });
+  noteBegun(state, job);
   const progress = findTask(job, task);
   const wanted = !isFinal(job.progress.status) &&
     progress?.phase === TaskPhase.Assigned && progress.run === running.run;
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -160,6 +160,10 @@
   agents: Map<string, Agent>;
   workers: Map<string, Worker>;
   runs: Map<string, Run>;
+  /** Jobs of which a task has started, which the store does not know yet. */
+  unsavedBegun: Set<Job>;
+  /** When the beginnings of jobs were last given to the store. */
+  begunSavedAt: Milliseconds;
   /** Jobs with new checkpoints that were not given to the store yet. */
   unsavedJobs: Set<Job>;
   /** When checkpoints were last given to the store. */
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -8,7 +8,7 @@
 import { decode, encode } from "cbor-x";
 import type { Change, Item } from "@dragonflyledge/platform";
 import {
-  hasBegun,
+  createProgress,
   isFinal,
   JobStatus,
   parseStoreKey,
@@ -46,7 +46,10 @@
   apply(changes: Change[]): void;
   /** Status as shown to callers; undefined for an unknown job. */
   status(id: string): JobStatus | undefined;
-  /** Counts the unfinished jobs of a queue of which no task has started. */
+  /**
+   * Counts the unfinished jobs of a queue of which no task has started. Tasks
+   * that were placed but not seen on a worker have not.
+   */
   countPending(queue: string): number;
 }
 
@@ -143,7 +146,10 @@
   function status(id: string): JobStatus | undefined {
     const job = jobs.get(id);
     if (!job?.request) return undefined;
-    const stored = job.progress?.status ?? JobStatus.Queued;
+    const { status, begun } = job.progress ?? createProgress();
+    const stored = status === JobStatus.Running && !begun
+      ? JobStatus.Queued
+      : status;
     return job.cancelled && !isFinal(stored) ? JobStatus.Cancelled : stored;
   }
 
@@ -174,7 +180,7 @@
         if (job.request?.queue !== queue) continue;
         const current = status(id);
         if (current === undefined || isFinal(current)) continue;
-        if (!job.progress || !hasBegun(job.progress)) count++;
+        if (!job.progress?.begun) count++;
       }
       return count;
     },
--- a/daemons/scheduler/replica_test.ts
+++ b/daemons/scheduler/replica_test.ts
@@ -39,6 +39,28 @@
   t.end();
 });
 
+// Guards against callers who are told that a job runs, or does not wait any
+// more, though it was only placed on a worker that may be gone.
+test("a job that was placed but has not begun is pending", (t) => {
+  const replica = createReplica({ onBadItem: () => {} });
+  replica.apply([put(jobKey(ID), encode(request))]);
+  const task = [1, 1, "agent", "worker", "", 0];
+  const store = (begun?: boolean) => {
+    const row = ["running", 0, 1, [[0, [[task]]]], undefined, begun];
+    replica.apply([put(progressKey(ID), encode(row))]);
+  };
+  t.equal(replica.countPending("queue"), 1);
+  store(false);
+  t.equal(replica.countPending("queue"), 1);
+  t.equal(replica.status(ID), JobStatus.Queued);
+  store(true);
+  t.equal(replica.countPending("queue"), 0);
+  t.equal(replica.status(ID), JobStatus.Running);
+  store();
+  t.equal(replica.countPending("queue"), 0, "a record of an older build");
+  t.end();
+});
+
 // Guards against a bad record that hides the sound ones beside it.
 test("records beside a bad one are kept", (t) => {
   const replica = createReplica({ onBadItem: () => {} });
