Place nothing on workers whose agent's link has closed

Cause, from the programs' log: the link to agent-0 closed at 38.598 ("Agent disconnected."), and the jobs were placed there from 38.616 on, since only the age of the last report decided (2 s). The starts could not even be sent. Nothing took note of that, and the runs counted as lost only with the agent, 8.3 s after its last report (46.284). Ruled out: a start that was delivered (the agent had gone) and a late store (`stored: true`).

Change: the scheduler hears that a link has closed. The agent's worker gets no tasks until the agent reports again, and a start that was placed but not sent is taken back at once; the leader knows that nobody can carry it out. One that was sent is awaited as before. A closed link is redialled without a delay, so that a reset keeps workers out for a round trip only.

--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -40,7 +40,7 @@
 
 /**
  * Whether a task that is placed on the worker now can be expected to start: the
- * worker does not drain, and both it and its agent answer. Its heartbeat alone
+ * worker does not drain, it answers, and its agent is connected and reports. Its heartbeat alone
  * does not show that it is there; a late one may come from a worker that left.
  */
 export function isUsable(
@@ -51,7 +51,8 @@
   const { draining, reachable } = worker.state;
   if (draining || !reachable || !worker.listed) return false;
   const agent = state.agents.get(worker.agent);
-  return agent !== undefined && now - agent.lastHeard < AGENT_SILENCE_LIMIT;
+  return agent?.connected === true &&
+    now - agent.lastHeard < AGENT_SILENCE_LIMIT;
 }
 
 /** Whether one more task of the step fits on the worker. */
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -225,6 +225,11 @@
       now += duration;
       applyEffects(scheduler.reduce({ kind: "tick", now, date: now }));
     },
+    /** Closes the link to the agent, until its next report. */
+    disconnect: (index: number) => {
+      const agent = workers[index]!.name;
+      applyEffects(scheduler.reduce({ kind: "disconnected", now, agent }));
+    },
     silence: (index: number) => {
       workers[index]!.silent = true;
     },
--- a/core/scheduler/orders.ts
+++ b/core/scheduler/orders.ts
@@ -9,7 +9,8 @@
 import type { Run, SchedulerEffect, SchedulerState } from "./state.ts";
 
 /**
- * Creates the orders to an agent, or undefined for an unknown one. Without a
+ * Creates the orders to an agent, or undefined for one to which no link is open,
+ * which gets them after its next report. Without a
  * worker they only tell the agent the leader's epoch, which it needs to call
  * its worker.
  */
@@ -18,7 +19,7 @@
   agentName: string,
 ): SchedulerEffect | undefined {
   const agent = state.agents.get(agentName);
-  if (!agent) return undefined;
+  if (!agent?.connected) return undefined;
   const { worker } = agent;
   if (!worker) {
     const none = { worker: "", starts: [], stops: [], acknowledged: 0 };
@@ -27,6 +28,7 @@
   const runs = [...worker.runs];
   const name = (run: Run) => ({ task: run.name, run: run.run });
   const startable = runs.filter(isStartable);
+  for (const run of startable) run.ordered = true;
   return {
     kind: "orders",
     agent: agentName,
--- a/core/scheduler/plan.ts
+++ b/core/scheduler/plan.ts
@@ -249,6 +249,7 @@
       run: task.run,
       agent: worker.agent,
       worker: worker.state.key,
+      ordered: false,
       confirmed: false,
       now,
     });
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -12,7 +12,12 @@
 import { createOrders } from "./orders.ts";
 import { plan } from "./plan.ts";
 import { createDueOccurrences, finishJob, markChanged } from "./progress.ts";
-import { advanceAcknowledged, applyReport, markAgentLost } from "./reports.ts";
+import {
+  advanceAcknowledged,
+  applyReport,
+  markAgentLost,
+  noteDisconnected,
+} from "./reports.ts";
 import { addRun, stopRun } from "./runs.ts";
 import { noteUnconfirmedStarts } from "./waits.ts";
 import {
@@ -22,7 +27,6 @@
   noteReport,
 } from "./survey.ts";
 import type {
-  Agent,
   Job,
   SchedulerEffect,
   SchedulerEvent,
@@ -118,6 +122,8 @@
       const agent = state.agents.get(event.agent)!;
       return applyReport({ ...event, state, agent });
     }
+    case "disconnected":
+      return noteDisconnected(state, event.agent);
     case "stored":
       return confirmStored(state, event.job, event.version);
     case "tick":
@@ -227,6 +233,7 @@
           run: task.run,
           agent: task.agent,
           worker: task.worker,
+          ordered: true,
           confirmed: false,
           now,
         });
@@ -254,8 +261,13 @@
   now: Milliseconds,
 ): void {
   if (state.agents.has(name)) return;
-  const agent: Agent = { name, lastHeard: now, lost: false, outages: [] };
-  state.agents.set(name, agent);
+  state.agents.set(name, {
+    name,
+    lastHeard: now,
+    connected: false,
+    lost: false,
+    outages: [],
+  });
 }
 
 function confirmStored(
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -39,6 +39,9 @@
 export function applyReport(fields: ReportFields): void {
   const { state, agent, report, now } = fields;
   agent.lastHeard = now;
+  // Its worker may take tasks again, and waiting ones can be placed there.
+  if (!agent.connected) state.planDue = true;
+  agent.connected = true;
   agent.lost = false;
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
@@ -137,6 +140,20 @@
   });
 }
 
+/**
+ * Takes back the starts that were not sent before the link to their agent
+ * closed; those that were sent may still be carried out.
+ */
+export function noteDisconnected(state: SchedulerState, name: string): void {
+  const agent = state.agents.get(name);
+  if (!agent) return;
+  agent.connected = false;
+  for (const run of [...state.runs.values()]) {
+    if (run.agent !== name || run.ordered || run.confirmed) continue;
+    loseRun(state, run, "start not sent");
+  }
+}
+
 /** Acknowledges the worker's ended runs that have been stored since. */
 export function advanceAcknowledged(
   state: SchedulerState,
@@ -289,6 +306,7 @@
     run: running.run,
     agent: worker.agent,
     worker: worker.state.key,
+    ordered: true,
     confirmed: true,
     now,
   });
--- a/core/scheduler/reports_test.ts
+++ b/core/scheduler/reports_test.ts
@@ -37,3 +37,47 @@
   t.equal(fleet.status("a"), "completed");
   t.end();
 });
+
+// Guards against tasks that wait 8 s since they were placed on a machine that
+// had gone, though its link had closed at once.
+test("a worker whose agent is not connected gets no task", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  fleet.silence(0);
+  fleet.disconnect(0);
+  const steps = [step({ count: 2, accelerators: 4 })];
+  fleet.submit(request({ id: "a", steps }));
+  t.equal(fleet.starts(1).length, 2);
+  fleet.submit(request({ id: "b", steps }));
+  fleet.report(0);
+  t.equal(fleet.starts(0).length, 2, "it gets tasks with its next report");
+  t.end();
+});
+
+// Guards against tasks that wait 8 s for starts that were never sent.
+test("a start that was not sent is taken back when the link closes", (t) => {
+  const fleet = createFleet({ workers: 2, manualStore: true });
+  fleet.submit(request({ id: "a", steps: [step({ accelerators: 8 })] }));
+  const agent = fleet.progress("a").occurrences[0]!.steps[0]![0]!.agent;
+  const chosen = agent === "agent-0" ? 0 : 1;
+  fleet.silence(chosen);
+  fleet.disconnect(chosen);
+  fleet.store("a");
+  t.match(fleet.starts(1 - chosen), [{ run: 2 }]);
+  t.same(fleet.starts(chosen), []);
+  t.end();
+});
+
+// Guards against a task that runs twice since the link closed after its start
+// was sent.
+test("a start that was sent is awaited when the link closes", (t) => {
+  const fleet = createFleet({ workers: 2 });
+  fleet.submit(request({ id: "a", steps: [step({ accelerators: 8 })] }));
+  const chosen = fleet.starts(0).length > 0 ? 0 : 1;
+  fleet.silence(chosen);
+  fleet.disconnect(chosen);
+  fleet.advance(7000);
+  t.same(fleet.starts(1 - chosen), []);
+  fleet.advance(2000);
+  t.match(fleet.starts(1 - chosen), [{ run: 2 }], "the agent is lost");
+  t.end();
+});
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -56,6 +56,7 @@
   run: number;
   agent: string;
   worker: string;
+  ordered: boolean;
   confirmed: boolean;
   now: number;
 }): Run {
@@ -69,6 +70,7 @@
     agent: fields.agent,
     worker: fields.worker,
     version: job.version,
+    ordered: fields.ordered,
     confirmed: fields.confirmed,
     settled: false,
     isolation: isolationOf(tasksOf(job, task)),
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -60,6 +60,11 @@
   worker: string;
   /** The start may be ordered once this version of the job is stored. */
   version: number;
+  /**
+   * Whether its start may have been sent to the agent, by this leader or an
+   * earlier one.
+   */
+  ordered: boolean;
   /** Whether the worker has listed the run. */
   confirmed: boolean;
   /**
@@ -121,6 +126,8 @@
 export interface Agent {
   name: string;
   lastHeard: Milliseconds;
+  /** Whether its last report came over a link that is still open. */
+  connected: boolean;
   /** Whether its grant has run out since its last report. */
   lost: boolean;
   worker?: Worker;
@@ -194,6 +201,8 @@
     /** All jobs and agents of the store were passed to a new leader. */
     | { kind: "loaded" }
     | { kind: "report"; agent: string; report: AgentReport; date: Milliseconds }
+    /** The link over which the agent's reports came has closed. */
+    | { kind: "disconnected"; agent: string }
     | { kind: "stored"; job: string; version: number }
     | { kind: "tick"; date: Milliseconds }
     /** Answers the effect `planLater`. */
--- a/daemons/scheduler/agent_links.ts
+++ b/daemons/scheduler/agent_links.ts
@@ -12,6 +12,7 @@
 import type { AgentReport } from "@dragonflyledge/scheduler";
 
 const CONNECT_TIMEOUT: Milliseconds = 700;
+/** Shortest time between two attempts to connect to an agent. */
 const REDIAL_DELAY: Milliseconds = 250;
 /** A link over which no report came for this long is closed and redialled. */
 const SILENCE_LIMIT: Milliseconds = 2000;
@@ -19,6 +20,8 @@
 interface AgentLink {
   address: string;
   link?: Link;
+  /** When the last attempt to connect began. */
+  dialledAt: Milliseconds;
   lastHeard: Milliseconds;
   /** `sentAt` of the last report over the current link. */
   lastReport?: Milliseconds;
@@ -41,12 +44,16 @@
   close(): void;
 }
 
-/** Creates an empty set of links; the agents' reports go to `onReport`. */
+/**
+ * Creates an empty set of links; the agents' reports go to `onReport`. When a
+ * link over which reports came has closed, `onDisconnected` is called.
+ */
 export function createAgentLinks(fields: {
   clock: Clock;
   timer: Timer;
   log: Log;
   onReport: (agent: string, report: AgentReport) => void;
+  onDisconnected: (agent: string) => void;
 }): AgentLinks {
   const { clock, timer, log } = fields;
   const agents = new Map<string, AgentLink>();
@@ -56,6 +63,7 @@
     if (closed || agents.get(name) !== agent) return;
     const [host, port] = agent.address.split(":");
     agent.lastHeard = clock.now();
+    agent.dialledAt = clock.now();
     const link = dialLink({
       host: host!,
       port: Number(port),
@@ -74,12 +82,14 @@
         fields.onReport(name, report);
       },
       onClose: (reason) => {
-        if (agent.lastReport !== undefined) {
-          log.info("Agent disconnected.", { agent: name, reason });
-        }
+        const reported = agent.lastReport !== undefined;
         agent.link = undefined;
         agent.lastReport = undefined;
-        timer.after(REDIAL_DELAY, () => dial(name, agent));
+        const delay = agent.dialledAt + REDIAL_DELAY - clock.now();
+        timer.after(Math.max(0, delay), () => dial(name, agent));
+        if (!reported || closed) return;
+        log.info("Agent disconnected.", { agent: name, reason });
+        if (agents.get(name) === agent) fields.onDisconnected(name);
       },
     });
     agent.link = link;
@@ -89,9 +99,10 @@
     connect: (name, address) => {
       const known = agents.get(name);
       if (known?.address === address) return;
-      const agent: AgentLink = { address, lastHeard: clock.now() };
-      agents.set(name, agent);
+      const now = clock.now();
+      const agent: AgentLink = { address, dialledAt: now, lastHeard: now };
       known?.link?.close();
+      agents.set(name, agent);
       dial(name, agent);
     },
     disconnect: (name) => {
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -112,6 +112,8 @@
       const date = clock.date().getTime();
       dispatch({ kind: "report", now: clock.now(), agent, report, date });
     },
+    onDisconnected: (agent) =>
+      dispatch({ kind: "disconnected", now: clock.now(), agent }),
   });
 
   function dispatch(event: SchedulerEvent): void {
--- a/testing/platform/pending_test.ts
+++ b/testing/platform/pending_test.ts
@@ -6,8 +6,12 @@
 import { waitUntil } from "./wait.ts";
 
 const START_TIMEOUT = 20_000;
+/** Time in which jobs that can start have to. */
+const JOB_TIMEOUT = 5000;
 /** Age of a count, and the time in which jobs become visible. */
 const PENDING_AGE = 2000;
+const WATCH_TIME = 3000;
+const POLL_INTERVAL = 100;
 const JOBS = 4;
 
 const idOf = (index: number) => index.toString(16).padStart(16, "0");
@@ -75,3 +79,23 @@
   await sleep(PENDING_AGE);
   t.same(await countPending(programs), [0, 0]);
 });
+
+// Guards against jobs that wait for 8 s on a machine that has gone, and against
+// counts that leave them out meanwhile.
+test("jobs start elsewhere when a machine has gone", async (t) => {
+  const programs = await startFleet(t, 3);
+  programs.agents.at(-1)!.child.kill("SIGKILL");
+  await submitJobs(programs);
+  await waitUntil(
+    "all jobs have started",
+    JOB_TIMEOUT,
+    () => Promise.resolve(countStarts(programs) === JOBS),
+  );
+  const end = Date.now() + WATCH_TIME;
+  let counts = await countPending(programs);
+  while (Date.now() < end && counts.some((count) => count > 0)) {
+    await sleep(POLL_INTERVAL);
+    counts = await countPending(programs);
+  }
+  t.same(counts, [0, 0]);
+});
