Refuse frames with numbers that no process sends

What callers would see: jobs on one machine never start again. Cause: an `orders` frame of anybody with an epoch such as 1e300 was taken, after which the agent ignored the orders of each real leader; one that answers a report of the far future gave the worker a lease without an end.

Change: run numbers, epochs, starts of workers and numbers of ends are whole numbers that are exact, amounts are not negative, and a grant begins no later than the answer arrives.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -6,6 +6,17 @@
  * @module
  */
 
+import {
+  isAmount,
+  isCount,
+  isFlag,
+  isNumber,
+  isText,
+  listOf,
+  objectWith,
+  optional,
+} from "./guards.ts";
+import type { Guard } from "./guards.ts";
 import { RunEnding } from "./messages.ts";
 import type {
   AgentOrders,
@@ -22,125 +33,91 @@
 } from "./messages.ts";
 import type { Capacity } from "./state.ts";
 
-type Guard<T> = (value: unknown) => value is T;
-
-const isText: Guard<string> = (value) => typeof value === "string";
-const isFlag: Guard<boolean> = (value) => typeof value === "boolean";
-const isNumber: Guard<number> = (value): value is number =>
-  typeof value === "number" && Number.isFinite(value);
 const isEnding: Guard<RunEnding> = (value): value is RunEnding =>
   Object.values(RunEnding).some((ending) => ending === value);
 
-/** Guards a list whose entries all pass the guard. */
-function listOf<T>(guard: Guard<T>): Guard<T[]> {
-  return (value): value is T[] => Array.isArray(value) && value.every(guard);
-}
-
-/** Guards an object that has each of the given fields; others are ignored. */
-function objectWith<T extends object>(
-  guards: { [Field in keyof T]-?: Guard<T[Field]> },
-): Guard<T> {
-  const fields = Object.entries(guards) as [string, Guard<unknown>][];
-  return (value): value is T =>
-    typeof value === "object" && value !== null &&
-    fields.every(([name, guard]) =>
-      guard((value as Record<string, unknown>)[name])
-    );
-}
-
-const isRunName = objectWith<RunName>({ task: isText, run: isNumber });
+const isRunName = objectWith<RunName>({ task: isText, run: isCount });
 const isRunningTask = objectWith<RunningTask>({
   task: isText,
-  run: isNumber,
+  run: isCount,
   checkpoint: isText,
   percent: isNumber,
 });
 const isEndedTask = objectWith<EndedTask>({
-  number: isNumber,
+  number: isCount,
   task: isText,
-  run: isNumber,
+  run: isCount,
   ending: isEnding,
   checkpoint: isText,
 });
 const isRefusedStart = objectWith<RefusedStart>({
   task: isText,
-  run: isNumber,
+  run: isCount,
   reason: isText,
 });
 const isStartOrder = objectWith<StartOrder>({
   task: isText,
-  run: isNumber,
+  run: isCount,
   spec: isText,
   checkpoint: isText,
 });
 const isCapacity = objectWith<Capacity>({
-  millicores: isNumber,
-  megabytes: isNumber,
-  accelerators: isNumber,
+  millicores: isAmount,
+  megabytes: isAmount,
+  accelerators: isAmount,
 });
-const isOptionalCapacity = (value: unknown): value is Capacity | undefined =>
-  value === undefined || isCapacity(value);
 const isWorkerState = objectWith<WorkerState>({
   key: isText,
-  born: isNumber,
+  born: isCount,
   service: isText,
   rack: isText,
   labels: listOf(isText),
-  millicores: isNumber,
-  megabytes: isNumber,
-  accelerators: isNumber,
-  full: isOptionalCapacity,
+  millicores: isAmount,
+  megabytes: isAmount,
+  accelerators: isAmount,
+  full: optional(isCapacity),
   draining: isFlag,
-  remaining: isNumber,
+  remaining: isAmount,
   reachable: isFlag,
 });
 const isCrashedRun = objectWith<CrashedRun>({
   task: isText,
-  run: isNumber,
-  workedFor: isNumber,
+  run: isCount,
+  workedFor: isAmount,
 });
 const isSilence = objectWith<WorkerSilence>({
   aliveAgo: isNumber,
   failedAgo: isNumber,
 });
-const isOptionalSilence = (
-  value: unknown,
-): value is WorkerSilence | undefined =>
-  value === undefined || isSilence(value);
 const isCrash = objectWith<WorkerCrash>({
   worker: isText,
   runs: listOf(isCrashedRun),
-  silence: isOptionalSilence,
+  silence: optional(isSilence),
 });
-const isCrashList = listOf(isCrash);
-const isRunNameList = listOf(isRunName);
 const isReport = objectWith<AgentReport>({
   kind: (value): value is "report" => value === "report",
   sentAt: isNumber,
-  worker: (value): value is WorkerState | undefined =>
-    value === undefined || isWorkerState(value),
+  worker: optional(isWorkerState),
   listed: isFlag,
   running: listOf(isRunningTask),
-  unsettled: (value): value is RunName[] | undefined =>
-    value === undefined || isRunNameList(value),
+  unsettled: optional(listOf(isRunName)),
   ended: listOf(isEndedTask),
   refused: listOf(isRefusedStart),
   absent: listOf(isRunName),
   vacant: isFlag,
   emptied: listOf(isText),
-  crashes: (value): value is WorkerCrash[] | undefined =>
-    value === undefined || isCrashList(value),
-  silence: isOptionalSilence,
+  crashes: optional(listOf(isCrash)),
+  silence: optional(isSilence),
 });
 const isOrders = objectWith<AgentOrders>({
   kind: (value): value is "orders" => value === "orders",
-  epoch: isNumber,
+  epoch: isCount,
   answersReport: isNumber,
   worker: isText,
-  capacity: isOptionalCapacity,
+  capacity: optional(isCapacity),
   starts: listOf(isStartOrder),
   stops: listOf(isRunName),
-  acknowledged: isNumber,
+  acknowledged: isCount,
 });
 
 /** Returns the message if it is a whole report, otherwise undefined. */
--- a/core/scheduler/decode_test.ts
+++ b/core/scheduler/decode_test.ts
@@ -97,3 +97,19 @@
   t.ok(decodeReport({ ...report, worker: undefined, added: 1 }));
   t.end();
 });
+
+// Guards against an agent that follows no leader any more after one message
+// with a number too large.
+test("numbers that no process sends are refused", (t) => {
+  for (const number of [1e300, 2 ** 60, -1, 1.5, Infinity, NaN]) {
+    for (const path of [["epoch"], ["acknowledged"], ["starts", 0, "run"]]) {
+      t.notOk(decodeOrders(replaceAt(orders, path, number)), `${path}`);
+    }
+    for (const path of [["worker", "born"], ["ended", 0, "number"]]) {
+      t.notOk(decodeReport(replaceAt(report, path, number)), `${path}`);
+    }
+  }
+  t.notOk(decodeReport(replaceAt(report, ["worker", "accelerators"], 1e300)));
+  t.ok(decodeReport(report) && decodeOrders(orders));
+  t.end();
+});
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -13,6 +13,7 @@
 export { decodeOrders, decodeReport } from "./decode.ts";
 export * from "./job.ts";
 export * from "./messages.ts";
+export { isAmount, isCount } from "./guards.ts";
 export * from "./records.ts";
 export * from "./store_keys.ts";
 export { SETTLE_TIME } from "./suspects.ts";
--- a/core/worker_control/grant_test.ts
+++ b/core/worker_control/grant_test.ts
@@ -143,3 +143,12 @@
   t.ok(left >= 500, `${left} ms are left for the election of a leader`);
   t.end();
 });
+
+// Guards against a lease without an end, after an answer to a report that was
+// never sent.
+test("a grant does not begin later than now", (t) => {
+  const { control, reduce } = createWithWorker();
+  reduce({ kind: "orders", now: 10, orders: orders({ answersReport: 1e12 }) });
+  t.equal(control.state.grantEnd, 8010);
+  t.end();
+});
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -26,7 +26,9 @@
     state.epoch = orders.epoch;
     log(state, "New leader.", { epoch: orders.epoch });
   }
-  const grantEnd = orders.answersReport - state.suspended + state.times.grant;
+  // No report can be answered before it was sent.
+  const reportedAt = Math.min(orders.answersReport - state.suspended, now);
+  const grantEnd = reportedAt + state.times.grant;
   state.grantEnd = Math.max(state.grantEnd, grantEnd);
   const { worker } = state;
   if (!worker || worker.state.key !== orders.worker) return;
