--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -6,6 +6,12 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 
+/**
+ * Most tasks of a job, over all its occurrences. Their progress is stored in
+ * one value, which may have a mebibyte.
+ */
+export const MAX_TASKS = 8000;
+
 /** A step of a job: a number of equal tasks and what each of them needs. */
 export interface Step {
   /** Number of tasks. */
--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -42,6 +42,7 @@
 } as const;
 
 const DEFAULT_DEADLINE: Milliseconds = 3 * SECOND;
+const MAX_DEADLINE: Milliseconds = 10 * MINUTE;
 /** The answer is sent this long before the caller's deadline. */
 const ANSWER_MARGIN: Milliseconds = 250;
 /** Attempts of a store call that is refused or stays unanswered. */
@@ -343,9 +344,10 @@
   return { answer, answerLocally };
 }
 
-/** How long the caller waits for an answer. */
+/** How long the caller waits for an answer; an odd header is ignored. */
 function callerTimeout(request: HttpRequest): Milliseconds {
-  return Number(request.headers[CallerHeader.Deadline]) || DEFAULT_DEADLINE;
+  const timeout = Number(request.headers[CallerHeader.Deadline]);
+  return timeout > 0 ? Math.min(timeout, MAX_DEADLINE) : DEFAULT_DEADLINE;
 }
 
 /** Whether another entry may be able to give a definite answer. */
