Check records of the store whole, and leave odd ones out

What callers would see: no job starts any more. Cause: a record of another writer under the prefix of the system was hardly checked. A job with `steps: [null]` ended the leader with a TypeError in its reducer, then the next leader, again and again; a job of 1e9 tasks takes its memory; an agent's address with a port out of range throws in `connect`.

Change: requests are checked field by field (missing fields of older builds get defaults), progress has to have the tasks of its job, and addresses have to be addresses. What does not pass is logged with its key and left out, as bytes that can't be read were before; nothing else is affected.

--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -14,6 +14,7 @@
 export * from "./job.ts";
 export * from "./messages.ts";
 export { isAmount, isCount } from "./guards.ts";
+export { checkJobRequest, isProgressOf } from "./job_record.ts";
 export * from "./records.ts";
 export * from "./store_keys.ts";
 export { SETTLE_TIME } from "./suspects.ts";
--- a/daemons/scheduler/agent_links.ts
+++ b/daemons/scheduler/agent_links.ts
@@ -7,6 +7,7 @@
 import { dialLink } from "@dragonflyledge/link";
 import type { Link } from "@dragonflyledge/link";
 import type { Log } from "@dragonflyledge/log";
+import { parseAddress } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import { decodeReport } from "@dragonflyledge/scheduler";
 import type { AgentReport } from "@dragonflyledge/scheduler";
@@ -61,12 +62,12 @@
 
   function dial(name: string, agent: AgentLink): void {
     if (closed || agents.get(name) !== agent) return;
-    const [host, port] = agent.address.split(":");
+    const address = parseAddress(agent.address);
+    if (!address) return log.warn("An agent has no address.", { agent: name });
     agent.lastHeard = clock.now();
     agent.dialledAt = clock.now();
     const link = dialLink({
-      host: host!,
-      port: Number(port),
+      ...address,
       timeout: CONNECT_TIMEOUT,
       timer,
       onOpen: () => {
--- a/daemons/scheduler/peers.ts
+++ b/daemons/scheduler/peers.ts
@@ -8,6 +8,7 @@
 import { dialLink, listenLinks } from "@dragonflyledge/link";
 import type { Link, LinkMessage } from "@dragonflyledge/link";
 import type { Log } from "@dragonflyledge/log";
+import { parseAddress } from "@dragonflyledge/model";
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
 
@@ -129,7 +130,8 @@
     timeout: Milliseconds,
   ): Promise<ForwardOutcome> {
     return new Promise((resolve) => {
-      const [host, port] = address.split(":");
+      const target = parseAddress(address);
+      if (!target) return resolve({ kind: "notSent" });
       const id = nextId++;
       let sent = false;
       let done = false;
@@ -143,8 +145,7 @@
       const fail = () => finish({ kind: sent ? "unknown" : "notSent" });
       const cancel = timer.after(timeout, fail);
       const link: Link = dialLink({
-        host: host!,
-        port: Number(port),
+        ...target,
         timeout: CONNECT_TIMEOUT,
         timer,
         onOpen: (opened) => {
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -7,9 +7,12 @@
 import { Buffer } from "node:buffer";
 import { decode, encode } from "cbor-x";
 import type { Change, Item } from "@dragonflyledge/platform";
+import { parseAddress } from "@dragonflyledge/model";
 import {
+  checkJobRequest,
   createProgress,
   isFinal,
+  isProgressOf,
   JobStatus,
   parseStoreKey,
   unpackProgress,
@@ -58,14 +61,24 @@
   return encode(request);
 }
 
-/** Decodes a stored request; throws if it is none. */
-function decodeRequest(value: Uint8Array): JobRequest {
-  const request = decode(value) as Partial<JobRequest> | null | undefined;
-  const whole = typeof request?.id === "string" &&
-    Array.isArray(request.steps) &&
-    request.steps.length > 0 && typeof request.policy?.service === "string";
-  if (!whole) throw new Error("the value is no request of a job");
-  return request as JobRequest;
+/** Decodes the stored request of a job; throws if it is none. */
+function decodeRequest(id: string, value: Uint8Array): JobRequest {
+  const request = checkJobRequest(id, decode(value));
+  if (!request) throw new Error("the value is no request of the job");
+  return request;
+}
+
+/** Decodes an address of a process; throws if it is none. */
+function decodeAddress(value: Uint8Array): string {
+  const text = Buffer.from(value).toString();
+  if (!parseAddress(text)) throw new Error("the value is no address");
+  return text;
+}
+
+/** Throws an error if the progress can't be that of the job. */
+function checkProgress(progress: JobProgress, request: JobRequest): void {
+  if (isProgressOf(progress, request)) return;
+  throw new Error("the progress has other tasks than the job");
 }
 
 /** Creates an empty replica; `onBadItem` gets items that can't be decoded. */
@@ -88,11 +101,12 @@
 
   function put(item: Item): void {
     const { kind, id } = parseStoreKey(item.key);
-    const text = () => Buffer.from(item.value).toString();
     switch (kind) {
       case "job": {
-        const request = decodeRequest(item.value);
-        findOrAddJob(id).request = request;
+        const request = decodeRequest(id, item.value);
+        const job = findOrAddJob(id);
+        job.request = request;
+        if (job.progress) checkProgress(job.progress, request);
         return;
       }
       case "cancel":
@@ -101,18 +115,23 @@
       case "progress": {
         const job = findOrAddJob(id);
         if (item.revision < job.progressRevision) return;
+        const progress = unpackProgress(decode(item.value));
+        if (job.request) checkProgress(progress, job.request);
         job.progressRevision = item.revision;
-        job.progress = unpackProgress(decode(item.value));
+        job.progress = progress;
         return;
       }
       case "agent":
-        agents.set(id, text());
+        agents.set(id, decodeAddress(item.value));
         return;
       case "entry":
-        entries.set(id, text());
+        entries.set(id, decodeAddress(item.value));
         return;
       case "leader":
-        leader = { name: text(), revision: item.revision };
+        leader = {
+          name: Buffer.from(item.value).toString(),
+          revision: item.revision,
+        };
         return;
       case "other":
         return;
--- a/testing/platform/store_server.ts
+++ b/testing/platform/store_server.ts
@@ -45,6 +45,8 @@
   compact(): void;
   /** Writes a value as JSON, without a condition. */
   put(key: string, value: unknown): void;
+  /** Writes any bytes, without a condition. */
+  putBytes(key: string, value: Uint8Array): void;
   /** Returns the stored text of a key; undefined if there is none. */
   get(key: string): string | undefined;
   stop(): Promise<void>;
@@ -208,6 +210,12 @@
     return { status: 200, body: { ttlMs: known.ttl } };
   }
 
+  function putBytes(key: string, value: Uint8Array): void {
+    revision++;
+    applyChange(key, Buffer.from(value).toString("base64"));
+    wakeWatches();
+  }
+
   const server = await startJsonServer(handle);
   const expiry = setInterval(() => {
     for (const [id, { end }] of leases) if (end < Date.now()) endLease(id);
@@ -225,11 +233,8 @@
       compactedRevision = revision;
       wakeWatches();
     },
-    put: (key, value) => {
-      revision++;
-      applyChange(key, Buffer.from(JSON.stringify(value)).toString("base64"));
-      wakeWatches();
-    },
+    put: (key, value) => putBytes(key, Buffer.from(JSON.stringify(value))),
+    putBytes,
     get: (key) => {
       const item = items.get(key);
       return item && Buffer.from(item.value, "base64").toString();
