Believe a goodbye only once the worker is gone

Cause: a goodbye names an id and nothing else. One of a former life that arrives late, after the worker has started again under the same id, ended the present life for the agent: one second later all its runs counted as over and were started elsewhere, while they went on.

Change: after a goodbye the agent starts nothing on the worker, does not extend its lease and goes on calling it. The worker has left once no process with its id is there: the connection is refused, or another id answers. If the worker still answers a call that was sent a second later, the goodbye was not its own. If it is silent, its lease is awaited. Draining is no longer reported on a goodbye; workers that leave have announced it before.

--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -34,7 +34,7 @@
 const REPORT_INTERVAL: Milliseconds = 800;
 /** Longest time between sending a call and the worker's carrying it out. */
 const CALL_DELAY_LIMIT: Milliseconds = 12_000;
-/** Time after which a worker that announced its shutdown has ended. */
+/** A worker that still answers this long after its goodbye did not send it. */
 const LEAVE_DURATION: Milliseconds = 1000;
 
 /** Reducer of an agent, with its state. */
@@ -129,6 +129,7 @@
   }
   state.hold.failures = 0;
   state.hold.nextCallAt = event.now;
+  noteAnswerAfterGoodbye(state, worker, event);
   if (state.hold.silence) state.reportDue = true;
   state.hold.silence = undefined;
   worker.clock = { value: event.clock, at: event.now };
@@ -162,6 +163,24 @@
   return `${worker.listed} ${worker.state.reachable} ${running} ${ended}`;
 }
 
+/**
+ * Notes that a worker answers though its shutdown was announced. It may be about
+ * to end, or the goodbye was that of a former life which arrived late.
+ */
+function noteAnswerAfterGoodbye(
+  state: ControlState,
+  worker: ControlledWorker,
+  event: Extract<ControlEvent, { kind: "held" }>,
+): void {
+  if (worker.leftAt === undefined) return;
+  state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
+  if (event.sentAt < worker.leftAt + LEAVE_DURATION) return;
+  worker.leftAt = undefined;
+  log(state, "The worker did not send the goodbye.", {
+    worker: worker.state.key,
+  });
+}
+
 /** Counts a failed hold call; too many make the worker unreachable. */
 function applyHoldFailure(
   state: ControlState,
@@ -171,7 +190,7 @@
   const { worker: key, reason, refused, connectionLost } = event;
   if (!worker || worker.state.key !== key) return;
   state.hold.callPending = false;
-  if (!state.hold.silence) {
+  if (!state.hold.silence && worker.leftAt === undefined) {
     const aliveAt = connectionLost ? event.now : worker.answeredAt;
     state.hold.silence = { aliveAt, failedAt: event.now };
     // The leader compares it with what other workers do at this moment.
@@ -254,8 +273,7 @@
 function markIfEmptied(state: ControlState, now: Milliseconds): void {
   const { worker } = state;
   if (!worker || state.emptied.includes(worker.state.key)) return;
-  const left = worker.leftAt !== undefined &&
-    now > worker.leftAt + LEAVE_DURATION;
+  const left = worker.leftAt !== undefined && state.hold.refused;
   const lapsed = !worker.state.reachable && now > worker.latestLeaseEnd;
   if (!left && !lapsed) return;
   // A worker that does not answer may be cut off; one that refuses connections
@@ -275,21 +293,23 @@
 /** Calls the worker to extend its lease and to get its lists. */
 function sendHoldIfDue(state: ControlState, now: Milliseconds): void {
   const { worker, hold } = state;
-  if (!worker || worker.leftAt !== undefined || state.epoch === 0) return;
+  if (!worker || state.epoch === 0) return;
   if (hold.callPending || now < hold.nextCallAt) return;
   hold.callPending = true;
+  const leaving = worker.leftAt !== undefined;
   // The lease of an unreachable worker is not extended, so that it ends at a
   // known time.
-  const until = worker.state.reachable
+  const until = worker.state.reachable && !leaving
     ? computeLeaseEnd(state, worker, now)
     : undefined;
   if (until !== undefined) recordExtension(state, worker);
   // These runs wait for the next lists, so that the call must return at once.
-  const pending = [...state.runs.values()].some((control) =>
-    control.phase === ControlPhase.Stopped ||
-    control.phase === ControlPhase.Started ||
-    control.phase === ControlPhase.Refusing
-  );
+  const pending = leaving ||
+    [...state.runs.values()].some((control) =>
+      control.phase === ControlPhase.Stopped ||
+      control.phase === ControlPhase.Started ||
+      control.phase === ControlPhase.Refusing
+    );
   state.effects.push({
     kind: "hold",
     worker: worker.state.key,
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -48,7 +48,10 @@
   clock?: { value: Milliseconds; at: Milliseconds };
   /** Agent's time after which the worker's lease has certainly ended. */
   latestLeaseEnd: Milliseconds;
-  /** Agent's time at which the worker announced its shutdown. */
+  /**
+   * Agent's time at which the worker announced its shutdown. Until a call shows
+   * whether it has ended, it gets no starts and its lease is not extended.
+   */
   leftAt?: Milliseconds;
   /** Runs that the worker last listed as running. */
   running: RunningTask[];
@@ -125,7 +128,7 @@
   nextCallAt: Milliseconds;
   /** Failed calls since the last one that succeeded. */
   failures: number;
-  /** Whether the last call found no process at the worker's address. */
+  /** Whether the last call found no process with the worker's id. */
   refused: boolean;
   /** Set while the calls fail. */
   silence?: Silence;
@@ -208,7 +211,7 @@
       kind: "holdFailed";
       worker: string;
       reason: string;
-      /** Whether no process listens at the worker's address. */
+      /** Whether no process with the worker's id is at its address. */
       refused: boolean;
       /** Whether the worker closed the connection, having lived until then. */
       connectionLost: boolean;
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -130,7 +130,11 @@
   }, now);
 }
 
-/** Records that the worker announced its shutdown. */
+/**
+ * Records that somebody announced the worker's shutdown. It may have been a
+ * former life of the worker whose announcement arrives late, so that the worker
+ * counts as gone only once no process with its id is there.
+ */
 export function markLeaving(
   state: ControlState,
   id: string,
@@ -139,8 +143,8 @@
   const { worker } = state;
   if (!worker || worker.id !== id || worker.leftAt !== undefined) return;
   worker.leftAt = now;
-  worker.state = { ...worker.state, draining: true, remaining: 0 };
-  state.reportDue = true;
+  state.hold.refused = false;
+  state.hold.nextCallAt = now;
   log(state, "Worker is shutting down.", { worker: worker.state.key });
 }
 
--- a/testing/platform/foreign_worker_test.ts
+++ b/testing/platform/foreign_worker_test.ts
@@ -138,3 +138,19 @@
       programs.workers.every(({ listRuns }) => listRuns().length > 0),
     ));
 });
+
+// Guards against a task that runs twice since a goodbye arrives late, after the
+// worker has started again under the id that it had.
+test("a late goodbye does not end the present life", async (t) => {
+  const { programs, entry, exits, index, path } = await startJob(t);
+  const agent = programs.agents[index]!;
+  const id = programs.workers[index]!.id();
+  t.equal(await send(agent, { method: "DELETE", id }), 200);
+  await waitUntil("the job is completed", JOB_TIMEOUT, async () => {
+    const { body } = await programs.call(entry, "GET", path);
+    return body.includes("completed");
+  });
+  const started = programs.workers.flatMap((worker) => [...worker.started]);
+  t.same(started, [`${ID}.0.0.0#1`], "the task has run once");
+  t.same(exits, [], "no process has ended");
+});
