Await all ends of a worker before a run counts as lost

Cause: a worker lists 500 ends at a time, and a list that was cut at 500 was not told from a whole one. The other runs were in no list, counted as "no longer listed" and were placed again. A restarted agent had the same gap: the worker refuses the start of such a run, and the refusal was reported as if it had never run.

Change: the agent tells whether the list of ends is complete. Until it is, neither the leader nor the agent concludes anything from a run's absence. The ends that are listed are acknowledged as before, so that the next ones follow.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -102,6 +102,7 @@
   running: listOf(isRunningTask),
   unsettled: optional(listOf(isRunName)),
   ended: listOf(isEndedTask),
+  allEnds: optional(isFlag),
   refused: listOf(isRefusedStart),
   absent: listOf(isRunName),
   vacant: isFlag,
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -44,6 +44,8 @@
   /** When each run was first reported as running, by `runKey`. */
   listedAt: Map<string, number>;
   ended: EndedTask[];
+  /** Number of ends that it lists at a time. */
+  endsPerList: number;
   /** Number of the next ended run. */
   nextEnd: number;
   /** Whether its agent sends no reports on its own. */
@@ -138,6 +140,7 @@
       running: [],
       listedAt: new Map(),
       ended: [],
+      endsPerList: Infinity,
       nextEnd: 1,
       silent: false,
       mute: false,
@@ -230,6 +233,10 @@
       const agent = workers[index]!.name;
       applyEffects(scheduler.reduce({ kind: "disconnected", now, agent }));
     },
+    /** Sets how many ends the worker lists at a time. */
+    listEnds: (index: number, endsPerList: number) => {
+      workers[index]!.endsPerList = endsPerList;
+    },
     silence: (index: number) => {
       workers[index]!.silent = true;
     },
@@ -378,7 +385,8 @@
       unsettled: worker.running.filter((running) =>
         now - worker.listedAt.get(runKey(running))! < SETTLE_TIME
       ),
-      ended: worker.ended,
+      ended: worker.ended.slice(0, worker.endsPerList),
+      allEnds: worker.ended.length <= worker.endsPerList,
       refused: [],
       absent: [],
       emptied: [],
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -124,6 +124,11 @@
    */
   unsettled?: RunName[];
   ended: EndedTask[];
+  /**
+   * Whether `ended` holds all ends that are not acknowledged; undefined in
+   * reports of older builds.
+   */
+  allEnds?: boolean;
   refused: RefusedStart[];
   /** Runs that are proven not to run on the worker, now or later. */
   absent: RunName[];
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -271,6 +271,8 @@
       }
     } else adoptRun(state, worker, running, now);
   }
+  // Some of the runs that are in no list may have ended as done.
+  if (report.allEnds === false) return;
   // The lists of one worker arrive in order. A run that was listed before and
   // is in neither list now has ended.
   for (const run of [...worker.runs]) {
--- a/core/scheduler/reports_test.ts
+++ b/core/scheduler/reports_test.ts
@@ -81,3 +81,19 @@
   t.match(fleet.starts(1 - chosen), [{ run: 2 }], "the agent is lost");
   t.end();
 });
+
+// Guards against tasks that run again though they are done, since their ends
+// are not among those that the worker lists at a time.
+test("a run that is in no list has not ended while ends are missing", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({ id: "a", steps: [step({ count: 3 })] }));
+  fleet.runStarts();
+  fleet.listEnds(0, 1);
+  for (let index = 0; index < 3; index++) fleet.end(0, 0, "done");
+  fleet.runStarts();
+  t.same(fleet.running(0), [], "no task runs again");
+  fleet.listEnds(0, Infinity);
+  fleet.report(0);
+  t.equal(fleet.status("a"), "completed");
+  t.end();
+});
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -147,6 +147,7 @@
     return [key, worker.listedAt.get(key) ?? event.now];
   }));
   worker.ended = event.ended.filter((end) => end.number > worker.acknowledged);
+  worker.allEnds = event.allEnds;
   worker.listed = true;
   if (listsFingerprint(worker) !== before) state.reportDue = true;
   updateFromLists(state, worker, event.sentAt);
@@ -350,6 +351,7 @@
       running: worker?.running ?? [],
       unsettled: worker ? listUnsettled(state, worker) : [],
       ended: worker?.ended ?? [],
+      allEnds: worker?.allEnds ?? true,
       refused: controls
         .filter((control) => control.phase === ControlPhase.Refused)
         .map((control) => ({ ...control.name, reason: control.refusalReason })),
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -53,6 +53,8 @@
       }
       continue;
     }
+    // The end of the run may be one of those that are not listed yet.
+    if (!worker.allEnds) continue;
     if (control.phase === ControlPhase.Listed && !control.stopRequested) {
       state.runs.delete(key);
       continue;
--- a/core/worker_control/setup_for_tests.ts
+++ b/core/worker_control/setup_for_tests.ts
@@ -55,6 +55,7 @@
     born: 1000,
     running: [],
     ended: [],
+    allEnds: true,
   };
 }
 
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -61,6 +61,8 @@
   answeredAt: Milliseconds;
   /** Ends that the worker last listed and that are not acknowledged. */
   ended: EndedTask[];
+  /** Whether that list was complete. */
+  allEnds: boolean;
   /** Whether this incarnation has answered a hold call with its lists. */
   listed: boolean;
   /** The leader has stored all ends up to this number. */
@@ -206,6 +208,8 @@
       born: Milliseconds;
       running: RunningTask[];
       ended: EndedTask[];
+      /** Whether `ended` holds all ends that are not acknowledged. */
+      allEnds: boolean;
     }
     | {
       kind: "holdFailed";
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -66,6 +66,7 @@
     listedAt: new Map(),
     answeredAt: now,
     ended: [],
+    allEnds: false,
     listed: false,
     acknowledged: 0,
   }, now);
@@ -125,6 +126,7 @@
     listedAt: new Map(),
     answeredAt: now,
     ended: [],
+    allEnds: false,
     listed: false,
     acknowledged: 0,
   }, now);
