Order starts in parts that fit into a frame

Cause: one message holds all starts that are not confirmed, each with the whole spec of its job. 300 starts with 4,000 bytes each exceed the mebibyte of a frame, at which the agent closes the link; the leader dials again and sends the same for ever.

Change: a message orders as many starts as half a frame holds, by the sizes of specs and checkpoints, and at least one. It names the others in `later`, so that the agent withdraws none of them. They are ordered as the first ones are confirmed; each report is answered with the orders that are left. A start that was only named is not taken for sent when the link closes.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -117,6 +117,7 @@
   worker: isText,
   capacity: optional(isCapacity),
   starts: listOf(isStartOrder),
+  later: optional(listOf(isRunName)),
   stops: listOf(isRunName),
   acknowledged: isCount,
 });
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -171,6 +171,11 @@
    */
   capacity?: Capacity;
   starts: StartOrder[];
+  /**
+   * Further starts that are decided and that a later message will order, since
+   * one message can't hold all; undefined in orders of older builds.
+   */
+  later?: RunName[];
   stops: RunName[];
   /** Ended runs up to this number are stored. */
   acknowledged: number;
--- a/core/scheduler/orders.ts
+++ b/core/scheduler/orders.ts
@@ -5,9 +5,17 @@
  */
 
 import { capacityOf } from "./capacity.ts";
+import { FRAME_LIMIT } from "@dragonflyledge/model";
 import { findTask, isCurrent } from "./runs.ts";
 import type { Run, SchedulerEffect, SchedulerState } from "./state.ts";
 
+/** Most bytes of the starts in one message; the rest of a frame holds names. */
+const STARTS_LIMIT = FRAME_LIMIT / 2;
+/** Bytes of a start beside its spec and its checkpoint, at most. */
+const START_SIZE = 128;
+/** Most bytes of one character of a string. */
+const MAX_UTF8_BYTES = 3;
+
 /**
  * Creates the orders to an agent, or undefined for one to which no link is open,
  * which gets them after its next report. Without a
@@ -28,24 +36,41 @@
   const runs = [...worker.runs];
   const name = (run: Run) => ({ task: run.name, run: run.run });
   const startable = runs.filter(isStartable);
-  for (const run of startable) run.ordered = true;
+  const starts = startable.slice(0, countFitting(startable));
+  for (const run of starts) run.ordered = true;
   return {
     kind: "orders",
     agent: agentName,
     orders: {
       worker: worker.state.key,
-      capacity: startable.length > 0 ? capacityOf(worker.state) : undefined,
-      starts: startable.map((run) => ({
+      capacity: starts.length > 0 ? capacityOf(worker.state) : undefined,
+      starts: starts.map((run) => ({
         ...name(run),
         spec: run.job.request.spec,
-        checkpoint: findTask(run.job, run.task)?.checkpoint ?? "",
+        checkpoint: checkpointOf(run),
       })),
+      later: startable.slice(starts.length).map(name),
       stops: runs.filter((run) => run.stopping).map(name),
       acknowledged: worker.acknowledged,
     },
   };
 }
 
+/** Counts the runs whose starts one message can hold; at least one. */
+function countFitting(runs: Run[]): number {
+  let size = 0;
+  const end = runs.findIndex((run, index) => {
+    size += run.job.specSize + MAX_UTF8_BYTES * checkpointOf(run).length +
+      START_SIZE;
+    return index > 0 && size > STARTS_LIMIT;
+  });
+  return end < 0 ? runs.length : end;
+}
+
+function checkpointOf(run: Run): string {
+  return findTask(run.job, run.task)?.checkpoint ?? "";
+}
+
 /** Whether to order the run's start; only a start that is stored is ordered. */
 function isStartable(run: Run): boolean {
   return !run.confirmed && !run.stopping && !run.job.cancelled &&
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -181,6 +181,7 @@
   const progress = event.progress ?? createProgress();
   const job: Job = {
     request,
+    specSize: new TextEncoder().encode(request.spec).length,
     progress,
     policy: policyOf(state, request),
     cancelled: false,
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -33,6 +33,8 @@
 /** A job with its record and the state that only this process keeps. */
 export interface Job {
   request: JobRequest;
+  /** Bytes of the request's `spec` in UTF-8. */
+  specSize: number;
   progress: JobProgress;
   policy: QueuePolicy;
   cancelled: boolean;
--- a/core/worker_control/grant_test.ts
+++ b/core/worker_control/grant_test.ts
@@ -152,3 +152,23 @@
   t.equal(control.state.grantEnd, 8010);
   t.end();
 });
+
+// Guards against a start that is stopped since the message that names it can't
+// hold all starts.
+test("a start that a later message will order is not withdrawn", (t) => {
+  const { reduce } = createWithWorker();
+  reduce(holdAnswer(8, 5));
+  const start = orders({ answersReport: 5, starts: [START_ORDER] });
+  t.equal(starts(reduce({ kind: "orders", now: 10, orders: start })).length, 1);
+  const later = orders({ answersReport: 12, later: [START_ORDER] });
+  reduce({ kind: "orders", now: 15, orders: later });
+  const effects = reduce({
+    kind: "startAnswered",
+    now: 20,
+    worker: WORKER,
+    run: "a.0.0.0#1",
+    outcome: { kind: "unknown" },
+  });
+  t.same(effects.filter((effect) => effect.kind === "stop"), []);
+  t.end();
+});
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -49,6 +49,7 @@
     if (state.runs.has(key) || isOutdated) continue;
     state.runs.set(key, createStartControl(state, key, order, now));
   }
+  for (const name of orders.later ?? []) wanted.add(runKey(name));
   for (const name of orders.stops) {
     const key = runKey(name);
     wanted.add(key);
