Count crashes that the members of a gang cause together

Cause: a crash of a run that had settled is not counted while another worker ends at the same moment with nothing just begun. The members of a gang work in step and crash their workers together, so that each excused the other.

Change: an outage tells which tasks were on the worker, and one of a worker with a member of the same gang is no other cause. Workers without members still are, so that a power loss counts for no gang. Work of over ten seconds is weighed by the causes of its own crash, not by those of the first run on the worker.

"members of a gang do not excuse each other's crashes" (core/scheduler/gang_crash_test.ts) failed before: not given up after ten crashes, after 4 s and after 15 s of work. A second test keeps a gang running while all workers crash with its own.

--- a/core/scheduler/crashes.ts
+++ b/core/scheduler/crashes.ts
@@ -67,7 +67,8 @@
   });
   for (const each of likely) countLikelyCause(notice, each, isOneUnit(likely));
   for (const each of proven) {
-    const possible = likely.length === 0 && otherCause === undefined;
+    const possible = likely.length === 0 &&
+      findOtherCause({ ...notice, run: each.run }) === undefined;
     weighLongWork(notice, each, { possible, alone: isOneUnit(proven) });
   }
   for (const { run } of present) loseRun(state, run, "worker crashed");
--- a/core/scheduler/gang_crash_test.ts
+++ b/core/scheduler/gang_crash_test.ts
@@ -69,3 +69,45 @@
   t.match(countsOf(fleet, "gang"), { early: 0, soleEarly: 0 });
   t.end();
 });
+
+/** Crashes the workers of both members at once, until the job has ended. */
+function crashTogether(
+  fleet: Fleet,
+  workedFor: number,
+  others: number[] = [],
+): number {
+  for (let crashes = 0; crashes < 10; crashes++) {
+    if (fleet.status("gang") === "failed") return crashes;
+    fleet.advance(2000);
+    const members = ["gang.0.0.0", "gang.0.0.1"];
+    const indexes = members.map((task) => fleet.assignedTo(task));
+    for (const index of indexes) begin(fleet, index);
+    fleet.advance(workedFor);
+    for (const index of [...others, ...indexes]) fleet.stopAnswering(index);
+    for (const index of new Set([...others, ...indexes])) {
+      fleet.crash(index, { settled: members, workedFor });
+    }
+  }
+  return Infinity;
+}
+
+// Guards against a gang that crashes its workers again and again and is never
+// given up, since its members crash them together.
+test("members of a gang do not excuse each other's crashes", (t) => {
+  for (const workedFor of [4000, 15_000]) {
+    const fleet = createFleet({ workers: WORKERS });
+    fleet.submit(request({ id: "gang", steps: [GANG] }));
+    const crashes = crashTogether(fleet, workedFor);
+    t.ok(crashes <= 4, `${workedFor} ms of work: ${crashes} crashes`);
+  }
+  t.end();
+});
+
+// Guards against a gang that is given up for crashes of other workers, too.
+test("a gang is not given up while other workers crash with its own", (t) => {
+  const fleet = createFleet({ workers: WORKERS });
+  fleet.submit(request({ id: "gang", steps: [GANG] }));
+  const all = Array.from({ length: WORKERS }, (_, index) => index);
+  t.equal(crashTogether(fleet, 4000, all), Infinity);
+  t.end();
+});
--- a/core/scheduler/outages.ts
+++ b/core/scheduler/outages.ts
@@ -30,6 +30,8 @@
   to: Milliseconds;
   /** Whether any run had just begun on it. */
   begun: boolean;
+  /** Names of the tasks that may have been at work on it. */
+  tasks: string[];
 }
 
 /** Keeps what the report tells of outages beside the agent. */
@@ -40,18 +42,28 @@
 ): void {
   agent.outages = (report.crashes ?? []).flatMap((crash) =>
     crash.silence
-      ? [createOutage(crash.worker, crash.silence, hasBegun(crash), now)]
+      ? [{
+        worker: crash.worker,
+        ...spanOf(crash.silence, now),
+        begun: hasBegun(crash),
+        tasks: crash.runs.map(({ task }) => task),
+      }]
       : []
   );
   const { worker, silence } = report;
   if (!worker || !silence) return;
-  const begun = [...agent.worker?.runs ?? []].some((run) => !run.settled);
-  agent.outages.push(createOutage(worker.key, silence, begun, now));
+  const runs = [...agent.worker?.runs ?? []];
+  agent.outages.push({
+    worker: worker.key,
+    ...spanOf(silence, now),
+    begun: runs.some((run) => !run.settled),
+    tasks: runs.map(({ name }) => name),
+  });
 }
 
 /** What may have caused a crash beside the runs on the worker. */
 export const OtherCause = {
-  /** Another worker ended at the same moment, while nothing had begun there. */
+  /** Another worker ended at the same moment, for another reason than the run. */
   Shared: "another worker ended at the same moment",
   /** The worker, or one before it, crashed before while nothing had begun. */
   Unstable: "the worker crashed by itself before",
@@ -70,23 +82,37 @@
   report: AgentReport;
   run: Run;
 }): OtherCause | undefined {
-  const { state, agent, crash, report } = fields;
+  const { state, agent, crash, report, run } = fields;
   const own = agent.outages.find(({ worker }) => worker === crash.worker);
   const isShared = own !== undefined &&
     [...state.agents.values()].some((other) =>
-      other !== agent && hasOutageAtOnce(other, own)
+      other !== agent && hasOutageAtOnce(other, own, run)
     );
   if (isShared) return OtherCause.Shared;
-  const job = fields.run.job.request.id;
+  const job = run.job.request.id;
   return isUnstable(report, crash, job) ? OtherCause.Unstable : undefined;
 }
 
 /**
  * Whether the agent's worker ended together with the outage while no run had
- * just begun there. Tasks that start together may each crash their worker.
+ * just begun there, nor a member of the run's gang was at work. Tasks that start
+ * or work together may each crash their worker.
  */
-function hasOutageAtOnce(agent: Agent, own: Outage): boolean {
-  return agent.outages.some((outage) => isAtOnce(outage, own) && !outage.begun);
+function hasOutageAtOnce(agent: Agent, own: Outage, run: Run): boolean {
+  return agent.outages.some((outage) =>
+    isAtOnce(outage, own) && !outage.begun && !holdsGangOf(outage, run)
+  );
+}
+
+/** Whether a member of the run's gang was on the worker. */
+function holdsGangOf({ tasks }: Outage, run: Run): boolean {
+  if (!run.step.gang) return false;
+  const { job, occurrence, step } = run.task;
+  return tasks.some((task) => {
+    const name = parseTask(task);
+    return name?.job === job && name.occurrence === occurrence &&
+      name.step === step;
+  });
 }
 
 /**
@@ -109,13 +135,11 @@
   return a.from - SAME_MOMENT <= b.to && b.from - SAME_MOMENT <= a.to;
 }
 
-function createOutage(
-  worker: string,
+function spanOf(
   { aliveAgo, failedAgo }: WorkerSilence,
-  begun: boolean,
   now: Milliseconds,
-): Outage {
-  return { worker, from: now - aliveAgo, to: now - failedAgo, begun };
+): Pick<Outage, "from" | "to"> {
+  return { from: now - aliveAgo, to: now - failedAgo };
 }
 
 function hasBegun({ runs }: WorkerCrash): boolean {
