--- a/core/scheduler/orders.ts
+++ b/core/scheduler/orders.ts
@@ -17,10 +17,9 @@
 const MAX_UTF8_BYTES = 3;
 
 /**
- * Creates the orders to an agent, or undefined for one to which no link is open,
- * which gets them after its next report. Without a
- * worker they only tell the agent the leader's epoch, which it needs to call
- * its worker.
+ * Creates the orders to an agent. Returns undefined if no link to it is open; it
+ * gets them after its next report. Without a worker they only tell the agent the
+ * leader's epoch, which it needs to call its worker.
  */
 export function createOrders(
   state: SchedulerState,
