--- a/core/worker_control/goodbye_test.ts
+++ b/core/worker_control/deregistration_test.ts
@@ -30,7 +30,7 @@
 }
 
 // Guards against runs that are started again elsewhere, though the worker goes
-// on: the goodbye was that of a former life under the same id.
+// on: the deregistration was that of a former incarnation under the same id.
 test("a worker that goes on answering has not left", (t) => {
   const { control, reduce } = createLeaving();
   for (const now of [200, 600, 1000, 1400]) {
@@ -47,7 +47,7 @@
 
 // Guards against tasks that wait for a worker which has announced its end and
 // is gone, and against starts and leases in between.
-test("a worker that is not there after its goodbye has left", (t) => {
+test("a worker that is not there after its deregistration has left", (t) => {
   const { reduce } = createLeaving();
   const start = orders({ answersReport: 90, starts: [START_ORDER] });
   const ordered = reduce({ kind: "orders", now: 110, orders: start });
@@ -65,7 +65,7 @@
 });
 
 // Guards against runs that start elsewhere while a worker is silent after a
-// goodbye that it may not have sent.
+// deregistration that it may not have sent.
 test("a silent worker is awaited for its lease", (t) => {
   const { control, reduce } = createLeaving();
   reduce(fail(false, 800));
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -34,7 +34,7 @@
 const REPORT_INTERVAL: Milliseconds = 800;
 /** Longest time between sending a call and the worker's carrying it out. */
 const CALL_DELAY_LIMIT: Milliseconds = 12_000;
-/** A worker that still answers this long after its goodbye did not send it. */
+/** A worker that still answers this long after a deregistration sent none. */
 const LEAVE_DURATION: Milliseconds = 1000;
 
 /** Reducer of an agent, with its state. */
@@ -129,7 +129,7 @@
   }
   state.hold.failures = 0;
   state.hold.nextCallAt = event.now;
-  noteAnswerAfterGoodbye(state, worker, event);
+  noteAnswerAfterDeregistration(state, worker, event);
   if (state.hold.silence) state.reportDue = true;
   state.hold.silence = undefined;
   worker.clock = { value: event.clock, at: event.now };
@@ -166,9 +166,9 @@
 
 /**
  * Notes that a worker answers though its shutdown was announced. It may be about
- * to end, or the goodbye was that of a former life which arrived late.
+ * to end, or the deregistration of a former incarnation arrived late.
  */
-function noteAnswerAfterGoodbye(
+function noteAnswerAfterDeregistration(
   state: ControlState,
   worker: ControlledWorker,
   event: Extract<ControlEvent, { kind: "held" }>,
@@ -177,7 +177,7 @@
   state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
   if (event.sentAt < worker.leftAt + LEAVE_DURATION) return;
   worker.leftAt = undefined;
-  log(state, "The worker did not send the goodbye.", {
+  log(state, "The worker did not deregister itself.", {
     worker: worker.state.key,
   });
 }
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -133,9 +133,9 @@
 }
 
 /**
- * Records that somebody announced the worker's shutdown. It may have been a
- * former life of the worker whose announcement arrives late, so that the worker
- * counts as gone only once no process with its id is there.
+ * Records that somebody announced the worker's shutdown. The announcement of a
+ * former incarnation may arrive late, so that the worker counts as gone only
+ * once no process with its id is there.
  */
 export function markLeaving(
   state: ControlState,
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -186,7 +186,9 @@
     if (id === undefined) return { status: Status.NotFound };
     if (request.method === "DELETE") {
       // Whoever sent it, nothing is registered under its id afterwards.
-      if (check.goodbye(id)) dispatch({ kind: "left", now: clock.now(), id });
+      if (check.deregistration(id)) {
+        dispatch({ kind: "left", now: clock.now(), id });
+      }
       return { status: Status.Ok };
     }
     const decision = await check.heartbeat(id, request.body);
--- a/daemons/worker_agent/worker_check.ts
+++ b/daemons/worker_agent/worker_check.ts
@@ -1,7 +1,7 @@
 /**
  * Decides who may speak for the agent's worker.
  *
- * Anybody can send a heartbeat or a goodbye, with any id. The agent's worker is
+ * Anybody can send a heartbeat or a deregistration, with any id. The agent's worker is
  * the one that answers at the address in the agent's settings, so a sender that
  * is not known yet is believed only once the worker there has confirmed its id
  * and the time of its start.
@@ -38,11 +38,11 @@
   | { kind: "accepted"; announcement: Announcement }
   | { kind: "refused"; reason: Refusal };
 
-/** Decides on heartbeats and goodbyes. */
+/** Decides on heartbeats and deregistrations. */
 export interface WorkerCheck {
   heartbeat(id: string, bytes: Uint8Array): Promise<HeartbeatDecision>;
   /** Returns whether the worker that was confirmed last has this id. */
-  goodbye(id: string): boolean;
+  deregistration(id: string): boolean;
 }
 
 /** Delay before the worker is asked again. */
@@ -160,10 +160,10 @@
       }
       return decision;
     },
-    goodbye: (id) => {
+    deregistration: (id) => {
       if (confirmed?.id === id) return true;
       const reason = isWorkerId(id) ? Refusal.Identity : Refusal.Id;
-      noteRefusal("goodbye", id, reason);
+      noteRefusal("deregistration", id, reason);
       return false;
     },
   };
--- a/daemons/worker_agent/worker_check_test.ts
+++ b/daemons/worker_agent/worker_check_test.ts
@@ -69,7 +69,7 @@
     t.match(decision, { kind: "accepted", announcement: { sequence } });
   }
   t.same(asked, ["i-1 7"]);
-  t.ok(check.goodbye("i-1"));
+  t.ok(check.deregistration("i-1"));
 });
 
 // Guards against a worker that is replaced by whoever names its id or its
@@ -93,13 +93,16 @@
     refused.map((each) => each.kind === "refused" ? each.reason : each.kind),
     ["identity", "identity", "service", "address", "id", "body"],
   );
-  t.notOk(check.goodbye("i-2"));
+  t.notOk(check.deregistration("i-2"));
   const count = lines.length;
   await check.heartbeat("i-1", heartbeat({ sequence: -1 }));
   t.equal(lines.length, count, "the same refusal is logged once");
   const text = await instruments.text();
   t.match(text, /refused_total\{message="heartbeat",reason="body"\} 2/);
-  t.match(text, /refused_total\{message="goodbye",reason="identity"\} 1/);
+  t.match(
+    text,
+    /refused_total\{message="deregistration",reason="identity"\} 1/,
+  );
 });
 
 // Guards against a worker that is lost since it was slow to answer at first.
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -67,7 +67,7 @@
   worker_messages_refused_total: {
     kind: "counter",
     help:
-      "Heartbeats and goodbyes that do not come from the agent's worker, by " +
+      "Heartbeats and deregistrations that do not come from the agent's worker, by " +
       "the reason.",
     labels: ["message", "reason"],
   },
