--- a/core/scheduler/fit.ts
+++ b/core/scheduler/fit.ts
@@ -40,8 +40,9 @@
 
 /**
  * Whether a task that is placed on the worker now can be expected to start: the
- * worker does not drain, it answers, and its agent is connected and reports. Its heartbeat alone
- * does not show that it is there; a late one may come from a worker that left.
+ * worker does not drain, it answers, and its agent is connected and reports. Its
+ * heartbeat alone does not show that it is there; a late one may come from a
+ * worker that left.
  */
 export function isUsable(
   state: SchedulerState,
--- a/daemons/worker_agent/worker_check.ts
+++ b/daemons/worker_agent/worker_check.ts
@@ -1,10 +1,10 @@
 /**
  * Decides who may speak for the agent's worker.
  *
- * Anybody can send a heartbeat or a deregistration, with any id. The agent's worker is
- * the one that answers at the address in the agent's settings, so a sender that
- * is not known yet is believed only once the worker there has confirmed its id
- * and the time of its start.
+ * Anybody can send a heartbeat or a deregistration, with any id. The agent's
+ * worker is the one that answers at the address in the agent's settings, so a
+ * sender that is not known yet is believed only once the worker there has
+ * confirmed its id and the time of its start.
  *
  * @module
  */
--- a/testing/platform/foreign_worker_test.ts
+++ b/testing/platform/foreign_worker_test.ts
@@ -79,7 +79,8 @@
 }
 
 // Guards against a task that runs twice, and an agent that ends, since somebody
-// else than the agent's worker sent a heartbeat, a deregistration or an odd number.
+// else than the agent's worker sent a heartbeat, a deregistration or an odd
+// number.
 test("only the agent's own worker speaks for itself", async (t) => {
   const { programs, entry, exits, index, path } = await startJob(t);
   const agent = programs.agents[index]!;
@@ -139,8 +140,8 @@
     ));
 });
 
-// Guards against a task that runs twice since a deregistration arrives late, after the
-// worker has started again under the id that it had.
+// Guards against a task that runs twice since a deregistration arrives late,
+// after the worker has started again under the id that it had.
 test("a late deregistration does not end the present incarnation", async (t) => {
   const { programs, entry, exits, index, path } = await startJob(t);
   const agent = programs.agents[index]!;
