Let test relays hold a connection and release what it held later

The relay could drop, delay or reset bytes, but not do what TCP does after a cut: deliver on an old connection what was sent seconds ago, after a newer connection has carried newer data. `hold` keeps bytes and the close of the open connections, and `release` forwards them in order. Its test fails without the method, as it did not exist.

--- a/testing/fakes/relay.ts
+++ b/testing/fakes/relay.ts
@@ -25,6 +25,13 @@
   silence(direction?: Direction): void;
   /** Forwards further bytes, and the close of a connection, after `time`. */
   delay(time: Milliseconds, direction?: Direction): void;
+  /**
+   * Keeps further bytes, and the close of a connection, until `release`, as a
+   * network does that repeats lost packets.
+   */
+  hold(direction?: Direction): void;
+  /** Forwards what was held, in order. */
+  release(): void;
   /** Resets the connections. */
   cut(): void;
   /** While `refused` is set, new connections are reset at once. */
@@ -41,6 +48,8 @@
 interface DirectionState {
   silent: boolean;
   delay: Milliseconds;
+  /** Tasks that wait for `release`; undefined unless the flow is held. */
+  held?: (() => void)[];
 }
 interface RelayedConnection {
   toTarget: DirectionState;
@@ -101,11 +110,13 @@
   ): void {
     let waiting = 0;
     const forward = (task: () => void) => {
+      if (flow.held) return void flow.held.push(task);
       if (flow.delay === 0 && waiting === 0) return task();
       waiting++;
       timer.after(flow.delay, () => {
         waiting--;
-        task();
+        if (flow.held) flow.held.push(task);
+        else task();
       });
     };
     from.on("error", () => {});
@@ -122,6 +133,7 @@
       }));
   }
 
+  /** Returns the open flows in a direction, oldest connection first. */
   const flowsOf = (direction: Direction) =>
     [...links].flatMap((link) => [
       ...(direction === "to-caller" ? [] : [link.toTarget]),
@@ -151,6 +163,16 @@
     delay(time, direction = "both") {
       for (const flow of flowsOf(direction)) flow.delay = time;
     },
+    hold(direction = "both") {
+      for (const flow of flowsOf(direction)) flow.held ??= [];
+    },
+    release() {
+      for (const flow of flowsOf("both")) {
+        const tasks = flow.held ?? [];
+        flow.held = undefined;
+        for (const task of tasks) task();
+      }
+    },
     cut: () => links.forEach((link) => link.cut()),
     refuse: (value) => void (refused = value),
     mute: (value) => void (muted = value),
--- a/testing/fakes/servers_test.ts
+++ b/testing/fakes/servers_test.ts
@@ -179,3 +179,25 @@
   await endpoint.stop();
   t.equal(relay.connections.open, 0);
 });
+
+// Guards against held requests that are lost, or that hold back the requests of
+// later connections.
+test("a held connection delivers after later ones once it is released", async (t) => {
+  const endpoint = await createEndpointServer();
+  const relay = await createRelay({ target: endpoint });
+  const origin = `http://127.0.0.1:${relay.port}`;
+  const pool = new Pool(origin, { connections: 1 });
+  const post = () => pool.request({ path: "/", method: "POST" });
+  await (await post()).body.dump();
+  relay.hold("to-target");
+  const held = post();
+  const answer = await request(origin, { method: "POST" });
+  await answer.body.dump();
+  t.equal(endpoint.executions.length, 2);
+  relay.release();
+  await (await held).body.dump();
+  t.equal(endpoint.executions.length, 3);
+  await pool.destroy();
+  await relay.stop();
+  await endpoint.stop();
+});
