Log which link and report a start comes from, and when the grant ends

Change: the agent numbers its links and logs with each start the link, the epoch and the age of the report that the orders answer; when a start call leaves; and when its grant begins and ends. The leader logs each connection to an agent, so that a former one can be told from its successor.

--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -8,9 +8,12 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { isEqualCapacity, runKey } from "@dragonflyledge/scheduler";
 import type { AgentOrders } from "@dragonflyledge/scheduler";
+import { extendGrant } from "./grant.ts";
 import { log } from "./log.ts";
 import { ControlPhase } from "./state.ts";
-import type { ControlState, RunControl } from "./state.ts";
+import type { ControlEvent, ControlState, RunControl } from "./state.ts";
+
+type OrdersEvent = Extract<ControlEvent, { kind: "orders" }>;
 
 /**
  * Applies a leader's orders and extends the grant. Orders with a lower epoch
@@ -18,8 +21,7 @@
  */
 export function applyOrders(
   state: ControlState,
-  orders: AgentOrders,
-  now: Milliseconds,
+  { orders, now, link }: OrdersEvent,
 ): void {
   if (orders.epoch < state.epoch) return;
   if (orders.epoch > state.epoch) {
@@ -28,8 +30,7 @@
   }
   // No report can be answered before it was sent.
   const reportedAt = Math.min(orders.answersReport - state.suspended, now);
-  const grantEnd = reportedAt + state.times.grant;
-  state.grantEnd = Math.max(state.grantEnd, grantEnd);
+  extendGrant(state, reportedAt + state.times.grant, now);
   const { worker } = state;
   if (!worker || worker.state.key !== orders.worker) return;
   worker.acknowledged = Math.max(worker.acknowledged, orders.acknowledged);
@@ -47,7 +48,14 @@
     const key = runKey(order);
     wanted.add(key);
     if (state.runs.has(key) || isOutdated) continue;
-    state.runs.set(key, createStartControl(state, key, order, now));
+    state.runs.set(key, createStartControl(state, order, now));
+    log(state, "Start ordered.", {
+      run: key,
+      draining: worker.state.draining,
+      epoch: orders.epoch,
+      link: link ?? 0,
+      answeredAgo: Math.round(now - reportedAt),
+    });
   }
   for (const name of orders.later ?? []) wanted.add(runKey(name));
   for (const name of orders.stops) {
@@ -111,12 +119,10 @@
 /** Creates the control of a run that the leader ordered to start. */
 function createStartControl(
   state: ControlState,
-  key: string,
   order: AgentOrders["starts"][number],
   now: Milliseconds,
 ): RunControl {
   const draining = state.worker?.state.draining ?? true;
-  log(state, "Start ordered.", { run: key, draining });
   return {
     ...createIdleControl(now),
     name: { task: order.task, run: order.run },
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
 import { listUnsettled, recordCrash, tellCrash, tellSilence } from "./crash.ts";
+import { noteGrantEnd } from "./grant.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
@@ -52,6 +53,7 @@
     times: fields.times,
     epoch: 0,
     grantEnd: 0,
+    hasGrant: false,
     suspended: 0,
     runs: new Map(),
     hold: { callPending: false, nextCallAt: 0, failures: 0, refused: false },
@@ -66,6 +68,7 @@
       state.effects = [];
       state.startedAt ??= event.now;
       noteSuspension(state, event.suspended ?? state.suspended);
+      noteGrantEnd(state, event.now);
       applyEvent(state, event);
       markIfEmptied(state, event.now);
       sendHoldIfDue(state, event.now);
@@ -85,7 +88,7 @@
     case "left":
       return markLeaving(state, event.id, now);
     case "orders":
-      return applyOrders(state, event.orders, now);
+      return applyOrders(state, event);
     case "held":
       return applyHoldAnswer(state, event);
     case "holdFailed":
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
+import { log } from "./log.ts";
 import { ControlPhase } from "./state.ts";
 import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
 
@@ -116,6 +117,11 @@
   recordExtension(state, worker);
   control.callPending = true;
   control.startSentAt ??= now;
+  log(state, "Start sent.", {
+    run: runKey(control.name),
+    epoch: state.epoch,
+    grantLeft: Math.round(state.grantEnd - now),
+  });
   state.effects.push({
     kind: "start",
     worker: worker.state.key,
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -161,6 +161,8 @@
   startedAt?: Milliseconds;
   /** The worker's lease may be extended up to this time. */
   grantEnd: Milliseconds;
+  /** Whether the grant had not ended at the latest event. */
+  hasGrant: boolean;
   /** Total time for which the machine was suspended. */
   suspended: Milliseconds;
   /** Undefined until the first heartbeat. */
@@ -198,7 +200,12 @@
     | { kind: "announced"; announcement: Announcement }
     /** The worker announced its shutdown. */
     | { kind: "left"; id: string }
-    | { kind: "orders"; orders: AgentOrders }
+    | {
+      kind: "orders";
+      orders: AgentOrders;
+      /** Number of the link that carried them, for the log. */
+      link?: number;
+    }
     /** The worker answered a hold call that was sent at `sentAt`. */
     | {
       kind: "held";
--- a/daemons/scheduler/agent_links.ts
+++ b/daemons/scheduler/agent_links.ts
@@ -72,7 +72,7 @@
       timer,
       onOpen: () => {
         agent.lastHeard = clock.now();
-        log.debug("Agent connected.", { agent: name });
+        log.info("Agent connected.", { agent: name });
       },
       onMessage: (message) => {
         if (agent.link !== link) return;
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -79,7 +79,9 @@
   instruments: Instruments;
 }): RunningAgent {
   const { settings, clock, timer, log, instruments } = fields;
-  const links = new Set<Link>();
+  /** Open links, each with its number, which tells them apart in the log. */
+  const links = new Map<Link, number>();
+  let linksOpened = 0;
   let lastLinkAt = clock.now();
   const worker = createWorkerClient({ address: settings.workerAddress, timer });
   const store = instrumentStore({
@@ -112,7 +114,7 @@
       case "stop":
         return void stop(effect);
       case "report":
-        for (const link of links) link.send(effect.report);
+        for (const link of links.keys()) link.send(effect.report);
         return;
       case "log":
         return log.write(effect.level, effect.text, effect.fields);
@@ -212,8 +214,11 @@
     host: settings.host,
     port: settings.linkPort,
     onLink: (link) => {
-      links.add(link);
-      log.info("A leader connected.", { links: links.size });
+      links.set(link, ++linksOpened);
+      log.info("A leader connected.", {
+        links: links.size,
+        link: linksOpened,
+      });
       dispatch({ kind: "linked", now: clock.now() });
     },
     onMessage: (link, message) => {
@@ -222,11 +227,13 @@
         log.warn("A message holds no orders.", { kind: message.kind });
         return link.close();
       }
-      dispatch({ kind: "orders", now: clock.now(), orders });
+      const number = links.get(link);
+      dispatch({ kind: "orders", now: clock.now(), orders, link: number });
     },
     onClose: (link, reason) => {
+      const number = links.get(link);
       links.delete(link);
-      log.info("A leader's connection ended.", { reason });
+      log.info("A leader's connection ended.", { reason, link: number });
     },
     onError: (error) =>
       log.error("The link server failed.", { error: `${error}` }),
