Ignore orders that newer knowledge has overtaken

Cause: an agent compared the epoch of orders and nothing else. Orders of a former link, which TCP repeats after a cut, and orders that were sent before the leader knew that the runs of a worker were released, were carried out as soon as newer orders had renewed the grant. Orders name all that the leader wants, so only the latest hold: those of the highest epoch and, within it, those that answer the latest report; and none that answer a report from before the one that released the runs of a worker. Overtaken orders of the present leader still extend the grant, which no order can extend beyond the report that it answers. They used to withdraw starts that newer orders name, too. Reports have distinct times. The scheduler's reducer, not the link, says which report its orders answer, so that it is the one that they were decided on. Nothing waits for a message that it did not wait for before, and messages keep their fields.

--- a/core/scheduler/orders.ts
+++ b/core/scheduler/orders.ts
@@ -26,11 +26,15 @@
   agentName: string,
 ): SchedulerEffect | undefined {
   const agent = state.agents.get(agentName);
-  if (!agent?.connected) return undefined;
-  const { worker } = agent;
+  if (!agent?.connected || agent.lastReport === undefined) return undefined;
+  const { worker, lastReport: answersReport } = agent;
   if (!worker) {
     const none = { worker: "", starts: [], stops: [], acknowledged: 0 };
-    return { kind: "orders", agent: agentName, orders: none };
+    return {
+      kind: "orders",
+      agent: agentName,
+      orders: { ...none, answersReport },
+    };
   }
   const runs = [...worker.runs];
   const name = (run: Run) => ({ task: run.name, run: run.run });
@@ -41,6 +45,7 @@
     kind: "orders",
     agent: agentName,
     orders: {
+      answersReport,
       worker: worker.state.key,
       capacity: starts.length > 0 ? capacityOf(worker.state) : undefined,
       starts: starts.map((run) => ({
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -39,6 +39,7 @@
 export function applyReport(fields: ReportFields): void {
   const { state, agent, report, now } = fields;
   agent.lastHeard = now;
+  agent.lastReport = report.sentAt;
   // Its worker may take tasks again, and waiting ones can be placed there.
   if (!agent.connected) state.planDue = true;
   agent.connected = true;
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -128,6 +128,8 @@
 export interface Agent {
   name: string;
   lastHeard: Milliseconds;
+  /** `sentAt` of its last report; undefined before the first. */
+  lastReport?: Milliseconds;
   /** Whether its last report came over a link that is still open. */
   connected: boolean;
   /** Whether its grant has run out since its last report. */
@@ -222,7 +224,7 @@
   | {
     kind: "orders";
     agent: string;
-    orders: Omit<AgentOrders, "epoch" | "answersReport" | "kind">;
+    orders: Omit<AgentOrders, "epoch" | "kind">;
   }
   /** Measure that tasks were placed `wait` after they had become ready. */
   | {
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -10,27 +10,32 @@
 import type { AgentOrders } from "@dragonflyledge/scheduler";
 import { extendGrant } from "./grant.ts";
 import { log } from "./log.ts";
-import { ControlPhase } from "./state.ts";
+import { findOvertaking, noteOvertaken } from "./overtaken.ts";
+import { ControlPhase, Overtaking } from "./state.ts";
 import type { ControlEvent, ControlState, RunControl } from "./state.ts";
 
 type OrdersEvent = Extract<ControlEvent, { kind: "orders" }>;
 
 /**
- * Applies a leader's orders and extends the grant. Orders with a lower epoch
- * than earlier ones come from a replaced leader and are ignored.
+ * Applies a leader's orders and extends the grant. Orders of the present leader
+ * that are overtaken have no other effect than that; those of a former leader
+ * have none.
  */
-export function applyOrders(
-  state: ControlState,
-  { orders, now, link }: OrdersEvent,
-): void {
-  if (orders.epoch < state.epoch) return;
+export function applyOrders(state: ControlState, event: OrdersEvent): void {
+  const { orders, now, link } = event;
+  const overtaking = findOvertaking(state, orders);
+  if (overtaking) noteOvertaken(state, event, overtaking);
+  if (overtaking === Overtaking.Leader) return;
   if (orders.epoch > state.epoch) {
     state.epoch = orders.epoch;
+    state.answeredReport = -Infinity;
     log(state, "New leader.", { epoch: orders.epoch });
   }
   // No report can be answered before it was sent.
   const reportedAt = Math.min(orders.answersReport - state.suspended, now);
   extendGrant(state, reportedAt + state.times.grant, now);
+  if (overtaking) return;
+  state.answeredReport = orders.answersReport;
   const { worker } = state;
   if (!worker || worker.state.key !== orders.worker) return;
   worker.acknowledged = Math.max(worker.acknowledged, orders.acknowledged);
--- a/core/worker_control/overtaken_test.ts
+++ b/core/worker_control/overtaken_test.ts
@@ -119,8 +119,13 @@
   const { reduce } = createReady();
   emptyWorker(reduce);
   reduce(holdAnswer(12_010, 12_005));
+  const former = orders({ answersReport: 12_010 });
+  reduce({ kind: "orders", now: 12_015, orders: former });
   const first = { ...start(11_900), epoch: 8 };
   t.same(callsOf(reduce({ kind: "orders", now: 12_020, orders: first })), []);
+  const next = { ...start(12_000), epoch: 8 };
+  const effects = reduce({ kind: "orders", now: 12_030, orders: next });
+  t.match(callsOf(effects), [{ kind: "start" }], "its next orders hold");
   t.end();
 });
 
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -7,11 +7,13 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
+import type { AgentReport } from "@dragonflyledge/scheduler";
 import { listUnsettled, recordCrash, tellCrash, tellSilence } from "./crash.ts";
 import { noteGrantEnd } from "./grant.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
+import { nextReportTime, noteRelease } from "./overtaken.ts";
 import { sendDueCalls, updateFromLists } from "./run_control.ts";
 import { ControlPhase, HOLD_WAIT } from "./state.ts";
 import type {
@@ -52,6 +54,10 @@
   const state: ControlState = {
     times: fields.times,
     epoch: 0,
+    answeredReport: -Infinity,
+    reportedAt: -Infinity,
+    released: false,
+    releasedAt: -Infinity,
     grantEnd: 0,
     hasGrant: false,
     suspended: 0,
@@ -343,27 +349,26 @@
   const { worker } = state;
   const controls = [...state.runs.values()];
   const gone = worker !== undefined && state.emptied.includes(worker.state.key);
-  state.effects.push({
+  const report: AgentReport = {
     kind: "report",
-    report: {
-      kind: "report",
-      sentAt: now + state.suspended,
-      vacant: isVacant(state, now),
-      worker: worker && { ...worker.state },
-      listed: worker !== undefined && worker.listed && !gone,
-      running: worker?.running ?? [],
-      unsettled: worker ? listUnsettled(state, worker) : [],
-      ended: worker?.ended ?? [],
-      allEnds: worker?.allEnds ?? true,
-      refused: controls
-        .filter((control) => control.phase === ControlPhase.Refused)
-        .map((control) => ({ ...control.name, reason: control.refusalReason })),
-      absent: controls
-        .filter((control) => control.phase === ControlPhase.Absent)
-        .map((control) => control.name),
-      emptied: state.emptied,
-      crashes: state.crashes.map((crash) => tellCrash(crash, now)),
-      silence: state.hold.silence && tellSilence(state.hold.silence, now),
-    },
-  });
+    sentAt: nextReportTime(state, now),
+    vacant: isVacant(state, now),
+    worker: worker && { ...worker.state },
+    listed: worker !== undefined && worker.listed && !gone,
+    running: worker?.running ?? [],
+    unsettled: worker ? listUnsettled(state, worker) : [],
+    ended: worker?.ended ?? [],
+    allEnds: worker?.allEnds ?? true,
+    refused: controls
+      .filter((control) => control.phase === ControlPhase.Refused)
+      .map((control) => ({ ...control.name, reason: control.refusalReason })),
+    absent: controls
+      .filter((control) => control.phase === ControlPhase.Absent)
+      .map((control) => control.name),
+    emptied: state.emptied,
+    crashes: state.crashes.map((crash) => tellCrash(crash, now)),
+    silence: state.hold.silence && tellSilence(state.hold.silence, now),
+  };
+  noteRelease(state, report);
+  state.effects.push({ kind: "report", report });
 }
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -152,11 +152,30 @@
   silence: Silence;
 }
 
+/** What newer knowledge has overtaken orders, as it is logged. */
+export const Overtaking = {
+  /** A leader with a higher epoch has sent orders. */
+  Leader: "later leader",
+  /** Orders of the same leader that answer a later report were applied. */
+  Orders: "later orders",
+  /** A report after the answered one has released the runs of a worker. */
+  Release: "later report",
+} as const;
+export type Overtaking = typeof Overtaking[keyof typeof Overtaking];
+
 /** State of an agent's reducer. */
 export interface ControlState {
   times: ControlTimes;
   /** Highest epoch of a leader that sent orders; 0 before the first. */
   epoch: number;
+  /** `answersReport` of the orders that were applied last. */
+  answeredReport: Milliseconds;
+  /** `sentAt` of the latest report. */
+  reportedAt: Milliseconds;
+  /** Whether that report said that nothing can run on a worker. */
+  released: boolean;
+  /** `sentAt` of the report that was the first to say so. */
+  releasedAt: Milliseconds;
   /** Time of the first event. */
   startedAt?: Milliseconds;
   /** The worker's lease may be extended up to this time. */
--- a/daemons/scheduler/agent_links.ts
+++ b/daemons/scheduler/agent_links.ts
@@ -24,8 +24,8 @@
   /** When the last attempt to connect began. */
   dialledAt: Milliseconds;
   lastHeard: Milliseconds;
-  /** `sentAt` of the last report over the current link. */
-  lastReport?: Milliseconds;
+  /** Whether a report came over the current link. */
+  reported: boolean;
 }
 
 /** Links to agents during one term of leadership. */
@@ -34,10 +34,7 @@
   connect(name: string, address: string): void;
   /** Closes the link to an agent that was removed, and doesn't redial. */
   disconnect(name: string): void;
-  /**
-   * Sends orders, with `answersReport` added. Returns false if no report came
-   * over the current link yet.
-   */
+  /** Sends orders; returns false if no report came over the current link yet. */
   send(name: string, orders: Record<string, unknown>): boolean;
   /** Closes the links of silent agents, so that they are redialled. */
   closeSilent(): void;
@@ -79,13 +76,13 @@
         const report = decodeReport(message);
         if (!report) return link.close();
         agent.lastHeard = clock.now();
-        agent.lastReport = report.sentAt;
+        agent.reported = true;
         fields.onReport(name, report);
       },
       onClose: (reason) => {
-        const reported = agent.lastReport !== undefined;
+        const { reported } = agent;
         agent.link = undefined;
-        agent.lastReport = undefined;
+        agent.reported = false;
         const delay = agent.dialledAt + REDIAL_DELAY - clock.now();
         timer.after(Math.max(0, delay), () => dial(name, agent));
         if (!reported || closed) return;
@@ -101,7 +98,12 @@
       const known = agents.get(name);
       if (known?.address === address) return;
       const now = clock.now();
-      const agent: AgentLink = { address, dialledAt: now, lastHeard: now };
+      const agent: AgentLink = {
+        address,
+        dialledAt: now,
+        lastHeard: now,
+        reported: false,
+      };
       known?.link?.close();
       agents.set(name, agent);
       dial(name, agent);
@@ -113,8 +115,8 @@
     },
     send: (name, orders) => {
       const agent = agents.get(name);
-      if (!agent?.link || agent.lastReport === undefined) return false;
-      agent.link.send({ ...orders, answersReport: agent.lastReport });
+      if (!agent?.link || !agent.reported) return false;
+      agent.link.send(orders);
       return true;
     },
     closeSilent: () => {
