Stop starts of a former incarnation before its successor is reported

What callers would see: a task that runs twice, for as long as it takes until a report shows the run and the leader stops it. Cause: a worker may start again under its id, which is all that a call names. A start call that is under way meanwhile is carried out by the new incarnation. The agent reported that incarnation at once, and the leader counted all runs of the former one as ended and started them elsewhere. Same class as the orders that are overtaken: here newer knowledge overtakes a call. A worker with another id is reported at once, since it refuses such calls. Found by reading, for the list of messages; not seen with real processes.

--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -11,7 +11,7 @@
 import { extendGrant } from "./grant.ts";
 import { log } from "./log.ts";
 import { findOvertaking, noteOvertaken } from "./overtaken.ts";
-import { ControlPhase, Overtaking } from "./state.ts";
+import { ControlPhase, createIdleControl, Overtaking } from "./state.ts";
 import type { ControlEvent, ControlState, RunControl } from "./state.ts";
 
 type OrdersEvent = Extract<ControlEvent, { kind: "orders" }>;
@@ -109,18 +109,6 @@
   } else state.runs.delete(key);
 }
 
-/** Returns the fields of a run for which no call was sent yet. */
-function createIdleControl(now: Milliseconds) {
-  return {
-    stopRequested: false,
-    callPending: false,
-    unansweredStarts: 0,
-    nextCallAt: now,
-    answeredAt: 0,
-    refusalReason: "",
-  };
-}
-
 /** Creates the control of a run that the leader ordered to start. */
 function createStartControl(
   state: ControlState,
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -22,6 +22,7 @@
   ControlledWorker,
   ControlState,
   ControlTimes,
+  RunControl,
 } from "./state.ts";
 import {
   applyAnnouncement,
@@ -341,13 +342,21 @@
     now > (state.startedAt ?? now) + state.times.grant;
 }
 
+/** Whether the present incarnation may still run what a former one was told. */
+function isUnresolved({ misdirected, phase }: RunControl): boolean {
+  return misdirected === true && phase !== ControlPhase.Absent &&
+    phase !== ControlPhase.Ended;
+}
+
 /** Reports to the leader after a change, and otherwise at intervals. */
 function sendReportIfDue(state: ControlState, now: Milliseconds): void {
   if (!state.reportDue && now < state.lastReportAt + REPORT_INTERVAL) return;
   state.reportDue = false;
   state.lastReportAt = now;
-  const { worker } = state;
   const controls = [...state.runs.values()];
+  // The leader counts the former incarnation's runs as ended once it hears of
+  // the new one, which must not have any of them by then.
+  const worker = controls.some(isUnresolved) ? undefined : state.worker;
   const gone = worker !== undefined && state.emptied.includes(worker.state.key);
   const report: AgentReport = {
     kind: "report",
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -100,6 +100,11 @@
   order?: StartOrder;
   phase: ControlPhase;
   stopRequested: boolean;
+  /**
+   * Whether the start was ordered for a former incarnation with the same id, so
+   * that the present one may have got the call.
+   */
+  misdirected?: boolean;
   /** Whether a start or stop call is waiting for its answer. */
   callPending: boolean;
   /** When the first start call was sent that the worker has not refused. */
@@ -119,6 +124,18 @@
   refusalReason: string;
 }
 
+/** Returns the fields of a run for which no call was sent yet. */
+export function createIdleControl(now: Milliseconds) {
+  return {
+    stopRequested: false,
+    callPending: false,
+    unansweredStarts: 0,
+    nextCallAt: now,
+    answeredAt: 0,
+    refusalReason: "",
+  };
+}
+
 /** How long the worker delays the answer to a hold call until a run ends. */
 export const HOLD_WAIT: Milliseconds = 1000;
 
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -10,10 +10,11 @@
   isEqualCapacity,
   largestOf,
 } from "@dragonflyledge/scheduler";
+import type { RunName } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
-import { ControlPhase } from "./state.ts";
+import { ControlPhase, createIdleControl } from "./state.ts";
 import type {
   Announcement,
   ControlledWorker,
@@ -161,8 +162,12 @@
   if (former && !state.emptied.includes(former.state.key)) {
     recordCrash(state, former, now);
   }
+  const sameId = former?.id === worker.id;
+  const misdirected = sameId ? [...state.runs].filter(mayBeMisdirected) : [];
   state.worker = worker;
-  state.runs.clear();
+  state.runs = new Map(
+    misdirected.map(([key, { name }]) => [key, createMisdirected(name, now)]),
+  );
   state.emptied = [];
   state.hold = {
     callPending: false,
@@ -174,6 +179,27 @@
   log(state, "New worker incarnation.", { worker: worker.state.key });
 }
 
+/**
+ * Whether a start call for the former incarnation may have reached the present
+ * one, which takes it if it has the same id.
+ */
+function mayBeMisdirected([, control]: [string, RunControl]): boolean {
+  const { phase, startSentAt, misdirected } = control;
+  if (misdirected || phase === ControlPhase.Started) return true;
+  return phase === ControlPhase.Starting && startSentAt !== undefined;
+}
+
+/** Creates the control of such a start, which is stopped. */
+function createMisdirected(name: RunName, now: Milliseconds): RunControl {
+  return {
+    ...createIdleControl(now),
+    name,
+    phase: ControlPhase.Starting,
+    stopRequested: true,
+    misdirected: true,
+  };
+}
+
 /** Returns the key of a worker incarnation. */
 function workerKey(id: string, born: Milliseconds): string {
   return `${id}@${born}`;
