Count no pause of the process as silence of a session's peer

What callers would see: an answer that was sent is cut off when an entry or an agent stops while its machine is busy. Cause: a session that ends dropped what was left once its timeout had passed by the clock, and a session closed when the last byte was that long ago. After a pause of the process, timers run before what has arrived meanwhile is read. Sessions need no clock any more. A silent peer is noticed between the timeout and one check later, as before. Open: Node shows no progress within one batch of writes, so that a peer that needs longer than the timeout for a whole batch is still cut off.

--- a/daemons/agent/agent.ts
+++ b/daemons/agent/agent.ts
@@ -111,7 +111,6 @@
     seeds: settings.seeds,
     hello,
     versions,
-    clock,
     timer,
     random,
     observer,
--- a/daemons/entry/agent_sessions.ts
+++ b/daemons/entry/agent_sessions.ts
@@ -6,7 +6,6 @@
 
 import type { Result } from "neverthrow";
 import type {
-  Clock,
   EntryMessage,
   Hello,
   Message,
@@ -50,7 +49,6 @@
   port: number;
   hello: () => Hello;
   versions: () => Versions;
-  clock: Clock;
   timer: Timer;
   observer: Observer;
   handlers: AgentHandlers;
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -132,7 +132,6 @@
     port: settings.port,
     hello,
     versions,
-    clock,
     timer,
     observer,
     handlers: {
--- a/wire/session/dialer.ts
+++ b/wire/session/dialer.ts
@@ -7,7 +7,6 @@
 import { connect } from "node:net";
 
 import type {
-  Clock,
   Hello,
   Milliseconds,
   Random,
@@ -39,7 +38,6 @@
   hello: () => Hello;
   versions: () => Versions;
   handlers: SessionHandlers;
-  clock: Clock;
   timer: Timer;
   random: Random;
   times?: SessionTimes;
