Let the copy of the store ignore records that a removal has overtaken

A read or a write's confirmation may arrive after the watch has brought the removal of the record. The copy took it over, so that the entry showed a removed job as queued, and counted it as pending, until its next list. A list that was begun before a submission or a cancel took it back, so that callers saw the state of before until the watch brought the record again.

The copy now knows up to which revision the list and the watch have brought all records. A record beside them is taken over only if it is later or still held, and a list replaces only what is not later than itself.

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -14,7 +14,12 @@
   encodePendingCount,
   isJobId,
 } from "@dragonflyledge/platform";
-import type { Deployment, KeyValue, Queue } from "@dragonflyledge/platform";
+import type {
+  Deployment,
+  Item,
+  KeyValue,
+  Queue,
+} from "@dragonflyledge/platform";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
 import {
   cancelKey,
@@ -241,10 +246,7 @@
         const item = outcome.kind === "conflict"
           ? outcome.items.get(key)
           : { key, value, revision: outcome.revision };
-        replica.apply([{
-          kind: "put",
-          item: item ?? { key, value, revision: 0 },
-        }]);
+        learn(item ?? { key, value, revision: 0 });
         return "stored";
       }
       if (outcome.kind === "unknown") uncertain = true;
@@ -282,11 +284,19 @@
       const found = await readWithRetries(call, key);
       if (found === "unavailable") return found;
       if (found === undefined) break;
-      replica.apply([{ kind: "put", item: found }]);
+      if (!learn(found)) break;
     }
     return replica.status(call.id);
   }
 
+  /** Takes over a record; returns false if it is overtaken by a removal. */
+  function learn(item: Item): boolean {
+    const taken = replica.learn(item);
+    const { key, revision } = item;
+    if (!taken) log.info("Record ignored.", { key, revision });
+    return taken;
+  }
+
   /** Reads a key from the store within the call's deadline. */
   async function readWithRetries(call: Call, key: string) {
     for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -136,8 +136,8 @@
     clock: elapsed,
     timer,
     pause: () => epoch === undefined ? STANDBY_PAUSE : LEADER_PAUSE,
-    onList: (items) => {
-      replica.replace(items);
+    onList: (items, revision) => {
+      replica.replace(items, revision);
       if (epoch === undefined) return;
       if (replica.leader()?.revision !== epoch) {
         return election.stepDown("the store lists another leader");
--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -33,7 +33,8 @@
   timer: Timer;
   /** Pause after changes, so that one answer carries several. */
   pause: () => Milliseconds;
-  onList: (items: Item[]) => void;
+  /** Called with the items of a list that was begun at `revision`. */
+  onList: (items: Item[], revision: number) => void;
   onChanges: (changes: Change[]) => void;
   /** Called with the reason of a first failure, or undefined at recovery. */
   onTrouble: (reason: string | undefined) => void;
@@ -62,7 +63,7 @@
       if (own !== generation) return undefined;
       if (answer.isOk()) {
         reportTrouble(undefined);
-        fields.onList(answer.value.items);
+        fields.onList(answer.value.items, answer.value.revision);
         listed = true;
         freshAt = sentAt;
         return answer.value.revision;
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -98,7 +98,7 @@
     snapshot: scheduler.snapshot,
     revision: (job) => replica.jobs.get(job)?.progressRevision ?? 0,
     onStored: (job, version, item: Item) => {
-      replica.apply([{ kind: "put", item }]);
+      replica.learn(item);
       dispatch({ kind: "stored", now: clock.now(), job, version });
     },
     onDeposed: fields.onDeposed,
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -22,10 +22,14 @@
 /** Records of one job. */
 export interface JobCopy {
   request?: JobRequest;
+  /** Revision of the request's record; 0 if there is none. */
+  revision: number;
   progress?: JobProgress;
   /** Revision of the progress record; 0 if there is none. */
   progressRevision: number;
   cancelled: boolean;
+  /** Revision of the cancel's record; 0 if there is none. */
+  cancelRevision: number;
 }
 
 /** Record of the current leader. */
@@ -43,10 +47,19 @@
   /** Link addresses of entries by name. */
   readonly entries: Map<string, string>;
   leader(): LeaderCopy | undefined;
-  /** Replaces all records by a list, but keeps progress that is newer. */
-  replace(items: Item[]): void;
-  /** Applies changes in order. */
+  /**
+   * Replaces all records by a list that was begun at `revision`, but keeps the
+   * records of jobs that are newer.
+   */
+  replace(items: Item[], revision: number): void;
+  /** Applies the changes that a watch brought, in order. */
   apply(changes: Change[]): void;
+  /**
+   * Takes over a record that was read or written beside the watch. Returns false
+   * for one that is overtaken: the watch has brought a later revision, and the
+   * record is not held, so that it was removed since.
+   */
+  learn(item: Item): boolean;
   /** Status as shown to callers; undefined for an unknown job. */
   status(id: string): JobStatus | undefined;
   /**
@@ -89,11 +102,18 @@
   const agents = new Map<string, string>();
   const entries = new Map<string, string>();
   let leader: LeaderCopy | undefined;
+  /** Revision up to which the list and the watch have brought all records. */
+  let known = 0;
 
   function findOrAddJob(id: string): JobCopy {
     let job = jobs.get(id);
     if (!job) {
-      job = { progressRevision: 0, cancelled: false };
+      job = {
+        revision: 0,
+        progressRevision: 0,
+        cancelled: false,
+        cancelRevision: 0,
+      };
       jobs.set(id, job);
     }
     return job;
@@ -106,12 +126,16 @@
         const request = decodeRequest(id, item.value);
         const job = findOrAddJob(id);
         job.request = request;
+        job.revision = item.revision;
         if (job.progress) checkProgress(job.progress, request);
         return;
       }
-      case "cancel":
-        findOrAddJob(id).cancelled = true;
+      case "cancel": {
+        const job = findOrAddJob(id);
+        job.cancelled = true;
+        job.cancelRevision = item.revision;
         return;
+      }
       case "progress": {
         const job = findOrAddJob(id);
         if (item.revision < job.progressRevision) return;
@@ -138,13 +162,38 @@
     }
   }
 
-  /** Keeps progress whose write was confirmed after the list had been read. */
-  function keepNewerProgress(job: JobCopy, before: JobCopy | undefined): void {
-    if (!before || before.progressRevision <= job.progressRevision) return;
+  /** Keeps what was learnt of a job after a list had been begun. */
+  function keepNewer(id: string, before: JobCopy, revision: number): void {
+    if (before.revision > revision) {
+      const job = findOrAddJob(id);
+      job.request = before.request;
+      job.revision = before.revision;
+    }
+    if (before.cancelRevision > revision) {
+      const job = findOrAddJob(id);
+      job.cancelled = true;
+      job.cancelRevision = before.cancelRevision;
+    }
+    const job = jobs.get(id);
+    if (!job || before.progressRevision <= job.progressRevision) return;
     job.progressRevision = before.progressRevision;
     job.progress = before.progress;
   }
 
+  /**
+   * Whether the record was removed after it had been read or written. The list
+   * and the watch have brought all records of jobs and cancels up to `known`.
+   * Progress has no use without its job, and is compared by its own revision,
+   * since a leader does not watch it.
+   */
+  function isOvertaken(item: Item): boolean {
+    const { kind, id } = parseStoreKey(item.key);
+    const job = jobs.get(id);
+    if (kind === "progress") return !job?.request;
+    if (item.revision > known) return false;
+    return kind === "cancel" ? !job?.cancelled : !job?.request;
+  }
+
   function tryPut(item: Item): void {
     try {
       put(item);
@@ -177,21 +226,29 @@
     agents,
     entries,
     leader: () => leader,
-    replace: (items) => {
+    replace: (items, revision) => {
       const before = new Map(jobs);
       jobs.clear();
       agents.clear();
       entries.clear();
       leader = undefined;
       items.forEach(tryPut);
-      for (const [id, job] of jobs) keepNewerProgress(job, before.get(id));
+      for (const [id, job] of before) keepNewer(id, job, revision);
+      known = revision;
     },
     apply: (changes) => {
       for (const change of changes) {
         if (change.kind === "put") tryPut(change.item);
         else remove(change.key);
+        const { revision } = change.kind === "put" ? change.item : change;
+        known = Math.max(known, revision);
       }
     },
+    learn: (item) => {
+      if (isOvertaken(item)) return false;
+      tryPut(item);
+      return true;
+    },
     status,
     countPending: (queue) => {
       let count = 0;
--- a/daemons/scheduler/replica_test.ts
+++ b/daemons/scheduler/replica_test.ts
@@ -2,7 +2,12 @@
 import { encode } from "cbor-x";
 import fc from "fast-check";
 import { test } from "tap";
-import { jobKey, JobStatus, progressKey } from "@dragonflyledge/scheduler";
+import {
+  cancelKey,
+  jobKey,
+  JobStatus,
+  progressKey,
+} from "@dragonflyledge/scheduler";
 import { createReplica } from "./replica.ts";
 
 const ID = "5c0e7a21d94b36f8";
@@ -71,3 +76,55 @@
   t.equal(replica.status(ID), JobStatus.Queued);
   t.end();
 });
+
+const jobItem = (revision: number) => ({
+  key: jobKey(ID),
+  value: encode(request),
+  revision,
+});
+const cancelItem = (revision: number) => ({
+  key: cancelKey(ID),
+  value: new Uint8Array(),
+  revision,
+});
+
+// Guards against a job that is shown as queued for good, since the answer to a
+// read of it arrives after the watch has brought its removal.
+test("a read that a removal has overtaken adds no job", (t) => {
+  const replica = createReplica({ onBadItem: () => {} });
+  replica.apply([{ kind: "put", item: jobItem(5) }]);
+  replica.apply([{ kind: "deleted", key: jobKey(ID), revision: 9 }]);
+  t.notOk(replica.learn(jobItem(5)));
+  t.equal(replica.status(ID), undefined);
+  t.equal(replica.countPending("queue"), 0);
+  t.ok(replica.learn(jobItem(10)), "a later submission counts");
+  t.equal(replica.status(ID), JobStatus.Queued);
+  t.end();
+});
+
+// Guards against the progress of a removed job, which is never removed again.
+test("progress of a removed job is not kept", (t) => {
+  const replica = createReplica({ onBadItem: () => {} });
+  const row = ["running", 0, 1, [[0, [[[1, 1, "a", "w", "", 0]]]]]];
+  const item = { key: progressKey(ID), value: encode(row), revision: 7 };
+  t.notOk(replica.learn(item));
+  t.equal(replica.jobs.size, 0);
+  t.end();
+});
+
+// Guards against a caller whose job was accepted or cancelled and who is then
+// shown the state of before, from a list that was read while the write ran.
+test("a list takes back no later submission or cancel", (t) => {
+  const replica = createReplica({ onBadItem: () => {} });
+  replica.learn(jobItem(8));
+  replica.replace([], 7);
+  t.equal(replica.status(ID), JobStatus.Queued);
+  replica.learn(cancelItem(10));
+  replica.replace([jobItem(8)], 9);
+  t.equal(replica.status(ID), JobStatus.Cancelled);
+  replica.replace([jobItem(8)], 11);
+  t.equal(replica.status(ID), JobStatus.Queued, "the cancel was removed");
+  replica.replace([], 12);
+  t.equal(replica.status(ID), undefined, "the job was removed");
+  t.end();
+});
