Give a worker that came back no capacity before its first heartbeat

The answer to a hold call shows a new incarnation under the same id. The agent reported it with the capacity of the former one until the next heartbeat, though it may be of another kind, so that the leader placed tasks that don't fit on it.

It now counts as without capacity until its own first heartbeat, which is reported at once.

--- a/core/worker_control/capacity_test.ts
+++ b/core/worker_control/capacity_test.ts
@@ -6,6 +6,7 @@
   orders,
   START_ORDER,
 } from "./setup_for_tests.ts";
+import type { ControlEvent } from "./mod.ts";
 
 // Guards against starts that are planned for capacity that the worker has lost.
 test("a changed capacity is reported at once", (t) => {
@@ -92,3 +93,27 @@
   t.ok(listed.some((effect) => effect.kind === "start"));
   t.end();
 });
+
+// Guards against tasks that are placed by the size of a former incarnation: the
+// worker came back as another kind, and its first heartbeat is still under way.
+test("a new incarnation has no capacity before its first heartbeat", (t) => {
+  const { control, reduce } = createWithWorker();
+  const held = { ...holdAnswer(20, 10), born: 2000 } as ControlEvent;
+  const effects = reduce(held);
+  const report = effects.find((effect) => effect.kind === "report");
+  t.match(report?.report.worker, {
+    key: "i-1@2000",
+    accelerators: 0,
+    millicores: 0,
+    megabytes: 0,
+  });
+  const late = announcement({ sequence: 9 });
+  reduce({ kind: "announced", now: 30, announcement: late });
+  t.equal(control.state.worker?.state.accelerators, 0, "a late heartbeat");
+  const first = announcement({ born: 2000, accelerators: 4, sequence: 0 });
+  const reported = reduce({ kind: "announced", now: 40, announcement: first });
+  t.match(reported.find((effect) => effect.kind === "report"), {
+    report: { worker: { accelerators: 4, full: { accelerators: 4 } } },
+  });
+  t.end();
+});
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -21,6 +21,9 @@
   RunControl,
 } from "./state.ts";
 
+/** Capacity of an incarnation that has sent no heartbeat yet. */
+const UNKNOWN_CAPACITY = { millicores: 0, megabytes: 0, accelerators: 0 };
+
 /**
  * Applies a worker's heartbeat. Heartbeats that arrive out of order or come
  * from an earlier incarnation are ignored.
@@ -101,7 +104,11 @@
     control.startSentAt === undefined && !control.stopRequested;
 }
 
-/** Switches to a new incarnation of the worker, started at `born`. */
+/**
+ * Switches to a new incarnation of the worker, started at `born`. It may be of
+ * another kind than the former one, so that it can hold nothing until its first
+ * heartbeat.
+ */
 export function replaceIncarnation(
   state: ControlState,
   born: Milliseconds,
@@ -112,13 +119,14 @@
     ...worker,
     state: {
       ...worker.state,
+      ...UNKNOWN_CAPACITY,
       born,
       key: workerKey(worker.id, born),
       draining: false,
       reachable: true,
-      full: capacityOf(worker.state),
+      full: UNKNOWN_CAPACITY,
     },
-    sequence: 0,
+    sequence: -1,
     clock: undefined,
     latestLeaseEnd: latestEarlierLeaseEnd(state, now),
     leftAt: undefined,
