Refuse a heartbeat whose sender was replaced while the worker was asked

The answers to identify calls may overtake each other. A late answer about a former process made it the confirmed one again, so that the deregistration of its successor was refused until the successor's next heartbeat.

A heartbeat of an earlier start than the confirmed one is now refused as overtaken. The new test of worker_check_test.ts failed before (3 assertions).

--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -61,6 +61,7 @@
   [Refusal.Address]: Status.Misdirected,
   [Refusal.Service]: Status.Misdirected,
   [Refusal.Identity]: Status.Misdirected,
+  [Refusal.Overtaken]: Status.Misdirected,
   [Refusal.Unconfirmed]: Status.Unavailable,
 };
 
--- a/daemons/worker_agent/worker_check.ts
+++ b/daemons/worker_agent/worker_check.ts
@@ -28,6 +28,8 @@
   Service: "service",
   /** The worker has another id, or started at another time. */
   Identity: "identity",
+  /** A later process was confirmed while the worker was asked. */
+  Overtaken: "overtaken",
   /** The worker did not confirm in time that it is the sender. */
   Unconfirmed: "unconfirmed",
 } as const;
@@ -148,6 +150,9 @@
     const denial = await confirm(announcement);
     pending--;
     if (denial) return refuse(denial);
+    if (confirmed && confirmed.born > announcement.born) {
+      return refuse(Refusal.Overtaken);
+    }
     if (!isConfirmed(announcement)) confirmed = announcement;
     return { kind: "accepted", announcement };
   }
--- a/daemons/worker_agent/worker_check_test.ts
+++ b/daemons/worker_agent/worker_check_test.ts
@@ -24,7 +24,7 @@
   }));
 
 /** Creates a check whose worker gives these answers in turn. */
-function createCheck(answers: IdentifyOutcome[]) {
+function createCheck(answers: (IdentifyOutcome | Promise<IdentifyOutcome>)[]) {
   let now = 0;
   const lines: string[] = [];
   const asked: string[] = [];
@@ -117,3 +117,18 @@
     reason: "unconfirmed",
   });
 });
+
+// Guards against a process that ended and takes the place of its successor: the
+// worker's answer about it arrives late.
+test("an answer about a former process does not replace its successor", async (t) => {
+  let answerLate = (_outcome: IdentifyOutcome) => {};
+  const late = new Promise<IdentifyOutcome>((resolve) => answerLate = resolve);
+  const { check } = createCheck([late, { kind: "confirmed", born: 2000 }]);
+  const former = check.heartbeat("i-1", heartbeat());
+  const successor = await check.heartbeat("i-2", heartbeat({ born: 2000 }));
+  t.equal(successor.kind, "accepted");
+  answerLate(CONFIRMED);
+  t.match(await former, { kind: "refused", reason: "overtaken" });
+  t.ok(check.deregistration("i-2"));
+  t.notOk(check.deregistration("i-1"));
+});
