Write progress anew whose record was removed

A commit that conflicts adopts the revisions that the store lists. Where the store lists no item for a record that does not exist, the writer kept the former revision and tried again without a pause, and no job of that batch was stored any more. It happens once a job comes again after its records were removed.

No item now means no record. The conflict is logged, as an earlier write that took effect late is the usual cause.

--- a/daemons/scheduler/writer.ts
+++ b/daemons/scheduler/writer.ts
@@ -107,7 +107,9 @@
       return true;
     }
     for (const { job } of batch) waiting.add(job);
-    if (outcome.kind === "conflict") return resolveConflict(outcome.items);
+    if (outcome.kind === "conflict") {
+      return resolveConflict(batch.map(({ job }) => job), outcome.items);
+    }
     log.warn("The progress of jobs could not be stored.", {
       jobs: batch.length,
       reason: outcome.kind === "leaseLost" ? outcome.kind : outcome.reason,
@@ -118,17 +120,23 @@
   /**
    * Adopts the revisions found by a commit that conflicted. An earlier write
    * without an answer may have taken effect; since only the leader writes these
-   * records, its newest state may replace it.
+   * records, its newest state may replace it. The store may list no item where
+   * there is no record.
    */
-  function resolveConflict(items: Map<string, Item>): boolean {
+  function resolveConflict(jobs: string[], items: Map<string, Item>): boolean {
     if (items.get(LEADER_KEY)?.revision !== epoch) {
       stopped = true;
       fields.onDeposed();
       return true;
     }
-    for (const job of waiting) {
-      const item = items.get(progressKey(job));
-      if (item) revisions.set(job, item.revision);
+    for (const job of jobs) {
+      const found = items.get(progressKey(job))?.revision ?? 0;
+      log.info("The progress of a job was written before.", {
+        job,
+        revision: found,
+        expected: revisions.get(job) ?? fields.revision(job),
+      });
+      revisions.set(job, found);
     }
     return true;
   }
