Remove a record only at the revision that the leader knew

A removal without an answer may take effect seconds later. It named only the leader's epoch, so that it also removed the registration of an agent that had registered again meanwhile: while the agent kept its link nobody missed it, but the next leader did not know the agent, gave its runs up after the grant, and placed nothing there until the agent had been without a link for 10 s. The same holds for a job that is submitted again.

Each removal now has the revision of its first record as a condition, and a conflict ends it. Without that condition the new test of writer_test.ts fails.

--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -126,10 +126,9 @@
       case "store":
         return writer.write(effect.job);
       case "remove":
-        return writer.removeJob(effect.job);
+        return removeJob(effect.job);
       case "forget":
-        links.disconnect(effect.agent);
-        return writer.removeAgent(effect.agent);
+        return removeAgent(effect.agent);
       case "orders":
         if (!fields.leads()) return;
         links.send(effect.agent, { kind: "orders", epoch, ...effect.orders });
@@ -166,6 +165,17 @@
     }
   }
 
+  function removeJob(id: string): void {
+    const revision = replica.jobs.get(id)?.revision;
+    if (revision) writer.removeJob(id, revision);
+  }
+
+  function removeAgent(name: string): void {
+    links.disconnect(name);
+    const agent = replica.agents.get(name);
+    if (agent) writer.removeAgent(name, agent.revision);
+  }
+
   function addJob(id: string): void {
     const job = replica.jobs.get(id);
     if (!job?.request) return;
@@ -186,10 +196,10 @@
   }
 
   function addAgent(name: string): void {
-    const address = replica.agents.get(name);
-    if (address === undefined) return;
+    const agent = replica.agents.get(name);
+    if (!agent) return;
     dispatch({ kind: "agent", now: clock.now(), agent: name });
-    links.connect(name, address);
+    links.connect(name, agent.address);
   }
 
   function loadReplica(): void {
--- a/daemons/scheduler/replica.ts
+++ b/daemons/scheduler/replica.ts
@@ -39,11 +39,18 @@
   revision: number;
 }
 
+/** Registration of an agent. */
+export interface AgentCopy {
+  /** Link address. */
+  address: string;
+  revision: number;
+}
+
 /** Jobs, agents, entries and leader as this process knows them. */
 export interface Replica {
   readonly jobs: Map<string, JobCopy>;
-  /** Link addresses of agents by name. */
-  readonly agents: Map<string, string>;
+  /** Registrations of agents by name. */
+  readonly agents: Map<string, AgentCopy>;
   /** Link addresses of entries by name. */
   readonly entries: Map<string, string>;
   leader(): LeaderCopy | undefined;
@@ -99,7 +106,7 @@
   fields: { onBadItem: (key: string, error: unknown) => void },
 ): Replica {
   const jobs = new Map<string, JobCopy>();
-  const agents = new Map<string, string>();
+  const agents = new Map<string, AgentCopy>();
   const entries = new Map<string, string>();
   let leader: LeaderCopy | undefined;
   /** Revision up to which the list and the watch have brought all records. */
@@ -146,7 +153,10 @@
         return;
       }
       case "agent":
-        agents.set(id, decodeAddress(item.value));
+        agents.set(id, {
+          address: decodeAddress(item.value),
+          revision: item.revision,
+        });
         return;
       case "entry":
         entries.set(id, decodeAddress(item.value));
--- a/daemons/scheduler/writer.ts
+++ b/daemons/scheduler/writer.ts
@@ -28,13 +28,22 @@
 export interface ProgressWriter {
   /** Writes the newest progress of a job. */
   write(job: string): void;
-  /** Removes all records of a job from the store. */
-  removeJob(job: string): void;
-  /** Removes the address of an agent from the store. */
-  removeAgent(agent: string): void;
+  /** Removes all records of a job whose request has this revision. */
+  removeJob(job: string, revision: number): void;
+  /** Removes the address of an agent that has this revision. */
+  removeAgent(agent: string, revision: number): void;
   stop(): void;
 }
 
+/**
+ * Records that are removed together. One without an answer may take effect
+ * late, so that the first record must still have the revision that was known.
+ */
+interface Removal {
+  keys: [string, ...string[]];
+  revision: number;
+}
+
 /** Creates a writer for one term of leadership. */
 export function createProgressWriter(fields: {
   store: KeyValue;
@@ -53,7 +62,7 @@
 }): ProgressWriter {
   const { store, epoch, timer, log } = fields;
   const waiting = new Set<string>();
-  const pendingRemovals: string[][] = [];
+  const pendingRemovals: Removal[] = [];
   const revisions = new Map<string, number>();
   let running = false;
   let stopped = false;
@@ -124,11 +133,7 @@
    * there is no record.
    */
   function resolveConflict(jobs: string[], items: Map<string, Item>): boolean {
-    if (items.get(LEADER_KEY)?.revision !== epoch) {
-      stopped = true;
-      fields.onDeposed();
-      return true;
-    }
+    if (notesSuccessor(items)) return true;
     for (const job of jobs) {
       const found = items.get(progressKey(job))?.revision ?? 0;
       log.info("The progress of a job was written before.", {
@@ -143,18 +148,33 @@
 
   /** Commits the next removal; returns false if it is to be retried. */
   async function removeNext(): Promise<boolean> {
+    const { keys, revision } = pendingRemovals[0]!;
+    const [key] = keys;
     const outcome = await store.commit({
-      conditions: [leaderCondition],
+      conditions: [leaderCondition, { key, revision }],
       puts: [],
-      deletes: pendingRemovals[0],
+      deletes: keys,
     });
-    if (outcome.kind !== "committed") return false;
+    if (stopped) return true;
+    if (outcome.kind === "conflict") {
+      if (notesSuccessor(outcome.items)) return true;
+      const found = outcome.items.get(key)?.revision ?? 0;
+      log.info("Removal not made.", { key, expected: revision, found });
+    } else if (outcome.kind !== "committed") return false;
     pendingRemovals.shift();
     return true;
   }
 
-  function remove(keys: string[]): void {
-    pendingRemovals.push(keys);
+  /** Ends all writes if a conflict shows another leader. */
+  function notesSuccessor(items: Map<string, Item>): boolean {
+    if (items.get(LEADER_KEY)?.revision === epoch) return false;
+    stopped = true;
+    fields.onDeposed();
+    return true;
+  }
+
+  function remove(removal: Removal): void {
+    pendingRemovals.push(removal);
     void run();
   }
 
@@ -163,8 +183,13 @@
       waiting.add(job);
       void run();
     },
-    removeJob: (job) => remove([jobKey(job), cancelKey(job), progressKey(job)]),
-    removeAgent: (agent) => remove([agentKey(agent)]),
+    removeJob: (job, revision) =>
+      remove({
+        keys: [jobKey(job), cancelKey(job), progressKey(job)],
+        revision,
+      }),
+    removeAgent: (agent, revision) =>
+      remove({ keys: [agentKey(agent)], revision }),
     stop: () => {
       stopped = true;
     },
--- a/daemons/scheduler/writer_test.ts
+++ b/daemons/scheduler/writer_test.ts
@@ -3,7 +3,9 @@
 import { createLevels } from "@dragonflyledge/log";
 import type { CommitOutcome, Item, KeyValue } from "@dragonflyledge/platform";
 import {
+  agentKey,
   createProgress,
+  jobKey,
   LEADER_KEY,
   progressKey,
 } from "@dragonflyledge/scheduler";
@@ -137,3 +139,23 @@
   await clock.run(10);
   t.same(stored, [1, 1]);
 });
+
+// Guards against the loss of an agent's new registration, or of a job that was
+// submitted again: a removal without an answer takes effect after it.
+test("a removal spares a record that was written since", async (t) => {
+  const { clock, commits, writer } = createWriter();
+  writer.removeAgent("agent-1", 5);
+  writer.removeJob(ID, 6);
+  await clock.run(10);
+  t.same(commits[0]!.deletes, [agentKey("agent-1")]);
+  t.match(commits[0]!.conditions[1], { key: agentKey("agent-1"), revision: 5 });
+  const item = { key: agentKey("agent-1"), value: new Uint8Array() };
+  commits[0]!.answer(conflict(LEADER_ITEM, { ...item, revision: 8 }));
+  await clock.run(200);
+  t.match(commits[1]?.conditions[1], { key: jobKey(ID), revision: 6 });
+  commits[1]?.answer({ kind: "unknown", reason: "no answer" });
+  await clock.run(200);
+  commits[2]?.answer(conflict(LEADER_ITEM));
+  await clock.run(200);
+  t.equal(commits.length, 3, "the earlier attempt took effect");
+});
