Stop unanswered starts on an incarnation with the same id

A worker carries out a call without an answer up to seconds later, and a call names only the worker's id. After a crash under the same id the agent forgot which starts had no answer, and the leader counted their runs as ended. A start that the new incarnation then carried out ran beside the next run of its task, until the leader had seen it in a report and had ordered its stop.

The agent now stops these runs on the new incarnation as soon as it has listed its runs, after which it refuses them. The test "an unanswered start is stopped on an incarnation with the same id" failed before; the other three show guards that were there: the key of the incarnation, and the time at which lists were asked for.

--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -9,6 +9,7 @@
   capacityOf,
   isEqualCapacity,
   largestOf,
+  runKey,
 } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
@@ -169,8 +170,10 @@
   if (former && !state.emptied.includes(former.state.key)) {
     recordCrash(state, former, now);
   }
+  const late = former?.id === worker.id ? stopLateStarts(state, now) : [];
   state.worker = worker;
   state.runs.clear();
+  for (const control of late) state.runs.set(runKey(control.name), control);
   state.emptied = [];
   state.hold = {
     callPending: false,
@@ -182,6 +185,32 @@
   log(state, "New worker incarnation.", { worker: worker.state.key });
 }
 
+/**
+ * Returns the stops of the runs whose start calls have no answer. A call names
+ * only the worker's id, so that a later incarnation with the same id may carry
+ * it out, although the leader counts the run as ended.
+ */
+function stopLateStarts(state: ControlState, now: Milliseconds): RunControl[] {
+  const late = [...state.runs.values()].filter((control) =>
+    control.unansweredStarts > 0 ||
+    (control.phase === ControlPhase.Starting && control.callPending)
+  );
+  if (late.length > 0) {
+    const runs = late.map(({ name }) => runKey(name)).join();
+    log(state, "Starts may be carried out late.", { runs });
+  }
+  return late.map(({ name, unansweredStarts }) => ({
+    name,
+    phase: ControlPhase.Starting,
+    stopRequested: true,
+    callPending: false,
+    unansweredStarts: Math.max(1, unansweredStarts),
+    nextCallAt: now,
+    answeredAt: 0,
+    refusalReason: "",
+  }));
+}
+
 /** Returns the key of a worker incarnation. */
 function workerKey(id: string, born: Milliseconds): string {
   return `${id}@${born}`;
