--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -9,6 +9,7 @@
   capacityOf,
   isEqualCapacity,
   largestOf,
+  runKey,
 } from "@dragonflyledge/scheduler";
 import type { RunName } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
@@ -22,6 +23,9 @@
   RunControl,
 } from "./state.ts";
 
+/** Capacity of an incarnation that has sent no heartbeat yet. */
+const UNKNOWN_CAPACITY = { millicores: 0, megabytes: 0, accelerators: 0 };
+
 /**
  * Applies a worker's heartbeat. Heartbeats that arrive out of order or come
  * from an earlier incarnation are ignored.
@@ -102,7 +106,11 @@
     control.startSentAt === undefined && !control.stopRequested;
 }
 
-/** Switches to a new incarnation of the worker, started at `born`. */
+/**
+ * Switches to a new incarnation of the worker, started at `born`. It may be of
+ * another kind than the former one, so that it can hold nothing until its first
+ * heartbeat.
+ */
 export function replaceIncarnation(
   state: ControlState,
   born: Milliseconds,
@@ -113,13 +121,14 @@
     ...worker,
     state: {
       ...worker.state,
+      ...UNKNOWN_CAPACITY,
       born,
       key: workerKey(worker.id, born),
       draining: false,
       reachable: true,
-      full: capacityOf(worker.state),
+      full: UNKNOWN_CAPACITY,
     },
-    sequence: 0,
+    sequence: -1,
     clock: undefined,
     latestLeaseEnd: latestEarlierLeaseEnd(state, now),
     leftAt: undefined,
@@ -162,12 +171,14 @@
   if (former && !state.emptied.includes(former.state.key)) {
     recordCrash(state, former, now);
   }
-  const sameId = former?.id === worker.id;
-  const misdirected = sameId ? [...state.runs].filter(mayBeMisdirected) : [];
+  const misdirected = former?.id === worker.id
+    ? [...state.runs.values()].filter(mayBeMisdirected)
+    : [];
   state.worker = worker;
-  state.runs = new Map(
-    misdirected.map(([key, { name }]) => [key, createMisdirected(name, now)]),
-  );
+  state.runs.clear();
+  for (const { name } of misdirected) {
+    state.runs.set(runKey(name), createMisdirected(name, now));
+  }
   state.emptied = [];
   state.hold = {
     callPending: false,
@@ -176,16 +187,20 @@
     refused: false,
   };
   state.reportDue = true;
-  log(state, "New worker incarnation.", { worker: worker.state.key });
+  log(state, "New worker incarnation.", {
+    worker: worker.state.key,
+    misdirected: misdirected.map(({ name }) => runKey(name)).join(),
+  });
 }
 
 /**
  * Whether a start call for the former incarnation may have reached the present
- * one, which takes it if it has the same id.
+ * one, which takes it if it has the same id, or may still reach it.
  */
-function mayBeMisdirected([, control]: [string, RunControl]): boolean {
-  const { phase, startSentAt, misdirected } = control;
-  if (misdirected || phase === ControlPhase.Started) return true;
+function mayBeMisdirected(control: RunControl): boolean {
+  const { phase, startSentAt, unansweredStarts, misdirected } = control;
+  if (misdirected || unansweredStarts > 0) return true;
+  if (phase === ControlPhase.Started) return true;
   return phase === ControlPhase.Starting && startSentAt !== undefined;
 }
 
