Withhold a crash, too, until the successor runs nothing of before

What callers would see: a task that runs twice, or again after its end. The leader also counts the runs as ended that a report of a crash names, and it did so before the successor with the same id had refused their starts. Starts whose calls had no answer were forgotten where the worker had left, where its lease had lapsed, or where the run had ended by another call. Change: core/worker_control/open_starts.ts keeps each start call until a list shows its run or all calls for it were refused, for the 12 s in which calls may come late, whatever became of the run's control. A successor with the same id is told to stop these; the agent reports neither it nor the crash until its lists show that it runs none. An answer to a stop that follows these lists changes nothing any more. The lists are asked for once a stop is accepted, since a call that waits for an end would delay the report by up to a second.

--- /dev/null
+++ b/core/worker_control/open_starts.ts
@@ -0,0 +1,80 @@
+/**
+ * Start calls that a later incarnation of the worker may carry out.
+ *
+ * A call names only the worker's id, and a worker may start again under its id.
+ * The leader counts the runs of the former incarnation as ended once it hears of
+ * the new one, so that these starts are stopped there before it does.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import { runKey } from "@dragonflyledge/scheduler";
+import type { RunName } from "@dragonflyledge/scheduler";
+import { ControlPhase, createIdleControl } from "./state.ts";
+import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
+
+/** Longest time between sending a call and the worker's carrying it out. */
+export const CALL_DELAY_LIMIT: Milliseconds = 12_000;
+
+/** Notes that a start call is sent. */
+export function noteStartSent(
+  state: ControlState,
+  worker: ControlledWorker,
+  { name }: RunControl,
+  now: Milliseconds,
+): void {
+  for (const [key, { sentAt }] of state.openStarts) {
+    if (now - sentAt >= CALL_DELAY_LIMIT) state.openStarts.delete(key);
+  }
+  const sent = { name, id: worker.id, sentAt: now };
+  state.openStarts.set(runKey(name), sent);
+}
+
+/** Notes that all start calls for the run were refused, or shown in a list. */
+export function noteStartSettled(
+  state: ControlState,
+  { name, unansweredStarts }: RunControl,
+): void {
+  if (unansweredStarts === 0) state.openStarts.delete(runKey(name));
+}
+
+/**
+ * Returns the runs that a worker with this id may start although they were
+ * ordered for a former incarnation.
+ */
+export function takeOpenStarts(
+  state: ControlState,
+  id: string,
+  now: Milliseconds,
+): RunName[] {
+  const open = [...state.openStarts.values()].filter((start) =>
+    start.id === id && now - start.sentAt < CALL_DELAY_LIMIT
+  );
+  state.openStarts.clear();
+  const known = [...state.runs.values()].filter((run) => run.misdirected);
+  const names = [...open, ...known].map(({ name }) => name);
+  return [...new Map(names.map((name) => [runKey(name), name])).values()];
+}
+
+/** Creates the control of such a start, which is stopped. */
+export function createMisdirected(
+  name: RunName,
+  now: Milliseconds,
+): RunControl {
+  return {
+    ...createIdleControl(now),
+    name,
+    phase: ControlPhase.Starting,
+    stopRequested: true,
+    misdirected: true,
+  };
+}
+
+/** Whether the worker may still run what a former incarnation was told. */
+export function hasMisdirected(state: ControlState): boolean {
+  return [...state.runs.values()].some(({ misdirected, phase }) =>
+    misdirected === true && phase !== ControlPhase.Absent &&
+    phase !== ControlPhase.Ended
+  );
+}
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -13,6 +13,11 @@
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
+import {
+  CALL_DELAY_LIMIT,
+  hasMisdirected,
+  noteStartSettled,
+} from "./open_starts.ts";
 import { nextReportTime, noteRelease } from "./overtaken.ts";
 import { sendDueCalls, updateFromLists } from "./run_control.ts";
 import { ControlPhase, HOLD_WAIT } from "./state.ts";
@@ -22,7 +27,6 @@
   ControlledWorker,
   ControlState,
   ControlTimes,
-  RunControl,
 } from "./state.ts";
 import {
   applyAnnouncement,
@@ -36,8 +40,6 @@
 const FAILED_HOLD_LIMIT = 2;
 /** Longest time between reports; each answered one extends the grant. */
 const REPORT_INTERVAL: Milliseconds = 800;
-/** Longest time between sending a call and the worker's carrying it out. */
-const CALL_DELAY_LIMIT: Milliseconds = 12_000;
 /** A worker that still answers this long after a deregistration sent none. */
 const LEAVE_DURATION: Milliseconds = 1000;
 
@@ -63,9 +65,11 @@
     hasGrant: false,
     suspended: 0,
     runs: new Map(),
+    openStarts: new Map(),
     hold: { callPending: false, nextCallAt: 0, failures: 0, refused: false },
     emptied: [],
     crashes: [],
+    withheldCrashes: new Set(),
     lastReportAt: 0,
     reportDue: true,
     effects: [],
@@ -161,6 +165,10 @@
   worker.listed = true;
   if (listsFingerprint(worker) !== before) state.reportDue = true;
   updateFromLists(state, worker, event.sentAt);
+  // The next lists are of use once the stops have been accepted.
+  if (hasMisdirected(state)) {
+    state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
+  }
 }
 
 /**
@@ -232,14 +240,18 @@
       control.nextCallAt = event.now + HOLD_RETRY_DELAY;
       return;
     }
+    // Lists that show the end may come before the answer to the stop.
+    if (control.phase === ControlPhase.Ended) return;
     control.phase = ControlPhase.Stopped;
     control.answeredAt = event.now;
+    if (control.misdirected) state.hold.nextCallAt = event.now;
     return;
   }
   if (control.phase !== ControlPhase.Starting) return;
   const { outcome } = event;
   if (outcome.kind === "refused" && control.unansweredStarts === 0) {
     control.startSentAt = undefined;
+    noteStartSettled(state, control);
   }
   log(state, "Start answered.", {
     run: event.run,
@@ -342,21 +354,15 @@
     now > (state.startedAt ?? now) + state.times.grant;
 }
 
-/** Whether the present incarnation may still run what a former one was told. */
-function isUnresolved({ misdirected, phase }: RunControl): boolean {
-  return misdirected === true && phase !== ControlPhase.Absent &&
-    phase !== ControlPhase.Ended;
-}
-
 /** Reports to the leader after a change, and otherwise at intervals. */
 function sendReportIfDue(state: ControlState, now: Milliseconds): void {
   if (!state.reportDue && now < state.lastReportAt + REPORT_INTERVAL) return;
   state.reportDue = false;
   state.lastReportAt = now;
   const controls = [...state.runs.values()];
-  // The leader counts the former incarnation's runs as ended once it hears of
-  // the new one, which must not have any of them by then.
-  const worker = controls.some(isUnresolved) ? undefined : state.worker;
+  const withheld = hasMisdirected(state);
+  if (!withheld) state.withheldCrashes.clear();
+  const worker = withheld ? undefined : state.worker;
   const gone = worker !== undefined && state.emptied.includes(worker.state.key);
   const report: AgentReport = {
     kind: "report",
@@ -375,7 +381,9 @@
       .filter((control) => control.phase === ControlPhase.Absent)
       .map((control) => control.name),
     emptied: state.emptied,
-    crashes: state.crashes.map((crash) => tellCrash(crash, now)),
+    crashes: state.crashes
+      .filter((crash) => !state.withheldCrashes.has(crash.worker))
+      .map((crash) => tellCrash(crash, now)),
     silence: state.hold.silence && tellSilence(state.hold.silence, now),
   };
   noteRelease(state, report);
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -9,6 +9,7 @@
 import { runKey } from "@dragonflyledge/scheduler";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
+import { noteStartSent, noteStartSettled } from "./open_starts.ts";
 import { ControlPhase } from "./state.ts";
 import type { ControlledWorker, ControlState, RunControl } from "./state.ts";
 
@@ -43,6 +44,7 @@
   const running = new Set(worker.running.map(runKey));
   const ended = new Set(worker.ended.map(runKey));
   for (const [key, control] of state.runs) {
+    if (ended.has(key) || running.has(key)) noteStartSettled(state, control);
     if (ended.has(key)) {
       if (control.stopRequested) control.phase = ControlPhase.Ended;
       else state.runs.delete(key);
@@ -117,6 +119,7 @@
   recordExtension(state, worker);
   control.callPending = true;
   control.startSentAt ??= now;
+  noteStartSent(state, worker, control, now);
   log(state, "Start sent.", {
     run: runKey(control.name),
     epoch: state.epoch,
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -180,6 +180,15 @@
 } as const;
 export type Overtaking = typeof Overtaking[keyof typeof Overtaking];
 
+/** A start call that a later incarnation with the same id may carry out. */
+export interface OpenStart {
+  name: RunName;
+  /** Id of the worker that it was sent to. */
+  id: string;
+  /** When the latest call for this run was sent. */
+  sentAt: Milliseconds;
+}
+
 /** State of an agent's reducer. */
 export interface ControlState {
   times: ControlTimes;
@@ -205,11 +214,15 @@
   worker?: ControlledWorker;
   /** Ordered runs by `runKey`. */
   runs: Map<string, RunControl>;
+  /** Start calls by `runKey`, until lists show that they were carried out. */
+  openStarts: Map<string, OpenStart>;
   hold: HoldLoop;
   /** Keys of worker incarnations on which nothing runs any more. */
   emptied: string[];
   /** The latest crashes of the worker, the last one at the end. */
   crashes: RecordedCrash[];
+  /** Keys of incarnations whose crash the leader must not hear of yet. */
+  withheldCrashes: Set<string>;
   lastReportAt: Milliseconds;
   /** Whether a report is sent at the end of the current event. */
   reportDue: boolean;
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -11,11 +11,11 @@
   largestOf,
   runKey,
 } from "@dragonflyledge/scheduler";
-import type { RunName } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
-import { ControlPhase, createIdleControl } from "./state.ts";
+import { createMisdirected, takeOpenStarts } from "./open_starts.ts";
+import { ControlPhase } from "./state.ts";
 import type {
   Announcement,
   ControlledWorker,
@@ -171,12 +171,13 @@
   if (former && !state.emptied.includes(former.state.key)) {
     recordCrash(state, former, now);
   }
-  const misdirected = former?.id === worker.id
-    ? [...state.runs.values()].filter(mayBeMisdirected)
-    : [];
+  const misdirected = takeOpenStarts(state, worker.id, now);
+  if (former && misdirected.length > 0) {
+    state.withheldCrashes.add(former.state.key);
+  }
   state.worker = worker;
   state.runs.clear();
-  for (const { name } of misdirected) {
+  for (const name of misdirected) {
     state.runs.set(runKey(name), createMisdirected(name, now));
   }
   state.emptied = [];
@@ -189,32 +190,10 @@
   state.reportDue = true;
   log(state, "New worker incarnation.", {
     worker: worker.state.key,
-    misdirected: misdirected.map(({ name }) => runKey(name)).join(),
+    misdirected: misdirected.map(runKey).join(),
   });
 }
 
-/**
- * Whether a start call for the former incarnation may have reached the present
- * one, which takes it if it has the same id, or may still reach it.
- */
-function mayBeMisdirected(control: RunControl): boolean {
-  const { phase, startSentAt, unansweredStarts, misdirected } = control;
-  if (misdirected || unansweredStarts > 0) return true;
-  if (phase === ControlPhase.Started) return true;
-  return phase === ControlPhase.Starting && startSentAt !== undefined;
-}
-
-/** Creates the control of such a start, which is stopped. */
-function createMisdirected(name: RunName, now: Milliseconds): RunControl {
-  return {
-    ...createIdleControl(now),
-    name,
-    phase: ControlPhase.Starting,
-    stopRequested: true,
-    misdirected: true,
-  };
-}
-
 /** Returns the key of a worker incarnation. */
 function workerKey(id: string, born: Milliseconds): string {
   return `${id}@${born}`;
