Explore orders of messages between the reducers of leader and agents

A seeded explorer over the real reducers, with models of links, elections, store, workers and their calls. It shrinks plans that break a guarantee and keeps them as cases. The case of a worker that returns under its id still fails and is listed as known.

--- /dev/null
+++ b/testing/explorer/draw_plan.ts
@@ -0,0 +1,219 @@
+/**
+ * Draws a plan from a seed.
+ *
+ * @module
+ */
+
+import { createRandom } from "@dragonflyledge/model";
+import type { Milliseconds, Random } from "@dragonflyledge/model";
+import { CallKind, Direction } from "./inputs.ts";
+import type { Happening, Input, Plan, Setup } from "./inputs.ts";
+
+/** Mean time between two inputs. */
+const INPUT_INTERVAL: Milliseconds = 400;
+/** How often each kind is drawn, relative to the others. */
+const WEIGHTS: Record<Happening["kind"], number> = {
+  job: 30,
+  cancel: 3,
+  hold: 10,
+  cut: 10,
+  drop: 5,
+  slow: 4,
+  crashWorker: 7,
+  drain: 3,
+  resize: 5,
+  pauseAgent: 5,
+  suspendAgent: 3,
+  restartAgent: 4,
+  pauseLeader: 3,
+  replaceLeader: 4,
+  crashLeader: 2,
+  slowStore: 4,
+  slowCalls: 8,
+  repeatHeartbeat: 2,
+};
+
+/** Kinds of inputs. */
+const INPUT_KINDS = Object.keys(WEIGHTS) as Happening["kind"][];
+/** Stands for returns of workers under the id that they had. */
+const SAME_ID = "sameId";
+/** What can be left out of plans. */
+export const OMISSIBLE: readonly string[] = [...INPUT_KINDS, SAME_ID];
+
+interface Draw {
+  whole(from: number, to: number): number;
+  chance(probability: number): boolean;
+  one<Value>(values: readonly Value[]): Value;
+  /** A time whose order of magnitude is drawn first. */
+  time(shortest: Milliseconds, longest: Milliseconds): Milliseconds;
+}
+
+/** Draws a plan; what `without` names of `OMISSIBLE` is left out. */
+export function drawPlan(fields: {
+  seed: number;
+  inputs: number;
+  without?: readonly string[];
+}): Plan {
+  const draw = createDraw(createRandom(fields.seed));
+  const setup = drawSetup(draw);
+  let jobs = 0;
+  const times = Array.from(
+    { length: fields.inputs },
+    () => draw.whole(0, fields.inputs * INPUT_INTERVAL),
+  ).sort((a, b) => a - b);
+  const without = fields.without ?? [];
+  const keepsIds = !without.includes(SAME_ID);
+  const inputs = times.map((at): Input => {
+    const kind = drawKind(draw);
+    const id = `j${jobs}`;
+    if (kind === "job") jobs++;
+    const happening = drawHappening({ draw, kind, setup, id, jobs, keepsIds });
+    return { at, ...happening };
+  });
+  return {
+    setup,
+    inputs: inputs.filter(({ kind }) => !without.includes(kind)),
+  };
+}
+
+function createDraw(random: Random): Draw {
+  const whole = (from: number, to: number) =>
+    from + Math.floor(random() * (to - from + 1));
+  return {
+    whole,
+    chance: (probability) => random() < probability,
+    one: (values) => values[whole(0, values.length - 1)]!,
+    time: (shortest, longest) =>
+      Math.round(shortest * (longest / shortest) ** random()),
+  };
+}
+
+function drawSetup(draw: Draw): Setup {
+  const leaders = draw.whole(1, 2);
+  const agents = Array.from({ length: draw.whole(2, 4) }, () => ({
+    accelerators: draw.one([4, 8]),
+    clockRate: draw.one([1, 0.99, 0.981]),
+    linkDelays: Array.from({ length: leaders }, () => draw.time(1, 40)),
+    stopDelay: draw.time(1, 200),
+  }));
+  return { leaders, agents };
+}
+
+function drawKind(draw: Draw): Happening["kind"] {
+  const total = INPUT_KINDS.reduce((sum, kind) => sum + WEIGHTS[kind], 0);
+  let left = draw.whole(1, total);
+  return INPUT_KINDS.find((kind) => (left -= WEIGHTS[kind]) <= 0)!;
+}
+
+interface HappeningFields {
+  draw: Draw;
+  kind: Happening["kind"];
+  setup: Setup;
+  /** Id of a new job. */
+  id: string;
+  /** Number of jobs so far. */
+  jobs: number;
+  /** Whether workers may return under the id that they had. */
+  keepsIds: boolean;
+}
+
+function drawHappening(fields: HappeningFields): Happening {
+  const { draw, kind, setup } = fields;
+  const agent = draw.whole(0, setup.agents.length - 1);
+  const leader = draw.whole(0, setup.leaders - 1);
+  switch (kind) {
+    case "job":
+      return drawJob(fields);
+    case "cancel":
+      return { kind, job: `j${draw.whole(0, fields.jobs)}` };
+    case "hold": {
+      const direction = draw.one(Object.values(Direction));
+      const duration = draw.time(20, 15_000);
+      return { kind, agent, link: draw.whole(0, 2), direction, duration };
+    }
+    case "cut": {
+      const duration = draw.time(100, 12_000);
+      return { kind, agent, leader, duration, lag: draw.time(1, 6000) };
+    }
+    case "drop": {
+      const leaderNotices = draw.time(1, 4000);
+      const agentNotices = draw.time(1, 10_000);
+      const link = draw.whole(0, 2);
+      return { kind, agent, link, leaderNotices, agentNotices };
+    }
+    case "slow": {
+      const delay = draw.time(5, 1500);
+      return { kind, agent, leader, delay, duration: draw.time(100, 6000) };
+    }
+    case "crashWorker":
+      return {
+        kind,
+        agent,
+        downFor: draw.time(1, 12_000),
+        sameId: draw.chance(0.5) && fields.keepsIds,
+        refuses: draw.chance(0.7),
+      };
+    case "drain": {
+      const downFor = draw.time(10, 5000);
+      return { kind, agent, stays: draw.time(1, 5000), downFor };
+    }
+    case "resize": {
+      const less = draw.whole(1, 4);
+      return { kind, agent, less, duration: draw.time(100, 12_000) };
+    }
+    case "pauseAgent":
+    case "suspendAgent":
+      return { kind, agent, duration: draw.time(100, 15_000) };
+    case "restartAgent":
+      return { kind, agent, downFor: draw.time(10, 12_000) };
+    case "pauseLeader":
+      return { kind, duration: draw.time(100, 10_000) };
+    case "replaceLeader":
+      return { kind, overlap: draw.time(1, 3000) };
+    case "crashLeader":
+      return { kind, downFor: draw.time(10, 5000) };
+    case "slowStore":
+      return {
+        kind,
+        delay: draw.time(5, 3000),
+        answerDelay: draw.time(5, 1500),
+        lost: draw.chance(0.3),
+        duration: draw.time(50, 4000),
+      };
+    case "slowCalls":
+      return {
+        kind,
+        agent,
+        call: draw.one(Object.values(CallKind)),
+        delay: draw.time(1, 10_000),
+        lost: draw.chance(0.4),
+        duration: draw.time(50, 4000),
+      };
+    case "repeatHeartbeat":
+      return { kind, agent, delay: draw.time(10, 10_000) };
+  }
+}
+
+function drawJob({ draw, id, keepsIds }: HappeningFields): Happening {
+  const steps = Array.from({ length: draw.chance(0.25) ? 2 : 1 }, () => ({
+    count: draw.whole(1, 4),
+    accelerators: draw.one([1, 2, 2]),
+    gang: draw.chance(0.5),
+    duration: draw.time(50, 6000),
+  }));
+  const isDeadly = draw.chance(0.05);
+  const deadly = {
+    after: draw.time(1, 2000),
+    downFor: draw.time(1, 5000),
+    sameId: draw.chance(0.5) && keepsIds,
+  };
+  return {
+    kind: "job",
+    id,
+    priority: draw.whole(0, 2),
+    maxAttempts: draw.whole(1, 3),
+    steps,
+    failures: draw.one([0, 0, 0, 1, 2]),
+    ...(isDeadly ? { deadly } : {}),
+  };
+}
--- /dev/null
+++ b/testing/explorer/explorer_test.ts
@@ -0,0 +1,63 @@
+import { test } from "tap";
+import { drawPlan } from "./draw_plan.ts";
+import { explore } from "./explore.ts";
+import type { Input } from "./inputs.ts";
+import { Guarantee } from "./ledger.ts";
+import { runPlan } from "./run_plan.ts";
+import { shrinkPlan } from "./shrink.ts";
+
+const INPUTS = 60;
+/** Kept short, since it shares one core with other tests. */
+const SEEDS = 25;
+
+// Guards against tasks that run twice or never end, since messages of several
+// links overtake each other while processes and workers fail.
+test("no order of messages breaks a guarantee", (t) => {
+  const { cases, seeds } = explore({
+    firstSeed: 1,
+    seeds: SEEDS,
+    inputs: INPUTS,
+    time: Infinity,
+    now: () => 0,
+  });
+  t.equal(seeds, SEEDS);
+  t.same(cases, []);
+  t.end();
+});
+
+// Guards against cases that can't be repeated or shrunk, since something but the
+// plan determines the run.
+test("a plan always runs in the same way", (t) => {
+  const play = () => {
+    const lines: string[] = [];
+    const plan = drawPlan({ seed: 7, inputs: INPUTS });
+    const result = runPlan(plan, (at, source, text, fields) => {
+      lines.push(`${at} ${source} ${text} ${JSON.stringify(fields)}`);
+    });
+    return { lines, result };
+  };
+  const first = play();
+  t.ok(first.lines.length > INPUTS);
+  t.same(play(), first);
+  t.end();
+});
+
+// Guards against a long list of inputs in which the ones that matter are lost.
+// A gang that no worker can hold stands for a fault of the program.
+test("a plan that breaks a guarantee is shrunk to the inputs it needs", (t) => {
+  const drawn = drawPlan({ seed: 3, inputs: INPUTS });
+  const needed: Input = {
+    at: 100,
+    kind: "job",
+    id: "large",
+    priority: 1,
+    maxAttempts: 1,
+    steps: [{ count: 1, accelerators: 64, gang: false, duration: 10 }],
+    failures: 0,
+  };
+  const plan = { ...drawn, inputs: [needed, ...drawn.inputs] };
+  t.equal(runPlan(plan).violation?.guarantee, Guarantee.Ended);
+  const { inputs } = shrinkPlan(plan, Guarantee.Ended);
+  t.same(inputs, [needed]);
+  t.end();
+});
--- /dev/null
+++ b/testing/explorer/found_cases.ts
@@ -0,0 +1,132 @@
+/**
+ * Plans that once broke a guarantee, shrunk, each with its cause.
+ *
+ * @module
+ */
+
+import type { AgentSetup, Happening, Plan } from "./inputs.ts";
+
+/** A plan that once broke a guarantee. */
+export interface RegressionCase {
+  name: string;
+  /** The program error, with the file that holds it. */
+  cause: string;
+  plan: Plan;
+}
+
+const AGENT: AgentSetup = {
+  accelerators: 4,
+  clockRate: 1,
+  linkDelays: [5],
+  stopDelay: 10,
+};
+const TWO_AGENTS = { leaders: 1, agents: [AGENT, AGENT] };
+
+/** A job of one task. */
+function singleTask(duration: number): Extract<Happening, { kind: "job" }> {
+  return {
+    kind: "job",
+    id: "j0",
+    priority: 1,
+    maxAttempts: 3,
+    steps: [{ count: 1, accelerators: 2, gang: false, duration }],
+    failures: 0,
+  };
+}
+
+/** All plans that once broke a guarantee, in the order they were found. */
+export const FOUND_CASES: RegressionCase[] = [
+  {
+    name: "a former link delivers a start after the agent was given up",
+    cause:
+      "an agent obeyed orders of the present epoch from any link, however " +
+      "old (core/worker_control/orders.ts)",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 1000,
+          kind: "cut",
+          agent: 0,
+          leader: 0,
+          duration: 9500,
+          lag: 100,
+        },
+        { at: 1500, ...singleTask(4000) },
+      ],
+    },
+  },
+  {
+    name: "a former link delivers a start after the job has completed",
+    cause: "the same; seed 175 with 40 inputs on 61b1752",
+    plan: {
+      setup: {
+        leaders: 2,
+        agents: [
+          { ...AGENT, linkDelays: [1, 3], stopDelay: 14 },
+          { ...AGENT, linkDelays: [24, 6], stopDelay: 105, clockRate: 0.99 },
+          { ...AGENT, linkDelays: [15, 3], stopDelay: 40, clockRate: 0.981 },
+          {
+            accelerators: 8,
+            clockRate: 0.981,
+            linkDelays: [3, 4],
+            stopDelay: 6,
+          },
+        ],
+      },
+      inputs: [
+        { at: 3899, kind: "replaceLeader", overlap: 272 },
+        {
+          at: 15_858,
+          kind: "job",
+          id: "j10",
+          priority: 1,
+          maxAttempts: 3,
+          steps: [
+            { count: 1, accelerators: 2, gang: true, duration: 173 },
+            { count: 3, accelerators: 2, gang: true, duration: 51 },
+          ],
+          failures: 2,
+        },
+        {
+          at: 17_077,
+          kind: "cut",
+          agent: 1,
+          leader: 1,
+          duration: 9323,
+          lag: 28,
+        },
+      ],
+    },
+  },
+  {
+    name: "a worker returns under its id while a start call is pending",
+    cause:
+      "an agent forgets unanswered starts with the incarnation, which its " +
+      "successor of the same id may still carry out (switchWorker in " +
+      "core/worker_control/worker.ts)",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 2000,
+          kind: "slowCalls",
+          agent: 0,
+          call: "start",
+          delay: 2000,
+          lost: false,
+          duration: 1100,
+        },
+        { at: 3000, ...singleTask(4000) },
+        {
+          at: 3100,
+          kind: "crashWorker",
+          agent: 0,
+          downFor: 5,
+          sameId: true,
+          refuses: true,
+        },
+      ],
+    },
+  },
+];
--- /dev/null
+++ b/testing/explorer/inputs.ts
@@ -0,0 +1,157 @@
+/**
+ * Scheduled inputs of an exploration: jobs and faults. A list of them, with the
+ * setup, determines everything that happens.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+
+/** One step of a job in the exploration. */
+export interface StepInput {
+  count: number;
+  /** Accelerators of each task. */
+  accelerators: number;
+  gang: boolean;
+  /** Time for which each task works. */
+  duration: Milliseconds;
+}
+
+/** A task that crashes its worker. */
+export interface Deadly {
+  /** Time from the start of its work to the crash. */
+  after: Milliseconds;
+  downFor: Milliseconds;
+  sameId: boolean;
+}
+
+/** Which direction of a link is meant, seen from the leader. */
+export const Direction = { Down: "down", Up: "up", Both: "both" } as const;
+export type Direction = typeof Direction[keyof typeof Direction];
+
+/** What happens; `agent` and `leader` are indexes. */
+export type Happening =
+  | {
+    kind: "job";
+    id: string;
+    priority: number;
+    maxAttempts: number;
+    /** Each step waits for the one before it. */
+    steps: StepInput[];
+    /** Number of runs of each step's first task that fail. */
+    failures: number;
+    /** Makes the first task of the first step crash its workers. */
+    deadly?: Deadly;
+  }
+  | { kind: "cancel"; job: string }
+  /** Holds what is sent over one link; `link` counts from the newest. */
+  | {
+    kind: "hold";
+    agent: number;
+    link: number;
+    direction: Direction;
+    duration: Milliseconds;
+  }
+  /**
+   * Parts an agent from a leader. New connections are made once it ends; what
+   * former ones held arrives `lag` later.
+   */
+  | {
+    kind: "cut";
+    agent: number;
+    leader: number;
+    duration: Milliseconds;
+    lag: Milliseconds;
+  }
+  /** Loses a link with all that is under way; its ends notice later. */
+  | {
+    kind: "drop";
+    agent: number;
+    link: number;
+    leaderNotices: Milliseconds;
+    agentNotices: Milliseconds;
+  }
+  /** Delays messages between an agent and a leader. */
+  | {
+    kind: "slow";
+    agent: number;
+    leader: number;
+    delay: Milliseconds;
+    duration: Milliseconds;
+  }
+  | {
+    kind: "crashWorker";
+    agent: number;
+    downFor: Milliseconds;
+    sameId: boolean;
+    /** Whether connections are refused meanwhile; otherwise calls time out. */
+    refuses: boolean;
+  }
+  | { kind: "drain"; agent: number; stays: Milliseconds; downFor: Milliseconds }
+  | {
+    kind: "resize";
+    agent: number;
+    /** Accelerators that are taken away. */
+    less: number;
+    duration: Milliseconds;
+  }
+  /** The process of the agent stops; its clock goes on. */
+  | { kind: "pauseAgent"; agent: number; duration: Milliseconds }
+  /** The machine of the agent is suspended; its clock stands still. */
+  | { kind: "suspendAgent"; agent: number; duration: Milliseconds }
+  | { kind: "restartAgent"; agent: number; downFor: Milliseconds }
+  | { kind: "pauseLeader"; duration: Milliseconds }
+  /** Another process is elected; the former acts on for `overlap`. */
+  | { kind: "replaceLeader"; overlap: Milliseconds }
+  | { kind: "crashLeader"; downFor: Milliseconds }
+  /** Commits take effect after `delay`; answers are `lost` or arrive later. */
+  | {
+    kind: "slowStore";
+    delay: Milliseconds;
+    answerDelay: Milliseconds;
+    lost: boolean;
+    duration: Milliseconds;
+  }
+  /** Calls to a worker are carried out after `delay`; answers may be lost. */
+  | {
+    kind: "slowCalls";
+    agent: number;
+    call: CallKind;
+    delay: Milliseconds;
+    lost: boolean;
+    duration: Milliseconds;
+  }
+  /** A heartbeat arrives once more. */
+  | { kind: "repeatHeartbeat"; agent: number; delay: Milliseconds };
+
+/** Calls of an agent to its worker. */
+export const CallKind = { Hold: "hold", Start: "start", Stop: "stop" } as const;
+export type CallKind = typeof CallKind[keyof typeof CallKind];
+
+/** A happening at a time. */
+export type Input = { at: Milliseconds } & Happening;
+
+/** What an exploration starts with. */
+export interface Setup {
+  /** Processes of which one leads. */
+  leaders: number;
+  agents: AgentSetup[];
+}
+
+/** An agent and its worker. */
+export interface AgentSetup {
+  accelerators: number;
+  /** Rate of the worker's clock. */
+  clockRate: number;
+  /** Time of a message to or from each leader. */
+  linkDelays: Milliseconds[];
+  /** Time in which the worker stops a run. */
+  stopDelay: Milliseconds;
+}
+
+/** Everything that determines an exploration. */
+export interface Plan {
+  setup: Setup;
+  /** In order of time. */
+  inputs: Input[];
+}
