Explore absences as long as a grant, and returns under the same id

Adds a case of two inputs that fails on the present code: a start reaches a worker that has just returned under its id, and its end as done is taken for a crash of the former incarnation. Before the first heartbeat of a worker passes some time in which it answers calls.

--- a/testing/explorer/draw_plan.ts
+++ b/testing/explorer/draw_plan.ts
@@ -9,8 +9,13 @@
 import { CallKind, Direction } from "./inputs.ts";
 import type { Happening, Input, Plan, Setup } from "./inputs.ts";
 
-/** Mean time between two inputs. */
-const INPUT_INTERVAL: Milliseconds = 400;
+/** Mean time between two inputs that are not close to each other. */
+const INPUT_INTERVAL: Milliseconds = 500;
+/** Share of the inputs that follow shortly after another. */
+const CLOSE_SHARE = 0.3;
+const CLOSE_TIME: Milliseconds = 100;
+/** Times about as long as a grant, after which agents are given up. */
+const GRANT_TIMES = { shortest: 7000, longest: 11_000 };
 /** How often each kind is drawn, relative to the others. */
 const WEIGHTS: Record<Happening["kind"], number> = {
   job: 30,
@@ -37,8 +42,14 @@
 const INPUT_KINDS = Object.keys(WEIGHTS) as Happening["kind"][];
 /** Stands for returns of workers under the id that they had. */
 const SAME_ID = "sameId";
+/** Stands for calls that reach a later incarnation of the same id. */
+const OUTLIVING = "outlivingCalls";
 /** What can be left out of plans. */
-export const OMISSIBLE: readonly string[] = [...INPUT_KINDS, SAME_ID];
+export const OMISSIBLE: readonly string[] = [
+  ...INPUT_KINDS,
+  SAME_ID,
+  OUTLIVING,
+];
 
 interface Draw {
   whole(from: number, to: number): number;
@@ -46,6 +57,8 @@
   one<Value>(values: readonly Value[]): Value;
   /** A time whose order of magnitude is drawn first. */
   time(shortest: Milliseconds, longest: Milliseconds): Milliseconds;
+  /** Any such time, or one about as long as a grant and a lease. */
+  absence(shortest: Milliseconds): Milliseconds;
 }
 
 /** Draws a plan; what `without` names of `OMISSIBLE` is left out. */
@@ -55,15 +68,16 @@
   without?: readonly string[];
 }): Plan {
   const draw = createDraw(createRandom(fields.seed));
+  const without = fields.without ?? [];
   const setup = drawSetup(draw);
+  if (without.includes(OUTLIVING)) setup.callsOutliveWorkers = false;
+  let at = 0;
   let jobs = 0;
-  const times = Array.from(
-    { length: fields.inputs },
-    () => draw.whole(0, fields.inputs * INPUT_INTERVAL),
-  ).sort((a, b) => a - b);
-  const without = fields.without ?? [];
   const keepsIds = !without.includes(SAME_ID);
-  const inputs = times.map((at): Input => {
+  const inputs = Array.from({ length: fields.inputs }, (): Input => {
+    at += draw.chance(CLOSE_SHARE)
+      ? draw.time(1, CLOSE_TIME)
+      : draw.whole(0, 2 * INPUT_INTERVAL);
     const kind = drawKind(draw);
     const id = `j${jobs}`;
     if (kind === "job") jobs++;
@@ -79,12 +93,16 @@
 function createDraw(random: Random): Draw {
   const whole = (from: number, to: number) =>
     from + Math.floor(random() * (to - from + 1));
+  const time = (shortest: Milliseconds, longest: Milliseconds) =>
+    Math.round(shortest * (longest / shortest) ** random());
+  const { shortest: nearGrant, longest } = GRANT_TIMES;
   return {
     whole,
     chance: (probability) => random() < probability,
     one: (values) => values[whole(0, values.length - 1)]!,
-    time: (shortest, longest) =>
-      Math.round(shortest * (longest / shortest) ** random()),
+    time,
+    absence: (shortest) =>
+      random() < 0.5 ? time(shortest, longest) : whole(nearGrant, longest),
   };
 }
 
@@ -96,7 +114,7 @@
     linkDelays: Array.from({ length: leaders }, () => draw.time(1, 40)),
     stopDelay: draw.time(1, 200),
   }));
-  return { leaders, agents };
+  return { leaders, agents, callsOutliveWorkers: draw.chance(0.5) };
 }
 
 function drawKind(draw: Draw): Happening["kind"] {
@@ -128,12 +146,12 @@
       return { kind, job: `j${draw.whole(0, fields.jobs)}` };
     case "hold": {
       const direction = draw.one(Object.values(Direction));
-      const duration = draw.time(20, 15_000);
+      const duration = draw.absence(20);
       return { kind, agent, link: draw.whole(0, 2), direction, duration };
     }
     case "cut": {
-      const duration = draw.time(100, 12_000);
-      return { kind, agent, leader, duration, lag: draw.time(1, 6000) };
+      const lag = draw.time(1, 6000);
+      return { kind, agent, leader, duration: draw.absence(100), lag };
     }
     case "drop": {
       const leaderNotices = draw.time(1, 4000);
@@ -149,7 +167,7 @@
       return {
         kind,
         agent,
-        downFor: draw.time(1, 12_000),
+        downFor: draw.absence(1),
         sameId: draw.chance(0.5) && fields.keepsIds,
         refuses: draw.chance(0.7),
       };
@@ -163,11 +181,15 @@
     }
     case "pauseAgent":
     case "suspendAgent":
-      return { kind, agent, duration: draw.time(100, 15_000) };
+      return { kind, agent, duration: draw.absence(100) };
     case "restartAgent":
-      return { kind, agent, downFor: draw.time(10, 12_000) };
+      return { kind, agent, downFor: draw.absence(10) };
     case "pauseLeader":
-      return { kind, duration: draw.time(100, 10_000) };
+      return {
+        kind,
+        duration: draw.absence(100),
+        clockStops: draw.chance(0.3),
+      };
     case "replaceLeader":
       return { kind, overlap: draw.time(1, 3000) };
     case "crashLeader":
@@ -199,7 +221,7 @@
     count: draw.whole(1, 4),
     accelerators: draw.one([1, 2, 2]),
     gang: draw.chance(0.5),
-    duration: draw.time(50, 6000),
+    duration: draw.time(20, 5000),
   }));
   const isDeadly = draw.chance(0.05);
   const deadly = {
--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -20,7 +20,11 @@
   linkDelays: [5],
   stopDelay: 10,
 };
-const TWO_AGENTS = { leaders: 1, agents: [AGENT, AGENT] };
+const TWO_AGENTS = {
+  leaders: 1,
+  agents: [AGENT, AGENT],
+  callsOutliveWorkers: true,
+};
 
 /** A job of one task. */
 function singleTask(duration: number): Extract<Happening, { kind: "job" }> {
@@ -62,6 +66,7 @@
     plan: {
       setup: {
         leaders: 2,
+        callsOutliveWorkers: true,
         agents: [
           { ...AGENT, linkDelays: [1, 3], stopDelay: 14 },
           { ...AGENT, linkDelays: [24, 6], stopDelay: 105, clockRate: 0.99 },
@@ -129,4 +134,24 @@
       ],
     },
   },
+  {
+    name: "a start reaches a worker that has just returned under its id",
+    cause: "an agent counts a run as crashed with the former incarnation, " +
+      "though its start call came to the next one (recordCrash and " +
+      "switchWorker in core/worker_control)",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        { at: 2990, ...singleTask(30) },
+        {
+          at: 3000,
+          kind: "crashWorker",
+          agent: 0,
+          downFor: 5,
+          sameId: true,
+          refuses: true,
+        },
+      ],
+    },
+  },
 ];
--- a/testing/explorer/inputs.ts
+++ b/testing/explorer/inputs.ts
@@ -100,7 +100,8 @@
   /** The machine of the agent is suspended; its clock stands still. */
   | { kind: "suspendAgent"; agent: number; duration: Milliseconds }
   | { kind: "restartAgent"; agent: number; downFor: Milliseconds }
-  | { kind: "pauseLeader"; duration: Milliseconds }
+  /** The process of the leader stops, and its clock if its machine does. */
+  | { kind: "pauseLeader"; duration: Milliseconds; clockStops: boolean }
   /** Another process is elected; the former acts on for `overlap`. */
   | { kind: "replaceLeader"; overlap: Milliseconds }
   | { kind: "crashLeader"; downFor: Milliseconds }
@@ -136,6 +137,11 @@
   /** Processes of which one leads. */
   leaders: number;
   agents: AgentSetup[];
+  /**
+   * Whether calls that are under way when a worker crashes reach a later
+   * incarnation of the same id.
+   */
+  callsOutliveWorkers: boolean;
 }
 
 /** An agent and its worker. */
--- a/testing/explorer/model/agent_machine.ts
+++ b/testing/explorer/model/agent_machine.ts
@@ -51,6 +51,7 @@
   ledger: Ledger;
   store: StoreModel;
   work: Work;
+  callsOutliveWorkers: boolean;
   onLog: (effect: Extract<ControlEffect, { kind: "log" }>) => void;
 }): { disturb(fault: MachineFault): void } {
   const { agenda, network, index, store } = fields;
@@ -68,7 +69,7 @@
       onLeft: (id) => agent?.onLeft(id),
     },
   });
-  const calls = createCalls({ agenda, worker });
+  const calls = createCalls({ ...fields, worker });
 
   function start(): void {
     process = createProcess(agenda);
@@ -96,6 +97,10 @@
       return listener!(end);
     });
 
+  function isRunning(): boolean {
+    return agent !== undefined && !process.isPaused();
+  }
+
   function noteSilence(duration: Milliseconds): void {
     const until = agenda.now() + duration;
     const from = silence.until + RECOVERY > agenda.now()
@@ -105,7 +110,6 @@
   }
 
   function restart(downFor: Milliseconds): void {
-    if (!agent) return;
     noteSilence(downFor);
     process.end();
     agent = undefined;
@@ -118,17 +122,17 @@
   function disturb(fault: MachineFault): void {
     switch (fault.kind) {
       case "pauseAgent":
-        if (!agent) return;
+        if (!isRunning()) return;
         noteSilence(fault.duration);
         return process.pause(fault.duration);
       case "suspendAgent":
-        if (!agent) return;
+        if (!isRunning()) return;
         noteSilence(fault.duration);
         return process.pause(fault.duration, () => {
           suspended += fault.duration;
         });
       case "restartAgent":
-        return restart(fault.downFor);
+        return isRunning() ? restart(fault.downFor) : undefined;
       case "slowCalls":
         return calls.disturb(fault);
       default:
--- a/testing/explorer/model/calls.ts
+++ b/testing/explorer/model/calls.ts
@@ -47,9 +47,13 @@
 }
 
 /** Creates the transport of calls to the worker. */
-export function createCalls(
-  { agenda, worker: machine }: { agenda: Agenda; worker: WorkerMachine },
-): Calls {
+export function createCalls(fields: {
+  agenda: Agenda;
+  worker: WorkerMachine;
+  /** Whether calls under way reach a later incarnation of the same id. */
+  callsOutliveWorkers: boolean;
+}): Calls {
+  const { agenda, worker: machine } = fields;
   let faults: { fault: SlowCalls; until: Milliseconds }[] = [];
 
   function send<Answer>(call: Call<Answer>): void {
@@ -66,8 +70,14 @@
       call.timeout,
       () => finish({ kind: "unknown", connectionLost: false }),
     );
-    const arrive = () => carryOut(call, finish, fault?.lost ?? false);
-    agenda.after(fault?.delay ?? CALL_DELAY, arrive);
+    const addressed = machine.current();
+    agenda.after(fault?.delay ?? CALL_DELAY, () => {
+      const isReset = addressed && addressed !== machine.current();
+      if (isReset && !fields.callsOutliveWorkers) {
+        return finish({ kind: "unknown", connectionLost: true });
+      }
+      carryOut(call, finish, fault?.lost ?? false);
+    });
   }
 
   function carryOut<Answer>(
--- a/testing/explorer/model/leader_links.ts
+++ b/testing/explorer/model/leader_links.ts
@@ -10,7 +10,6 @@
   AgentReport,
   SchedulerEffect,
 } from "@dragonflyledge/scheduler";
-import type { Agenda } from "./agenda.ts";
 import type { LinkEnd, Network } from "./network.ts";
 import type { Process } from "./process.ts";
 
@@ -39,27 +38,28 @@
 /** Creates the links of a term, without any at first. */
 export function createLeaderLinks(fields: {
   leader: number;
-  agenda: Agenda;
+  /** The clock of the leader's machine. */
+  now: () => Milliseconds;
   network: Network;
   process: Process;
   onReport: (agent: number, report: AgentReport) => void;
   onDisconnected: (agent: number) => void;
 }): LeaderLinks {
-  const { agenda, network, process, leader } = fields;
+  const { now, network, process, leader } = fields;
   const agents = new Map<number, AgentLink>();
   let closed = false;
 
   function dial(name: number, agent: AgentLink): void {
     if (closed || agents.get(name) !== agent) return;
-    agent.lastHeard = agenda.now();
-    agent.dialledAt = agenda.now();
+    agent.lastHeard = now();
+    agent.dialledAt = now();
     const link = network.dial({
       leader,
       agent: name,
       onMessage: (report) =>
         process.run(() => {
           if (agent.link !== link) return;
-          agent.lastHeard = agenda.now();
+          agent.lastHeard = now();
           agent.lastReport = report.sentAt;
           fields.onReport(name, report);
         }),
@@ -77,7 +77,7 @@
     const reported = agent.lastReport !== undefined;
     agent.link = undefined;
     agent.lastReport = undefined;
-    const delay = agent.dialledAt + REDIAL_DELAY - agenda.now();
+    const delay = agent.dialledAt + REDIAL_DELAY - now();
     process.after(Math.max(1, delay), () => dial(name, agent));
     if (!reported || closed) return;
     if (agents.get(name) === agent) fields.onDisconnected(name);
@@ -105,7 +105,7 @@
       agent.link.send({ ...message, kind: "orders", epoch });
     },
     closeSilent: () => {
-      const limit = agenda.now() - SILENCE_LIMIT;
+      const limit = now() - SILENCE_LIMIT;
       for (const agent of agents.values()) {
         if (agent.link && agent.lastHeard < limit) agent.link.close();
       }
--- a/testing/explorer/model/process.ts
+++ b/testing/explorer/model/process.ts
@@ -15,6 +15,7 @@
   after(delay: Milliseconds, act: () => void): void;
   /** Repeats the action at an interval, which it may choose. */
   repeat(interval: () => Milliseconds, act: () => void): void;
+  /** Has no effect on a process that stands still already. */
   pause(duration: Milliseconds, onResume?: () => void): void;
   isPaused(): boolean;
   isAlive(): boolean;
@@ -30,7 +31,6 @@
   const isPaused = () => agenda.now() < pausedUntil;
 
   function resume(): void {
-    if (isPaused()) return;
     const due = waiting;
     waiting = [];
     due.forEach(run);
@@ -55,7 +55,8 @@
     after,
     repeat,
     pause: (duration, onResume) => {
-      pausedUntil = Math.max(pausedUntil, agenda.now() + duration);
+      if (isPaused()) return;
+      pausedUntil = agenda.now() + duration;
       agenda.after(duration, () => {
         onResume?.();
         resume();
--- a/testing/explorer/model/succession.ts
+++ b/testing/explorer/model/succession.ts
@@ -28,6 +28,8 @@
   term?: TermModel;
   /** No campaign before this time. */
   restsUntil: Milliseconds;
+  /** Time for which its machine was suspended. */
+  suspended: Milliseconds;
 }
 
 type LeaderFault = Extract<
@@ -48,6 +50,7 @@
     index,
     process: createProcess(agenda),
     restsUntil: 0,
+    suspended: 0,
   })) as Candidate[];
   let last = -1;
 
@@ -76,6 +79,7 @@
       leader: candidate.index,
       epoch,
       process: candidate.process,
+      now: () => agenda.now() - candidate.suspended,
       onIsolated: () => {
         candidate.restsUntil = agenda.now() + ELECTION_PAUSE;
         stepDown(candidate, epoch);
@@ -105,10 +109,12 @@
     const candidate = candidates.find(({ term }) =>
       term?.epoch === epoch && !term.hasEnded()
     );
-    if (!candidate) return;
+    if (!candidate || candidate.process.isPaused()) return;
     switch (fault.kind) {
       case "pauseLeader":
-        candidate.process.pause(fault.duration);
+        candidate.process.pause(fault.duration, () => {
+          if (fault.clockStops) candidate.suspended += fault.duration;
+        });
         if (fault.duration < LEADER_LEASE) return;
         return expire(candidate, {
           actsFor: LEADER_LEASE - SAFETY_MARGIN,
--- a/testing/explorer/model/term.ts
+++ b/testing/explorer/model/term.ts
@@ -43,11 +43,13 @@
   agenda: Agenda;
   network: Network;
   process: Process;
+  /** The clock of the leader's machine. */
+  now: () => Milliseconds;
   store: StoreModel;
   onIsolated: () => void;
   onLog: (effect: Extract<SchedulerEffect, { kind: "log" }>) => void;
 }): TermModel {
-  const { agenda, store, process, epoch } = fields;
+  const { agenda, store, process, epoch, now } = fields;
   const scheduler = createScheduler({
     times: {
       agentLoss: GRANT + LOSS_MARGIN,
@@ -59,27 +61,26 @@
   });
   let ended = false;
   let expiresAt = Infinity;
-  let lastReport = agenda.now();
+  let lastReport = now();
   const writer = createWriterModel({
     store,
     process,
     epoch,
     snapshot: scheduler.snapshot,
     onStored: (job, version) =>
-      dispatch({ kind: "stored", now: agenda.now(), job, version }),
+      dispatch({ kind: "stored", now: now(), job, version }),
     onDeposed: end,
   });
   const links = createLeaderLinks({
     ...fields,
     onReport: (agent, report) => {
-      lastReport = agenda.now();
-      const { now, date } = time();
+      lastReport = now();
       const name = agentName(agent);
-      dispatch({ kind: "report", now, date, agent: name, report });
+      dispatch({ kind: "report", ...time(), agent: name, report });
     },
     onDisconnected: (agent) => {
       const name = agentName(agent);
-      dispatch({ kind: "disconnected", now: agenda.now(), agent: name });
+      dispatch({ kind: "disconnected", now: now(), agent: name });
     },
   });
   const unwatch = store.watch((change) =>
@@ -91,7 +92,7 @@
   );
 
   function time() {
-    return { now: agenda.now(), date: agenda.now() };
+    return { now: now(), date: agenda.now() };
   }
 
   function dispatch(event: SchedulerEvent): void {
@@ -115,7 +116,7 @@
       case "planLater":
         return process.after(
           effect.delay,
-          () => dispatch({ kind: "plan", now: agenda.now() }),
+          () => dispatch({ kind: "plan", now: now() }),
         );
       case "log":
         return fields.onLog(effect);
@@ -127,7 +128,7 @@
     if (!job) return;
     const { request } = job;
     const progress = job.progress && unpackProgress(job.progress);
-    dispatch({ kind: "job", now: agenda.now(), request, progress });
+    dispatch({ kind: "job", now: now(), request, progress });
     if (job.cancelled) cancel(id);
   }
 
@@ -137,15 +138,15 @@
 
   function addAgent(agent: string): void {
     if (ended) return;
-    dispatch({ kind: "agent", now: agenda.now(), agent });
+    dispatch({ kind: "agent", now: now(), agent });
     links.connect(agentIndex(agent));
   }
 
   function tick(): void {
     if (ended) return;
     links.closeSilent();
-    if (store.agents.size === 0) lastReport = agenda.now();
-    if (agenda.now() - lastReport > ISOLATION_LIMIT) return fields.onIsolated();
+    if (store.agents.size === 0) lastReport = now();
+    if (now() - lastReport > ISOLATION_LIMIT) return fields.onIsolated();
     dispatch({ kind: "tick", ...time() });
     const interval = scheduler.state.survey
       ? SURVEY_TICK_INTERVAL
@@ -161,10 +162,10 @@
   }
 
   const policies = { queues: new Map(), guarantees: new Map() };
-  dispatch({ kind: "policies", now: agenda.now(), policies });
+  dispatch({ kind: "policies", now: now(), policies });
   for (const id of store.jobs.keys()) addJob(id);
   for (const agent of store.agents) addAgent(agent);
-  dispatch({ kind: "loaded", now: agenda.now() });
+  dispatch({ kind: "loaded", now: now() });
   tick();
   return {
     epoch,
--- a/testing/explorer/model/worker_machine.ts
+++ b/testing/explorer/model/worker_machine.ts
@@ -15,6 +15,8 @@
 import type { Work } from "./work.ts";
 
 const HEARTBEAT_DELAY: Milliseconds = 1;
+/** A worker that has started answers calls before its first heartbeat. */
+const FIRST_HEARTBEAT_DELAY: Milliseconds = 50;
 /** Time that a draining worker announces to have left. */
 const ANNOUNCED_TIME: Milliseconds = 2000;
 const MILLICORES = 64_000;
@@ -78,7 +80,7 @@
       accelerators: setup.accelerators - less,
       onDeadly: (deadly) => crash({ ...deadly, refuses: true }),
     });
-    sendHeartbeat();
+    sendHeartbeat(FIRST_HEARTBEAT_DELAY);
   }
 
   function nextId(): string {
--- a/testing/explorer/run_plan.ts
+++ b/testing/explorer/run_plan.ts
@@ -68,6 +68,7 @@
       ...world,
       index,
       setup: agent,
+      callsOutliveWorkers: setup.callsOutliveWorkers,
       onLog: log(`agent ${index}`),
     })
   );
