--- a/testing/explorer/draw_plan.ts
+++ b/testing/explorer/draw_plan.ts
@@ -6,7 +6,7 @@
 
 import { createRandom } from "@dragonflyledge/model";
 import type { Milliseconds, Random } from "@dragonflyledge/model";
-import { CallKind, Direction } from "./inputs.ts";
+import { CallKind, Direction, GUARANTEED_TEAM } from "./inputs.ts";
 import type { Happening, Input, Plan, Setup } from "./inputs.ts";
 
 /** Mean time between two inputs that are not close to each other. */
@@ -113,8 +113,14 @@
     clockRate: draw.one([1, 0.99, 0.981]),
     linkDelays: Array.from({ length: leaders }, () => draw.time(1, 40)),
     stopDelay: draw.time(1, 200),
+    endsPerAnswer: draw.one([1, 2, 500, 500]),
   }));
-  return { leaders, agents, callsOutliveWorkers: draw.chance(0.5) };
+  return {
+    leaders,
+    agents,
+    guaranteed: draw.one([0, 4, 8]),
+    callsOutliveWorkers: draw.chance(0.5),
+  };
 }
 
 function drawKind(draw: Draw): Happening["kind"] {
@@ -232,10 +238,13 @@
   return {
     kind: "job",
     id,
+    team: draw.one([GUARANTEED_TEAM, "team-b"]),
     priority: draw.whole(0, 2),
     maxAttempts: draw.whole(1, 3),
     steps,
     failures: draw.one([0, 0, 0, 1, 2]),
     ...(isDeadly ? { deadly } : {}),
+    ...(draw.chance(0.08) ? { lastsFor: draw.time(100, 15_000) } : {}),
+    ...(draw.chance(0.04) ? { hasLargeSpec: true } : {}),
   };
 }
--- a/testing/explorer/explorer_test.ts
+++ b/testing/explorer/explorer_test.ts
@@ -50,6 +50,7 @@
     at: 100,
     kind: "job",
     id: "large",
+    team: "team-a",
     priority: 1,
     maxAttempts: 1,
     steps: [{ count: 1, accelerators: 64, gang: false, duration: 10 }],
--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -19,10 +19,12 @@
   clockRate: 1,
   linkDelays: [5],
   stopDelay: 10,
+  endsPerAnswer: 500,
 };
 const TWO_AGENTS = {
   leaders: 1,
   agents: [AGENT, AGENT],
+  guaranteed: 0,
   callsOutliveWorkers: true,
 };
 
@@ -31,6 +33,7 @@
   return {
     kind: "job",
     id: "j0",
+    team: "team-a",
     priority: 1,
     maxAttempts: 3,
     steps: [{ count: 1, accelerators: 2, gang: false, duration }],
@@ -66,12 +69,14 @@
     plan: {
       setup: {
         leaders: 2,
+        guaranteed: 0,
         callsOutliveWorkers: true,
         agents: [
           { ...AGENT, linkDelays: [1, 3], stopDelay: 14 },
           { ...AGENT, linkDelays: [24, 6], stopDelay: 105, clockRate: 0.99 },
           { ...AGENT, linkDelays: [15, 3], stopDelay: 40, clockRate: 0.981 },
           {
+            ...AGENT,
             accelerators: 8,
             clockRate: 0.981,
             linkDelays: [3, 4],
@@ -85,6 +90,7 @@
           at: 15_858,
           kind: "job",
           id: "j10",
+          team: "team-a",
           priority: 1,
           maxAttempts: 3,
           steps: [
--- a/testing/explorer/inputs.ts
+++ b/testing/explorer/inputs.ts
@@ -34,12 +34,17 @@
   | {
     kind: "job";
     id: string;
+    team: string;
     priority: number;
     maxAttempts: number;
     /** Each step waits for the one before it. */
     steps: StepInput[];
     /** Number of runs of each step's first task that fail. */
     failures: number;
+    /** The tasks work until the job is cancelled, which is after this time. */
+    lastsFor?: Milliseconds;
+    /** Whether one message can't hold the starts of two of its tasks. */
+    hasLargeSpec?: boolean;
     /** Makes the first task of the first step crash its workers. */
     deadly?: Deadly;
   }
@@ -132,11 +137,16 @@
 /** A happening at a time. */
 export type Input = { at: Milliseconds } & Happening;
 
+/** Team whose urgent jobs have a guarantee. */
+export const GUARANTEED_TEAM = "team-a";
+
 /** What an exploration starts with. */
 export interface Setup {
   /** Processes of which one leads. */
   leaders: number;
   agents: AgentSetup[];
+  /** Accelerators that are guaranteed to the team `GUARANTEED_TEAM`. */
+  guaranteed: number;
   /**
    * Whether calls that are under way when a worker crashes reach a later
    * incarnation of the same id.
@@ -151,6 +161,8 @@
   clockRate: number;
   /** Time of a message to or from each leader. */
   linkDelays: Milliseconds[];
+  /** Number of ends that the worker lists at a time. */
+  endsPerAnswer: number;
   /** Time in which the worker stops a run. */
   stopDelay: Milliseconds;
 }
--- a/testing/explorer/model/agent_calls.ts
+++ b/testing/explorer/model/agent_calls.ts
@@ -88,8 +88,7 @@
       }),
     done: (outcome) => {
       if (outcome.kind === "answer") {
-        const held = { ...outcome.answer, allEnds: true };
-        return dispatch({ kind: "held", worker, sentAt, ...held });
+        return dispatch({ kind: "held", worker, sentAt, ...outcome.answer });
       }
       dispatch({
         kind: "holdFailed",
--- a/testing/explorer/model/incarnation.ts
+++ b/testing/explorer/model/incarnation.ts
@@ -30,6 +30,8 @@
 export interface WorkerLists {
   running: RunningTask[];
   ended: EndedTask[];
+  /** Whether `ended` holds all ends that are not acknowledged. */
+  allEnds: boolean;
 }
 
 /** Model of a worker incarnation; its calls are those that pass the fence. */
@@ -193,6 +195,9 @@
     ended = ended.filter((each) => each.number > number);
   }
 
+  /** The ends of the next answer. */
+  const nextPage = () => ended.slice(0, setup.endsPerAnswer);
+
   const hold: Incarnation["hold"] = ({ until, acknowledged, wait, answer }) => {
     extendLease(until);
     acknowledge(acknowledged);
@@ -200,7 +205,8 @@
     const answerOnce = () => {
       if (answered || !alive) return;
       answered = true;
-      lastListed = nextEnd - 1;
+      const listed = nextPage();
+      lastListed = listed.at(-1)?.number ?? lastListed;
       answer({
         running: [...running.values()].map(({ task, run }) => ({
           task,
@@ -208,10 +214,12 @@
           checkpoint: "",
           percent: 0,
         })),
-        ended: [...ended],
+        ended: listed,
+        allEnds: listed.length < setup.endsPerAnswer,
       });
     };
-    if (wait === 0 || nextEnd - 1 > lastListed) return answerOnce();
+    const isNew = (nextPage().at(-1)?.number ?? 0) > lastListed;
+    if (wait === 0 || isNew) return answerOnce();
     waiting.push(answerOnce);
     agenda.after(wait, answerOnce);
   };
--- a/testing/explorer/model/succession.ts
+++ b/testing/explorer/model/succession.ts
@@ -43,6 +43,8 @@
   agenda: Agenda;
   network: Network;
   store: StoreModel;
+  /** Accelerators guaranteed to `GUARANTEED_TEAM`. */
+  guaranteed: number;
   onLog: (effect: Extract<SchedulerEffect, { kind: "log" }>) => void;
 }): { disturb(fault: LeaderFault): void } {
   const { agenda, store } = fields;
--- a/testing/explorer/model/term.ts
+++ b/testing/explorer/model/term.ts
@@ -10,6 +10,7 @@
   SchedulerEvent,
 } from "@dragonflyledge/scheduler";
 import type { Milliseconds } from "@dragonflyledge/model";
+import { GUARANTEED_TEAM } from "../inputs.ts";
 import type { Agenda } from "./agenda.ts";
 import { agentIndex, agentName } from "./names.ts";
 import { createLeaderLinks } from "./leader_links.ts";
@@ -46,6 +47,8 @@
   /** The clock of the leader's machine. */
   now: () => Milliseconds;
   store: StoreModel;
+  /** Accelerators guaranteed to `GUARANTEED_TEAM`. */
+  guaranteed: number;
   onIsolated: () => void;
   onLog: (effect: Extract<SchedulerEffect, { kind: "log" }>) => void;
 }): TermModel {
@@ -161,7 +164,8 @@
     links.close();
   }
 
-  const policies = { queues: new Map(), guarantees: new Map() };
+  const guarantees = new Map([[GUARANTEED_TEAM, fields.guaranteed]]);
+  const policies = { queues: new Map(), guarantees };
   dispatch({ kind: "policies", now: now(), policies });
   for (const id of store.jobs.keys()) addJob(id);
   for (const agent of store.agents) addAgent(agent);
--- a/testing/explorer/model/work.ts
+++ b/testing/explorer/model/work.ts
@@ -68,7 +68,7 @@
   }
 
   function begin(run: WorkingRun): void {
-    const { step } = stepOf(run.task);
+    const { step, job } = stepOf(run.task);
     const unit = unitOf(run);
     unit.members.add(run);
     if (unit.members.size < (step.gang ? step.count : 1)) {
@@ -81,6 +81,7 @@
     const members = [...unit.members];
     const isWhole = () => members.every((each) => unit.members.has(each));
     crashLater(members, isWhole);
+    if (job.lastsFor !== undefined) return;
     agenda.after(step.duration, () => {
       if (isWhole()) finish(members);
     });
--- a/testing/explorer/run_plan.ts
+++ b/testing/explorer/run_plan.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { FRAME_LIMIT } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { isFinal, JobStatus } from "@dragonflyledge/scheduler";
 import type { JobRequest } from "@dragonflyledge/scheduler";
@@ -26,6 +27,8 @@
 const CHECK_INTERVAL: Milliseconds = 1000;
 const MILLICORES_PER_TASK = 500;
 const MEGABYTES_PER_TASK = 64;
+/** Two of these are longer than the starts that one message holds. */
+const LARGE_SPEC = "x".repeat(FRAME_LIMIT / 4);
 
 type JobInput = Extract<Happening, { kind: "job" }>;
 
@@ -53,7 +56,10 @@
   const work = createWork({ agenda, jobs });
   const ledger = createLedger({
     now: agenda.now,
-    maxAttempts: (job) => jobs.get(job)!.maxAttempts,
+    maxAttempts: (id) => {
+      const job = jobs.get(id)!;
+      return job.lastsFor === undefined ? job.maxAttempts : Infinity;
+    },
     isGang: work.isGang,
   });
   const network = createNetwork({ agenda, setup });
@@ -75,6 +81,7 @@
   const succession = startSuccession({
     ...world,
     count: setup.leaders,
+    guaranteed: setup.guaranteed,
     onLog: log("leader"),
   });
 
@@ -83,6 +90,9 @@
     switch (input.kind) {
       case "job":
         jobs.set(input.id, input);
+        if (input.lastsFor !== undefined) {
+          agenda.after(input.lastsFor, () => store.cancel(input.id));
+        }
         return store.addJob(createRequest(input, agenda.now()));
       case "cancel":
         return store.cancel(input.job);
@@ -130,8 +140,8 @@
   return {
     id: input.id,
     queue: "queue",
-    team: "team",
-    spec: "spec",
+    team: input.team,
+    spec: input.hasLargeSpec ? LARGE_SPEC : "spec",
     acceptedAt: now,
     policy: {
       service: "service",
@@ -148,7 +158,7 @@
       gang: step.gang,
       sameRack: false,
       checkpointing: false,
-      longRunning: false,
+      longRunning: input.lastsFor !== undefined,
       label: "",
       dataRack: "",
       maxPerWorker: 0,
