--- a/core/worker_control/open_starts.ts
+++ b/core/worker_control/open_starts.ts
@@ -24,9 +24,7 @@
   { name }: RunControl,
   now: Milliseconds,
 ): void {
-  for (const [key, { sentAt }] of state.openStarts) {
-    if (now - sentAt >= CALL_DELAY_LIMIT) state.openStarts.delete(key);
-  }
+  dropExpired(state, now);
   const sent = { name, id: worker.id, sentAt: now };
   state.openStarts.set(runKey(name), sent);
 }
@@ -43,18 +41,21 @@
  * Returns the runs that a worker with this id may start although they were
  * ordered for a former incarnation.
  */
-export function takeOpenStarts(
+export function listOpenStarts(
   state: ControlState,
   id: string,
   now: Milliseconds,
 ): RunName[] {
-  const open = [...state.openStarts.values()].filter((start) =>
-    start.id === id && now - start.sentAt < CALL_DELAY_LIMIT
-  );
-  state.openStarts.clear();
-  const known = [...state.runs.values()].filter((run) => run.misdirected);
-  const names = [...open, ...known].map(({ name }) => name);
-  return [...new Map(names.map((name) => [runKey(name), name])).values()];
+  dropExpired(state, now);
+  return [...state.openStarts.values()]
+    .filter((start) => start.id === id)
+    .map(({ name }) => name);
+}
+
+function dropExpired(state: ControlState, now: Milliseconds): void {
+  for (const [key, { sentAt }] of state.openStarts) {
+    if (now - sentAt >= CALL_DELAY_LIMIT) state.openStarts.delete(key);
+  }
 }
 
 /** Creates the control of such a start, which is stopped. */
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -44,7 +44,8 @@
   const running = new Set(worker.running.map(runKey));
   const ended = new Set(worker.ended.map(runKey));
   for (const [key, control] of state.runs) {
-    if (ended.has(key) || running.has(key)) noteStartSettled(state, control);
+    const isListed = ended.has(key) || running.has(key);
+    if (isListed && !control.misdirected) noteStartSettled(state, control);
     if (ended.has(key)) {
       if (control.stopRequested) control.phase = ControlPhase.Ended;
       else state.runs.delete(key);
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -14,7 +14,7 @@
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
-import { createMisdirected, takeOpenStarts } from "./open_starts.ts";
+import { createMisdirected, listOpenStarts } from "./open_starts.ts";
 import { ControlPhase } from "./state.ts";
 import type {
   Announcement,
@@ -171,7 +171,7 @@
   if (former && !state.emptied.includes(former.state.key)) {
     recordCrash(state, former, now);
   }
-  const misdirected = takeOpenStarts(state, worker.id, now);
+  const misdirected = listOpenStarts(state, worker.id, now);
   if (former && misdirected.length > 0) {
     state.withheldCrashes.add(former.state.key);
   }
