--- a/daemons/agent/agent.ts
+++ b/daemons/agent/agent.ts
@@ -111,6 +111,7 @@
     seeds: settings.seeds,
     hello,
     versions,
+    clock,
     timer,
     random,
     observer,
--- a/daemons/agent/entry_sessions.ts
+++ b/daemons/agent/entry_sessions.ts
@@ -7,6 +7,7 @@
 import { MAX_ENTRIES_PER_AGENT, SESSION_TIMEOUT } from "@dragonflyledge/model";
 import type {
   AgentMessage,
+  Clock,
   EntryId,
   Hello,
   Message,
@@ -52,6 +53,7 @@
   seeds: string[];
   hello: () => Hello;
   versions: () => Versions;
+  clock: Clock;
   timer: Timer;
   random: Random;
   observer: Observer;
@@ -126,6 +128,7 @@
       address,
       hello: fields.hello,
       versions: fields.versions,
+      clock: fields.clock,
       timer,
       random: fields.random,
       handlers: {
--- a/daemons/entry/agent_sessions.ts
+++ b/daemons/entry/agent_sessions.ts
@@ -6,6 +6,7 @@
 
 import type { Result } from "neverthrow";
 import type {
+  Clock,
   EntryMessage,
   Hello,
   Message,
@@ -49,6 +50,7 @@
   port: number;
   hello: () => Hello;
   versions: () => Versions;
+  clock: Clock;
   timer: Timer;
   observer: Observer;
   handlers: AgentHandlers;
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -132,6 +132,7 @@
     port: settings.port,
     hello,
     versions,
+    clock,
     timer,
     observer,
     handlers: {
--- a/testing/replay/slopes/sessions.ts
+++ b/testing/replay/slopes/sessions.ts
@@ -12,7 +12,7 @@
   SECOND,
 } from "@dragonflyledge/model";
 import type { Hello, Milliseconds } from "@dragonflyledge/model";
-import { createSystemTimer } from "@dragonflyledge/runtime";
+import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import { createDialer, listen } from "@dragonflyledge/session";
 import type { Session, SessionHandlers } from "@dragonflyledge/session";
 import { createHeartbeat, createReport, workerName } from "./messages.ts";
@@ -45,6 +45,7 @@
 }
 
 async function run(count: number, seed: number): Promise<Cost> {
+  const clock = createSystemClock();
   const timer = createSystemTimer();
   const random = createRandom(seed);
   const { versions: held } = createHeartbeat();
@@ -77,6 +78,7 @@
     hello: hello("entry", "e1"),
     versions,
     handlers: handlersOf(accepted),
+    clock,
     timer,
   }))._unsafeUnwrap();
   const dialers = Array.from({ length: count }, (_, index) =>
@@ -85,6 +87,7 @@
       hello: hello("agent", workerName(index)),
       versions,
       handlers: handlersOf(opened),
+      clock,
       timer,
       random,
     }));
--- a/wire/session/dialer.ts
+++ b/wire/session/dialer.ts
@@ -7,6 +7,7 @@
 import { connect } from "node:net";
 
 import type {
+  Clock,
   Hello,
   Milliseconds,
   Random,
@@ -38,6 +39,7 @@
   hello: () => Hello;
   versions: () => Versions;
   handlers: SessionHandlers;
+  clock: Clock;
   timer: Timer;
   random: Random;
   times?: SessionTimes;
--- a/wire/session/listener.ts
+++ b/wire/session/listener.ts
@@ -9,7 +9,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { ErrorCode, StepError } from "@dragonflyledge/model";
-import type { Hello, Timer, Versions } from "@dragonflyledge/model";
+import type { Clock, Hello, Timer, Versions } from "@dragonflyledge/model";
 import { runSession } from "./session.ts";
 import type { SessionHandlers, SessionTimes } from "./session.ts";
 
@@ -36,6 +36,7 @@
   versions: () => Versions;
   accept?: (hello: Hello) => string | undefined;
   handlers: SessionHandlers;
+  clock: Clock;
   timer: Timer;
   times?: SessionTimes;
 }): Promise<Result<Listener, StepError>> {
