Log heartbeats, answers and reports that are overtaken

They were ignored without a word, so that nobody could tell afterwards whether a message of a former incarnation or an overtaken heartbeat had arrived. The tests show that they change nothing, and what is logged; the parts about logs failed before.

--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -188,7 +188,20 @@
     known.state = reported;
     return known;
   }
-  if (known && known.state.born > reported.born) return undefined;
+  if (known && known.state.born > reported.born) {
+    state.effects.push({
+      kind: "log",
+      level: "info",
+      text: "Report ignored.",
+      fields: {
+        reason: "incarnation",
+        agent: agent.name,
+        worker: reported.key,
+        known: known.state.key,
+      },
+    });
+    return undefined;
+  }
   loseRuns(
     fields,
     (run) => run.agent === agent.name && run.worker !== reported.key,
--- a/core/worker_control/late_calls_test.ts
+++ b/core/worker_control/late_calls_test.ts
@@ -70,7 +70,7 @@
   const run = "a.0.0.0#2";
   const before = structuredClone(control.state.runs.get(run));
   t.equal(before?.callPending, true);
-  reduce({
+  const ignored = reduce({
     kind: "startAnswered",
     now: 60,
     worker: WORKER,
@@ -84,7 +84,12 @@
     run,
     stopped: true,
   });
-  reduce({ ...holdAnswer(60, 20), worker: WORKER } as ControlEvent);
+  reduce(holdAnswer(60, 20));
+  t.match(ignored, [{
+    kind: "log",
+    text: "Answer ignored.",
+    fields: { answer: "startAnswered", worker: WORKER, run },
+  }]);
   t.same(control.state.runs.get(run), before);
   t.equal(control.state.hold.callPending, true);
   t.end();
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -126,7 +126,9 @@
   event: Extract<ControlEvent, { kind: "held" }>,
 ): void {
   const { worker } = state;
-  if (!worker || worker.state.key !== event.worker) return;
+  if (!worker || worker.state.key !== event.worker) {
+    return noteLateAnswer(state, event);
+  }
   state.hold.callPending = false;
   if (event.born > worker.state.born) {
     replaceIncarnation(state, event.born, event.now);
@@ -198,7 +200,7 @@
 ): void {
   const { worker } = state;
   const { worker: key, reason, refused, connectionLost } = event;
-  if (!worker || worker.state.key !== key) return;
+  if (!worker || worker.state.key !== key) return noteLateAnswer(state, event);
   state.hold.callPending = false;
   if (!state.hold.silence && worker.leftAt === undefined) {
     const aliveAt = connectionLost ? event.now : worker.answeredAt;
@@ -221,7 +223,9 @@
   state: ControlState,
   event: Extract<ControlEvent, { kind: "startAnswered" | "stopAnswered" }>,
 ): void {
-  if (state.worker?.state.key !== event.worker) return;
+  if (state.worker?.state.key !== event.worker) {
+    return noteLateAnswer(state, event);
+  }
   const control = state.runs.get(event.run);
   if (!control) return;
   control.callPending = false;
@@ -268,6 +272,19 @@
   }
 }
 
+/** Logs what became of a call to a former incarnation; it changes nothing. */
+function noteLateAnswer(
+  state: ControlState,
+  event: Extract<ControlEvent, { worker: string }>,
+): void {
+  log(state, "Answer ignored.", {
+    reason: "incarnation",
+    answer: event.kind,
+    worker: event.worker,
+    run: "run" in event ? event.run : "",
+  });
+}
+
 /**
  * Whether the worker may still carry out calls of an earlier process of this
  * agent.
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -38,7 +38,9 @@
   const { id, clock, sequence, ...described } = announcement;
   const key = workerKey(id, announcement.born);
   if (worker && worker.state.key === key) {
-    if (sequence <= worker.sequence) return;
+    if (sequence <= worker.sequence) {
+      return noteLateHeartbeat(state, announcement, "sequence");
+    }
     worker.sequence = sequence;
     const drainingChanged = worker.state.draining !== announcement.draining;
     noteCapacity(state, worker, announcement);
@@ -54,7 +56,9 @@
     }
     return;
   }
-  if (worker && worker.state.born >= announcement.born) return;
+  if (worker && worker.state.born >= announcement.born) {
+    return noteLateHeartbeat(state, announcement, "incarnation");
+  }
   switchWorker(state, {
     id,
     state: {
@@ -76,6 +80,15 @@
   }, now);
 }
 
+function noteLateHeartbeat(
+  state: ControlState,
+  { id, born, sequence }: Announcement,
+  reason: "sequence" | "incarnation",
+): void {
+  const worker = workerKey(id, born);
+  log(state, "Heartbeat ignored.", { reason, worker, sequence });
+}
+
 /**
  * Reports a changed capacity at once, and drops starts that were ordered for
  * the former one and not sent yet.
