--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -10,7 +10,6 @@
 import {
   CONFIGURATION_KEY,
   createKeyValue,
-  decodeConfiguration,
   OPERATOR_PREFIX,
   READINESS_PATH,
 } from "@dragonflyledge/platform";
@@ -35,12 +34,12 @@
 import { createElapsedClock } from "@dragonflyledge/runtime";
 import { grantLength } from "@dragonflyledge/worker-control";
 import { createCallerApi } from "./caller_api.ts";
+import { createDeploymentHolder } from "./deployment.ts";
 import { startElection } from "./election.ts";
 import { follow } from "./follow.ts";
 import { startTerm } from "./leader.ts";
 import type { Term } from "./leader.ts";
 import { createPeers } from "./peers.ts";
-import type { StoredConfiguration } from "./peers.ts";
 import { createReplica } from "./replica.ts";
 
 /** Pauses between watches, so that one answer carries several changes. */
@@ -86,31 +85,20 @@
         error: `${error}`,
       }),
   });
-  let deployment: Deployment | undefined;
-  let stored: StoredConfiguration | undefined;
   let term: Term | undefined;
   let epoch: number | undefined;
   let draining = false;
 
   function applyConfigurationItems(items: Item[]): void {
     for (const item of items) {
-      if (item.key === CONFIGURATION_KEY) applyConfiguration(item.value);
+      if (item.key === CONFIGURATION_KEY) configurations.apply(item.value);
     }
   }
 
-  function applyConfiguration(bytes: Uint8Array): void {
-    const decoded = decodeConfiguration(bytes);
-    if (!decoded) return log.error("The configuration can't be decoded.");
-    if (deployment && decoded.version <= deployment.version) return;
-    deployment = decoded;
-    stored = { version: decoded.version, bytes };
-    log.info("Configuration in force.", {
-      version: decoded.version,
-      queues: decoded.queues.length,
-      teams: decoded.teams.length,
-    });
-    term?.setPolicies(policiesOf(decoded));
-  }
+  const configurations = createDeploymentHolder({
+    onNewer: (deployment) => term?.setPolicies(policiesOf(deployment)),
+    log,
+  });
 
   const logTrouble = (follows: string) => (reason: string | undefined) => {
     if (reason === undefined) log.info("The store answers again.", { follows });
@@ -154,6 +142,7 @@
   });
 
   function beginTerm(epoch: number): Term {
+    const deployment = configurations.current();
     return startTerm({
       epoch,
       leads: election.leads,
@@ -202,7 +191,7 @@
   });
 
   const isReady = () =>
-    !draining && deployment !== undefined && jobs.isListed() &&
+    !draining && configurations.current() !== undefined && jobs.isListed() &&
     elapsed.now() - jobs.freshAt() < READY_FRESHNESS;
 
   const peers = createPeers({
@@ -211,15 +200,15 @@
     port: settings.linkPort,
     entries: () => replica.entries,
     handle: (request) => api.answerLocally(request),
-    configuration: () => stored,
-    onConfiguration: applyConfiguration,
+    configuration: configurations.stored,
+    onConfiguration: configurations.apply,
     timer,
     log,
   });
   const api = createCallerApi({
     store,
     replica,
-    deployment: () => deployment,
+    deployment: configurations.current,
     storeFails: () => !jobs.isListed() || jobs.isFailing(),
     forward: peers.forward,
     clock,
@@ -240,7 +229,7 @@
     log.error("An HTTP server failed.", { error: `${error}` });
   const callers = listenHttp({
     address: settings.callerAddress,
-    bodyLimit: () => deployment?.bodyLimit ?? DEFAULT_BODY_LIMIT,
+    bodyLimit: () => configurations.current()?.bodyLimit ?? DEFAULT_BODY_LIMIT,
     keepAlive: CALLER_KEEP_ALIVE,
     handle: answer,
     onError,
