--- a/daemons/scheduler/election_test.ts
+++ b/daemons/scheduler/election_test.ts
@@ -178,3 +178,33 @@
   passed = 5000;
   t.notOk(election.leads());
 });
+
+// Guards against a leader that steps down, or that trusts a lease for too long,
+// because of the answer to a renewal of its former term.
+test("the answer to a former term's renewal changes nothing", async (t) => {
+  const clock = createManualClock();
+  const platform = createLeaderStore(clock);
+  const late: ((renewed: boolean) => void)[] = [];
+  const { renew } = platform.store;
+  platform.store.renew = (lease) =>
+    lease === 1
+      ? new Promise((resolve) => late.push((renewed) => resolve(ok(renewed))))
+      : renew(lease);
+  const { election, history } = joinElection({
+    name: "a",
+    cores: 1,
+    clock,
+    platform,
+  });
+  await clock.run(5000);
+  t.match(history.slice(0, 3), [
+    { kind: "won" },
+    { kind: "lost" },
+    { kind: "won" },
+  ]);
+  t.ok(late.length > 0);
+  for (const answer of late) answer(false);
+  await clock.run(10);
+  t.equal(history.length, 3);
+  t.ok(election.leads());
+});
--- a/daemons/scheduler/peers_test.ts
+++ b/daemons/scheduler/peers_test.ts
@@ -5,6 +5,7 @@
 import type { Test } from "tap";
 import { createLog, Part } from "@dragonflyledge/log";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
+import { listenLinks } from "@dragonflyledge/link";
 import { createPeers } from "./peers.ts";
 
 const HOST = "127.0.0.1";
@@ -109,3 +110,43 @@
   t.teardown(() => peers.close());
   t.same(await peers.forward(REQUEST, 1000), { kind: "notSent" });
 });
+
+// Guards against a caller who gets the answer to another caller's request, and
+// against an answer that is taken after its time.
+test("an answer to another or an earlier request is not taken", async (t) => {
+  const entries = new Map<string, string>();
+  const { peers } = await createEntry({
+    name: "own",
+    entries,
+    version: 1,
+    answer: { status: 200 },
+  });
+  const answersOf: (() => void)[] = [];
+  const server = listenLinks({
+    host: HOST,
+    port: 0,
+    onLink: () => {},
+    onMessage: (link, { id }) => {
+      const send = (id: unknown, status: number) =>
+        link.send({ kind: "answer", id, answer: { status } });
+      if (answersOf.length > 0) send(Number(id) - 1, 410);
+      answersOf.push(() => send(id, 200));
+      if (answersOf.length < 2) return;
+      answersOf.forEach((answer) => answer());
+    },
+    onClose: () => {},
+    onError: (error) => t.fail(error.message),
+  });
+  await new Promise((resolve) => server.once("listening", resolve));
+  const { port } = server.address() as AddressInfo;
+  entries.set("other", `${HOST}:${port}`);
+  t.teardown(() => {
+    peers.close();
+    server.close();
+  });
+  t.same(await peers.forward(REQUEST, 500), { kind: "unknown" });
+  t.match(await peers.forward(REQUEST, 5000), {
+    kind: "answer",
+    answer: { status: 200 },
+  });
+});
