--- a/core/scheduler/late_reports_test.ts
+++ b/core/scheduler/late_reports_test.ts
@@ -107,3 +107,15 @@
   t.not(fleet.status("a"), "failed");
   t.end();
 });
+
+// Guards against a job whose result is withdrawn after callers have seen it.
+test("a cancel after the end of a job changes nothing", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  fleet.submit(request({ id: "a", steps: [step({})] }));
+  fleet.runStarts();
+  fleet.end(0, 0, "done");
+  t.equal(fleet.status("a"), "completed");
+  fleet.cancel("a");
+  t.equal(fleet.status("a"), "completed");
+  t.end();
+});
--- a/core/worker_control/late_calls_test.ts
+++ b/core/worker_control/late_calls_test.ts
@@ -128,3 +128,23 @@
   t.equal(control.state.runs.get(RUN)?.phase, "absent");
   t.end();
 });
+
+// Guards against an end that is reported, and counted, again.
+test("an acknowledgement is never taken back", (t) => {
+  const { control, reduce } = createWithWorker();
+  const order = (now: number, acknowledged: number) =>
+    reduce({ kind: "orders", now, orders: orders({ acknowledged }) });
+  order(10, 5);
+  order(20, 3);
+  const end = {
+    number: 4,
+    task: "a.0.0.0",
+    run: 1,
+    ending: "done",
+    checkpoint: "",
+  };
+  reduce({ ...holdAnswer(30, 25), ended: [end] } as ControlEvent);
+  t.equal(control.state.worker?.acknowledged, 5);
+  t.same(control.state.worker?.ended, []);
+  t.end();
+});
