--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -4,7 +4,7 @@
 import { test } from "tap";
 import { err, ok } from "neverthrow";
 import { createLog, Part } from "@dragonflyledge/log";
-import type { CommitOutcome, KeyValue } from "@dragonflyledge/platform";
+import type { CommitOutcome, Item, KeyValue } from "@dragonflyledge/platform";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
 import {
   cancelKey,
@@ -40,6 +40,8 @@
   /** Time at which the store answers again. */
   storeReturnsAt?: number;
   forward?: (request: HttpRequest) => ForwardOutcome;
+  /** What the store answers to reads; nothing by default. */
+  item?: Item;
 }) {
   const commits = [...fields.commits ?? []];
   const keys: string[] = [];
@@ -58,7 +60,7 @@
     grant: () => Promise.resolve(ok(1)),
     read: () => {
       reads++;
-      return Promise.resolve(storeFails() ? err(refused) : ok(undefined));
+      return Promise.resolve(storeFails() ? err(refused) : ok(fields.item));
     },
   } as unknown as KeyValue;
   const api = createCallerApi({
@@ -286,3 +288,14 @@
     body: '{"pending":1}',
   });
 });
+
+// Guards against a removed job that is shown as queued, since the store's answer
+// to a read of it is older than the removal that the watch has brought.
+test("a job that is removed while it is read is gone", async (t) => {
+  const key = jobKey(ID);
+  const item = { key, value: STORED_REQUEST, revision: 5 };
+  const { api, replica } = createEntryApi({ item });
+  t.equal((await api.answer(createRequest("GET"))).status, 200);
+  replica.apply([{ kind: "deleted", key, revision: 9 }]);
+  t.equal((await api.answer(createRequest("GET"))).status, 410);
+});
