--- a/core/worker_control/late_calls_test.ts
+++ b/core/worker_control/late_calls_test.ts
@@ -73,7 +73,7 @@
   reduce({ kind: "tick", now: 195 });
   const hold = structuredClone(control.state.hold);
   t.equal(hold.callPending, true);
-  reduce({
+  const ignored = reduce({
     kind: "startAnswered",
     now: 200,
     worker: WORKER,
@@ -87,7 +87,12 @@
     run,
     stopped: true,
   });
-  reduce({ ...holdAnswer(200, 20), worker: WORKER } as ControlEvent);
+  reduce(holdAnswer(200, 20));
+  t.match(ignored, [{
+    kind: "log",
+    text: "Answer ignored.",
+    fields: { answer: "startAnswered", worker: WORKER, run },
+  }]);
   t.same(control.state.runs.get(run), before);
   t.same(control.state.hold, hold);
   t.end();
@@ -126,3 +131,23 @@
   t.equal(control.state.runs.get(RUN)?.phase, "absent");
   t.end();
 });
+
+// Guards against an end that is reported, and counted, again.
+test("an acknowledgement is never taken back", (t) => {
+  const { control, reduce } = createWithWorker();
+  const order = (now: number, acknowledged: number) =>
+    reduce({ kind: "orders", now, orders: orders({ acknowledged }) });
+  order(10, 5);
+  order(20, 3);
+  const end = {
+    number: 4,
+    task: "a.0.0.0",
+    run: 1,
+    ending: "done",
+    checkpoint: "",
+  };
+  reduce({ ...holdAnswer(30, 25), ended: [end] } as ControlEvent);
+  t.equal(control.state.worker?.acknowledged, 5);
+  t.same(control.state.worker?.ended, []);
+  t.end();
+});
--- a/core/worker_control/overtaken_test.ts
+++ b/core/worker_control/overtaken_test.ts
@@ -82,7 +82,7 @@
   t.end();
 });
 
-/** Lets the worker fall silent until it is reported as emptied, at 9000. */
+/** Lets the worker fall silent until it is reported as emptied, at 12,000. */
 function emptyWorker(reduce: (event: ControlEvent) => ControlEffect[]) {
   const failure = {
     kind: "holdFailed",
