Add faults to the soak that let newer messages overtake older ones

Links and calls are held one way and released with all they held; former links speak again once newer ones work; agents and leaders pause for longer than a grant while tasks start; workers lapse and answer again, also under orders from before. The faults are split into modules by what they act on. A violation for an end that is acknowledged after a new start now tells whether the worker that it comes from had a lease left at that start.

--- a/testing/platform/ledger_test.ts
+++ b/testing/platform/ledger_test.ts
@@ -12,6 +12,7 @@
     maxFaultDuration: 1000,
     failsRuns: () => false,
     isInTouch: () => inTouch,
+    hasLease: () => true,
     onDeadlyStart: () => {},
   });
   const record = ledger.sent({
--- a/testing/platform/soak/found_seeds.ts
+++ b/testing/platform/soak/found_seeds.ts
@@ -9,6 +9,8 @@
 /** A seed that once failed, and the program error that was the cause. */
 export interface FailedSeed {
   seed: number;
+  /** Faults that were drawn from; all short ones by default. */
+  faults?: string[];
   cause: string;
 }
 
--- a/testing/platform/soak/ledger.ts
+++ b/testing/platform/soak/ledger.ts
@@ -89,9 +89,12 @@
  * worker, and the task may then run again.
  */
 interface DoneEnd {
+  worker: string;
   acknowledged: boolean;
   /** Whether the task started again after this end. */
   startedAfter: boolean;
+  /** Whether the worker still had a lease at such a start. */
+  leaseAtStart: boolean;
 }
 
 interface GangRecord {
@@ -126,6 +129,8 @@
   failsRuns: (worker: string) => boolean;
   /** Whether no fault affected the agent of the worker a moment ago. */
   isInTouch: (worker: string) => boolean;
+  /** Whether the worker has a lease now; false once it has crashed. */
+  hasLease: (worker: string) => boolean;
   /** Called when a task started that crashes the worker. */
   onDeadlyStart: (worker: string, task: string) => void;
 }) {
@@ -220,6 +225,7 @@
     for (const end of listDoneEnds(run.task)) {
       if (end.acknowledged) report("TWICE", `${name}, after acknowledged end`);
       end.startedAfter = true;
+      end.leaseAtStart ||= fields.hasLease(end.worker);
     }
     for (const earlier of step.after) {
       if (!isStepDone(prefix, record, earlier)) report("ORDER", name);
@@ -297,7 +303,12 @@
       const task = findTask(run.task);
       task.running.delete(worker);
       if (ending === "done") {
-        task.done.set(run.run, { acknowledged: false, startedAfter: false });
+        task.done.set(run.run, {
+          worker,
+          acknowledged: false,
+          startedAfter: false,
+          leaseAtStart: false,
+        });
       }
       const { step } = parse(run.task);
       if (step?.gang && ending !== "done") findGang(run).ending ??= ending;
@@ -315,7 +326,11 @@
       if (end.startedAfter) {
         report(
           "TWICE",
-          `${run.task}#${run.run}, whose end was acknowledged after a new start`,
+          `${run.task}#${run.run} at ${end.worker}, whose end was acknowledged after a new start; ${
+            end.leaseAtStart
+              ? "a lease was left then"
+              : "no lease was left then"
+          }`,
         );
       }
     },
--- a/testing/platform/soak/soak.ts
+++ b/testing/platform/soak/soak.ts
@@ -10,7 +10,7 @@
 import { startPrograms } from "../programs.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
 import { isFinal, runCallers, sendRequest } from "./callers.ts";
-import { FAULTS, MAX_FAULT_DURATION } from "./faults.ts";
+import { drawFault, FAULTS, MAX_FAULT_DURATION } from "./faults.ts";
 import { createLedger, WORKER_ACCELERATORS } from "./ledger.ts";
 import type { JobRecord, Ledger } from "./ledger.ts";
 import { hasGoneBack } from "./version_check.ts";
@@ -39,8 +39,6 @@
 const MIN_FAULT_GAP = 200;
 /** Longest random addition to MIN_FAULT_GAP, in milliseconds. */
 const FAULT_GAP_RANGE = 2500;
-/** Shortest duration of a fault in milliseconds. */
-const MIN_FAULT_DURATION = 300;
 
 /** Time from the start of a deadly task to the crash of its worker, in ms. */
 const CRASH_DELAY = 10;
@@ -82,7 +80,7 @@
   entries: number;
   agents: number;
   callers: number;
-  /** Faults that may be drawn; all by default. */
+  /** Faults that may be drawn; all short ones by default. */
   faults?: string[];
 }): Promise<SoakResult> {
   const random = createRandom(fields.seed);
@@ -98,6 +96,10 @@
       const agent = programs.agents[indexOf(worker)]!;
       return isUnaffectedAndUp(agent, now() - FAULT_FREE_TIME);
     },
+    hasLease: (worker) => {
+      const present = programs.workers[indexOf(worker)]!;
+      return present.id() === worker && present.hasLease();
+    },
     onDeadlyStart: (worker, task) => {
       setTimeout(() => crashWorker(indexOf(worker), task), CRASH_DELAY);
     },
@@ -164,8 +166,7 @@
     while (now() < end) {
       await sleep(MIN_FAULT_GAP + random() * FAULT_GAP_RANGE);
       const name = names[Math.floor(random() * names.length)]!;
-      const time = MIN_FAULT_DURATION +
-        random() * (MAX_FAULT_DURATION - MIN_FAULT_DURATION);
+      const { inject, time } = drawFault(name, random);
       const fault: InjectedFault = {
         at: now(),
         until: Infinity,
@@ -173,7 +174,7 @@
         affected: [],
       };
       injected.push(fault);
-      fault.affected = await FAULTS[name]!(target, time);
+      fault.affected = await inject(target, time);
       fault.until = now() + time;
     }
   }
@@ -241,6 +242,9 @@
     });
     await injectFaults();
     await sleep(MAX_FAULT_DURATION);
+    while (injected.some(({ until }) => until > now())) {
+      await sleep(POLL_INTERVAL);
+    }
     while (target.down.size > 0) await sleep(POLL_INTERVAL);
     await sleep(RECOVERY_BOUND);
     over = true;
--- /dev/null
+++ b/testing/platform/soak/store_faults.ts
@@ -0,0 +1,65 @@
+/**
+ * Faults of the store, and changes of the configuration in it.
+ *
+ * @module
+ */
+
+import { createConfiguration } from "../programs.ts";
+import { listProcesses, sleep, toNames } from "./fault_target.ts";
+import type { Fault, FaultTarget } from "./fault_target.ts";
+
+function createStoreFault(
+  set: (target: FaultTarget, on: boolean) => void,
+): Fault {
+  return (target, time) => {
+    set(target, true);
+    setTimeout(() => set(target, false), time);
+    return ["store", ...toNames(listProcesses(target))];
+  };
+}
+
+/** Faults of the store by name. */
+export const STORE_FAULTS: Record<string, Fault> = {
+  /** The store answers no calls and does nothing. */
+  storeSilent: createStoreFault(({ programs }, on) =>
+    programs.store.silent = on
+  ),
+  /** The store refuses calls with 503. */
+  storeBusy: createStoreFault(({ programs }, on) => programs.store.busy = on),
+  /** The store answers 400 ms late. */
+  storeSlow: createStoreFault(({ programs }, on) => {
+    programs.store.delay = on ? 400 : 0;
+  }),
+  /**
+   * The store leaves 30 % of the writes without an answer; these take effect
+   * at once or 2.5 s late.
+   */
+  storeLoses: createStoreFault(({ programs, random }, on) => {
+    programs.store.lost = on ? 0.3 : 0;
+    programs.store.lostWriteDelay = random() < 0.5 ? 0 : 2500;
+  }),
+  /** The store drops its history, so that watches have to start anew. */
+  storeForgets: (target) => {
+    target.programs.store.compact();
+    return ["store"];
+  },
+};
+
+/** Changes of the configuration by name. */
+export const CONFIGURATION_FAULTS: Record<string, Fault> = {
+  /** Writes a new configuration. */
+  configure: ({ programs, version }) => {
+    programs.store.put("op/config", createConfiguration(++version.current));
+    version.acknowledgedAt = performance.now();
+    return [];
+  },
+  /** Writes five configurations, one each 300 ms. */
+  configureOften: async ({ programs, version }) => {
+    for (let count = 0; count < 5; count++) {
+      programs.store.put("op/config", createConfiguration(++version.current));
+      version.acknowledgedAt = performance.now();
+      await sleep(300);
+    }
+    return [];
+  },
+};
--- a/testing/platform/soak_main.ts
+++ b/testing/platform/soak_main.ts
@@ -3,7 +3,8 @@
  * faults:
  * `npm run soak:processes -- --seed N --minutes M [--faults a,b] [--logs DIR]`.
  * Runs one seed after the other, counting up from N, until M minutes are over;
- * `--found` runs the seeds that once failed instead. The logs of a seed that
+ * All faults are drawn unless `--faults` names some. `--found` runs the seeds
+ * that once failed instead. The logs of a seed that
  * breaks a guarantee are written below the directory DIR. Exits with 1 if any
  * seed fails.
  *
@@ -14,6 +15,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { parseArgs } from "node:util";
+import { FAULT_NAMES } from "./soak/faults.ts";
 import { FAILED_SEEDS } from "./soak/found_seeds.ts";
 import { runSoak } from "./soak/soak.ts";
 
@@ -32,22 +34,22 @@
 });
 
 /** Runs one seed and returns whether it broke no guarantee. */
-async function runSeed(seed: number): Promise<boolean> {
+async function runSeed(seed: number, faults?: string[]): Promise<boolean> {
   const result = await runSoak({
     seed,
     time: Number(values.seconds) * 1000,
     entries: Number(values.entries),
     agents: Number(values.agents),
     callers: Number(values.callers),
-    faults: values.faults?.split(","),
+    faults,
   });
-  const { jobs, completed, faults, violations } = result;
+  const { jobs, completed, violations } = result;
   console.log(
-    `seed ${seed}: ${faults.length} faults, ${completed} of ${jobs} jobs done, ${violations.length} violations`,
+    `seed ${seed}: ${result.faults.length} faults, ${completed} of ${jobs} jobs done, ${violations.length} violations`,
   );
   if (violations.length === 0) return true;
   for (const violation of violations) console.log(`  ${violation}`);
-  console.log(`  faults: ${faults.join(", ")}`);
+  console.log(`  faults: ${result.faults.join(", ")}`);
   if (values.logs) {
     const directory = join(values.logs, `seed-${seed}`);
     mkdirSync(directory, { recursive: true });
@@ -62,13 +64,14 @@
 let failed = 0;
 let seedCount = 0;
 if (values.found) {
-  for (const { seed } of FAILED_SEEDS) {
+  for (const { seed, faults } of FAILED_SEEDS) {
     seedCount++;
-    if (!await runSeed(seed)) failed++;
+    if (!await runSeed(seed, faults)) failed++;
   }
 } else {
+  const faults = values.faults?.split(",") ?? FAULT_NAMES;
   do {
-    if (!await runSeed(Number(values.seed) + seedCount++)) failed++;
+    if (!await runSeed(Number(values.seed) + seedCount++, faults)) failed++;
   } while (performance.now() < end);
 }
 console.log(`${failed} of ${seedCount} seeds failed`);
--- a/testing/platform/worker_server.ts
+++ b/testing/platform/worker_server.ts
@@ -71,6 +71,8 @@
   address: string;
   /** Id of the present incarnation. */
   id(): string;
+  /** Whether the present incarnation has a lease now. */
+  hasLease(): boolean;
   /** All runs that started, as "task#run". */
   readonly started: string[];
   /** Tasks of all runs that ended as done. */
@@ -291,6 +293,7 @@
   return {
     address: server.address,
     id: () => incarnation.id,
+    hasLease: () => clock() < incarnation.leaseUntil,
     started,
     done,
     listRuns: () => [...incarnation.running.values()],
