Record the seeds that failed under faults longer than a grant

6100, drawn from formerLinks and pauseAgentLong with 14 callers, failed on: run 1 of a task started on the former link of its agent, 11.6 s after the report that its orders answer, while run 2 was at work. On the same command shows no task that runs beside another run of it; what it reports has the two other causes.

--- a/testing/platform/soak/found_seeds.ts
+++ b/testing/platform/soak/found_seeds.ts
@@ -6,6 +6,8 @@
  * @module
  */
 
+import { FAULT_NAMES, LONG_FAULTS } from "./faults.ts";
+
 /** A seed that once failed, and the program error that was the cause. */
 export interface FailedSeed {
   seed: number;
@@ -14,6 +16,12 @@
   cause: string;
 }
 
+const LONG = Object.keys(LONG_FAULTS);
+const DROPPED_END =
+  "the end of a run that counted as lost was acknowledged and dropped";
+const UNKNOWN_END =
+  "the soak's check counted an end that nobody knew when its lease was over";
+
 /** All seeds that once failed, in the order in which they were found. */
 export const FAILED_SEEDS: FailedSeed[] = [
   {
@@ -45,4 +53,15 @@
     seed: 5102,
     cause: "the soak's check took an entry with a newer version for an old one",
   },
+  {
+    seed: 6100,
+    faults: ["formerLinks", "pauseAgentLong"],
+    cause: "an agent carried out the orders of a former link",
+  },
+  { seed: 6200, faults: LONG, cause: DROPPED_END },
+  { seed: 6201, faults: LONG, cause: DROPPED_END },
+  { seed: 6202, faults: LONG, cause: DROPPED_END },
+  { seed: 6203, faults: LONG, cause: UNKNOWN_END },
+  { seed: 6210, faults: FAULT_NAMES, cause: DROPPED_END },
+  { seed: 6212, faults: FAULT_NAMES, cause: UNKNOWN_END },
 ];
