Keep an end that arrives after the loss of its run

What callers saw: finished work is done again. The leader counts a run as lost once its agent is lost or reports its worker as emptied; if the worker then answers and lists the end as done, the leader acknowledged the end and dropped it, and started the task again. Same class: a message from before a conclusion that is proven wrong by it. Change: such an end counts unless the task has started again since.

--- a/core/scheduler/endings.ts
+++ b/core/scheduler/endings.ts
@@ -5,7 +5,13 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { FailureCode, JobStatus, TaskPhase } from "./job.ts";
+import {
+  FailureCode,
+  isFinal,
+  JobStatus,
+  parseTask,
+  TaskPhase,
+} from "./job.ts";
 import { RunEnding } from "./messages.ts";
 import type { EndedTask } from "./messages.ts";
 import { completeIfDone, finishJob, markChanged } from "./progress.ts";
@@ -18,7 +24,7 @@
   stopRun,
   tasksOf,
 } from "./runs.ts";
-import type { Run, SchedulerState, Worker } from "./state.ts";
+import type { Job, Run, SchedulerState, Worker } from "./state.ts";
 
 /** A worker is avoided for this long after a failure; doubles with each one. */
 const FAILURE_AVOIDANCE: Milliseconds = 1500;
@@ -61,6 +67,33 @@
   endRun(state, run);
 }
 
+/**
+ * Applies the end done of a run that counts as lost, unless its task has been
+ * started again since. Returns the job if its progress has changed.
+ */
+export function applyLateEnding(fields: {
+  state: SchedulerState;
+  ended: EndedTask;
+  date: Milliseconds;
+}): Job | undefined {
+  const { state, ended, date } = fields;
+  const name = parseTask(ended.task);
+  const job = name && state.jobs.get(name.job);
+  if (!name || !job || ended.ending !== RunEnding.Done) return undefined;
+  const step = job.request.steps[name.step];
+  if (!step || step.longRunning || isFinal(job.progress.status)) {
+    return undefined;
+  }
+  const task = findTask(job, name);
+  if (task?.run !== ended.run || task.phase !== TaskPhase.Waiting) {
+    return undefined;
+  }
+  for (const each of tasksOf(job, name)) each.phase = TaskPhase.Done;
+  markChanged(state, job);
+  completeIfDone({ state, job, date });
+  return job;
+}
+
 /** Removes a run that ended without success, and stops the rest of its gang. */
 function endRun(state: SchedulerState, run: Run): void {
   const members = gangOf(run).filter((member) => member !== run);
--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -16,7 +16,7 @@
 import { capacityOf, noteCapacity, withdrawExcess } from "./capacity.ts";
 import { noteSettled } from "./crash_counts.ts";
 import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
-import { applyEnding, loseRun } from "./endings.ts";
+import { applyEnding, applyLateEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { noteBegun } from "./progress.ts";
 import { noteOutages } from "./outages.ts";
@@ -276,10 +276,11 @@
       noteBegun(state, run.job);
       applyEnding({ state, worker, run, ended, now, date });
     }
+    const job = matches ? run.job : applyLateEnding({ state, ended, date });
     worker.unstoredEnds.push({
       number: ended.number,
-      job: matches ? run.job : undefined,
-      version: matches ? run.job.version : 0,
+      job,
+      version: job?.version ?? 0,
     });
   }
 }
