--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -65,7 +65,9 @@
   },
   {
     name: "a former link delivers a start after the job has completed",
-    cause: "the same; seed 175 with 40 inputs on 61b1752",
+    cause:
+      "the same; seeds 113, 117, 245 and 248 of 60 inputs without sameId " +
+      "also show it on f762179",
     plan: {
       setup: {
         leaders: 2,
--- a/testing/explorer/main.ts
+++ b/testing/explorer/main.ts
@@ -7,7 +7,7 @@
  */
 
 import process from "node:process";
-import { Command, InvalidArgumentError } from "commander";
+import { Command, InvalidArgumentError, Option } from "commander";
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import { OMISSIBLE } from "./draw_plan.ts";
@@ -31,7 +31,10 @@
   .option("--first-seed <seed>", "first seed", parseCount, 1)
   .option("--events <count>", "jobs and faults of each seed", parseCount, 60)
   .option("--seconds <time>", "end after this time", parseCount, 3600)
-  .option("--without <kinds...>", `leave out: ${OMISSIBLE.join(", ")}`, [])
+  .addOption(
+    new Option("--without <kinds...>", "leave out").choices(OMISSIBLE)
+      .default([]),
+  )
   .action(run);
 
 function parseCount(text: string): number {
