Name in a crash what had begun and was told to stop

What callers would see: a deadly gang crashes worker after worker and is never given up. The leader stops the rest of a gang when one member ends; if the stop reaches the worker's successor before the agent knows of the crash, the agent left these runs out of the crash, and the leader counted it for nobody. Change: a run that had begun and was told to stop may have been at work. The lists of a successor are asked for once it has accepted all stops, not one.

--- a/core/worker_control/crash.ts
+++ b/core/worker_control/crash.ts
@@ -117,11 +117,13 @@
  * A worker that had been silent before the call was gone already.
  */
 function mayHaveBegun(
-  { phase, startSentAt }: RunControl,
+  { phase, startSentAt, startedAt }: RunControl,
   worker: ControlledWorker,
   silence: Silence,
 ): boolean {
   if (phase === ControlPhase.Started) return true;
+  // Lists that show the effect of the stop have not come yet.
+  if (phase === ControlPhase.Stopped) return startedAt !== undefined;
   return phase === ControlPhase.Starting && startSentAt !== undefined &&
     startSentAt <= silence.failedAt &&
     startSentAt - worker.answeredAt <= HOLD_WAIT + ANSWER_DELAY;
--- a/core/worker_control/crash_test.ts
+++ b/core/worker_control/crash_test.ts
@@ -82,6 +82,20 @@
   t.end();
 });
 
+// Guards against a gang that crashes worker after worker and is never given up:
+// its members are stopped while the crash is not known yet.
+test("a run that began and was told to stop may have been at work", (t) => {
+  const reduce = createBusy();
+  const stop = orders({ stops: [{ task: "b.0.0.0", run: 1 }] });
+  reduce({ kind: "orders", now: 1040, orders: stop });
+  const stopped = { worker: WORKER, run: "b.0.0.0#1", stopped: true } as const;
+  reduce({ kind: "stopAnswered", now: 1050, ...stopped });
+  const next = announcement({ id: "i-2", born: 3900 });
+  const effects = reduce({ kind: "announced", now: 1060, announcement: next });
+  t.same(crashesOf(effects), EXPOSED);
+  t.end();
+});
+
 // Guards against a run that crashes its worker at once and is taken for an old
 // one, because its worker still listed it.
 test("a run that was only just listed is not settled", (t) => {
--- a/core/worker_control/open_starts.ts
+++ b/core/worker_control/open_starts.ts
@@ -79,3 +79,10 @@
     phase !== ControlPhase.Ended
   );
 }
+
+/** Whether the worker has accepted the stops of all such starts. */
+export function haveAllAcceptedStop(state: ControlState): boolean {
+  return [...state.runs.values()].every(({ misdirected, phase }) =>
+    misdirected !== true || phase !== ControlPhase.Starting
+  );
+}
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -16,6 +16,7 @@
 import {
   CALL_DELAY_LIMIT,
   hasMisdirected,
+  haveAllAcceptedStop,
   noteStartSettled,
 } from "./open_starts.ts";
 import { nextReportTime, noteRelease } from "./overtaken.ts";
@@ -248,7 +249,9 @@
     if (control.phase === ControlPhase.Ended) return;
     control.phase = ControlPhase.Stopped;
     control.answeredAt = event.now;
-    if (control.misdirected) state.hold.nextCallAt = event.now;
+    if (control.misdirected && haveAllAcceptedStop(state)) {
+      state.hold.nextCallAt = event.now;
+    }
     return;
   }
   if (control.phase !== ControlPhase.Starting) return;
--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -162,4 +162,40 @@
       ],
     },
   },
+  {
+    name: "a gang that crashes its worker is stopped before the crash is known",
+    cause: "an agent left out of a crash what had begun and was told to stop " +
+      "(mayHaveBegun in core/worker_control/crash.ts)",
+    plan: {
+      setup: {
+        leaders: 1,
+        agents: [{
+          accelerators: 4,
+          clockRate: 1,
+          linkDelays: [33],
+          stopDelay: 23,
+          endsPerAnswer: 2,
+        }, {
+          accelerators: 8,
+          clockRate: 0.99,
+          linkDelays: [6],
+          stopDelay: 29,
+          endsPerAnswer: 500,
+        }],
+        guaranteed: 8,
+        callsOutliveWorkers: false,
+      },
+      inputs: [{
+        at: 14465,
+        kind: "job",
+        id: "j14",
+        team: "team-a",
+        priority: 1,
+        maxAttempts: 1,
+        steps: [{ count: 4, accelerators: 2, gang: true, duration: 137 }],
+        failures: 0,
+        deadly: { after: 1, downFor: 4, sameId: true },
+      }],
+    },
+  },
 ];
--- a/wire/link/link.ts
+++ b/wire/link/link.ts
@@ -27,7 +27,7 @@
    * `UNSENT_LIMIT` bytes are then unsent, the link is closed.
    */
   send(message: unknown): void;
-  /** Closes the link; unsent messages are lost. */
+  /** Closes the link; the peer may still get messages that were sent before. */
   close(): void;
   /** Whether either side has closed the link, or it has failed. */
   readonly closed: boolean;
