--- a/testing/explorer/draw_plan.ts
+++ b/testing/explorer/draw_plan.ts
@@ -35,6 +35,7 @@
   crashLeader: 2,
   slowStore: 4,
   slowCalls: 8,
+  hideWorker: 6,
   repeatHeartbeat: 2,
 };
 
@@ -185,6 +186,7 @@
       const less = draw.whole(1, 4);
       return { kind, agent, less, duration: draw.time(100, 12_000) };
     }
+    case "hideWorker":
     case "pauseAgent":
     case "suspendAgent":
       return { kind, agent, duration: draw.absence(100) };
--- a/testing/explorer/inputs.ts
+++ b/testing/explorer/inputs.ts
@@ -127,6 +127,8 @@
     lost: boolean;
     duration: Milliseconds;
   }
+  /** The worker works on, but neither calls nor heartbeats arrive. */
+  | { kind: "hideWorker"; agent: number; duration: Milliseconds }
   /** A heartbeat arrives once more. */
   | { kind: "repeatHeartbeat"; agent: number; delay: Milliseconds };
 
--- a/testing/explorer/model/agent_machine.ts
+++ b/testing/explorer/model/agent_machine.ts
@@ -38,7 +38,8 @@
       | "pauseAgent"
       | "suspendAgent"
       | "restartAgent"
-      | "slowCalls";
+      | "slowCalls"
+      | "hideWorker";
   }
 >;
 
@@ -65,7 +66,9 @@
   const worker = startWorkerMachine({
     ...fields,
     listener: {
-      onHeartbeat: (announcement) => agent?.onHeartbeat(announcement),
+      onHeartbeat: (announcement) => {
+        if (!calls.isHidden()) agent?.onHeartbeat(announcement);
+      },
       onLeft: (id) => agent?.onLeft(id),
     },
   });
@@ -133,6 +136,9 @@
         });
       case "restartAgent":
         return isRunning() ? restart(fault.downFor) : undefined;
+      case "hideWorker":
+        noteSilence(fault.duration);
+        return calls.hide(fault.duration);
       case "slowCalls":
         return calls.disturb(fault);
       default:
