--- a/core/scheduler/reports.ts
+++ b/core/scheduler/reports.ts
@@ -16,11 +16,18 @@
 import { capacityOf, noteCapacity, withdrawExcess } from "./capacity.ts";
 import { noteSettled } from "./crash_counts.ts";
 import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
-import { applyEnding, loseRun } from "./endings.ts";
+import { applyEnding, applyLateEnding, loseRun } from "./endings.ts";
 import { noteLeaving } from "./evacuate.ts";
 import { noteBegun } from "./progress.ts";
 import { noteOutages } from "./outages.ts";
-import { addRun, addToWorker, findTask, noteListed, stopRun } from "./runs.ts";
+import {
+  addRun,
+  addToWorker,
+  findTask,
+  moveRun,
+  noteListed,
+  stopRun,
+} from "./runs.ts";
 import { isApplied } from "./state.ts";
 import type { Agent, Run, SchedulerState, Worker } from "./state.ts";
 
@@ -47,6 +54,7 @@
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
   noteOutages(agent, report, now);
+  moveListedRuns(state, agent, report);
   for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
   for (const key of report.emptied) {
     loseRuns(fields, (run) => run.worker === key, LossReason.Emptied);
@@ -73,6 +81,22 @@
   advanceAcknowledged(state, worker);
 }
 
+/**
+ * Moves runs to the worker that lists them. A worker that starts again under its
+ * id may carry out a start that was sent to its former incarnation.
+ */
+function moveListedRuns(
+  state: SchedulerState,
+  agent: Agent,
+  { worker, listed, running, ended }: AgentReport,
+): void {
+  if (!worker || !listed) return;
+  for (const name of [...running, ...ended]) {
+    const run = state.runs.get(runKey(name));
+    if (run?.agent === agent.name) moveRun(state, run, worker.key);
+  }
+}
+
 /**
  * Handles a report without a worker. Nothing more is started on the worker
  * known so far; once it can't hold a lease any more, its runs are lost.
@@ -188,7 +212,20 @@
     known.state = reported;
     return known;
   }
-  if (known && known.state.born > reported.born) return undefined;
+  if (known && known.state.born > reported.born) {
+    state.effects.push({
+      kind: "log",
+      level: "info",
+      text: "Report ignored.",
+      fields: {
+        reason: "incarnation",
+        agent: agent.name,
+        worker: reported.key,
+        known: known.state.key,
+      },
+    });
+    return undefined;
+  }
   loseRuns(
     fields,
     (run) => run.agent === agent.name && run.worker !== reported.key,
@@ -239,10 +276,11 @@
       noteBegun(state, run.job);
       applyEnding({ state, worker, run, ended, now, date });
     }
+    const job = matches ? run.job : applyLateEnding({ state, ended, date });
     worker.unstoredEnds.push({
       number: ended.number,
-      job: matches ? run.job : undefined,
-      version: matches ? run.job.version : 0,
+      job,
+      version: job?.version ?? 0,
     });
   }
 }
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -108,11 +108,25 @@
   addCapacity(worker.used, taskCapacity(run.step), 1);
 }
 
+/** Moves a run to the worker with this key, which need not be known yet. */
+export function moveRun(state: SchedulerState, run: Run, key: string): void {
+  if (run.worker === key) return;
+  removeFromWorker(state, run);
+  run.worker = key;
+  const worker = state.workers.get(key);
+  if (worker) addToWorker(worker, run);
+}
+
 /** Removes a run that has ended and frees its capacity. */
 export function removeRun(state: SchedulerState, run: Run): void {
   state.planDue = true;
   state.runs.delete(runKey({ task: run.name, run: run.run }));
   run.job.runs.delete(run);
+  removeFromWorker(state, run);
+  state.changedAgents.add(run.agent);
+}
+
+function removeFromWorker(state: SchedulerState, run: Run): void {
   const worker = state.workers.get(run.worker);
   if (worker?.runs.delete(run)) {
     if (run.step.checkpointing) worker.checkpointingRuns--;
@@ -120,7 +134,6 @@
     if (run.stopping) worker.stoppingRuns--;
     addCapacity(worker.used, taskCapacity(run.step), -1);
   }
-  state.changedAgents.add(run.agent);
 }
 
 /** Whether the run is its task's latest one and is still wanted. */
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -13,6 +13,11 @@
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
+import {
+  CALL_DELAY_LIMIT,
+  hasMisdirected,
+  noteStartSettled,
+} from "./open_starts.ts";
 import { nextReportTime, noteRelease } from "./overtaken.ts";
 import { sendDueCalls, updateFromLists } from "./run_control.ts";
 import { ControlPhase, HOLD_WAIT } from "./state.ts";
@@ -35,8 +40,6 @@
 const FAILED_HOLD_LIMIT = 2;
 /** Longest time between reports; each answered one extends the grant. */
 const REPORT_INTERVAL: Milliseconds = 800;
-/** Longest time between sending a call and the worker's carrying it out. */
-const CALL_DELAY_LIMIT: Milliseconds = 12_000;
 /** A worker that still answers this long after a deregistration sent none. */
 const LEAVE_DURATION: Milliseconds = 1000;
 
@@ -62,9 +65,11 @@
     hasGrant: false,
     suspended: 0,
     runs: new Map(),
+    openStarts: new Map(),
     hold: { callPending: false, nextCallAt: 0, failures: 0, refused: false },
     emptied: [],
     crashes: [],
+    withheldCrashes: new Set(),
     lastReportAt: 0,
     reportDue: true,
     effects: [],
@@ -126,7 +131,9 @@
   event: Extract<ControlEvent, { kind: "held" }>,
 ): void {
   const { worker } = state;
-  if (!worker || worker.state.key !== event.worker) return;
+  if (!worker || worker.state.key !== event.worker) {
+    return noteLateAnswer(state, event);
+  }
   state.hold.callPending = false;
   if (event.born > worker.state.born) {
     replaceIncarnation(state, event.born, event.now);
@@ -160,6 +167,10 @@
   worker.listed = true;
   if (listsFingerprint(worker) !== before) state.reportDue = true;
   updateFromLists(state, worker, event.sentAt);
+  // The next lists are of use once the stops have been accepted.
+  if (hasMisdirected(state)) {
+    state.hold.nextCallAt = event.now + HOLD_RETRY_DELAY;
+  }
 }
 
 /**
@@ -198,7 +209,7 @@
 ): void {
   const { worker } = state;
   const { worker: key, reason, refused, connectionLost } = event;
-  if (!worker || worker.state.key !== key) return;
+  if (!worker || worker.state.key !== key) return noteLateAnswer(state, event);
   state.hold.callPending = false;
   if (!state.hold.silence && worker.leftAt === undefined) {
     const aliveAt = connectionLost ? event.now : worker.answeredAt;
@@ -221,7 +232,9 @@
   state: ControlState,
   event: Extract<ControlEvent, { kind: "startAnswered" | "stopAnswered" }>,
 ): void {
-  if (state.worker?.state.key !== event.worker) return;
+  if (state.worker?.state.key !== event.worker) {
+    return noteLateAnswer(state, event);
+  }
   const control = state.runs.get(event.run);
   if (!control) return;
   control.callPending = false;
@@ -231,14 +244,18 @@
       control.nextCallAt = event.now + HOLD_RETRY_DELAY;
       return;
     }
+    // Lists that show the end may come before the answer to the stop.
+    if (control.phase === ControlPhase.Ended) return;
     control.phase = ControlPhase.Stopped;
     control.answeredAt = event.now;
+    if (control.misdirected) state.hold.nextCallAt = event.now;
     return;
   }
   if (control.phase !== ControlPhase.Starting) return;
   const { outcome } = event;
   if (outcome.kind === "refused" && control.unansweredStarts === 0) {
     control.startSentAt = undefined;
+    noteStartSettled(state, control);
   }
   log(state, "Start answered.", {
     run: event.run,
@@ -268,6 +285,19 @@
   }
 }
 
+/** Logs what became of a call to a former incarnation; it changes nothing. */
+function noteLateAnswer(
+  state: ControlState,
+  event: Extract<ControlEvent, { worker: string }>,
+): void {
+  log(state, "Answer ignored.", {
+    reason: "incarnation",
+    answer: event.kind,
+    worker: event.worker,
+    run: "run" in event ? event.run : "",
+  });
+}
+
 /**
  * Whether the worker may still carry out calls of an earlier process of this
  * agent.
@@ -346,8 +376,10 @@
   if (!state.reportDue && now < state.lastReportAt + REPORT_INTERVAL) return;
   state.reportDue = false;
   state.lastReportAt = now;
-  const { worker } = state;
   const controls = [...state.runs.values()];
+  const withheld = hasMisdirected(state);
+  if (!withheld) state.withheldCrashes.clear();
+  const worker = withheld ? undefined : state.worker;
   const gone = worker !== undefined && state.emptied.includes(worker.state.key);
   const report: AgentReport = {
     kind: "report",
@@ -366,7 +398,9 @@
       .filter((control) => control.phase === ControlPhase.Absent)
       .map((control) => control.name),
     emptied: state.emptied,
-    crashes: state.crashes.map((crash) => tellCrash(crash, now)),
+    crashes: state.crashes
+      .filter((crash) => !state.withheldCrashes.has(crash.worker))
+      .map((crash) => tellCrash(crash, now)),
     silence: state.hold.silence && tellSilence(state.hold.silence, now),
   };
   noteRelease(state, report);
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -100,6 +100,11 @@
   order?: StartOrder;
   phase: ControlPhase;
   stopRequested: boolean;
+  /**
+   * Whether the start was ordered for a former incarnation with the same id, so
+   * that the present one may have got the call.
+   */
+  misdirected?: boolean;
   /** Whether a start or stop call is waiting for its answer. */
   callPending: boolean;
   /** When the first start call was sent that the worker has not refused. */
@@ -119,6 +124,18 @@
   refusalReason: string;
 }
 
+/** Returns the fields of a run for which no call was sent yet. */
+export function createIdleControl(now: Milliseconds) {
+  return {
+    stopRequested: false,
+    callPending: false,
+    unansweredStarts: 0,
+    nextCallAt: now,
+    answeredAt: 0,
+    refusalReason: "",
+  };
+}
+
 /** How long the worker delays the answer to a hold call until a run ends. */
 export const HOLD_WAIT: Milliseconds = 1000;
 
@@ -163,6 +180,15 @@
 } as const;
 export type Overtaking = typeof Overtaking[keyof typeof Overtaking];
 
+/** A start call that a later incarnation with the same id may carry out. */
+export interface OpenStart {
+  name: RunName;
+  /** Id of the worker that it was sent to. */
+  id: string;
+  /** When the latest call for this run was sent. */
+  sentAt: Milliseconds;
+}
+
 /** State of an agent's reducer. */
 export interface ControlState {
   times: ControlTimes;
@@ -188,11 +214,15 @@
   worker?: ControlledWorker;
   /** Ordered runs by `runKey`. */
   runs: Map<string, RunControl>;
+  /** Start calls by `runKey`, until lists show that they were carried out. */
+  openStarts: Map<string, OpenStart>;
   hold: HoldLoop;
   /** Keys of worker incarnations on which nothing runs any more. */
   emptied: string[];
   /** The latest crashes of the worker, the last one at the end. */
   crashes: RecordedCrash[];
+  /** Keys of incarnations whose crash the leader must not hear of yet. */
+  withheldCrashes: Set<string>;
   lastReportAt: Milliseconds;
   /** Whether a report is sent at the end of the current event. */
   reportDue: boolean;
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -9,10 +9,12 @@
   capacityOf,
   isEqualCapacity,
   largestOf,
+  runKey,
 } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
 import { latestEarlierLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
+import { createMisdirected, listOpenStarts } from "./open_starts.ts";
 import { ControlPhase } from "./state.ts";
 import type {
   Announcement,
@@ -21,6 +23,9 @@
   RunControl,
 } from "./state.ts";
 
+/** Capacity of an incarnation that has sent no heartbeat yet. */
+const UNKNOWN_CAPACITY = { millicores: 0, megabytes: 0, accelerators: 0 };
+
 /**
  * Applies a worker's heartbeat. Heartbeats that arrive out of order or come
  * from an earlier incarnation are ignored.
@@ -34,7 +39,9 @@
   const { id, clock, sequence, ...described } = announcement;
   const key = workerKey(id, announcement.born);
   if (worker && worker.state.key === key) {
-    if (sequence <= worker.sequence) return;
+    if (sequence <= worker.sequence) {
+      return noteLateHeartbeat(state, announcement, "sequence");
+    }
     worker.sequence = sequence;
     const drainingChanged = worker.state.draining !== announcement.draining;
     noteCapacity(state, worker, announcement);
@@ -50,7 +57,9 @@
     }
     return;
   }
-  if (worker && worker.state.born >= announcement.born) return;
+  if (worker && worker.state.born >= announcement.born) {
+    return noteLateHeartbeat(state, announcement, "incarnation");
+  }
   switchWorker(state, {
     id,
     state: {
@@ -72,6 +81,15 @@
   }, now);
 }
 
+function noteLateHeartbeat(
+  state: ControlState,
+  { id, born, sequence }: Announcement,
+  reason: "sequence" | "incarnation",
+): void {
+  const worker = workerKey(id, born);
+  log(state, "Heartbeat ignored.", { reason, worker, sequence });
+}
+
 /**
  * Reports a changed capacity at once, and drops starts that were ordered for
  * the former one and not sent yet.
@@ -101,7 +119,11 @@
     control.startSentAt === undefined && !control.stopRequested;
 }
 
-/** Switches to a new incarnation of the worker, started at `born`. */
+/**
+ * Switches to a new incarnation of the worker, started at `born`. It may be of
+ * another kind than the former one, so that it can hold nothing until its first
+ * heartbeat.
+ */
 export function replaceIncarnation(
   state: ControlState,
   born: Milliseconds,
@@ -112,13 +134,14 @@
     ...worker,
     state: {
       ...worker.state,
+      ...UNKNOWN_CAPACITY,
       born,
       key: workerKey(worker.id, born),
       draining: false,
       reachable: true,
-      full: capacityOf(worker.state),
+      full: UNKNOWN_CAPACITY,
     },
-    sequence: 0,
+    sequence: -1,
     clock: undefined,
     latestLeaseEnd: latestEarlierLeaseEnd(state, now),
     leftAt: undefined,
@@ -161,8 +184,15 @@
   if (former && !state.emptied.includes(former.state.key)) {
     recordCrash(state, former, now);
   }
+  const misdirected = listOpenStarts(state, worker.id, now);
+  if (former && misdirected.length > 0) {
+    state.withheldCrashes.add(former.state.key);
+  }
   state.worker = worker;
   state.runs.clear();
+  for (const name of misdirected) {
+    state.runs.set(runKey(name), createMisdirected(name, now));
+  }
   state.emptied = [];
   state.hold = {
     callPending: false,
@@ -171,7 +201,10 @@
     refused: false,
   };
   state.reportDue = true;
-  log(state, "New worker incarnation.", { worker: worker.state.key });
+  log(state, "New worker incarnation.", {
+    worker: worker.state.key,
+    misdirected: misdirected.map(runKey).join(),
+  });
 }
 
 /** Returns the key of a worker incarnation. */
--- a/testing/platform/soak/ledger.ts
+++ b/testing/platform/soak/ledger.ts
@@ -86,12 +86,14 @@
 
 /**
  * End of a run as done. Until it is acknowledged it may be lost with its
- * worker, and the task may then run again.
+ * worker, or remain unknown until the worker's lease is over; the task may then
+ * run again.
  */
 interface DoneEnd {
+  worker: string;
   acknowledged: boolean;
-  /** Whether the task started again after this end. */
-  startedAfter: boolean;
+  /** Whether the task started again while the worker still had a lease. */
+  leaseAtStart: boolean;
 }
 
 interface GangRecord {
@@ -126,6 +128,8 @@
   failsRuns: (worker: string) => boolean;
   /** Whether no fault affected the agent of the worker a moment ago. */
   isInTouch: (worker: string) => boolean;
+  /** Whether the worker has a lease now; false once it has crashed. */
+  hasLease: (worker: string) => boolean;
   /** Called when a task started that crashes the worker. */
   onDeadlyStart: (worker: string, task: string) => void;
 }) {
@@ -219,7 +223,7 @@
     }
     for (const end of listDoneEnds(run.task)) {
       if (end.acknowledged) report("TWICE", `${name}, after acknowledged end`);
-      end.startedAfter = true;
+      end.leaseAtStart ||= fields.hasLease(end.worker);
     }
     for (const earlier of step.after) {
       if (!isStepDone(prefix, record, earlier)) report("ORDER", name);
@@ -297,7 +301,11 @@
       const task = findTask(run.task);
       task.running.delete(worker);
       if (ending === "done") {
-        task.done.set(run.run, { acknowledged: false, startedAfter: false });
+        task.done.set(run.run, {
+          worker,
+          acknowledged: false,
+          leaseAtStart: false,
+        });
       }
       const { step } = parse(run.task);
       if (step?.gang && ending !== "done") findGang(run).ending ??= ending;
@@ -312,10 +320,10 @@
       const end = task.done.get(run.run);
       if (ending !== "done" || !end || end.acknowledged) return;
       end.acknowledged = true;
-      if (end.startedAfter) {
+      if (end.leaseAtStart) {
         report(
           "TWICE",
-          `${run.task}#${run.run}, whose end was acknowledged after a new start`,
+          `${run.task}#${run.run} at ${end.worker}, whose end was acknowledged after a new start`,
         );
       }
     },
