Move the reports of an agent into a module of their own

core/worker_control/reducer.ts had grown to 411 lines. The time of the latest report is named apart from that of a report which orders answer.

--- a/core/worker_control/overtaken.ts
+++ b/core/worker_control/overtaken.ts
@@ -58,11 +58,11 @@
   state: ControlState,
   now: Milliseconds,
 ): Milliseconds {
-  state.reportedAt = Math.max(
+  state.reportSentAt = Math.max(
     now + state.suspended,
-    state.reportedAt + REPORT_STEP,
+    state.reportSentAt + REPORT_STEP,
   );
-  return state.reportedAt;
+  return state.reportSentAt;
 }
 
 /** Notes the first report after which the leader counts all runs as ended. */
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -7,8 +7,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
-import type { AgentReport } from "@dragonflyledge/scheduler";
-import { listUnsettled, recordCrash, tellCrash, tellSilence } from "./crash.ts";
+import { recordCrash } from "./crash.ts";
 import { noteGrantEnd } from "./grant.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
@@ -19,7 +18,7 @@
   haveAllAcceptedStop,
   noteStartSettled,
 } from "./open_starts.ts";
-import { nextReportTime, noteRelease } from "./overtaken.ts";
+import { sendReportIfDue } from "./report.ts";
 import { sendDueCalls, updateFromLists } from "./run_control.ts";
 import { ControlPhase, HOLD_WAIT } from "./state.ts";
 import type {
@@ -39,8 +38,6 @@
 const HOLD_RETRY_DELAY: Milliseconds = 150;
 /** Failed hold calls in a row after which the worker counts as unreachable. */
 const FAILED_HOLD_LIMIT = 2;
-/** Longest time between reports; each answered one extends the grant. */
-const REPORT_INTERVAL: Milliseconds = 800;
 /** A worker that still answers this long after a deregistration sent none. */
 const LEAVE_DURATION: Milliseconds = 1000;
 
@@ -59,7 +56,7 @@
     times: fields.times,
     epoch: 0,
     answeredReport: -Infinity,
-    reportedAt: -Infinity,
+    reportSentAt: -Infinity,
     released: false,
     releasedAt: -Infinity,
     grantEnd: 0,
@@ -363,49 +360,3 @@
     wait: pending || !worker.listed || !worker.state.reachable ? 0 : HOLD_WAIT,
   });
 }
-
-/**
- * Whether no worker can hold a lease from this agent: none is known, and the
- * grant of an earlier process of the agent has ended. That grant can have begun
- * no later than this process.
- */
-function isVacant(state: ControlState, now: Milliseconds): boolean {
-  return state.worker === undefined &&
-    now > (state.startedAt ?? now) + state.times.grant;
-}
-
-/** Reports to the leader after a change, and otherwise at intervals. */
-function sendReportIfDue(state: ControlState, now: Milliseconds): void {
-  if (!state.reportDue && now < state.lastReportAt + REPORT_INTERVAL) return;
-  state.reportDue = false;
-  state.lastReportAt = now;
-  const controls = [...state.runs.values()];
-  const withheld = hasMisdirected(state);
-  if (!withheld) state.withheldCrashes.clear();
-  const worker = withheld ? undefined : state.worker;
-  const gone = worker !== undefined && state.emptied.includes(worker.state.key);
-  const report: AgentReport = {
-    kind: "report",
-    sentAt: nextReportTime(state, now),
-    vacant: isVacant(state, now),
-    worker: worker && { ...worker.state },
-    listed: worker !== undefined && worker.listed && !gone,
-    running: worker?.running ?? [],
-    unsettled: worker ? listUnsettled(state, worker) : [],
-    ended: worker?.ended ?? [],
-    allEnds: worker?.allEnds ?? true,
-    refused: controls
-      .filter((control) => control.phase === ControlPhase.Refused)
-      .map((control) => ({ ...control.name, reason: control.refusalReason })),
-    absent: controls
-      .filter((control) => control.phase === ControlPhase.Absent)
-      .map((control) => control.name),
-    emptied: state.emptied,
-    crashes: state.crashes
-      .filter((crash) => !state.withheldCrashes.has(crash.worker))
-      .map((crash) => tellCrash(crash, now)),
-    silence: state.hold.silence && tellSilence(state.hold.silence, now),
-  };
-  noteRelease(state, report);
-  state.effects.push({ kind: "report", report });
-}
--- /dev/null
+++ b/core/worker_control/report.ts
@@ -0,0 +1,62 @@
+/**
+ * Reports of an agent to the leader.
+ *
+ * @module
+ */
+
+import type { Milliseconds } from "@dragonflyledge/model";
+import type { AgentReport } from "@dragonflyledge/scheduler";
+import { listUnsettled, tellCrash, tellSilence } from "./crash.ts";
+import { hasMisdirected } from "./open_starts.ts";
+import { nextReportTime, noteRelease } from "./overtaken.ts";
+import { ControlPhase } from "./state.ts";
+import type { ControlState } from "./state.ts";
+
+/** Longest time between reports; each answered one extends the grant. */
+const REPORT_INTERVAL: Milliseconds = 800;
+
+/**
+ * Whether no worker can hold a lease from this agent: none is known, and the
+ * grant of an earlier process of the agent has ended. That grant can have begun
+ * no later than this process.
+ */
+function isVacant(state: ControlState, now: Milliseconds): boolean {
+  return state.worker === undefined &&
+    now > (state.startedAt ?? now) + state.times.grant;
+}
+
+/** Reports to the leader after a change, and otherwise at intervals. */
+export function sendReportIfDue(state: ControlState, now: Milliseconds): void {
+  if (!state.reportDue && now < state.lastReportAt + REPORT_INTERVAL) return;
+  state.reportDue = false;
+  state.lastReportAt = now;
+  const controls = [...state.runs.values()];
+  const withheld = hasMisdirected(state);
+  if (!withheld) state.withheldCrashes.clear();
+  const worker = withheld ? undefined : state.worker;
+  const gone = worker !== undefined && state.emptied.includes(worker.state.key);
+  const report: AgentReport = {
+    kind: "report",
+    sentAt: nextReportTime(state, now),
+    vacant: isVacant(state, now),
+    worker: worker && { ...worker.state },
+    listed: worker !== undefined && worker.listed && !gone,
+    running: worker?.running ?? [],
+    unsettled: worker ? listUnsettled(state, worker) : [],
+    ended: worker?.ended ?? [],
+    allEnds: worker?.allEnds ?? true,
+    refused: controls
+      .filter((control) => control.phase === ControlPhase.Refused)
+      .map((control) => ({ ...control.name, reason: control.refusalReason })),
+    absent: controls
+      .filter((control) => control.phase === ControlPhase.Absent)
+      .map((control) => control.name),
+    emptied: state.emptied,
+    crashes: state.crashes
+      .filter((crash) => !state.withheldCrashes.has(crash.worker))
+      .map((crash) => tellCrash(crash, now)),
+    silence: state.hold.silence && tellSilence(state.hold.silence, now),
+  };
+  noteRelease(state, report);
+  state.effects.push({ kind: "report", report });
+}
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -197,7 +197,7 @@
   /** `answersReport` of the orders that were applied last. */
   answeredReport: Milliseconds;
   /** `sentAt` of the latest report. */
-  reportedAt: Milliseconds;
+  reportSentAt: Milliseconds;
   /** Whether that report said that nothing can run on a worker. */
   released: boolean;
   /** `sentAt` of the report that was the first to say so. */
