--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -162,4 +162,22 @@
       ],
     },
   },
+  {
+    name: "a gang that crashes a worker which returns at once is given up",
+    cause:
+      "the next incarnation of the id accepts stops before the agent knows " +
+      "of it, and the crash names no stopped run (mayHaveBegun in " +
+      "core/worker_control/crash.ts)",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 1000,
+          ...singleTask(239),
+          steps: [{ count: 4, accelerators: 2, gang: true, duration: 239 }],
+          deadly: { after: 19, downFor: 4, sameId: true },
+        },
+      ],
+    },
+  },
 ];
