--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -180,4 +180,55 @@
       ],
     },
   },
+  {
+    name: "a worker that returned under its id works no longer than granted",
+    cause: "a start carries the end of a lease on the clock of the former " +
+      "incarnation, so that the lease outlasts the grant (computeLeaseEnd in " +
+      "core/worker_control/lease.ts); seed 892 of 60 inputs on 98a8aa6",
+    plan: {
+      setup: {
+        ...TWO_AGENTS,
+        agents: [
+          { ...AGENT, accelerators: 8, linkDelays: [19], endsPerAnswer: 2 },
+          { ...AGENT, accelerators: 8, linkDelays: [6], clockRate: 0.981 },
+          { ...AGENT, accelerators: 8, linkDelays: [4], clockRate: 0.981 },
+        ],
+      },
+      inputs: [
+        {
+          at: 3873,
+          kind: "slowCalls",
+          agent: 2,
+          call: "hold",
+          delay: 48,
+          lost: true,
+          duration: 3377,
+        },
+        {
+          at: 5435,
+          kind: "crashWorker",
+          agent: 2,
+          downFor: 327,
+          sameId: true,
+          refuses: true,
+        },
+        {
+          at: 6887,
+          ...singleTask(82),
+          priority: 0,
+          maxAttempts: 2,
+          steps: [{ count: 4, accelerators: 1, gang: false, duration: 82 }],
+          failures: 1,
+        },
+        {
+          at: 7352,
+          kind: "cut",
+          agent: 2,
+          leader: 0,
+          duration: 9231,
+          lag: 233,
+        },
+      ],
+    },
+  },
 ];
