--- a/testing/platform/soak/found_seeds.ts
+++ b/testing/platform/soak/found_seeds.ts
@@ -64,4 +64,10 @@
   { seed: 6203, faults: LONG, cause: UNKNOWN_END },
   { seed: 6210, faults: FAULT_NAMES, cause: DROPPED_END },
   { seed: 6212, faults: FAULT_NAMES, cause: UNKNOWN_END },
+  {
+    seed: 6400,
+    faults: FAULT_NAMES,
+    cause: "the soak's check took the lease that a new start at the same " +
+      "worker renews for one that was left",
+  },
 ];
