Log which calls are open when a worker returns under its id

Change: "New worker incarnation." has sameId, openHold, leaseLeft and grantLeft; "Agent lost." names the worker, the silence, whether this leader has heard of the agent, and the number of runs. No logic changes.

--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -135,6 +135,7 @@
   agent: Agent;
   /** The report that shows the loss; undefined without one. */
   report?: AgentReport;
+  now: Milliseconds;
   date: Milliseconds;
 }
 
@@ -167,16 +168,25 @@
 
 /** Marks an agent as lost and removes its worker, where nothing can run now. */
 export function markAgentLost(fields: LossFields): void {
-  const { state, agent } = fields;
+  const { state, agent, now } = fields;
   agent.lost = true;
+  const runs = [...state.runs.values()]
+    .filter((run) => run.agent === agent.name).length;
   loseRuns(fields, (run) => run.agent === agent.name, LossReason.AgentLost);
-  if (agent.worker) state.workers.delete(agent.worker.state.key);
+  const key = agent.worker?.state.key;
+  if (key) state.workers.delete(key);
   agent.worker = undefined;
   state.effects.push({
     kind: "log",
     level: "warn",
     text: "Agent lost.",
-    fields: { agent: agent.name, lastHeard: agent.lastHeard },
+    fields: {
+      agent: agent.name,
+      worker: key ?? "",
+      heard: agent.lastReport !== undefined,
+      silence: Math.round(now - agent.lastHeard),
+      runs,
+    },
   });
 }
 
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -389,7 +389,7 @@
   for (const agent of state.agents.values()) {
     const silence = now - agent.lastHeard;
     if (silence > agentLoss && !agent.lost) {
-      markAgentLost({ state, agent, date });
+      markAgentLost({ state, agent, now, date });
     }
     if (!agent.lost || silence < agentRetention) continue;
     state.agents.delete(agent.name);
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -185,6 +185,7 @@
     recordCrash(state, former, now);
   }
   const misdirected = listOpenStarts(state, worker.id, now);
+  const openHold = state.hold.callPending && former?.id === worker.id;
   if (former && misdirected.length > 0) {
     state.withheldCrashes.add(former.state.key);
   }
@@ -204,6 +205,10 @@
   log(state, "New worker incarnation.", {
     worker: worker.state.key,
     misdirected: misdirected.map(runKey).join(),
+    sameId: former?.id === worker.id,
+    openHold,
+    leaseLeft: Math.round(worker.latestLeaseEnd - now),
+    grantLeft: Math.round(state.grantEnd - now),
   });
 }
 
