Draw scenes of returned workers in the explorer

Change: each plan gets one or two scenes. A worker returns under its id while hold, start or stop calls from before are carried out up to 12 s late; its agent or the leader may be restarted; 0.2 to 4 s after the return the agent is cut off, paused, suspended or down for 7 to 14 s, while long tasks work.

--- a/testing/explorer/draw_plan.ts
+++ b/testing/explorer/draw_plan.ts
@@ -5,18 +5,19 @@
  */
 
 import { createRandom } from "@dragonflyledge/model";
-import type { Milliseconds, Random } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
+import { createDraw } from "./draw.ts";
+import type { Draw } from "./draw.ts";
 import { CallKind, Direction, GUARANTEED_TEAM } from "./inputs.ts";
 import type { Happening, Input, Plan, Setup } from "./inputs.ts";
 import { domainOf } from "./model/names.ts";
+import { drawScenes } from "./scenes.ts";
 
 /** Mean time between two inputs that are not close to each other. */
 const INPUT_INTERVAL: Milliseconds = 500;
 /** Share of the inputs that follow shortly after another. */
 const CLOSE_SHARE = 0.3;
 const CLOSE_TIME: Milliseconds = 100;
-/** Times about as long as a grant, after which agents are given up. */
-const GRANT_TIMES = { shortest: 7000, longest: 11_000 };
 /** How fast workers run tasks. */
 const RATES = [0.6, 1, 1, 1.7];
 /** Evacuations are drawn apart, so that a seed draws the rest as ever. */
@@ -53,24 +54,17 @@
 const SAME_ID = "sameId";
 /** Stands for calls that reach a later incarnation of the same id. */
 const OUTLIVING = "outlivingCalls";
+/** Stands for the scenes, all of which have such returns. */
+const SCENES = "scenes";
 /** What can be left out of plans. */
 export const OMISSIBLE: readonly string[] = [
   ...INPUT_KINDS,
   "evacuate",
   SAME_ID,
   OUTLIVING,
+  SCENES,
 ];
 
-interface Draw {
-  whole(from: number, to: number): number;
-  chance(probability: number): boolean;
-  one<Value>(values: readonly Value[]): Value;
-  /** A time whose order of magnitude is drawn first. */
-  time(shortest: Milliseconds, longest: Milliseconds): Milliseconds;
-  /** Any such time, or one about as long as a grant and a lease. */
-  absence(shortest: Milliseconds): Milliseconds;
-}
-
 /** Draws a plan; what `without` names of `OMISSIBLE` is left out. */
 export function drawPlan(fields: {
   seed: number;
@@ -97,6 +91,9 @@
   const later = createDraw(createRandom(~fields.seed));
   for (const agent of setup.agents) agent.rate = later.one(RATES);
   inputs.push(...drawEvacuations(later, at));
+  if (keepsIds && !without.includes(SCENES)) {
+    inputs.push(...drawScenes({ draw: later, setup, end: at }));
+  }
   return {
     setup,
     inputs: inputs
@@ -115,22 +112,6 @@
   }));
 }
 
-function createDraw(random: Random): Draw {
-  const whole = (from: number, to: number) =>
-    from + Math.floor(random() * (to - from + 1));
-  const time = (shortest: Milliseconds, longest: Milliseconds) =>
-    Math.round(shortest * (longest / shortest) ** random());
-  const { shortest: nearGrant, longest } = GRANT_TIMES;
-  return {
-    whole,
-    chance: (probability) => random() < probability,
-    one: (values) => values[whole(0, values.length - 1)]!,
-    time,
-    absence: (shortest) =>
-      random() < 0.5 ? time(shortest, longest) : whole(nearGrant, longest),
-  };
-}
-
 function drawSetup(draw: Draw): Setup {
   const leaders = draw.whole(1, 2);
   const agents = Array.from({ length: draw.whole(2, 4) }, () => ({
--- a/testing/explorer/explorer_test.ts
+++ b/testing/explorer/explorer_test.ts
@@ -11,14 +11,23 @@
 const SEEDS = 25;
 /** Likewise, for workers that return under their ids. */
 const SEEDS_WITH_RETURNS = 10;
+/** Likewise, for scenes. */
+const SEEDS_WITH_SCENES = 40;
+/** Few, so that the scenes of most plans pass undisturbed. */
+const INPUTS_BESIDE_SCENES = 10;
 
 /** Explores the first seeds. */
-function exploreSeeds(seeds: number, without: string[]) {
+function exploreSeeds(
+  { inputs = INPUTS, ...fields }: {
+    seeds: number;
+    inputs?: number;
+    without: string[];
+  },
+) {
   return explore({
+    ...fields,
     firstSeed: 1,
-    seeds,
-    inputs: INPUTS,
-    without,
+    inputs,
     time: Infinity,
     now: () => 0,
   });
@@ -27,7 +36,10 @@
 // Guards against tasks that run twice or never end, since messages of several
 // links overtake each other while processes and workers fail.
 test("no order of messages breaks a guarantee", (t) => {
-  const { cases, seeds } = exploreSeeds(SEEDS, ["sameId"]);
+  const { cases, seeds } = exploreSeeds({
+    seeds: SEEDS,
+    without: ["sameId"],
+  });
   t.equal(seeds, SEEDS);
   t.same(cases, []);
   t.end();
@@ -36,12 +48,28 @@
 // Guards against the same where a worker takes over what was meant for its
 // former incarnation.
 test("workers that return under their ids break no guarantee", (t) => {
-  const { cases, seeds } = exploreSeeds(SEEDS_WITH_RETURNS, []);
+  const { cases, seeds } = exploreSeeds({
+    seeds: SEEDS_WITH_RETURNS,
+    without: ["scenes"],
+  });
   t.equal(seeds, SEEDS_WITH_RETURNS);
   t.same(cases, []);
   t.end();
 });
 
+// Guards against runs that outlive what the leader believes of a lease, since
+// calls to the former incarnation extend it or start work.
+test("workers that are cut off after their return break no guarantee", (t) => {
+  const { cases, seeds } = exploreSeeds({
+    seeds: SEEDS_WITH_SCENES,
+    inputs: INPUTS_BESIDE_SCENES,
+    without: [],
+  });
+  t.equal(seeds, SEEDS_WITH_SCENES);
+  t.same(cases, []);
+  t.end();
+});
+
 // Guards against cases that can't be repeated or shrunk, since something but the
 // plan determines the run.
 test("a plan always runs in the same way", (t) => {
@@ -59,6 +87,19 @@
   t.end();
 });
 
+// Guards against known seeds that draw other plans since scenes were added.
+test("scenes change nothing else of a seed's plan", (t) => {
+  for (let seed = 1; seed <= SEEDS; seed++) {
+    const plan = drawPlan({ seed, inputs: INPUTS });
+    const plain = drawPlan({ seed, inputs: INPUTS, without: ["scenes"] });
+    const texts = new Set(plan.inputs.map((each) => JSON.stringify(each)));
+    t.ok(plan.inputs.length > plain.inputs.length);
+    t.ok(plain.inputs.every((each) => texts.has(JSON.stringify(each))));
+    t.same(plan.setup, plain.setup);
+  }
+  t.end();
+});
+
 // Guards against a long list of inputs in which the ones that matter are lost.
 // A gang that no worker can hold stands for a fault of the program.
 test("a plan that breaks a guarantee is shrunk to the inputs it needs", (t) => {
