Add five found cases of calls to former incarnations

Cause, as the plans show: a hold or start call for the former incarnation gives the next one the longest lease, so that its runs outlive the time at which the leader gives the agent up; a start for the former incarnation is carried out by the next one when the agent's process is new, or suspended.

Evidence: the log of the shortest case reads like the record: "New worker incarnation.", "Answer ignored." with "incarnation" and "held", then "Agent lost." 8.3 s after the last report, while the first run works on. It needs no late call: the hold call is sent in the 50 ms between the worker's start and its first heartbeat.

Change: the cases are shrunk plans of the scenes, simplified to two agents.

--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { CallKind } from "./inputs.ts";
 import type { AgentSetup, Happening, Plan } from "./inputs.ts";
 
 /** A plan that once broke a guarantee. */
@@ -41,6 +42,35 @@
   };
 }
 
+/** A crash of the first worker, which returns under its id. */
+function crashFirst(
+  downFor: number,
+): Extract<Happening, { kind: "crashWorker" }> {
+  return {
+    kind: "crashWorker",
+    agent: 0,
+    downFor,
+    sameId: true,
+    refuses: false,
+  };
+}
+
+/** Delays calls to the first worker, whose answers arrive. */
+function delayCalls(
+  fields: { call: CallKind; delay: number; duration: number },
+): Extract<Happening, { kind: "slowCalls" }> {
+  return { kind: "slowCalls", agent: 0, lost: false, ...fields };
+}
+
+/** Parts the first agent from its leader for longer than a lease lasts. */
+const CUT_FIRST: Happening = {
+  kind: "cut",
+  agent: 0,
+  leader: 0,
+  duration: 12_000,
+  lag: 10,
+};
+
 /** All plans that once broke a guarantee, in the order they were found. */
 export const FOUND_CASES: RegressionCase[] = [
   {
@@ -299,4 +329,96 @@
       ],
     },
   },
+  {
+    name: "a hold call reaches a worker that has just returned under its id",
+    cause:
+      "it names the end of a lease on the former clock, so that the lease " +
+      "lasts 10 s from then, while the leader gives the agent up 8.3 s after " +
+      "its last report (computeLeaseEnd in core/worker_control/lease.ts); " +
+      "like seed 372 with --events 0, shrunk to 3 inputs",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        { at: 7000, ...crashFirst(190) },
+        { at: 7300, ...singleTask(15_000) },
+        { at: 7800, ...CUT_FIRST },
+      ],
+    },
+  },
+  {
+    name: "a late hold call extends the lease of a returned worker",
+    cause:
+      "the same, with a call from before the crash that is carried out while " +
+      "the agent is cut off; like seed 206 with --events 0, shrunk to 4 inputs",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 6000,
+          ...delayCalls({ call: CallKind.Hold, delay: 8000, duration: 1200 }),
+        },
+        { at: 7000, ...crashFirst(500) },
+        { at: 8000, ...singleTask(15_000) },
+        { at: 8500, ...CUT_FIRST },
+      ],
+    },
+  },
+  {
+    name: "a late start call extends the lease of a returned worker",
+    cause: "the same, with a start that the worker refuses; like seed 355 " +
+      "with --events 0, shrunk to 4 inputs",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 6000,
+          ...delayCalls({ call: CallKind.Start, delay: 8000, duration: 900 }),
+        },
+        { at: 6100, ...singleTask(100) },
+        { at: 7000, ...crashFirst(500) },
+        { at: 8000, ...singleTask(15_000), id: "j1" },
+        { at: 9000, ...CUT_FIRST },
+      ],
+    },
+  },
+  {
+    name: "a returned worker gets a start of its agent's former process",
+    cause: "the start is neither refused nor stopped there, as the present " +
+      "process has not heard of it (core/worker_control/open_starts.ts); " +
+      "like seed 394 with --events 0, shrunk to 4 inputs",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 8000,
+          ...delayCalls({ call: CallKind.Start, delay: 9500, duration: 1900 }),
+        },
+        { at: 9000, ...singleTask(12_000) },
+        { at: 9700, ...crashFirst(400) },
+        { at: 10_150, kind: "restartAgent", agent: 0, downFor: 100 },
+      ],
+    },
+  },
+  {
+    name: "a returned worker gets a late start while its agent is suspended",
+    cause: "the leader gives the agent up while the start may still be " +
+      "carried out by an incarnation that no call has reached (agentLoss in " +
+      "core/scheduler); like seed 48 with --events 0, shrunk to 4 inputs",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 5000,
+          ...delayCalls({
+            call: CallKind.Start,
+            delay: 11_000,
+            duration: 1200,
+          }),
+        },
+        { at: 6000, ...singleTask(15_000) },
+        { at: 6500, kind: "suspendAgent", agent: 0, duration: 12_000 },
+        { at: 7800, ...crashFirst(1000) },
+      ],
+    },
+  },
 ];
