Number the calls of each agent process and worker incarnation

Cause: a call names the worker's id, not its start. A hold or start call for the former incarnation names a lease end on the former clock, which is far ahead of the new one, so that the next incarnation takes the longest lease from the moment at which it carries the call out. The agent took that lease to end 10.2 s after it saw the return, and the leader took it to end with the grant, 8.3 s after the agent's last report. Both bounds were too short. A call of a former process of the agent did the same.

Change: the leader numbers each holder, which is one process of an agent with one worker incarnation. The number goes into the fencing token with the epoch, so that a worker that has answered a call of the present holder does nothing for calls of earlier ones, whichever they are. From then on the longest lease is counted; reports tell what may be left of it, and the leader gives an agent up only after that. An agent that knows no worker says so after the longest lease, not after the grant: the test that expected 8 s rested on the same wrong bound, and now expects 10.2 s.

Weighed: connections that belong to one incarnation (a relay or a listener that outlives the process delivers all the same), waiting until no call can be open (a worker would stand idle for 12 s after each crash), and a lease counted from the latest time at which an open call may come (22 s). With the token a worker that returns takes work after one round trip to the leader.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -23,6 +23,7 @@
   AgentReport,
   CrashedRun,
   EndedTask,
+  Fence,
   KnownRate,
   RefusedStart,
   RunName,
@@ -101,9 +102,12 @@
   mean: isNumber,
   variance: isAmount,
 });
+const isFence = objectWith<Fence>({ holder: isText, number: isCount });
 const isReport = objectWith<AgentReport>({
   kind: (value): value is "report" => value === "report",
   sentAt: isNumber,
+  holder: optional(isText),
+  leaseLeft: optional(isAmount),
   worker: optional(isWorkerState),
   listed: isFlag,
   running: listOf(isRunningTask),
@@ -123,6 +127,7 @@
   kind: (value): value is "orders" => value === "orders",
   epoch: isCount,
   answersReport: isNumber,
+  fence: optional(isFence),
   worker: isText,
   capacity: optional(isCapacity),
   starts: listOf(isStartOrder),
--- /dev/null
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -0,0 +1,120 @@
+import { test } from "tap";
+import { request, step } from "../fleet_for_tests.ts";
+import type { AgentReport, Fence } from "../messages.ts";
+import { createScheduler } from "../reducer.ts";
+import type { SchedulerEffect, SchedulerEvent } from "../state.ts";
+
+const AGENT_LOSS = 8300;
+const JOB = "5c0e7a21d94b36f8";
+const NAME = { task: `${JOB}.0.0.0`, run: 1 };
+const RUNNING = { ...NAME, checkpoint: "", percent: 0 };
+
+function report(
+  now: number,
+  fields: Partial<AgentReport> & { born?: number } = {},
+): AgentReport {
+  const { born = 1000, ...others } = fields;
+  return {
+    kind: "report",
+    sentAt: now,
+    vacant: false,
+    worker: {
+      key: `i-1@${born}`,
+      born,
+      service: "service",
+      rack: "r1-1",
+      labels: [],
+      millicores: 32_000,
+      megabytes: 128_000,
+      accelerators: 8,
+      draining: false,
+      remaining: 0,
+      reachable: true,
+    },
+    listed: true,
+    running: [],
+    ended: [],
+    allEnds: true,
+    refused: [],
+    absent: [],
+    emptied: [],
+    ...others,
+  };
+}
+
+/** Creates a leader that has placed a job's only task on its only agent. */
+function createLeader() {
+  const scheduler = createScheduler({
+    times: {
+      agentLoss: AGENT_LOSS,
+      agentRetention: 60_000,
+      retention: 60_000,
+      planningInterval: 0,
+    },
+  });
+  const reduce = (event: SchedulerEvent) => scheduler.reduce(event);
+  const hear = (now: number, each: AgentReport) =>
+    reduce({ kind: "report", agent: "agent-1", now, date: now, report: each });
+  hear(0, report(0));
+  const job = request({ id: JOB, steps: [step({})] });
+  reduce({ kind: "job", now: 10, request: job });
+  reduce({ kind: "stored", now: 20, job: JOB, version: 99 });
+  return {
+    hear,
+    /** Runs that are not lost at a time at which nothing else happens. */
+    runsAt: (now: number) => {
+      reduce({ kind: "tick", now, date: now });
+      return [...scheduler.state.runs.keys()];
+    },
+  };
+}
+
+const RUN = [`${NAME.task}#1`];
+
+// Guards against a task that runs twice: its worker returned under its id, got a
+// lease longer than the grant, and was cut off with its agent.
+test("a run is not lost before its worker's lease has ended", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING], leaseLeft: 10_204 }));
+  t.same(runsAt(100 + AGENT_LOSS + 1), RUN);
+  t.same(runsAt(100 + 10_204), RUN);
+  t.same(runsAt(100 + 10_204 + 400), []);
+  t.end();
+});
+
+// Guards against work that waits longer than needed after an agent was cut off.
+test("a listed run is lost with the grant of its agent", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING], leaseLeft: 8000 }));
+  t.same(runsAt(100 + AGENT_LOSS), RUN);
+  t.same(runsAt(100 + AGENT_LOSS + 1), []);
+  t.end();
+});
+
+const fenceIn = (effects: SchedulerEffect[]): Fence | undefined =>
+  effects.flatMap((effect) => effect.kind === "orders" ? [effect.orders] : [])
+    .at(-1)?.fence;
+
+// Guards against late calls that a worker carries out, since a later process or
+// incarnation has the same number as an earlier one.
+test("each holder of an agent gets a higher number", (t) => {
+  const { hear } = createLeader();
+  const number = (now: number, holder: string) =>
+    fenceIn(hear(now, report(now, { holder })));
+  t.same(number(100, "a i-1@1000"), { holder: "a i-1@1000", number: 1 });
+  t.same(number(200, "a i-1@1000"), { holder: "a i-1@1000", number: 1 });
+  t.same(number(300, "a i-1@2000"), { holder: "a i-1@2000", number: 2 });
+  t.same(number(400, "b "), { holder: "b ", number: 3 });
+  t.end();
+});
+
+// Guards against numbers that begin anew within an epoch.
+test("an agent that was forgotten gets higher numbers than before", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { holder: "a i-1@1000" }));
+  runsAt(100 + 2 * AGENT_LOSS);
+  runsAt(100_000);
+  const effects = hear(100_100, report(100_100, { holder: "b i-1@1000" }));
+  t.equal(fenceIn(effects)?.number, 2);
+  t.end();
+});
--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -16,7 +16,8 @@
 import { withdrawFromDomain } from "../order/evacuated_domains.ts";
 import { capacityOf, noteCapacity, withdrawExcess } from "../order/capacity.ts";
 import { noteSettled } from "./crash_counts.ts";
-import { applyCrash, noteUnexplainedLoss } from "./crashes.ts";
+import { noteLeaseEnd } from "./agent_loss.ts";
+import { applyCrash } from "./crashes.ts";
 import { applyEnding, applyLateEnding, loseRun } from "./endings.ts";
 import {
   createHealth,
@@ -24,8 +25,10 @@
   noteWorking,
 } from "../health/worker_health.ts";
 import { noteLeaving } from "../order/evacuate.ts";
+import { noteHolder } from "../order/fences.ts";
 import { noteProgress } from "../interference/observe.ts";
 import { noteBegun } from "../record/progress.ts";
+import { loseRuns, LossReason } from "./losses.ts";
 import { noteOutages } from "./outages.ts";
 import { recoverRate } from "../rates/rate_exchange.ts";
 import {
@@ -51,6 +54,8 @@
 export function applyReport(fields: ReportFields): void {
   const { state, agent, report, now } = fields;
   agent.lastHeard = now;
+  noteLeaseEnd(agent, report, now);
+  noteHolder(state, agent.name, report);
   recoverRate(state, agent, report);
   agent.lastReport = report.sentAt;
   // Its worker may take tasks again, and waiting ones can be placed there.
@@ -130,66 +135,6 @@
   agent.worker = undefined;
 }
 
-interface LossFields {
-  state: SchedulerState;
-  agent: Agent;
-  /** The report that shows the loss; undefined without one. */
-  report?: AgentReport;
-  now: Milliseconds;
-  date: Milliseconds;
-}
-
-/** Why all runs of a worker or an agent are lost at once, as it is logged. */
-const LossReason = {
-  Emptied: "worker emptied",
-  Replaced: "worker replaced",
-  NoWorker: "the agent has no worker",
-  AgentLost: "agent lost",
-} as const;
-type LossReason = typeof LossReason[keyof typeof LossReason];
-
-/** Treats the selected runs, whose worker is gone, as ended. */
-function loseRuns(
-  fields: LossFields,
-  isLost: (run: Run) => boolean,
-  reason: LossReason,
-): void {
-  const replaced = reason === LossReason.Replaced ||
-    reason === LossReason.NoWorker;
-  const crashes = fields.report?.crashes ?? [];
-  for (const run of [...fields.state.runs.values()]) {
-    if (!isLost(run)) continue;
-    // The report of a crash names every run that may have been on the worker.
-    const neverBegan = crashes.some(({ worker }) => worker === run.worker);
-    if (!neverBegan) noteUnexplainedLoss(fields, run, replaced);
-    loseRun(fields.state, run, reason);
-  }
-}
-
-/** Marks an agent as lost and removes its worker, where nothing can run now. */
-export function markAgentLost(fields: LossFields): void {
-  const { state, agent, now } = fields;
-  agent.lost = true;
-  const runs = [...state.runs.values()]
-    .filter((run) => run.agent === agent.name).length;
-  loseRuns(fields, (run) => run.agent === agent.name, LossReason.AgentLost);
-  const key = agent.worker?.state.key;
-  if (key) state.workers.delete(key);
-  agent.worker = undefined;
-  state.effects.push({
-    kind: "log",
-    level: "warn",
-    text: "Agent lost.",
-    fields: {
-      agent: agent.name,
-      worker: key ?? "",
-      heard: agent.lastReport !== undefined,
-      silence: Math.round(now - agent.lastHeard),
-      runs,
-    },
-  });
-}
-
 /**
  * Takes back the starts that were not sent before the link to their agent
  * closed; those that were sent may still be carried out.
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -15,6 +15,19 @@
   variance: number;
 }
 
+/** Numbers that a leader can give to the holders of one agent. */
+export const FENCES_PER_EPOCH = 2 ** 16;
+
+/**
+ * Number of a holder: one process of an agent together with the worker
+ * incarnation that it controls. Calls of later holders have higher numbers
+ * within an epoch, and workers refuse the lower ones.
+ */
+export interface Fence {
+  holder: string;
+  number: number;
+}
+
 /** How a run ended, as its worker lists it. */
 export const RunEnding = {
   Done: "done",
@@ -129,6 +142,16 @@
   kind: "report";
   /** Time on the agent's clock, with suspensions, when it sent the report. */
   sentAt: Milliseconds;
+  /**
+   * Names the agent's process and the worker incarnation that it controls, for
+   * the leader to number their calls; undefined in reports of older builds.
+   */
+  holder?: string;
+  /**
+   * Longest time after the report for which a run may be at work on the worker
+   * if no grant follows; undefined in reports of older builds.
+   */
+  leaseLeft?: Milliseconds;
   worker?: WorkerState;
   /** Whether `running` and `ended` come from an answer of `worker`. */
   listed: boolean;
@@ -188,6 +211,11 @@
   epoch: number;
   /** `sentAt` of the last report; the agent's grant starts at that time. */
   answersReport: Milliseconds;
+  /**
+   * Number of the holder in the latest report; undefined in orders of older
+   * builds.
+   */
+  fence?: Fence;
   /** Key of the worker incarnation that the orders are for. */
   worker: string;
   /**
--- a/core/scheduler/order/orders.ts
+++ b/core/scheduler/order/orders.ts
@@ -30,12 +30,13 @@
   const agent = state.agents.get(agentName);
   if (!agent?.connected || agent.lastReport === undefined) return undefined;
   const { worker, lastReport: answersReport } = agent;
+  const fence = state.fences.get(agentName);
   if (!worker) {
     const none = { worker: "", starts: [], stops: [], acknowledged: 0 };
     return {
       kind: "orders",
       agent: agentName,
-      orders: { ...none, answersReport },
+      orders: { ...none, answersReport, ...(fence && { fence }) },
     };
   }
   const runs = [...worker.runs];
@@ -51,6 +52,7 @@
     agent: agentName,
     orders: {
       answersReport,
+      ...(fence && { fence }),
       worker: worker.state.key,
       capacity: starts.length > 0 ? capacityOf(worker.state) : undefined,
       starts: starts.map((run) => ({
--- a/core/scheduler/rates/rate_notices_test.ts
+++ b/core/scheduler/rates/rate_notices_test.ts
@@ -23,7 +23,13 @@
   };
   state.rateNotices = createRateNotices();
   for (const name of beliefs.keys()) {
-    const agent = { name, lastHeard: 0, connected: true, lost: false };
+    const agent = {
+      name,
+      lastHeard: 0,
+      leaseEnd: 0,
+      connected: true,
+      lost: false,
+    };
     state.agents.set(name, { ...agent, outages: [] });
   }
   return { state, known };
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -9,6 +9,7 @@
 import { acceleratorsOf } from "./wait/guarantees.ts";
 import { createProgress, isFinal, JobStatus, TaskPhase } from "./job.ts";
 import type { JobProgress, JobRequest } from "./job.ts";
+import { checkAgent } from "./end/agent_loss.ts";
 import { noteEvacuations } from "./order/evacuated_domains.ts";
 import { createOrders } from "./order/orders.ts";
 import { plan } from "./place/plan.ts";
@@ -20,7 +21,6 @@
 import {
   advanceAcknowledged,
   applyReport,
-  markAgentLost,
   noteDisconnected,
 } from "./end/reports.ts";
 import { addRun, stopRun } from "./runs.ts";
@@ -98,6 +98,7 @@
     planDue: false,
     plannedAt: -Infinity,
     planRequested: false,
+    fences: new Map(),
     changedAgents: new Set(),
     changedJobs: new Set(),
     effects: [],
@@ -297,6 +298,7 @@
   state.agents.set(name, {
     name,
     lastHeard: now,
+    leaseEnd: now,
     connected: false,
     lost: false,
     outages: [],
@@ -385,13 +387,10 @@
   now: Milliseconds,
   date: Milliseconds,
 ): void {
-  const { agentLoss, agentRetention } = state.times;
+  const { agentRetention } = state.times;
   for (const agent of state.agents.values()) {
-    const silence = now - agent.lastHeard;
-    if (silence > agentLoss && !agent.lost) {
-      markAgentLost({ state, agent, now, date });
-    }
-    if (!agent.lost || silence < agentRetention) continue;
+    checkAgent({ state, agent, now, date });
+    if (!agent.lost || now - agent.lastHeard < agentRetention) continue;
     state.agents.delete(agent.name);
     state.rateEstimator.forget(agent.name);
     state.effects.push({ kind: "forget", agent: agent.name });
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -25,6 +25,7 @@
   AgentOrders,
   AgentReport,
   EndedTask,
+  Fence,
   KnownRate,
   WorkerState,
 } from "./messages.ts";
@@ -139,7 +140,9 @@
   lastReport?: Milliseconds;
   /** Whether its last report came over a link that is still open. */
   connected: boolean;
-  /** Whether its grant has run out since its last report. */
+  /** Until then a run may be at work on its worker without a further grant. */
+  leaseEnd: Milliseconds;
+  /** Whether nothing can run on its worker since its last report. */
   lost: boolean;
   worker?: Worker;
   /** Rate of the worker in the last report. */
@@ -159,7 +162,7 @@
 
 /** Time limits that follow from the deployment's settings. */
 export interface SchedulerTimes {
-  /** After this time without a report, nothing runs under an agent. */
+  /** After this time without a report, an agent's grant has ended. */
   agentLoss: Milliseconds;
   /** Agents without a report for this long are forgotten. */
   agentRetention: Milliseconds;
@@ -211,6 +214,8 @@
   dateOffset?: Milliseconds;
   /** Whether a round was asked for that is due after `planningInterval`. */
   planRequested: boolean;
+  /** Numbers of the holders, by agent; kept for agents that are forgotten. */
+  fences: Map<string, Fence>;
   /** Agents to which new orders are to be sent. */
   changedAgents: Set<string>;
   /** Jobs whose progress is to be stored. */
--- /dev/null
+++ b/core/worker_control/fence_test.ts
@@ -0,0 +1,123 @@
+import { test } from "tap";
+import { FENCES_PER_EPOCH } from "@dragonflyledge/scheduler";
+import type { ControlEffect, ControlEvent } from "./mod.ts";
+import {
+  announcement,
+  createWithWorker,
+  holdAnswer,
+  orders,
+  PROCESS,
+  START_ORDER,
+  WORKER,
+} from "./setup_for_tests.ts";
+
+const EPOCH = 7;
+const NEXT = "i-1@2000";
+const NAME = { task: START_ORDER.task, run: START_ORDER.run };
+/** Longest lease of 10 s by the slowest clock. */
+const LONGEST_LEASE_TIME = 10_000 / 0.98;
+
+const fenceOf = (worker: string, number: number) => ({
+  holder: `${PROCESS} ${worker}`,
+  number,
+});
+const tokenOf = (number: number) => EPOCH * FENCES_PER_EPOCH + number;
+
+const callsOf = (effects: ControlEffect[]) =>
+  effects.filter(({ kind }) =>
+    kind === "hold" || kind === "start" || kind === "stop"
+  );
+const reportsOf = (effects: ControlEffect[]) =>
+  effects.flatMap((effect) => effect.kind === "report" ? [effect.report] : []);
+
+const nextHeartbeat = (now: number): ControlEvent => ({
+  kind: "announced",
+  now,
+  announcement: announcement({ born: 2000, clock: 100 }),
+});
+
+/** Creates an agent whose worker has listed its runs to the first holder. */
+function createFenced() {
+  const { reduce } = createWithWorker();
+  const fence = fenceOf(WORKER, 1);
+  const first = orders({ answersReport: 5, fence });
+  const effects = reduce({ kind: "orders", now: 10, orders: first });
+  reduce(holdAnswer(20, 10));
+  return { reduce, effects };
+}
+
+// Guards against a lease of the next incarnation that a call for the former one
+// makes longer than the agent and the leader know.
+test("a returned worker is called once its calls have a higher number", (t) => {
+  const { reduce, effects } = createFenced();
+  t.match(callsOf(effects), [{ kind: "hold", token: tokenOf(1) }]);
+  const returned = reduce(nextHeartbeat(50));
+  t.match(reportsOf(returned), [{ holder: `${PROCESS} ${NEXT}` }]);
+  t.same(callsOf(returned), [], "the number is that of the former one");
+  const former = orders({ answersReport: 40, fence: fenceOf(WORKER, 1) });
+  t.same(callsOf(reduce({ kind: "orders", now: 60, orders: former })), []);
+  const numbered = orders({ answersReport: 50, fence: fenceOf(NEXT, 2) });
+  const calls = callsOf(reduce({ kind: "orders", now: 70, orders: numbered }));
+  t.match(calls, [{ kind: "hold", worker: NEXT, token: tokenOf(2) }]);
+  t.end();
+});
+
+// Guards against a leader that starts a run elsewhere while the lease still
+// holds that the worker may have taken for a call to its former incarnation.
+test("a report tells the lease that a returned worker may have", (t) => {
+  const { reduce } = createFenced();
+  reduce(nextHeartbeat(50));
+  const numbered = orders({ answersReport: 50, fence: fenceOf(NEXT, 2) });
+  reduce({ kind: "orders", now: 70, orders: numbered });
+  const answer = { ...holdAnswer(1070, 70), worker: NEXT, born: 2000 };
+  const [report] = reportsOf(reduce(answer as ControlEvent));
+  t.match(report, { listed: true, worker: { key: NEXT } });
+  t.equal(report!.leaseLeft, LONGEST_LEASE_TIME);
+  t.end();
+});
+
+// Guards against calls that the worker refuses for good, since a former link
+// delivers a lower number after a higher one.
+test("a number that is delivered late does not lower the token", (t) => {
+  const { reduce } = createFenced();
+  reduce(nextHeartbeat(50));
+  const numbered = orders({ answersReport: 50, fence: fenceOf(NEXT, 2) });
+  reduce({ kind: "orders", now: 70, orders: numbered });
+  const late = orders({ answersReport: 40, fence: fenceOf(WORKER, 1) });
+  reduce({ kind: "orders", now: 80, orders: late });
+  const failed = {
+    kind: "holdFailed",
+    worker: NEXT,
+    reason: "no answer",
+    refused: false,
+    connectionLost: false,
+  } as const;
+  reduce({ ...failed, now: 90 });
+  const calls = callsOf(reduce({ kind: "tick", now: 1000 }));
+  t.match(calls, [{ kind: "hold", token: tokenOf(2) }]);
+  t.end();
+});
+
+// Guards against a run that nobody stops: the agent is cut off from all leaders
+// when its worker returns and carries out a start for its former incarnation.
+test("a start for a former incarnation is stopped without a leader", (t) => {
+  const { reduce } = createFenced();
+  const start = orders({
+    answersReport: 25,
+    fence: fenceOf(WORKER, 1),
+    starts: [START_ORDER],
+  });
+  reduce({ kind: "orders", now: 30, orders: start });
+  const calls = callsOf(reduce(nextHeartbeat(50)));
+  t.match(calls, [{ kind: "stop", worker: NEXT, run: NAME }]);
+  t.end();
+});
+
+// Guards against a restarted agent that waits for ever for a number which a
+// leader of an older build does not give.
+test("the epoch alone numbers the calls under a leader of an older build", (t) => {
+  const { reduce } = createWithWorker();
+  const calls = callsOf(reduce({ kind: "orders", now: 10, orders: orders() }));
+  t.match(calls, [{ kind: "hold", token: tokenOf(0) }]);
+  t.end();
+});
--- a/core/worker_control/grant_test.ts
+++ b/core/worker_control/grant_test.ts
@@ -124,6 +124,7 @@
 // store of 4.5 s, in which no leader answers reports.
 test("leases of at most 6 s outlast an absence of the store of 4.5 s", (t) => {
   const control = createWorkerControl({
+    process: "process-1",
     times: { grant: grantLength(6000), longestLease: 6000 },
   });
   control.reduce({ kind: "announced", now: 0, announcement: announcement() });
--- a/core/worker_control/mod.ts
+++ b/core/worker_control/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+export { latestToken } from "./fence.ts";
 export { grantLength } from "./grant.ts";
 export { createWorkerControl } from "./reducer.ts";
 export type { WorkerControl } from "./reducer.ts";
--- a/core/worker_control/open_starts.ts
+++ b/core/worker_control/open_starts.ts
@@ -52,6 +52,19 @@
     .map(({ name }) => name);
 }
 
+/** Returns when the latest of these starts was sent, or -Infinity. */
+export function latestOpenStart(
+  state: ControlState,
+  id: string,
+  now: Milliseconds,
+): Milliseconds {
+  dropExpired(state, now);
+  const times = [...state.openStarts.values()]
+    .filter((start) => start.id === id)
+    .map(({ sentAt }) => sentAt);
+  return Math.max(...times, -Infinity);
+}
+
 function dropExpired(state: ControlState, now: Milliseconds): void {
   for (const [key, { sentAt }] of state.openStarts) {
     if (now - sentAt >= CALL_DELAY_LIMIT) state.openStarts.delete(key);
--- a/core/worker_control/orders.ts
+++ b/core/worker_control/orders.ts
@@ -8,6 +8,7 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { isEqualCapacity, runKey } from "@dragonflyledge/scheduler";
 import type { AgentOrders } from "@dragonflyledge/scheduler";
+import { noteFence } from "./fence.ts";
 import { extendGrant } from "./grant.ts";
 import { log } from "./log.ts";
 import { findOvertaking, noteOvertaken } from "./overtaken.ts";
@@ -26,7 +27,9 @@
   const overtaking = findOvertaking(state, orders);
   if (overtaking) noteOvertaken(state, event, overtaking);
   if (overtaking === Overtaking.Leader) return;
-  if (orders.epoch > state.epoch) {
+  const isNewLeader = orders.epoch > state.epoch;
+  noteFence(state, orders, isNewLeader);
+  if (isNewLeader) {
     state.epoch = orders.epoch;
     state.answeredReport = -Infinity;
     log(state, "New leader.", { epoch: orders.epoch });
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -8,8 +8,13 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
+import { callToken } from "./fence.ts";
 import { noteGrantEnd } from "./grant.ts";
-import { computeLeaseEnd, recordExtension } from "./lease.ts";
+import {
+  computeLeaseEnd,
+  latestEarlierLeaseEnd,
+  recordExtension,
+} from "./lease.ts";
 import { log } from "./log.ts";
 import { applyOrders } from "./orders.ts";
 import {
@@ -48,11 +53,15 @@
   readonly state: ControlState;
 }
 
-/** Creates the reducer of an agent that has not heard from a worker yet. */
+/**
+ * Creates the reducer of an agent that has not heard from a worker yet.
+ * `process` names the process, and differs for each one.
+ */
 export function createWorkerControl(
-  fields: { times: ControlTimes; failureDomain?: string },
+  fields: { process: string; times: ControlTimes; failureDomain?: string },
 ): WorkerControl {
   const state: ControlState = {
+    process: fields.process,
     times: fields.times,
     failureDomain: fields.failureDomain,
     epoch: 0,
@@ -163,6 +172,10 @@
   }));
   worker.ended = event.ended.filter((end) => end.number > worker.acknowledged);
   worker.allEnds = event.allEnds;
+  if (!worker.listed) {
+    // From now on the worker does nothing for calls of earlier holders.
+    worker.latestLeaseEnd = latestEarlierLeaseEnd(state, event.now);
+  }
   worker.listed = true;
   if (listsFingerprint(worker) !== before) state.reportDue = true;
   updateFromLists(state, worker, event.sentAt);
@@ -334,7 +347,8 @@
 /** Calls the worker to extend its lease and to get its lists. */
 function sendHoldIfDue(state: ControlState, now: Milliseconds): void {
   const { worker, hold } = state;
-  if (!worker || state.epoch === 0) return;
+  const token = callToken(state);
+  if (!worker || token === undefined) return;
   if (hold.callPending || now < hold.nextCallAt) return;
   hold.callPending = true;
   const leaving = worker.leftAt !== undefined;
@@ -355,7 +369,7 @@
     kind: "hold",
     worker: worker.state.key,
     id: worker.id,
-    epoch: state.epoch,
+    token,
     until,
     // After a failed call a later incarnation may answer under this id, whose
     // ends have the same numbers as those of the former one.
--- a/core/worker_control/report.ts
+++ b/core/worker_control/report.ts
@@ -7,6 +7,8 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import type { AgentReport, RunName } from "@dragonflyledge/scheduler";
 import { listUnsettled, tellCrash, tellSilence } from "./crash.ts";
+import { holderOf } from "./fence.ts";
+import { latestLeaseEnd } from "./lease.ts";
 import { hasMisdirected, listUnlistedEnds } from "./open_starts.ts";
 import { nextReportTime, noteRelease } from "./overtaken.ts";
 import { ControlPhase } from "./state.ts";
@@ -15,14 +17,9 @@
 /** Longest time between reports; each answered one extends the grant. */
 const REPORT_INTERVAL: Milliseconds = 800;
 
-/**
- * Whether no worker can hold a lease from this agent: none is known, and the
- * grant of an earlier process of the agent has ended. That grant can have begun
- * no later than this process.
- */
+/** Whether no worker is known, and none can hold a lease from this agent. */
 function isVacant(state: ControlState, now: Milliseconds): boolean {
-  return state.worker === undefined &&
-    now > (state.startedAt ?? now) + state.times.grant;
+  return state.worker === undefined && now > latestLeaseEnd(state, now);
 }
 
 const toName = ({ task, run }: RunName): RunName => ({ task, run });
@@ -41,6 +38,8 @@
   const report: AgentReport = {
     kind: "report",
     sentAt: nextReportTime(state, now),
+    holder: holderOf(state),
+    leaseLeft: Math.max(0, latestLeaseEnd(state, now) - now),
     vacant: isVacant(state, now),
     worker: worker && { ...worker.state, failureDomain: state.failureDomain },
     listed: worker !== undefined && worker.listed && !gone,
--- a/core/worker_control/reused_id_test.ts
+++ b/core/worker_control/reused_id_test.ts
@@ -71,7 +71,7 @@
     stopped: new Set<string>(),
     /** `sentAt` of the last report that reached the leader. */
     reportedAt: 0,
-    control: createWorkerControl({ times }),
+    control: createWorkerControl({ process: `agent-${index}`, times }),
   }));
   type Side = typeof sides[number];
   const clockOf = ({ born }: Side) => now - born;
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -7,6 +7,7 @@
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
+import { callToken, latestToken } from "./fence.ts";
 import { computeLeaseEnd, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { noteStartSent, noteStartSettled } from "./open_starts.ts";
@@ -27,21 +28,39 @@
 export function sendDueCalls(state: ControlState, now: Milliseconds): void {
   const { worker } = state;
   if (!worker || worker.leftAt !== undefined || !worker.state.reachable) return;
+  const token = callToken(state);
+  if (token === undefined) return stopMisdirected(state, worker, now);
   // Without the lists, a run that ended before this process knew the worker
   // would be started again.
   if (!worker.listed) return;
   for (const control of state.runs.values()) {
     if (control.callPending || now < control.nextCallAt) continue;
-    if (needsStop(control)) sendStop(state, worker, control);
+    if (needsStop(control)) sendStop(state, worker, control, token);
     else if (
       control.phase === ControlPhase.Starting &&
       isOrderValid(state, control, now)
     ) {
-      sendStart(state, worker, control, now);
+      sendStart(state, worker, control, token, now);
     }
   }
 }
 
+/**
+ * Stops what the worker may start for its former incarnation while no leader
+ * has numbered the calls to it, as when the agent is cut off.
+ */
+function stopMisdirected(
+  state: ControlState,
+  worker: ControlledWorker,
+  now: Milliseconds,
+): void {
+  for (const control of state.runs.values()) {
+    if (!control.misdirected || !needsStop(control)) continue;
+    if (control.callPending || now < control.nextCallAt) continue;
+    sendStop(state, worker, control, latestToken(state));
+  }
+}
+
 /**
  * Updates the phase of each run from the worker's lists, which it returned for
  * a hold call that was sent at `sentAt`.
@@ -113,13 +132,14 @@
   state: ControlState,
   worker: ControlledWorker,
   control: RunControl,
+  token: number,
 ): void {
   control.callPending = true;
   state.effects.push({
     kind: "stop",
     worker: worker.state.key,
     id: worker.id,
-    epoch: state.epoch,
+    token,
     run: control.name,
   });
 }
@@ -128,13 +148,14 @@
   state: ControlState,
   worker: ControlledWorker,
   control: RunControl,
+  token: number,
   now: Milliseconds,
 ): void {
   if (
     control.unansweredStarts >= MAX_UNANSWERED_STARTS || worker.state.draining
   ) {
     control.stopRequested = true;
-    sendStop(state, worker, control);
+    sendStop(state, worker, control, token);
     return;
   }
   const until = computeLeaseEnd(state, worker, now);
@@ -152,7 +173,7 @@
     kind: "start",
     worker: worker.state.key,
     id: worker.id,
-    epoch: state.epoch,
+    token,
     until,
     order: control.order!,
   });
--- a/core/worker_control/setup_for_tests.ts
+++ b/core/worker_control/setup_for_tests.ts
@@ -8,6 +8,8 @@
 import { createWorkerControl } from "./mod.ts";
 import type { Announcement, ControlEvent } from "./mod.ts";
 
+/** Name of the agent's process. */
+export const PROCESS = "process-1";
 /** Key of the worker. */
 export const WORKER = "i-1@1000";
 
@@ -70,6 +72,7 @@
 /** Creates an agent that got a first heartbeat of its worker at time 0. */
 export function createWithWorker() {
   const control = createWorkerControl({
+    process: PROCESS,
     times: { grant: 8000, longestLease: 10_000 },
   });
   const reduce = (event: ControlEvent) => control.reduce(event);
--- a/core/worker_control/state.ts
+++ b/core/worker_control/state.ts
@@ -10,6 +10,7 @@
   AgentReport,
   CrashedRun,
   EndedTask,
+  Fence,
   KnownRate,
   RunName,
   RunningTask,
@@ -47,7 +48,7 @@
   sequence: number;
   /** Latest reading of the worker's clock, and the agent's time of arrival. */
   clock?: { value: Milliseconds; at: Milliseconds };
-  /** Agent's time after which the worker's lease has certainly ended. */
+  /** Agent's time after which no run is at work under the worker's lease. */
   latestLeaseEnd: Milliseconds;
   /**
    * Agent's time at which the worker announced its shutdown. Until a call shows
@@ -64,7 +65,10 @@
   ended: EndedTask[];
   /** Whether that list was complete. */
   allEnds: boolean;
-  /** Whether this incarnation has answered a hold call with its lists. */
+  /**
+   * Whether this incarnation has answered a hold call of the present holder with
+   * its lists, after which it does nothing for calls of earlier holders.
+   */
   listed: boolean;
   /** The leader has stored all ends up to this number. */
   acknowledged: number;
@@ -199,11 +203,18 @@
 
 /** State of an agent's reducer. */
 export interface ControlState {
+  /** Name of this process of the agent; no other has the same. */
+  process: string;
   times: ControlTimes;
   /** Failure domain of the agent's machine; undefined if it is not known. */
   failureDomain?: string;
   /** Highest epoch of a leader that sent orders; 0 before the first. */
   epoch: number;
+  /**
+   * Number of the holder that the leader of this epoch numbered last; undefined
+   * before, and under a leader of an older build.
+   */
+  fence?: Fence;
   /** `answersReport` of the orders that were applied last. */
   answeredReport: Milliseconds;
   /** `sentAt` of the latest report. */
@@ -303,7 +314,7 @@
 
 /**
  * What the caller of the reducer is to do. `until` is the end of the lease in
- * the worker's monotonic time.
+ * the worker's monotonic time, `token` the fencing token of the call.
  */
 export type ControlEffect =
   /**
@@ -314,7 +325,7 @@
     kind: "hold";
     worker: string;
     id: string;
-    epoch: number;
+    token: number;
     until?: Milliseconds;
     acknowledged: number;
     wait: Milliseconds;
@@ -323,10 +334,10 @@
     kind: "start";
     worker: string;
     id: string;
-    epoch: number;
+    token: number;
     until: Milliseconds;
     order: StartOrder;
   }
-  | { kind: "stop"; worker: string; id: string; epoch: number; run: RunName }
+  | { kind: "stop"; worker: string; id: string; token: number; run: RunName }
   | { kind: "report"; report: AgentReport }
   | { kind: "log"; level: LogLevel; text: string; fields: Fields };
--- a/core/worker_control/worker.ts
+++ b/core/worker_control/worker.ts
@@ -12,7 +12,7 @@
   runKey,
 } from "@dragonflyledge/scheduler";
 import { recordCrash } from "./crash.ts";
-import { latestEarlierLeaseEnd } from "./lease.ts";
+import { latestUnfencedLeaseEnd } from "./lease.ts";
 import { log } from "./log.ts";
 import { createMisdirected, listOpenStarts } from "./open_starts.ts";
 import { ControlPhase } from "./state.ts";
@@ -70,7 +70,7 @@
     },
     sequence,
     clock: { value: clock, at: now },
-    latestLeaseEnd: latestEarlierLeaseEnd(state, now),
+    latestLeaseEnd: latestUnfencedLeaseEnd(state, id, now),
     running: [],
     listedAt: new Map(),
     answeredAt: now,
@@ -143,7 +143,7 @@
     },
     sequence: -1,
     clock: undefined,
-    latestLeaseEnd: latestEarlierLeaseEnd(state, now),
+    latestLeaseEnd: latestUnfencedLeaseEnd(state, worker.id, now),
     leftAt: undefined,
     running: [],
     listedAt: new Map(),
--- a/core/worker_control/worker_control_test.ts
+++ b/core/worker_control/worker_control_test.ts
@@ -13,6 +13,7 @@
 /** Creates an agent that has not heard from a worker. */
 function createWithoutWorker() {
   const control = createWorkerControl({
+    process: "process-1",
     times: { grant: 8000, longestLease: 10_000 },
   });
   control.reduce({ kind: "tick", now: 0 });
@@ -248,11 +249,12 @@
     return effect?.kind === "report" && effect.report.vacant;
   };
   t.equal(vacantAt(100), false, "an earlier process may have given a lease");
-  t.equal(vacantAt(7900), false);
-  t.equal(vacantAt(8200), true, "its grant has ended");
+  t.equal(vacantAt(8200), false, "a lease may outlast the grant");
+  t.equal(vacantAt(10_200), false);
+  t.equal(vacantAt(10_300), true, "the longest lease has ended");
   const announced: ControlEvent = {
     kind: "announced",
-    now: 8300,
+    now: 10_400,
     announcement: announcement(),
   };
   const reports = reduce(announced).flatMap((effect) =>
--- a/daemons/worker_agent/agent.ts
+++ b/daemons/worker_agent/agent.ts
@@ -8,6 +8,7 @@
  * @module
  */
 
+import { randomUUID } from "node:crypto";
 import { MEBIBYTE } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
@@ -36,6 +37,7 @@
 import {
   createWorkerControl,
   grantLength,
+  latestToken,
 } from "@dragonflyledge/worker-control";
 import type {
   ControlEffect,
@@ -98,6 +100,7 @@
     clock,
   });
   const control = createWorkerControl({
+    process: randomUUID(),
     times: {
       grant: grantLength(settings.longestLease),
       longestLease: settings.longestLease,
@@ -184,7 +187,7 @@
     worker,
     address: settings.workerAddress,
     service: settings.workerService,
-    epoch: () => control.state.epoch,
+    token: () => latestToken(control.state),
     clock,
     timer,
     log,
--- a/daemons/worker_agent/worker_check.ts
+++ b/daemons/worker_agent/worker_check.ts
@@ -66,8 +66,8 @@
   address: string;
   /** Service of the agent's worker; empty if it is not known. */
   service: string;
-  /** Highest epoch of a leader that is known to the agent. */
-  epoch: () => number;
+  /** Highest fencing token of the agent. */
+  token: () => number;
   clock: Clock;
   timer: Timer;
   log: Log;
@@ -118,7 +118,7 @@
   ): Promise<Refusal | undefined> {
     const end = clock.now() + RETRY_LIMIT;
     while (true) {
-      const answer = await worker.identify({ id, epoch: fields.epoch() });
+      const answer = await worker.identify({ id, token: fields.token() });
       if (answer.kind === "denied") return Refusal.Identity;
       if (answer.kind === "confirmed") {
         return answer.born === born ? undefined : Refusal.Identity;
--- a/daemons/worker_agent/worker_check_test.ts
+++ b/daemons/worker_agent/worker_check_test.ts
@@ -31,14 +31,14 @@
   const instruments = createInstruments();
   const check = createWorkerCheck({
     worker: {
-      identify: ({ id, epoch }) => {
-        asked.push(`${id} ${epoch}`);
+      identify: ({ id, token }) => {
+        asked.push(`${id} ${token}`);
         return Promise.resolve(answers.shift() ?? { kind: "denied" });
       },
     },
     address: ADDRESS,
     service: "planning",
-    epoch: () => 7,
+    token: () => 7,
     clock: { now: () => now, date: () => new Date(now) },
     timer: {
       after: (delay, task) => {
--- a/testing/explorer/model/agent.ts
+++ b/testing/explorer/model/agent.ts
@@ -7,7 +7,10 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
 import type { AgentReport, RunName } from "@dragonflyledge/scheduler";
-import { createWorkerControl } from "@dragonflyledge/worker-control";
+import {
+  createWorkerControl,
+  latestToken,
+} from "@dragonflyledge/worker-control";
 import type {
   Announcement,
   ControlEffect,
@@ -57,13 +60,14 @@
   const startedAt = agenda.now();
   const suspendedBefore = fields.suspended();
   const control = createWorkerControl({
+    process: `${fields.index}@${startedAt}`,
     times: { grant: GRANT, longestLease: LONGEST_LEASE },
     failureDomain: domainOf(fields.index),
   });
   const links = new Set<LinkEnd<AgentReport>>();
   let confirmed: { id: string; born: Milliseconds } | undefined;
   let lastLinkAt = now();
-  let highestEpoch = 0;
+  let highestToken = 0;
 
   function suspended(): Milliseconds {
     return fields.suspended() - suspendedBefore;
@@ -90,7 +94,7 @@
       case "log":
         return fields.onLog(effect);
       default:
-        checkFence(effect.epoch);
+        checkFence(effect.token);
         if (effect.kind === "start") checkEvacuation(effect.order);
         return performCall({
           calls,
@@ -105,11 +109,11 @@
     }
   }
 
-  function checkFence(epoch: number): void {
-    if (epoch < highestEpoch) {
-      ledger.report(Guarantee.Fence, `${epoch} is sent after ${highestEpoch}`);
+  function checkFence(token: number): void {
+    if (token < highestToken) {
+      ledger.report(Guarantee.Fence, `${token} is sent after ${highestToken}`);
     }
-    highestEpoch = Math.max(highestEpoch, epoch);
+    highestToken = Math.max(highestToken, token);
   }
 
   /** The leaders' copies of the domains lag by a moment at most. */
@@ -126,7 +130,7 @@
     calls.send<Milliseconds>({
       kind: CallKind.Hold,
       id,
-      epoch: control.state.epoch,
+      token: latestToken(control.state),
       timeout: IDENTIFY_TIMEOUT,
       carryOut: (worker, answer) => answer(worker.born),
       done: (outcome) =>
--- a/testing/explorer/model/agent_calls.ts
+++ b/testing/explorer/model/agent_calls.ts
@@ -41,11 +41,11 @@
   const { effect } = fields;
   if (effect.kind === "hold") return hold({ ...fields, effect });
   if (effect.kind === "start") return start({ ...fields, effect });
-  const { worker, id, epoch, run } = effect;
+  const { worker, id, token, run } = effect;
   fields.calls.send<true>({
     kind: CallKind.Stop,
     id,
-    epoch,
+    token,
     timeout: CALL_TIMEOUT,
     carryOut: (incarnation, answer) => {
       incarnation.stop(run);
@@ -67,12 +67,12 @@
   now: () => Milliseconds;
   dispatch: (answer: Answer) => void;
 }): void {
-  const { worker, id, epoch, until, acknowledged, wait } = effect;
+  const { worker, id, token, until, acknowledged, wait } = effect;
   const sentAt = now();
   calls.send<Held>({
     kind: CallKind.Hold,
     id,
-    epoch,
+    token,
     timeout: wait + HOLD_MARGIN,
     carryOut: (incarnation, answer) =>
       incarnation.hold({
@@ -107,11 +107,11 @@
   knownSince: Milliseconds;
   dispatch: (answer: Answer) => void;
 }): void {
-  const { worker, id, epoch, until, order } = effect;
+  const { worker, id, token, until, order } = effect;
   calls.send<Milliseconds>({
     kind: CallKind.Start,
     id,
-    epoch,
+    token,
     timeout: CALL_TIMEOUT,
     carryOut: (incarnation, answer, refuse) => {
       const { task, run } = order;
--- a/testing/explorer/model/calls.ts
+++ b/testing/explorer/model/calls.ts
@@ -27,7 +27,7 @@
 export interface Call<Answer> {
   kind: CallKind;
   id: string;
-  epoch: number;
+  token: number;
   timeout: Milliseconds;
   /** Carries the call out and passes the answer on, at once or later. */
   carryOut: (
@@ -106,7 +106,7 @@
     }
     const refuse = (reason: string) =>
       reply({ kind: "refused", reason, clock: worker.clock() });
-    if (!worker.passes(call.epoch)) return refuse("fence");
+    if (!worker.passes(call.token)) return refuse("fence");
     const noteGone = () => {
       if (!isHidden()) finish({ kind: "unknown", connectionLost: true });
     };
--- a/testing/explorer/model/incarnation.ts
+++ b/testing/explorer/model/incarnation.ts
@@ -40,7 +40,7 @@
   readonly born: Milliseconds;
   clock(): Milliseconds;
   /** Whether the fence lets the call pass, which it may raise. */
-  passes(epoch: number): boolean;
+  passes(token: number): boolean;
   /** Returns why the start is refused, or undefined. */
   start(
     fields: RunName & {
@@ -229,9 +229,9 @@
     id,
     born,
     clock,
-    passes: (epoch) => {
-      if (epoch < fence) return false;
-      fence = epoch;
+    passes: (token) => {
+      if (token < fence) return false;
+      fence = token;
       return true;
     },
     start,
