Give up starts that no list has shown later than listed runs

Cause: an agent may send a start to an incarnation that it does not know yet. The start names a lease end on the former clock, for which that incarnation takes the longest lease, and nobody can tell the leader if the agent is cut off, suspended or down. The leader gave the start up with the grant, 8.3 s after the last report.

Change: an agent sends a start at most 2.5 s after the report that its order answers. Runs that no list has shown to this leader therefore count as ended 13.0 s after the last report: 2.5 s, the longest lease, and the margin of 0.3 s. Runs that were listed are given up as before. To a new leader all runs of an agent that it has never heard of are unlisted.

--- a/core/scheduler/end/agent_loss.ts
+++ b/core/scheduler/end/agent_loss.ts
@@ -1,15 +1,18 @@
 /**
  * Agents that have been silent for so long that nothing can run under them.
  *
- * An agent may be cut off while its worker goes on, whose runs end with the
- * lease.
+ * An agent may be cut off while its worker goes on. A run that the worker has
+ * listed ends with the lease. A start that it has not listed may have reached a
+ * later incarnation that the agent does not know of yet, which takes the longest
+ * lease for a lease end on the clock of the former one.
  *
  * @module
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
 import type { AgentReport } from "../messages.ts";
-import type { Agent, SchedulerState } from "../state.ts";
+import { AgentLoss } from "../state.ts";
+import type { Agent, Run, SchedulerState } from "../state.ts";
 import { loseRuns, LossReason } from "./losses.ts";
 
 /** Added to a lease end that an agent tells; the clocks of machines differ. */
@@ -34,19 +37,25 @@
 /** Treats the runs of a silent agent as ended once none can be at work. */
 export function checkAgent(fields: SilentAgent): void {
   const { state, agent, now } = fields;
+  const { agentLoss, unlistedLoss } = state.times;
   const silence = now - agent.lastHeard;
-  if (agent.lost || silence <= state.times.agentLoss) return;
-  if (now <= agent.leaseEnd) return;
-  agent.lost = true;
-  logLoss(fields);
-  loseRuns(fields, (run) => run.agent === agent.name, LossReason.AgentLost);
-  if (agent.worker) state.workers.delete(agent.worker.state.key);
-  agent.worker = undefined;
+  if (silence <= agentLoss || now <= agent.leaseEnd) return;
+  if (agent.loss === AgentLoss.None) {
+    agent.loss = AgentLoss.Listed;
+    logLoss(fields);
+    loseAgentRuns(fields, (run) => run.confirmed);
+    if (agent.worker) state.workers.delete(agent.worker.state.key);
+    agent.worker = undefined;
+  }
+  if (silence <= unlistedLoss || agent.loss !== AgentLoss.Listed) return;
+  agent.loss = AgentLoss.All;
+  loseAgentRuns(fields, () => true);
 }
 
 function logLoss({ state, agent, now }: SilentAgent): void {
   const runs = [...state.runs.values()]
     .filter((run) => run.agent === agent.name);
+  const listed = runs.filter(({ confirmed }) => confirmed).length;
   state.effects.push({
     kind: "log",
     level: "warn",
@@ -56,7 +65,17 @@
       worker: agent.worker?.state.key ?? "",
       heard: agent.lastReport !== undefined,
       silence: Math.round(now - agent.lastHeard),
-      runs: runs.length,
+      runs: listed,
+      unlisted: runs.length - listed,
     },
   });
 }
+
+function loseAgentRuns(
+  fields: SilentAgent,
+  isLost: (run: Run) => boolean,
+): void {
+  const { name } = fields.agent;
+  const select = (run: Run) => run.agent === name && isLost(run);
+  loseRuns(fields, select, LossReason.AgentLost);
+}
--- a/core/scheduler/end/agent_loss_test.ts
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -5,6 +5,7 @@
 import type { SchedulerEffect, SchedulerEvent } from "../state.ts";
 
 const AGENT_LOSS = 8300;
+const UNLISTED_LOSS = 13_000;
 const JOB = "5c0e7a21d94b36f8";
 const NAME = { task: `${JOB}.0.0.0`, run: 1 };
 const RUNNING = { ...NAME, checkpoint: "", percent: 0 };
@@ -47,6 +48,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: AGENT_LOSS,
+      unlistedLoss: UNLISTED_LOSS,
       agentRetention: 60_000,
       retention: 60_000,
       planningInterval: 0,
@@ -91,6 +93,17 @@
   t.end();
 });
 
+// Guards against a task that runs twice: its start reached an incarnation that
+// the agent did not know yet when it was cut off, and for which the lease end in
+// the call is far ahead.
+test("a start is not lost before the longest lease that it may have got", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { leaseLeft: 8000 }));
+  t.same(runsAt(100 + UNLISTED_LOSS), RUN);
+  t.same(runsAt(100 + UNLISTED_LOSS + 1), []);
+  t.end();
+});
+
 const fenceIn = (effects: SchedulerEffect[]): Fence | undefined =>
   effects.flatMap((effect) => effect.kind === "orders" ? [effect.orders] : [])
     .at(-1)?.fence;
@@ -112,7 +125,7 @@
 test("an agent that was forgotten gets higher numbers than before", (t) => {
   const { hear, runsAt } = createLeader();
   hear(100, report(100, { holder: "a i-1@1000" }));
-  runsAt(100 + 2 * AGENT_LOSS);
+  runsAt(100 + 2 * UNLISTED_LOSS);
   runsAt(100_000);
   const effects = hear(100_100, report(100_100, { holder: "b i-1@1000" }));
   t.equal(fenceIn(effects)?.number, 2);
--- a/core/scheduler/end/late_reports_test.ts
+++ b/core/scheduler/end/late_reports_test.ts
@@ -5,6 +5,7 @@
 
 const TIMES = {
   agentLoss: 8300,
+  unlistedLoss: 8300,
   agentRetention: 60_000,
   retention: 60_000,
   planningInterval: 0,
--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -39,7 +39,7 @@
   noteListed,
   stopRun,
 } from "../runs.ts";
-import { isApplied } from "../state.ts";
+import { AgentLoss, isApplied } from "../state.ts";
 import type { Agent, Run, SchedulerState, Worker } from "../state.ts";
 
 interface ReportFields {
@@ -61,7 +61,7 @@
   // Its worker may take tasks again, and waiting ones can be placed there.
   if (!agent.connected) state.planDue = true;
   agent.connected = true;
-  agent.lost = false;
+  agent.loss = AgentLoss.None;
   // Each report is answered, since the answer extends the agent's grant.
   state.changedAgents.add(agent.name);
   noteOutages(agent, report, now);
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -125,6 +125,8 @@
     planningInterval?: number;
     /** Whether the scheduler takes over a fleet that has not reported yet. */
     takesOver?: boolean;
+    /** Time after which an agent without a report is lost, as a new leader. */
+    unlistedLoss?: number;
     /** Failure domain of each worker, by its index; none by default. */
     failureDomains?: string[];
   },
@@ -132,6 +134,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: AGENT_LOSS,
+      unlistedLoss: fields.unlistedLoss ?? AGENT_LOSS,
       agentRetention: AGENT_RETENTION,
       retention: 240_000,
       planningInterval: fields.planningInterval ?? 0,
--- a/core/scheduler/rates/rate_exchange_test.ts
+++ b/core/scheduler/rates/rate_exchange_test.ts
@@ -13,6 +13,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: 8300,
+      unlistedLoss: 8300,
       agentRetention: 60_000,
       retention: 1000,
       planningInterval: 0,
--- a/core/scheduler/rates/rate_notices_test.ts
+++ b/core/scheduler/rates/rate_notices_test.ts
@@ -1,5 +1,6 @@
 import { test } from "tap";
 import { createScheduler } from "../reducer.ts";
+import { AgentLoss } from "../state.ts";
 import type { SchedulerEffect, SchedulerState } from "../state.ts";
 import { createRateNotices, noteRates } from "./rate_notices.ts";
 import type { Belief } from "./rate_model.ts";
@@ -9,6 +10,7 @@
   const { state } = createScheduler({
     times: {
       agentLoss: 8300,
+      unlistedLoss: 8300,
       agentRetention: 60_000,
       retention: 1000,
       planningInterval: 0,
@@ -28,7 +30,7 @@
       lastHeard: 0,
       leaseEnd: 0,
       connected: true,
-      lost: false,
+      loss: AgentLoss.None,
     };
     state.agents.set(name, { ...agent, outages: [] });
   }
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -36,6 +36,7 @@
   isSurveyComplete,
   noteReport,
 } from "./wait/survey.ts";
+import { AgentLoss } from "./state.ts";
 import type {
   Job,
   Policies,
@@ -300,7 +301,7 @@
     lastHeard: now,
     leaseEnd: now,
     connected: false,
-    lost: false,
+    loss: AgentLoss.None,
     outages: [],
   });
 }
@@ -390,7 +391,8 @@
   const { agentRetention } = state.times;
   for (const agent of state.agents.values()) {
     checkAgent({ state, agent, now, date });
-    if (!agent.lost || now - agent.lastHeard < agentRetention) continue;
+    if (agent.loss !== AgentLoss.All) continue;
+    if (now - agent.lastHeard < agentRetention) continue;
     state.agents.delete(agent.name);
     state.rateEstimator.forget(agent.name);
     state.effects.push({ kind: "forget", agent: agent.name });
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -142,8 +142,8 @@
   connected: boolean;
   /** Until then a run may be at work on its worker without a further grant. */
   leaseEnd: Milliseconds;
-  /** Whether nothing can run on its worker since its last report. */
-  lost: boolean;
+  /** Which of its runs have been lost by its silence since its last report. */
+  loss: AgentLoss;
   worker?: Worker;
   /** Rate of the worker in the last report. */
   returnedRate?: KnownRate;
@@ -151,6 +151,15 @@
   outages: Outage[];
 }
 
+/** Which runs of an agent are lost since nothing is heard of it. */
+export const AgentLoss = {
+  None: "none",
+  /** Those that its worker had listed. */
+  Listed: "listed",
+  All: "all",
+} as const;
+export type AgentLoss = typeof AgentLoss[keyof typeof AgentLoss];
+
 /** Settings of queues and teams in the newest configuration. */
 export interface Policies {
   queues: Map<string, QueuePolicy>;
@@ -164,6 +173,11 @@
 export interface SchedulerTimes {
   /** After this time without a report, an agent's grant has ended. */
   agentLoss: Milliseconds;
+  /**
+   * After this time without a report, nothing is at work that a worker of the
+   * agent has not listed to this leader.
+   */
+  unlistedLoss: Milliseconds;
   /** Agents without a report for this long are forgotten. */
   agentRetention: Milliseconds;
   /** Jobs with a final status are kept for this long. */
--- a/core/scheduler/timed_fleet_for_tests.ts
+++ b/core/scheduler/timed_fleet_for_tests.ts
@@ -92,6 +92,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: 8300,
+      unlistedLoss: 8300,
       agentRetention: 60_000,
       retention: 1000,
       planningInterval: PLANNING_INTERVAL,
--- a/core/worker_control/mod.ts
+++ b/core/worker_control/mod.ts
@@ -7,6 +7,7 @@
 
 export { latestToken } from "./fence.ts";
 export { grantLength } from "./grant.ts";
+export { longestUnlistedTime } from "./run_control.ts";
 export { createWorkerControl } from "./reducer.ts";
 export type { WorkerControl } from "./reducer.ts";
 export type {
--- a/core/worker_control/reused_id_test.ts
+++ b/core/worker_control/reused_id_test.ts
@@ -55,6 +55,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: 8300,
+      unlistedLoss: 8300,
       agentRetention: 60_000,
       retention: 240_000,
       planningInterval: 0,
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -8,7 +8,7 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { runKey } from "@dragonflyledge/scheduler";
 import { callToken, latestToken } from "./fence.ts";
-import { computeLeaseEnd, recordExtension } from "./lease.ts";
+import { computeLeaseEnd, longestLeaseTime, recordExtension } from "./lease.ts";
 import { log } from "./log.ts";
 import { noteStartSent, noteStartSettled } from "./open_starts.ts";
 import { ControlPhase } from "./state.ts";
@@ -24,6 +24,15 @@
  */
 const START_ORDER_VALIDITY: Milliseconds = 2500;
 
+/**
+ * Returns the longest time after a report for which a run can be at work that
+ * the worker has not listed: a start that is sent as late as it may be, and that
+ * a later incarnation carries out which the agent does not know yet.
+ */
+export function longestUnlistedTime(longestLease: Milliseconds): Milliseconds {
+  return START_ORDER_VALIDITY + longestLeaseTime(longestLease);
+}
+
 /** Sends the next start or stop call of each run that needs one. */
 export function sendDueCalls(state: ControlState, now: Milliseconds): void {
   const { worker } = state;
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -40,7 +40,10 @@
 } from "@dragonflyledge/scheduler";
 import type { Policies } from "@dragonflyledge/scheduler";
 import { createElapsedClock } from "@dragonflyledge/runtime";
-import { grantLength } from "@dragonflyledge/worker-control";
+import {
+  grantLength,
+  longestUnlistedTime,
+} from "@dragonflyledge/worker-control";
 import { createCallerApi } from "./caller_api.ts";
 import { createDeploymentHolder } from "./deployment.ts";
 import { startElection } from "./election.ts";
@@ -204,6 +207,7 @@
       replica,
       policies: currentPolicies(),
       grant: grantLength(settings.longestLease),
+      unlistedTime: longestUnlistedTime(settings.longestLease),
       retention: 2 * settings.statusRetention,
       clock,
       timer,
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -68,6 +68,11 @@
   policies: Policies;
   /** Time after a report for which an agent may extend its worker's lease. */
   grant: Milliseconds;
+  /**
+   * Time after a report for which a run may be at work that the worker has not
+   * listed.
+   */
+  unlistedTime: Milliseconds;
   /** Time for which jobs with a final status are kept. */
   retention: Milliseconds;
   clock: Clock;
@@ -79,6 +84,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: fields.grant + LOSS_MARGIN,
+      unlistedLoss: fields.unlistedTime + LOSS_MARGIN,
       agentRetention: AGENT_RETENTION,
       retention: fields.retention,
       planningInterval: PLANNING_INTERVAL,
--- a/daemons/scheduler/leader_test.ts
+++ b/daemons/scheduler/leader_test.ts
@@ -26,6 +26,7 @@
       evacuated: new Set(),
     },
     grant: 8000,
+    unlistedTime: 12_704,
     retention: 60_000,
     clock,
     timer: clock,
--- a/testing/explorer/model/term.ts
+++ b/testing/explorer/model/term.ts
@@ -17,7 +17,7 @@
 import type { Network } from "./network.ts";
 import type { Process } from "./process.ts";
 import type { StoreModel } from "./store.ts";
-import { GRANT } from "./times.ts";
+import { GRANT, UNLISTED_TIME } from "./times.ts";
 import { createWriterModel } from "./writer.ts";
 
 const TICK_INTERVAL: Milliseconds = 250;
@@ -56,6 +56,7 @@
   const scheduler = createScheduler({
     times: {
       agentLoss: GRANT + LOSS_MARGIN,
+      unlistedLoss: UNLISTED_TIME + LOSS_MARGIN,
       agentRetention: AGENT_RETENTION,
       retention: JOB_RETENTION,
       planningInterval: PLANNING_INTERVAL,
--- a/testing/explorer/model/times.ts
+++ b/testing/explorer/model/times.ts
@@ -5,11 +5,16 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import { grantLength } from "@dragonflyledge/worker-control";
+import {
+  grantLength,
+  longestUnlistedTime,
+} from "@dragonflyledge/worker-control";
 
 /** Longest lease that a worker accepts. */
 export const LONGEST_LEASE: Milliseconds = 10_000;
 /** Time after a report for which an agent may extend its worker's lease. */
 export const GRANT: Milliseconds = grantLength(LONGEST_LEASE);
+/** Time after a report for which an unlisted run may be at work. */
+export const UNLISTED_TIME: Milliseconds = longestUnlistedTime(LONGEST_LEASE);
 /** Time between two heartbeats of a worker. */
 export const HEARTBEAT_INTERVAL: Milliseconds = 1000;
