Free the runs of a former incarnation once the next one has listed its own

Cause: the leader counted the runs of the former incarnation as ended with the first report that named the next one. The new process does not know which starts the former one has sent, and the next incarnation may carry them out until it has answered a call of the new process.

Evidence: the test "a returned worker frees no run before it has listed its own" fails without the change.

Change: a report that names another incarnation without its lists counts as one without a worker, so that nothing starts there and nothing is freed; one that has gone before it listed anything frees the runs, as before.

--- a/core/scheduler/end/agent_loss_test.ts
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -104,6 +104,29 @@
   t.end();
 });
 
+// Guards against a task that runs twice: the new incarnation carries out a start
+// that a former process of its agent had sent to the former one.
+test("a returned worker frees no run before it has listed its own", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING] }));
+  hear(200, report(200, { born: 2000, listed: false }));
+  t.same(runsAt(201), RUN);
+  hear(300, report(300, { born: 2000 }));
+  t.same(runsAt(301).includes(RUN[0]!), false);
+  t.end();
+});
+
+// Guards against a task that never runs again: the new incarnation is gone
+// before it has listed anything.
+test("a returned worker that is gone frees the runs of the former one", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING] }));
+  const gone = { born: 2000, listed: false, emptied: ["i-1@2000"] };
+  hear(200, report(200, gone));
+  t.same(runsAt(201).includes(RUN[0]!), false);
+  t.end();
+});
+
 const fenceIn = (effects: SchedulerEffect[]): Fence | undefined =>
   effects.flatMap((effect) => effect.kind === "orders" ? [effect.orders] : [])
     .at(-1)?.fence;
--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -70,8 +70,9 @@
   for (const key of report.emptied) {
     loseRuns(fields, (run) => run.worker === key, LossReason.Emptied);
   }
-  if (!report.worker) return handleMissingWorker(fields);
-  const worker = updateWorker(fields, report.worker);
+  const reported = confirmedWorker(agent, report);
+  if (!reported) return handleMissingWorker(fields);
+  const worker = updateWorker(fields, reported);
   if (worker === undefined) return;
   noteLeaving(worker, now);
   if (report.listed) {
@@ -101,6 +102,19 @@
   advanceAcknowledged(state, worker);
 }
 
+/**
+ * Returns the reported worker, unless it is an incarnation that has not listed
+ * its runs: it may still carry out a start for the former one, whose runs count
+ * as ended once it replaces that one.
+ */
+function confirmedWorker(
+  { worker: known }: Agent,
+  { worker, listed, emptied }: AgentReport,
+): WorkerState | undefined {
+  if (!worker || listed || emptied.includes(worker.key)) return worker;
+  return worker.key === known?.state.key ? worker : undefined;
+}
+
 /**
  * Moves runs to the worker that lists them. A worker that starts again under its
  * id may carry out a start that was sent to its former incarnation.
