Extend no lease with the call that follows a failed one

Cause: the agent named a lease end also in the hold call after a failed one. A worker that had just returned under its id, of which the agent had not heard, took the longest lease for it, later than the start that the leader counts from.

Evidence: the test "a call after a failed one does not extend the lease" fails without the change.

Change: after a failed hold call the next one carries no lease end until a call has been answered.

--- a/core/worker_control/fence_test.ts
+++ b/core/worker_control/fence_test.ts
@@ -113,6 +113,24 @@
   t.end();
 });
 
+// Guards against a lease end on the former clock that a returned worker gets
+// before the agent knows of it.
+test("a call after a failed one does not extend the lease", (t) => {
+  const { reduce } = createFenced();
+  reduce({
+    kind: "holdFailed",
+    now: 1000,
+    worker: WORKER,
+    reason: "connection reset",
+    refused: false,
+    connectionLost: true,
+  });
+  const [hold] = callsOf(reduce({ kind: "tick", now: 1200 }));
+  t.equal(hold?.kind, "hold");
+  t.equal(hold?.kind === "hold" && hold.until, undefined);
+  t.end();
+});
+
 // Guards against a restarted agent that waits for ever for a number which a
 // leader of an older build does not give.
 test("the epoch alone numbers the calls under a leader of an older build", (t) => {
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -353,8 +353,9 @@
   hold.callPending = true;
   const leaving = worker.leftAt !== undefined;
   // The lease of an unreachable worker is not extended, so that it ends at a
-  // known time.
-  const until = worker.state.reachable && !leaving
+  // known time. After a failed call, a later incarnation may get the next one,
+  // for which a time on the former clock is far ahead.
+  const until = hold.failures === 0 && worker.state.reachable && !leaving
     ? computeLeaseEnd(state, worker, now)
     : undefined;
   if (until !== undefined) recordExtension(state, worker);
