Ask a silent worker for its tasks again at the agent's start

What callers could see: a gang that runs twice. An agent that starts again lists the tasks on its worker once, with a limit of 2 s, and took a missing answer for an empty list. Entries stop a gang whose agent has a new incarnation, and take that agent's empty list as proof that no member is left, so that the gang starts elsewhere at once. The members of the agent's former process run until their leases lapse, up to 10 s later.

Change: the agent asks again until the worker answers, no process listens there, or 12 s have passed, in which the leases lapse. It connects to no entry before that, as before.

--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { Agent as Connections, request } from "undici";
-import { SECOND } from "@dragonflyledge/model";
+import { GANG_LEASE, SECOND } from "@dragonflyledge/model";
 import type {
   AgentEffect,
   AgentEvent,
@@ -22,6 +22,13 @@
 /** Maximum time that the worker takes to answer a poll for events. */
 const POLL_TIMEOUT: Milliseconds = 30 * SECOND;
 const POLL_RETRY_DELAY: Milliseconds = 500;
+/**
+ * How long the agent's start waits for a worker that does not answer. The tasks
+ * of the agent's former process have ended by then, unless the worker carries
+ * out the last renewal later than `CALL_TIMEOUT` after it was sent.
+ */
+const FIND_TIMEOUT: Milliseconds = CALL_TIMEOUT + GANG_LEASE;
+const FIND_RETRY_DELAY: Milliseconds = 100;
 /** Interval between reads of the worker's usage. */
 const USAGE_INTERVAL: Milliseconds = 5 * SECOND;
 /**
@@ -45,7 +52,12 @@
 
 /** Client of one worker. */
 export interface WorkerClient {
-  /** Lists the tasks on the worker; an empty list if it does not answer. */
+  /**
+   * Lists the tasks on the worker. A worker that does not answer is asked again
+   * until the leases of its tasks have lapsed, since an empty list proves to
+   * entries that no member is left; then the list is empty. It is empty at once
+   * if no process listens at the worker's address.
+   */
   findTasks(): Promise<MemberReport[]>;
   /** Performs an effect; results are dispatched as events. */
   perform(effect: TaskEffect): void;
@@ -212,16 +224,23 @@
   }
 
   async function findTasks(): Promise<MemberReport[]> {
-    try {
-      const answer = await call("GET", "/tasks") as {
-        tasks: { report: MemberReport }[];
-      };
-      return answer.tasks.map((task) => task.report);
-    } catch (cause) {
-      const text = (cause as Error).message;
-      observer.log("warn", "Could not list the worker's tasks.", { text });
-      return [];
+    const lapsedAt = clock.now() + FIND_TIMEOUT;
+    while (!closed) {
+      try {
+        const answer = await call("GET", "/tasks") as {
+          tasks: { report: MemberReport }[];
+        };
+        return answer.tasks.map((task) => task.report);
+      } catch (cause) {
+        const text = (cause as Error).message;
+        observer.log("warn", "Could not list the worker's tasks.", { text });
+        if (isRefused(cause) || clock.now() >= lapsedAt) return [];
+      }
+      await new Promise<void>((resolve) => {
+        timer.after(FIND_RETRY_DELAY, resolve);
+      });
     }
+    return [];
   }
 
   /**
@@ -299,6 +318,11 @@
   return cause instanceof WorkerRefusal && cause.status === status;
 }
 
+/** Whether no process listens at the worker's address. */
+function isRefused(cause: unknown): boolean {
+  return (cause as { code?: string }).code === "ECONNREFUSED";
+}
+
 function taskPath(task: TaskId): string {
   return `/tasks/${encodeURIComponent(formatTask(task))}`;
 }
--- a/daemons/agent/worker_client_test.ts
+++ b/daemons/agent/worker_client_test.ts
@@ -1,18 +1,24 @@
 import { test } from "tap";
 import { createWorkerServer } from "@dragonflyledge/fakes";
-import type { AgentEvent, MemberReport, TaskId } from "@dragonflyledge/model";
+import { GANG_LEASE } from "@dragonflyledge/model";
+import type {
+  AgentEvent,
+  Clock,
+  MemberReport,
+  TaskId,
+} from "@dragonflyledge/model";
 import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import { createWorkerClient } from "./worker_client.ts";
 
 const TASK: TaskId = { run: { job: "job-1", epoch: 1 }, member: 0 };
 
 /** Starts a fake worker, and a client whose next event `next` returns. */
-async function open() {
+async function open(clock: Clock = createSystemClock()) {
   const worker = await createWorkerServer();
   const waiting: ((event: AgentEvent) => void)[] = [];
   const client = createWorkerClient({
     url: worker.url,
-    clock: createSystemClock(),
+    clock,
     timer: createSystemTimer(),
     dispatch: (event) => waiting.shift()?.(event),
     observer: { log: () => {}, count: () => {} },
@@ -55,3 +61,31 @@
   }
   t.equal(worker.tasks().length, 1);
 });
+
+// Guards against a gang that starts elsewhere while its members still run here:
+// an agent that knows no members counts as proof that none is left.
+test("tasks of a worker that answers late are found", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  const started = next();
+  client.perform(START);
+  await started;
+  worker.faults.hang = true;
+  const found = client.findTasks();
+  setTimeout(() => worker.faults.hang = false, 1000);
+  t.equal((await found).length, 1);
+});
+
+// Guards against an agent that serves no requests as long as its worker hangs.
+test("the start waits for a silent worker until all leases have lapsed", async (t) => {
+  let now = 0;
+  const clock = { now: () => now, date: () => new Date() };
+  const { worker, client } = await open(clock);
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  worker.faults.hang = true;
+  const found = client.findTasks();
+  setTimeout(() => now = 2 * GANG_LEASE, 500);
+  t.same(await found, []);
+});
