Grant only the rest of a lease when a call to the worker is repeated

What callers could see: a gang that runs twice. The agent repeats a start or a renewal that its worker does not answer, up to twice, and each attempt granted the whole lease of 10 s from its arrival. A repeated renewal thus made the lease on the worker longer than the agent knows, by 2 s for each attempt that was not answered and by up to 10 s for each that found no connection. Entries count the members of a lost agent as ended 15 s after the last renewal.

Change: an attempt grants what is left of the lease that began with the first one, and none is made after that. A connection is given up after 2 s.

A worker that reads an attempt of its own accord later than 2 s after it was sent still extends the lease from then on: the call names no time that the worker could compare.

--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -98,7 +98,10 @@
   observer: Observer;
 }): WorkerClient {
   const { clock, timer, dispatch, observer } = fields;
-  const connections = new Connections({ keepAliveTimeout: 4 * SECOND });
+  const connections = new Connections({
+    keepAliveTimeout: 4 * SECOND,
+    connect: { timeout: CALL_TIMEOUT },
+  });
   const cancels = new Map<string, () => void>();
   let closed = false;
   let lastEvent = 0;
@@ -129,14 +132,17 @@
 
   /**
    * Calls an action on a task, and again if the worker does not answer. Returns
-   * whether it succeeded.
+   * whether it succeeded. `createBody` returns the body of each attempt, or
+   * undefined if there shall be no further one.
    */
   async function callTask(
     task: TaskId,
     action: string,
-    body: unknown,
+    createBody: () => unknown,
   ): Promise<boolean> {
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
+      const body = createBody();
+      if (body === undefined) return false;
       try {
         await call("POST", `${taskPath(task)}/${action}`, body);
         return true;
@@ -148,14 +154,27 @@
     return false;
   }
 
+  /**
+   * Returns a function that gives what is left of a lease that begins now. Each
+   * attempt of a call grants what is left at its time, so that a task lasts no
+   * longer than entries expect of a gang whose agent is gone.
+   */
+  function countDown(lease: Milliseconds): () => Milliseconds {
+    const lapsesAt = clock.now() + lease;
+    return () => Math.floor(lapsesAt - clock.now());
+  }
+
   async function start(
     effect: Extract<TaskEffect, { kind: "startTask" }>,
   ): Promise<void> {
-    const { report: member, perMember, command, lease, task } = effect;
-    const body = { report: member, perMember, command, leaseMs: lease };
+    const { report: member, perMember, command, task } = effect;
+    const remaining = countDown(effect.lease);
     let reason = "";
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
+      const leaseMs = remaining();
+      if (leaseMs <= 0) break;
       try {
+        const body = { report: member, perMember, command, leaseMs };
         await call("PUT", taskPath(task), body);
         return dispatch({ kind: "taskStarted", now: clock.now(), task });
       } catch (cause) {
@@ -170,10 +189,21 @@
     }
     // The task may run although no attempt was answered, so it is stopped
     // before it is reported as failed.
-    await callTask(task, "stop", {});
+    await callTask(task, "stop", () => ({}));
     end(task, "failed", reason);
   }
 
+  /** Extends the lease of a task, unless the new one lapses before that. */
+  async function renew(
+    { task, lease }: Extract<TaskEffect, { kind: "renewTask" }>,
+  ): Promise<void> {
+    const remaining = countDown(lease);
+    await callTask(task, "renew", () => {
+      const leaseMs = remaining();
+      return leaseMs > 0 ? { leaseMs } : undefined;
+    });
+  }
+
   /** Stops a task. One that the worker does not know is reported as ended. */
   async function stop(task: TaskId): Promise<void> {
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
@@ -202,13 +232,13 @@
         void start(effect);
         return;
       case "renewTask":
-        void callTask(effect.task, "renew", { leaseMs: effect.lease });
+        void renew(effect);
         return;
       case "checkpointTask":
         void checkpoint(effect.task);
         return;
       case "throttleTask":
-        void callTask(effect.task, "throttle", { share: effect.share });
+        void callTask(effect.task, "throttle", () => ({ share: effect.share }));
         return;
       case "stopTask":
         void stop(effect.task);
--- a/daemons/agent/worker_client_test.ts
+++ b/daemons/agent/worker_client_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "tap";
 import { createWorkerServer } from "@dragonflyledge/fakes";
 import { GANG_LEASE } from "@dragonflyledge/model";
@@ -89,3 +90,49 @@
   setTimeout(() => now = 2 * GANG_LEASE, 500);
   t.same(await found, []);
 });
+
+// Guards against a task that outlives the time by which entries count a lapsed
+// gang as ended, since a repeated call granted the whole lease anew.
+test("a repeated renewal extends the lease no further than the first", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  const started = next();
+  client.perform(START);
+  await started;
+  const first = worker.tasks()[0]!.leaseMs;
+  worker.faults.hang = true;
+  client.perform({ kind: "renewTask", task: TASK, lease: 9000 });
+  setTimeout(() => worker.faults.hang = false, 500);
+  while (worker.tasks()[0]!.leaseMs === first) await sleep(50);
+  t.ok(worker.tasks()[0]!.leaseMs <= 9000 - 500);
+});
+
+// Guards against the same with a start.
+test("a repeated start extends the lease no further than the first", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  worker.faults.hang = true;
+  const started = next();
+  client.perform(START);
+  setTimeout(() => worker.faults.hang = false, 500);
+  await started;
+  t.ok(worker.tasks()[0]!.leaseMs <= START.lease - 500);
+});
+
+// Guards against a renewal that is sent after the gang's lease has lapsed.
+test("a renewal is not repeated after its lease has lapsed", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  const started = next();
+  client.perform(START);
+  await started;
+  const first = worker.tasks()[0]!.leaseMs;
+  worker.faults.hang = true;
+  client.perform({ kind: "renewTask", task: TASK, lease: 1000 });
+  setTimeout(() => worker.faults.hang = false, 500);
+  await sleep(4000);
+  t.equal(worker.tasks()[0]!.leaseMs, first);
+});
