Report tasks that a worker lost when it started again

What callers could see: a job that never ends. The agent polls for ends after the number of the last one. A worker that starts again numbers its ends anew, so that the agent got none until their number passed that of the former process. It also went on renewing the tasks of the former process: the worker answered with 404, which was logged only, and the gang counted as running without those members.

Change: when a renewal finds its task absent, the agent lists all ends of the worker's present process. It reports the end of the task, or that the task was stopped, and goes on polling from the numbers of that process. A task whose start is under way is left out, since the worker may not know it yet.

--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -103,7 +103,12 @@
     connect: { timeout: CALL_TIMEOUT },
   });
   const cancels = new Map<string, () => void>();
+  /** Tasks whose start is under way, so that the worker may not know them yet. */
+  const starting = new Set<string>();
+  /** Tasks whose ends are being looked up. */
+  const lookups = new Set<string>();
   let closed = false;
+  /** Number of the last end that the worker has reported. */
   let lastEvent = 0;
 
   async function call(
@@ -132,26 +137,27 @@
 
   /**
    * Calls an action on a task, and again if the worker does not answer. Returns
-   * whether it succeeded. `createBody` returns the body of each attempt, or
+   * whether it succeeded, or that the worker does not know the task. `createBody` returns the body of each attempt, or
    * undefined if there shall be no further one.
    */
   async function callTask(
     task: TaskId,
     action: string,
     createBody: () => unknown,
-  ): Promise<boolean> {
+  ): Promise<"done" | "absent" | "failed"> {
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
       const body = createBody();
-      if (body === undefined) return false;
+      if (body === undefined) return "failed";
       try {
         await call("POST", `${taskPath(task)}/${action}`, body);
-        return true;
+        return "done";
       } catch (cause) {
         logFailure(`Could not ${action} a task.`, task, cause);
-        if (cause instanceof WorkerRefusal) return false;
+        if (isStatus(cause, NOT_FOUND)) return "absent";
+        if (cause instanceof WorkerRefusal) return "failed";
       }
     }
-    return false;
+    return "failed";
   }
 
   /**
@@ -193,15 +199,61 @@
     end(task, "failed", reason);
   }
 
-  /** Extends the lease of a task, unless the new one lapses before that. */
+  /**
+   * Extends the lease of a task, unless the new one lapses before that. A task
+   * that the worker no longer knows has ended.
+   */
   async function renew(
     { task, lease }: Extract<TaskEffect, { kind: "renewTask" }>,
   ): Promise<void> {
     const remaining = countDown(lease);
-    await callTask(task, "renew", () => {
+    const started = !starting.has(formatTask(task));
+    const outcome = await callTask(task, "renew", () => {
       const leaseMs = remaining();
       return leaseMs > 0 ? { leaseMs } : undefined;
     });
+    if (outcome === "absent" && started) await lookUpEnd(task);
+  }
+
+  /**
+   * Reports the end of a task that the worker does not know. A worker that has
+   * started again knows no tasks of its former process and numbers its events
+   * anew, so that the poll after the last event of that process misses them.
+   */
+  async function lookUpEnd(task: TaskId): Promise<void> {
+    const id = formatTask(task);
+    if (lookups.has(id)) return;
+    lookups.add(id);
+    try {
+      const endings = await listEndings();
+      const highest = Math.max(0, ...endings.map(({ number }) => number));
+      if (highest < lastEvent) {
+        lastEvent = 0;
+        for (const ending of endings) dispatchEnding(ending);
+      }
+      const ending = endings.findLast((one) => one.task === id);
+      if (ending) dispatchEnding(ending);
+      else end(task, "stopped", "absent");
+    } catch (cause) {
+      // The next renewal finds the task absent again.
+      logFailure("Could not look up the end of a task.", task, cause);
+    } finally {
+      lookups.delete(id);
+    }
+  }
+
+  /** Lists all ends of this process of the worker. */
+  async function listEndings(): Promise<TaskEnding[]> {
+    try {
+      const answer = await call("GET", "/events?after=0") as {
+        endings: TaskEnding[];
+      };
+      return answer.endings;
+    } catch (cause) {
+      // The worker waits for the first end if there is none yet.
+      if (hasCode(cause, "UND_ERR_HEADERS_TIMEOUT")) return [];
+      throw cause;
+    }
   }
 
   /** Stops a task. One that the worker does not know is reported as ended. */
@@ -228,9 +280,12 @@
 
   function perform(effect: TaskEffect): void {
     switch (effect.kind) {
-      case "startTask":
-        void start(effect);
+      case "startTask": {
+        const id = formatTask(effect.task);
+        starting.add(id);
+        void start(effect).finally(() => starting.delete(id));
         return;
+      }
       case "renewTask":
         void renew(effect);
         return;
@@ -264,7 +319,8 @@
       } catch (cause) {
         const text = (cause as Error).message;
         observer.log("warn", "Could not list the worker's tasks.", { text });
-        if (isRefused(cause) || clock.now() >= lapsedAt) return [];
+        const absent = hasCode(cause, "ECONNREFUSED");
+        if (absent || clock.now() >= lapsedAt) return [];
       }
       await new Promise<void>((resolve) => {
         timer.after(FIND_RETRY_DELAY, resolve);
@@ -348,9 +404,8 @@
   return cause instanceof WorkerRefusal && cause.status === status;
 }
 
-/** Whether no process listens at the worker's address. */
-function isRefused(cause: unknown): boolean {
-  return (cause as { code?: string }).code === "ECONNREFUSED";
+function hasCode(cause: unknown, code: string): boolean {
+  return (cause as { code?: string }).code === code;
 }
 
 function taskPath(task: TaskId): string {
--- a/daemons/agent/worker_client_test.ts
+++ b/daemons/agent/worker_client_test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "tap";
 import { createWorkerServer } from "@dragonflyledge/fakes";
+import type { WorkerServer } from "@dragonflyledge/fakes";
 import { GANG_LEASE } from "@dragonflyledge/model";
 import type {
   AgentEvent,
@@ -13,7 +14,10 @@
 
 const TASK: TaskId = { run: { job: "job-1", epoch: 1 }, member: 0 };
 
-/** Starts a fake worker, and a client whose next event `next` returns. */
+/**
+ * Starts a fake worker, and a client whose next event `next` returns, other than
+ * one of usage.
+ */
 async function open(clock: Clock = createSystemClock()) {
   const worker = await createWorkerServer();
   const waiting: ((event: AgentEvent) => void)[] = [];
@@ -21,7 +25,9 @@
     url: worker.url,
     clock,
     timer: createSystemTimer(),
-    dispatch: (event) => waiting.shift()?.(event),
+    dispatch: (event) => {
+      if (event.kind !== "usage") waiting.shift()?.(event);
+    },
     observer: { log: () => {}, count: () => {} },
   });
   const next = () =>
@@ -136,3 +142,46 @@
   await sleep(4000);
   t.equal(worker.tasks()[0]!.leaseMs, first);
 });
+
+/** Starts a fake worker again at the port of a former one, without its tasks. */
+async function restart(worker: WorkerServer): Promise<WorkerServer> {
+  await worker.stop();
+  return await createWorkerServer({ port: worker.port });
+}
+
+// Guards against a job that never ends: a worker that starts again numbers its
+// ends anew, below those that the agent has already got from its former life.
+test("ends of a worker that started again are reported", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => client.close());
+  client.watch();
+  for (let round = 0; round < 3; round++) {
+    const started = next();
+    client.perform({ ...START, command: "run 100" });
+    t.match(await started, { kind: "taskStarted" });
+    t.match(await next(), { kind: "taskEnded", ending: "finished" });
+  }
+  const successor = await restart(worker);
+  t.teardown(() => successor.stop());
+  const started = next();
+  client.perform({ ...START, command: "run 100" });
+  t.match(await started, { kind: "taskStarted" });
+  const ended = next();
+  await sleep(300);
+  client.perform({ kind: "renewTask", task: TASK, lease: 10_000 });
+  t.match(await ended, { kind: "taskEnded", ending: "finished" });
+});
+
+// Guards against a gang that goes on without a member.
+test("a task that the worker lost when it started again is reported as ended", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => client.close());
+  const started = next();
+  client.perform(START);
+  await started;
+  const successor = await restart(worker);
+  t.teardown(() => successor.stop());
+  const ended = next();
+  client.perform({ kind: "renewTask", task: TASK, lease: 10_000 });
+  t.match(await ended, { kind: "taskEnded", ending: "stopped" });
+});
