Take no stop as proof while the start of its task is under way

What callers could see: a gang that runs twice. A stop that the worker answers with 404 was reported as the end of the member. A start that has no answer yet may be carried out after it, and then runs until its lease lapses, up to 10 s later, while the entry starts the gang elsewhere.

Change: a 404 counts only once the start has been answered or given up.

--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -256,14 +256,21 @@
     }
   }
 
-  /** Stops a task. One that the worker does not know is reported as ended. */
+  /**
+   * Stops a task. One that the worker does not know is reported as ended, unless
+   * its start is under way, which the worker may carry out after the stop. The
+   * reducer repeats the stop until the task has ended.
+   */
   async function stop(task: TaskId): Promise<void> {
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
       try {
         await call("POST", `${taskPath(task)}/stop`, {});
         return;
       } catch (cause) {
-        if (isStatus(cause, NOT_FOUND)) return end(task, "stopped", "absent");
+        if (isStatus(cause, NOT_FOUND)) {
+          if (starting.has(formatTask(task))) return;
+          return end(task, "stopped", "absent");
+        }
         logFailure("Could not stop a task.", task, cause);
       }
     }
--- a/daemons/agent/worker_client_test.ts
+++ b/daemons/agent/worker_client_test.ts
@@ -185,3 +185,17 @@
   client.perform({ kind: "renewTask", task: TASK, lease: 10_000 });
   t.match(await ended, { kind: "taskEnded", ending: "stopped" });
 });
+
+// Guards against a member that counts as stopped and starts after that.
+test("a stop that overtakes a start proves nothing", async (t) => {
+  const { worker, client, next } = await open();
+  t.teardown(() => worker.stop());
+  t.teardown(() => client.close());
+  worker.faults.hang = true;
+  const first = next();
+  client.perform(START);
+  await sleep(100);
+  worker.faults.hang = false;
+  client.perform({ kind: "stopTask", task: TASK });
+  t.match(await first, { kind: "taskStarted" });
+});
