Stop a task that starts after its member has ended

The agent stopped a started task of no known run, but not one of a member that had ended, which entries count as gone.

Change: a started task is left alone only if its member has not ended.

Measured: the new test fails without the change (no stop) and passes with it; all tests of the package pass, among them its random test.

--- a/core/agent_reducer/leases_test.ts
+++ b/core/agent_reducer/leases_test.ts
@@ -175,6 +175,16 @@
   t.end();
 });
 
+// Guards against a task that runs although entries were told that it ended.
+test("a task that starts after its member has ended is stopped", (t) => {
+  const agent = connectedAgent();
+  agent.run(reserve("j", [[0]]));
+  const task = { run: { job: "j", epoch: 1 }, member: 0 };
+  agent.event({ kind: "taskEnded", task, ending: "stopped", cause: "" });
+  t.equal(kinds(agent.event({ kind: "taskStarted", task })), "stopTask");
+  t.end();
+});
+
 // Guards against a gang that is throttled for a single or outdated reading.
 test("deferrable members are throttled after three readings in a row", (t) => {
   const agent = connectedAgent();
--- a/core/agent_reducer/members.ts
+++ b/core/agent_reducer/members.ts
@@ -42,7 +42,7 @@
    * which they get the grace period.
    */
   stop(run: Run, checkpoint: boolean): void;
-  /** Stops a task that was started and belongs to no known run. */
+  /** Stops a task that was started and belongs to no member, or to an ended one. */
   started(task: TaskId): void;
   /** Stops a task that has finished its checkpoint. */
   handleTaskCheckpointed(task: TaskId): void;
@@ -143,9 +143,11 @@
       else if (run.stopSentAt === -Infinity) stopNow(run);
     },
     started(task) {
-      if (findMember(task)) return;
-      // A task of no known run would use capacity that other runs count on.
-      log(core, "warn", "A started task of no known run is stopped.", {
+      const known = findMember(task);
+      if (known !== undefined && isHolding(known.member.report)) return;
+      // It would use capacity that other runs count on, and run beside the
+      // member's next run elsewhere.
+      log(core, "warn", "A started task of no present member is stopped.", {
         job: task.run.job,
         member: task.member,
       });
