--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -5,7 +5,7 @@
  */
 
 import { Agent as Connections, request } from "undici";
-import { SECOND } from "@dragonflyledge/model";
+import { GANG_LEASE, SECOND } from "@dragonflyledge/model";
 import type {
   AgentEffect,
   AgentEvent,
@@ -22,6 +22,13 @@
 /** Maximum time that the worker takes to answer a poll for events. */
 const POLL_TIMEOUT: Milliseconds = 30 * SECOND;
 const POLL_RETRY_DELAY: Milliseconds = 500;
+/**
+ * How long the agent's start waits for a worker that does not answer. The tasks
+ * of the agent's former process have ended by then, unless the worker carries
+ * out the last renewal later than `CALL_TIMEOUT` after it was sent.
+ */
+const FIND_TIMEOUT: Milliseconds = CALL_TIMEOUT + GANG_LEASE;
+const FIND_RETRY_DELAY: Milliseconds = 100;
 /** Interval between reads of the worker's usage. */
 const USAGE_INTERVAL: Milliseconds = 5 * SECOND;
 /**
@@ -45,7 +52,12 @@
 
 /** Client of one worker. */
 export interface WorkerClient {
-  /** Lists the tasks on the worker; an empty list if it does not answer. */
+  /**
+   * Lists the tasks on the worker. A worker that does not answer is asked again
+   * until the leases of its tasks have lapsed, since an empty list proves to
+   * entries that no member is left; then the list is empty. It is empty at once
+   * if no process listens at the worker's address.
+   */
   findTasks(): Promise<MemberReport[]>;
   /** Performs an effect; results are dispatched as events. */
   perform(effect: TaskEffect): void;
@@ -86,9 +98,17 @@
   observer: Observer;
 }): WorkerClient {
   const { clock, timer, dispatch, observer } = fields;
-  const connections = new Connections({ keepAliveTimeout: 4 * SECOND });
+  const connections = new Connections({
+    keepAliveTimeout: 4 * SECOND,
+    connect: { timeout: CALL_TIMEOUT },
+  });
   const cancels = new Map<string, () => void>();
+  /** Tasks whose start is under way, so that the worker may not know them yet. */
+  const starting = new Set<string>();
+  /** Tasks whose ends are being looked up. */
+  const lookups = new Set<string>();
   let closed = false;
+  /** Number of the last end that the worker has reported. */
   let lastEvent = 0;
 
   async function call(
@@ -117,33 +137,50 @@
 
   /**
    * Calls an action on a task, and again if the worker does not answer. Returns
-   * whether it succeeded.
+   * whether it succeeded, or that the worker does not know the task. `createBody` returns the body of each attempt, or
+   * undefined if there shall be no further one.
    */
   async function callTask(
     task: TaskId,
     action: string,
-    body: unknown,
-  ): Promise<boolean> {
+    createBody: () => unknown,
+  ): Promise<"done" | "absent" | "failed"> {
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
+      const body = createBody();
+      if (body === undefined) return "failed";
       try {
         await call("POST", `${taskPath(task)}/${action}`, body);
-        return true;
+        return "done";
       } catch (cause) {
         logFailure(`Could not ${action} a task.`, task, cause);
-        if (cause instanceof WorkerRefusal) return false;
+        if (isStatus(cause, NOT_FOUND)) return "absent";
+        if (cause instanceof WorkerRefusal) return "failed";
       }
     }
-    return false;
+    return "failed";
+  }
+
+  /**
+   * Returns a function that gives what is left of a lease that begins now. Each
+   * attempt of a call grants what is left at its time, so that a task lasts no
+   * longer than entries expect of a gang whose agent is gone.
+   */
+  function countDown(lease: Milliseconds): () => Milliseconds {
+    const lapsesAt = clock.now() + lease;
+    return () => Math.floor(lapsesAt - clock.now());
   }
 
   async function start(
     effect: Extract<TaskEffect, { kind: "startTask" }>,
   ): Promise<void> {
-    const { report: member, perMember, command, lease, task } = effect;
-    const body = { report: member, perMember, command, leaseMs: lease };
+    const { report: member, perMember, command, task } = effect;
+    const remaining = countDown(effect.lease);
     let reason = "";
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
+      const leaseMs = remaining();
+      if (leaseMs <= 0) break;
       try {
+        const body = { report: member, perMember, command, leaseMs };
         await call("PUT", taskPath(task), body);
         return dispatch({ kind: "taskStarted", now: clock.now(), task });
       } catch (cause) {
@@ -158,18 +195,82 @@
     }
     // The task may run although no attempt was answered, so it is stopped
     // before it is reported as failed.
-    await callTask(task, "stop", {});
+    await callTask(task, "stop", () => ({}));
     end(task, "failed", reason);
   }
 
-  /** Stops a task. One that the worker does not know is reported as ended. */
+  /**
+   * Extends the lease of a task, unless the new one lapses before that. A task
+   * that the worker no longer knows has ended.
+   */
+  async function renew(
+    { task, lease }: Extract<TaskEffect, { kind: "renewTask" }>,
+  ): Promise<void> {
+    const remaining = countDown(lease);
+    const started = !starting.has(formatTask(task));
+    const outcome = await callTask(task, "renew", () => {
+      const leaseMs = remaining();
+      return leaseMs > 0 ? { leaseMs } : undefined;
+    });
+    if (outcome === "absent" && started) await lookUpEnd(task);
+  }
+
+  /**
+   * Reports the end of a task that the worker does not know. A worker that has
+   * started again knows no tasks of its former process and numbers its events
+   * anew, so that the poll after the last event of that process misses them.
+   */
+  async function lookUpEnd(task: TaskId): Promise<void> {
+    const id = formatTask(task);
+    if (lookups.has(id)) return;
+    lookups.add(id);
+    try {
+      const endings = await listEndings();
+      const highest = Math.max(0, ...endings.map(({ number }) => number));
+      if (highest < lastEvent) {
+        lastEvent = 0;
+        for (const ending of endings) dispatchEnding(ending);
+      }
+      const ending = endings.findLast((one) => one.task === id);
+      if (ending) dispatchEnding(ending);
+      else end(task, "stopped", "absent");
+    } catch (cause) {
+      // The next renewal finds the task absent again.
+      logFailure("Could not look up the end of a task.", task, cause);
+    } finally {
+      lookups.delete(id);
+    }
+  }
+
+  /** Lists all ends of this process of the worker. */
+  async function listEndings(): Promise<TaskEnding[]> {
+    try {
+      const answer = await call("GET", "/events?after=0") as {
+        endings: TaskEnding[];
+      };
+      return answer.endings;
+    } catch (cause) {
+      // The worker waits for the first end if there is none yet.
+      if (hasCode(cause, "UND_ERR_HEADERS_TIMEOUT")) return [];
+      throw cause;
+    }
+  }
+
+  /**
+   * Stops a task. One that the worker does not know is reported as ended, unless
+   * its start is under way, which the worker may carry out after the stop. The
+   * reducer repeats the stop until the task has ended.
+   */
   async function stop(task: TaskId): Promise<void> {
     for (let attempt = 1; attempt <= MAX_CALL_ATTEMPTS; attempt++) {
       try {
         await call("POST", `${taskPath(task)}/stop`, {});
         return;
       } catch (cause) {
-        if (isStatus(cause, NOT_FOUND)) return end(task, "stopped", "absent");
+        if (isStatus(cause, NOT_FOUND)) {
+          if (starting.has(formatTask(task))) return;
+          return end(task, "stopped", "absent");
+        }
         logFailure("Could not stop a task.", task, cause);
       }
     }
@@ -186,17 +287,20 @@
 
   function perform(effect: TaskEffect): void {
     switch (effect.kind) {
-      case "startTask":
-        void start(effect);
+      case "startTask": {
+        const id = formatTask(effect.task);
+        starting.add(id);
+        void start(effect).finally(() => starting.delete(id));
         return;
+      }
       case "renewTask":
-        void callTask(effect.task, "renew", { leaseMs: effect.lease });
+        void renew(effect);
         return;
       case "checkpointTask":
         void checkpoint(effect.task);
         return;
       case "throttleTask":
-        void callTask(effect.task, "throttle", { share: effect.share });
+        void callTask(effect.task, "throttle", () => ({ share: effect.share }));
         return;
       case "stopTask":
         void stop(effect.task);
@@ -212,16 +316,24 @@
   }
 
   async function findTasks(): Promise<MemberReport[]> {
-    try {
-      const answer = await call("GET", "/tasks") as {
-        tasks: { report: MemberReport }[];
-      };
-      return answer.tasks.map((task) => task.report);
-    } catch (cause) {
-      const text = (cause as Error).message;
-      observer.log("warn", "Could not list the worker's tasks.", { text });
-      return [];
+    const lapsedAt = clock.now() + FIND_TIMEOUT;
+    while (!closed) {
+      try {
+        const answer = await call("GET", "/tasks") as {
+          tasks: { report: MemberReport }[];
+        };
+        return answer.tasks.map((task) => task.report);
+      } catch (cause) {
+        const text = (cause as Error).message;
+        observer.log("warn", "Could not list the worker's tasks.", { text });
+        const absent = hasCode(cause, "ECONNREFUSED");
+        if (absent || clock.now() >= lapsedAt) return [];
+      }
+      await new Promise<void>((resolve) => {
+        timer.after(FIND_RETRY_DELAY, resolve);
+      });
     }
+    return [];
   }
 
   /**
@@ -299,6 +411,10 @@
   return cause instanceof WorkerRefusal && cause.status === status;
 }
 
+function hasCode(cause: unknown, code: string): boolean {
+  return (cause as { code?: string }).code === code;
+}
+
 function taskPath(task: TaskId): string {
   return `/tasks/${encodeURIComponent(formatTask(task))}`;
 }
