Split the model of workers' rates by job

rate_model.ts had 478 lines and held the effects of steps and of workers, the edges between them, the noise of tasks and the arithmetic of all four. No behaviour changes.

--- a/core/scheduler/interference/interference.ts
+++ b/core/scheduler/interference/interference.ts
@@ -10,7 +10,7 @@
 
 import { MINUTE, SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
-import type { Belief } from "../rates/rate_model.ts";
+import type { Belief } from "../rates/unknowns.ts";
 import { createEvidence } from "./evidence.ts";
 import type { Evidence, SparseRow } from "./evidence.ts";
 import { createKindTable } from "./kinds.ts";
--- a/core/scheduler/interference/observations.ts
+++ b/core/scheduler/interference/observations.ts
@@ -6,7 +6,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
-import type { Belief } from "../rates/rate_model.ts";
+import type { Belief } from "../rates/unknowns.ts";
 import type { Evidence, SparseRow } from "./evidence.ts";
 import { MAX_KINDS } from "./kinds.ts";
 import type { Segment } from "./run_gains.ts";
--- a/core/scheduler/rates/differences.ts
+++ b/core/scheduler/rates/differences.ts
@@ -9,7 +9,7 @@
 
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
-import type { Belief } from "./rate_model.ts";
+import type { Belief } from "./unknowns.ts";
 
 /**
  * Standard deviation of the logarithms of rates from which it matters where a
--- a/core/scheduler/rates/evidence_graph.ts
+++ b/core/scheduler/rates/evidence_graph.ts
@@ -130,6 +130,15 @@
   };
 }
 
+/** Adds evidence to a sum. */
+export function addEvidence(
+  sum: Evidence,
+  { precision, weighted }: Evidence,
+): void {
+  sum.precision += precision;
+  sum.weighted += weighted;
+}
+
 /** Rows of equal size in one array; a row is named by its first position. */
 function createTable(size: number) {
   const free: number[] = [];
--- a/core/scheduler/rates/progress_samples.ts
+++ b/core/scheduler/rates/progress_samples.ts
@@ -9,7 +9,8 @@
 import { gangOf } from "../runs.ts";
 import type { Step } from "../job.ts";
 import type { Run, Worker } from "../state.ts";
-import type { RateModel, Sample } from "./rate_model.ts";
+import type { Sample } from "./rate_edges.ts";
+import type { RateModel } from "./rate_model.ts";
 import type { ListedProgress } from "./worker_rates.ts";
 
 /** Length of the first part of a run, which may include preparations. */
--- a/core/scheduler/rates/rate_notices.ts
+++ b/core/scheduler/rates/rate_notices.ts
@@ -7,7 +7,7 @@
 import { SECOND } from "@dragonflyledge/model";
 import type { Fields, Milliseconds } from "@dragonflyledge/model";
 import type { SchedulerState } from "../state.ts";
-import type { Belief } from "./rate_model.ts";
+import type { Belief } from "./unknowns.ts";
 
 /** Interval at which all workers are looked at. */
 const NOTICE_INTERVAL: Milliseconds = SECOND;
--- a/core/scheduler/rates/rate_notices_test.ts
+++ b/core/scheduler/rates/rate_notices_test.ts
@@ -2,7 +2,7 @@
 import { createScheduler } from "../reducer.ts";
 import type { SchedulerEffect, SchedulerState } from "../state.ts";
 import { createRateNotices, noteRates } from "./rate_notices.ts";
-import type { Belief } from "./rate_model.ts";
+import type { Belief } from "./unknowns.ts";
 
 /** A leader's state whose estimates the test sets. */
 function createState(beliefs: Map<string, Belief>) {
--- a/core/scheduler/rates/worker_rates.ts
+++ b/core/scheduler/rates/worker_rates.ts
@@ -12,9 +12,10 @@
 import type { Run, Worker } from "../state.ts";
 import { createDifferenceTest } from "./differences.ts";
 import { createSamples } from "./progress_samples.ts";
-import { createRateModel, WORKER_SD } from "./rate_model.ts";
-import type { Belief } from "./rate_model.ts";
+import { createRateModel } from "./rate_model.ts";
 import { createSlowdowns } from "./slowdowns.ts";
+import type { Belief } from "./unknowns.ts";
+import { WORKER_SD } from "./worker_effects.ts";
 
 /** What is known of the rate of one worker. */
 export interface RateEstimate {
