Split the estimate of interference by job

interference.ts had 397 lines and mixed following workers from list to list, comparing two lists, keeping evidence by kind and deciding on pairs. The first three are modules now. What a run showed is one typed value between them. No behaviour changes.

--- a/core/scheduler/interference/interference_test.ts
+++ b/core/scheduler/interference/interference_test.ts
@@ -1,6 +1,6 @@
 import { test } from "tap";
 import { createInterference } from "./interference.ts";
-import type { ListedRun } from "./interference.ts";
+import type { ListedRun } from "./followed_workers.ts";
 import { simulate } from "./simulation_for_tests.ts";
 import type { SimulationFields } from "./simulation_for_tests.ts";
 
--- a/core/scheduler/interference/observe.ts
+++ b/core/scheduler/interference/observe.ts
@@ -9,7 +9,7 @@
 import type { AgentReport } from "../messages.ts";
 import { stepKey } from "../state.ts";
 import type { Run, SchedulerState, Worker } from "../state.ts";
-import type { ListedRun } from "./interference.ts";
+import type { ListedRun } from "./followed_workers.ts";
 import { kindName } from "./kinds.ts";
 
 /** Name of the kind of a run's task. */
--- a/core/scheduler/interference/placement_test.ts
+++ b/core/scheduler/interference/placement_test.ts
@@ -2,7 +2,7 @@
 import { createFleet, request, step } from "../fleet_for_tests.ts";
 import type { AgentReport } from "../messages.ts";
 import { checkJobRequest } from "../record/job_record.ts";
-import type { WorkerList } from "./interference.ts";
+import type { WorkerList } from "./followed_workers.ts";
 import { noteProgress } from "./observe.ts";
 
 const WORKERS = 8;
