--- a/core/model/clock.ts
+++ b/core/model/clock.ts
@@ -22,6 +22,15 @@
   after(delay: Milliseconds, task: () => void): () => void;
 }
 
+/** Resolves after the delay. */
+export function sleep(
+  fields: { timer: Timer; delay: Milliseconds },
+): Promise<void> {
+  return new Promise((resolve) => {
+    fields.timer.after(fields.delay, resolve);
+  });
+}
+
 /** Source of uniform random numbers in [0, 1). */
 export type Random = () => number;
 
--- a/daemons/entry/entry.ts
+++ b/daemons/entry/entry.ts
@@ -8,7 +8,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { createEntryReducer } from "@dragonflyledge/entry-reducer";
-import { PROTOCOL_VERSION } from "@dragonflyledge/model";
+import { PROTOCOL_VERSION, sleep } from "@dragonflyledge/model";
 import type {
   AgentMessage,
   Clock,
@@ -280,7 +280,7 @@
   }
 
   async function shutDown(): Promise<void> {
-    await new Promise<void>((resolve) => timer.after(SHUTDOWN_DELAY, resolve));
+    await sleep({ timer, delay: SHUTDOWN_DELAY });
     cancelTick();
     store.close();
     gauges.stop();
--- a/daemons/program/register.ts
+++ b/daemons/program/register.ts
@@ -5,6 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { sleep } from "@dragonflyledge/model";
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
 import type { KeyValue } from "@dragonflyledge/platform";
 
@@ -26,9 +27,7 @@
   for (let attempt = 1;; attempt++) {
     if (await writeAddress(fields)) return;
     if (attempt === 1) fields.onFirstFailure();
-    await new Promise<void>((resolve) => {
-      fields.timer.after(RETRY_DELAY, resolve);
-    });
+    await sleep({ timer: fields.timer, delay: RETRY_DELAY });
   }
 }
 
--- a/daemons/scheduler/election.ts
+++ b/daemons/scheduler/election.ts
@@ -6,6 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import type { Log } from "@dragonflyledge/log";
+import { sleep } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { KeyValue } from "@dragonflyledge/platform";
 import { LEADER_KEY } from "@dragonflyledge/scheduler";
@@ -165,9 +166,7 @@
 
   /** Campaigns unless a process that may go first is elected meanwhile. */
   async function campaignAfterDelay(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      timer.after(delay, resolve);
-    });
+    await sleep({ timer, delay });
     if (!resigned && fields.isVacant()) await campaign();
   }
 
--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { sleep } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
 
@@ -45,11 +46,6 @@
   let generation = 0;
   let troubled = false;
 
-  const sleep = (delay: Milliseconds) =>
-    new Promise<void>((resolve) => {
-      timer.after(delay, resolve);
-    });
-
   function reportTrouble(reason: string | undefined): void {
     if (troubled === (reason !== undefined)) return;
     troubled = reason !== undefined;
@@ -69,7 +65,7 @@
         return answer.value.revision;
       }
       reportTrouble(answer.error.reason);
-      await sleep(RETRY_DELAY);
+      await sleep({ timer, delay: RETRY_DELAY });
     }
     return undefined;
   }
@@ -82,7 +78,7 @@
       if (own !== generation) return;
       if (answer.isErr()) {
         reportTrouble(answer.error.reason);
-        await sleep(RETRY_DELAY);
+        await sleep({ timer, delay: RETRY_DELAY });
         continue;
       }
       reportTrouble(undefined);
@@ -95,7 +91,7 @@
       if (answer.value.changes.length === 0) continue;
       fields.onChanges(answer.value.changes);
       const pause = fields.pause();
-      if (pause > 0) await sleep(pause);
+      if (pause > 0) await sleep({ timer, delay: pause });
     }
   }
 
--- a/daemons/scheduler/job_store.ts
+++ b/daemons/scheduler/job_store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { MINUTE } from "@dragonflyledge/model";
+import { MINUTE, sleep } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
 import type { CommitOutcome, Item, KeyValue } from "@dragonflyledge/platform";
@@ -64,9 +64,7 @@
   /** Waits for the next attempt; returns false if the deadline is before it. */
   async function waitToRetry(deadline: Milliseconds): Promise<boolean> {
     if (clock.now() + RETRY_DELAY >= deadline) return false;
-    await new Promise<void>((resolve) => {
-      timer.after(RETRY_DELAY, resolve);
-    });
+    await sleep({ timer, delay: RETRY_DELAY });
     return true;
   }
 
--- a/daemons/scheduler/store_wait.ts
+++ b/daemons/scheduler/store_wait.ts
@@ -8,6 +8,7 @@
  * @module
  */
 
+import { sleep } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 
 /**
@@ -39,16 +40,13 @@
   const { isFailing, clock, timer } = fields;
   let waiting = 0;
 
-  const pause = () =>
-    new Promise<void>((resolve) => {
-      timer.after(STORE_CHECK_INTERVAL, resolve);
-    });
-
   return async ({ startedAt, timeout }) => {
     if (waiting >= MAX_WAITING_REQUESTS) return false;
     waiting++;
     const end = startedAt + timeout * STORE_WAIT_SHARE;
-    while (isFailing() && clock.now() < end) await pause();
+    while (isFailing() && clock.now() < end) {
+      await sleep({ timer, delay: STORE_CHECK_INTERVAL });
+    }
     waiting--;
     return !isFailing();
   };
--- a/daemons/scheduler/writer.ts
+++ b/daemons/scheduler/writer.ts
@@ -6,6 +6,7 @@
 
 import { encode } from "cbor-x";
 import type { Log } from "@dragonflyledge/log";
+import { sleep } from "@dragonflyledge/model";
 import type { Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Item, KeyValue } from "@dragonflyledge/platform";
 import {
@@ -68,18 +69,14 @@
   let stopped = false;
 
   const leaderCondition = { key: LEADER_KEY, revision: epoch };
-  const sleep = (delay: Milliseconds) =>
-    new Promise<void>((resolve) => {
-      timer.after(delay, resolve);
-    });
 
   async function run(): Promise<void> {
     if (running) return;
     running = true;
-    await sleep(BATCH_DELAY);
+    await sleep({ timer, delay: BATCH_DELAY });
     while (!stopped && waiting.size + pendingRemovals.length > 0) {
       const done = waiting.size > 0 ? await writeBatch() : await removeNext();
-      if (!done) await sleep(RETRY_DELAY);
+      if (!done) await sleep({ timer, delay: RETRY_DELAY });
     }
     running = false;
   }
