Name the fields that both kinds of an entry's records need

The access to records in any store and in the etcd gateway listed the same eleven fields. EntryRecordFields holds them. No behaviour changes.

--- a/daemons/entry/guarded_records.ts
+++ b/daemons/entry/guarded_records.ts
@@ -42,26 +42,36 @@
 const DEFAULT_WRITES_PER_SECOND = 50;
 const DEFAULT_READS_PER_SECOND = 200;
 
-/**
- * Creates the access to the records of one entry in `store`. `closeStore` is
- * called at the end of `close`. The call budget defaults to 50 writes and 200
- * reads a second.
- */
-export function createGuardedRecords(fields: {
-  store: Store;
-  closeStore: () => Promise<void>;
+/** What the records of one entry need, whatever store they are in. */
+export interface EntryRecordFields {
+  /** All keys start with it. */
   prefix: string;
   id: EntryId;
   incarnation: number;
+  /** Address for agents. */
   address: string;
+  /** Address for callers and operators. */
   httpAddress: string;
+  /** Budget of calls to the store; 50 by default. */
   writesPerSecond?: number;
+  /** Same for reads; 200 by default. */
   readsPerSecond?: number;
   clock: Clock;
   timer: Timer;
   random: Random;
   observer: Observer;
-}): Records {
+}
+
+/**
+ * Creates the access to the records of one entry in `store`. `closeStore` is
+ * called at the end of `close`.
+ */
+export function createGuardedRecords(
+  fields: EntryRecordFields & {
+    store: Store;
+    closeStore: () => Promise<void>;
+  },
+): Records {
   const { prefix, id, clock, timer, random, observer } = fields;
   const time = { clock, timer, random };
   const store = createGuardedStore({
--- a/daemons/entry/store_records.ts
+++ b/daemons/entry/store_records.ts
@@ -4,40 +4,20 @@
  * @module
  */
 
-import type {
-  Clock,
-  EntryId,
-  Milliseconds,
-  Random,
-  Timer,
-} from "@dragonflyledge/model";
 import { SECOND } from "@dragonflyledge/model";
-import type { Observer } from "@dragonflyledge/runtime";
+import type { Milliseconds } from "@dragonflyledge/model";
 import { createEtcdStore } from "@dragonflyledge/store";
 import { createGuardedRecords } from "./guarded_records.ts";
+import type { EntryRecordFields } from "./guarded_records.ts";
 import type { Records } from "./records.ts";
 
 /** Deadline of each call to the store. */
 const CALL_TIMEOUT: Milliseconds = 2 * SECOND;
 
-/**
- * Creates the access to the records of one entry in the etcd gateway at `url`.
- * Keys start with `prefix`.
- */
-export function createStoreRecords(fields: {
-  url: string;
-  prefix: string;
-  id: EntryId;
-  incarnation: number;
-  address: string;
-  httpAddress: string;
-  writesPerSecond?: number;
-  readsPerSecond?: number;
-  clock: Clock;
-  timer: Timer;
-  random: Random;
-  observer: Observer;
-}): Records {
+/** Creates the access to the records of one entry in the etcd gateway at `url`. */
+export function createStoreRecords(
+  fields: EntryRecordFields & { url: string },
+): Records {
   const { url, timer } = fields;
   const store = createEtcdStore({ url, timeout: CALL_TIMEOUT, timer });
   return createGuardedRecords({
