--- a/config/settings/keys.ts
+++ b/config/settings/keys.ts
@@ -86,16 +86,21 @@
   });
 }
 
-/** Schema of a list of `host:port`, separated by commas. */
-export function addresses(meaning: string) {
-  return z.string().transform((text, context): HostPort[] => {
-    const list = text.split(",").map((each) => parseAddress(each.trim()));
-    const valid = list.filter((each) => each !== undefined);
-    if (valid.length !== list.length) {
-      context.addIssue({ code: "custom", message: "address" });
+/** Schema of a list separated by commas; `issue` names an invalid part. */
+function listOf<T>(parse: (text: string) => T | undefined, issue: string) {
+  return z.string().transform((text, context): T[] => {
+    const parsed = text.split(",").map((each) => parse(each.trim()));
+    const valid = parsed.filter((each) => each !== undefined);
+    if (valid.length !== parsed.length) {
+      context.addIssue({ code: "custom", message: issue });
     }
     return valid;
-  }).meta({
+  });
+}
+
+/** Schema of a list of `host:port`, separated by commas. */
+export function addresses(meaning: string) {
+  return listOf(parseAddress, "address").meta({
     allowed: "addresses host:port, separated by commas",
     meaning,
   });
@@ -117,14 +122,7 @@
 
 /** Schema of a list of `name:digest`, separated by commas. */
 export function operators(meaning: string) {
-  return z.string().transform((text, context): OperatorKey[] => {
-    const list = text.split(",").map((each) => parseOperator(each.trim()));
-    const valid = list.filter((each) => each !== undefined);
-    if (valid.length !== list.length) {
-      context.addIssue({ code: "custom", message: "operator" });
-    }
-    return valid;
-  }).meta({
+  return listOf(parseOperator, "operator").meta({
     allowed: "name:digest, separated by commas, digests in lower-case hex",
     meaning,
   });
