Share what starting and seeding daemons has in common

demo and dev each built the observer and the operator of the example system; agent and entry each read settings and seeded random numbers. dev/example.ts, daemon/random.ts and one reader of settings replace the copies. No behaviour changes.

--- a/cli/command/commands/agent.ts
+++ b/cli/command/commands/agent.ts
@@ -4,20 +4,16 @@
  * @module
  */
 
-import { randomInt } from "node:crypto";
 import { startAgent } from "@dragonflyledge/agent";
 import { Part } from "@dragonflyledge/log";
-import { createRandom } from "@dragonflyledge/model";
 import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import type { AgentSettings } from "@dragonflyledge/settings";
 import { createObserver } from "../daemon/observer.ts";
+import { createDaemonRandom } from "../daemon/random.ts";
 import { readAgentSettings } from "../daemon/read_settings.ts";
 import { runUntilStopped } from "../daemon/run.ts";
 import type { CommandRegistration } from "./register.ts";
 
-/** Seeds of the random generator are below this. */
-const SEED_LIMIT = 2 ** 32;
-
 /** Registers the command. */
 export const registerAgent: CommandRegistration = (
   { program, dependencies },
@@ -67,7 +63,7 @@
       },
       clock: createSystemClock(),
       timer: createSystemTimer(),
-      random: createRandom(randomInt(SEED_LIMIT)),
+      random: createDaemonRandom(),
       observer,
     });
   await runUntilStopped(start);
--- a/cli/command/commands/demo.ts
+++ b/cli/command/commands/demo.ts
@@ -4,18 +4,14 @@
  * @module
  */
 
-import { Part } from "@dragonflyledge/log";
-import { createObserver } from "../daemon/observer.ts";
 import { EXAMPLES } from "../dev/deployments.ts";
 import { runDemo } from "../dev/demo.ts";
-import { DEV_OPERATOR } from "../dev/operator.ts";
+import { startExample } from "../dev/example.ts";
 import { submitConfiguration } from "../dev/submit.ts";
-import { startDevSystem } from "../dev/system.ts";
 import { CommandFailure } from "../failure.ts";
 import { formatTable } from "../output.ts";
 import type { CommandRegistration } from "./register.ts";
 
-const SEED = 1;
 /** Number of workers of the example system. */
 const WORKERS = 11;
 
@@ -29,17 +25,10 @@
     )
     .action(async () => {
       const { deployment, configuration } = EXAMPLES.nyabugogo!;
-      const observer = createObserver({
-        part: Part.Cli,
+      const system = await startExample({
+        deployment: { ...deployment, workers: WORKERS },
         id: "demo",
         level: "error",
-        metrics: { port: 0, prefix: "" },
-      });
-      const system = await startDevSystem({
-        deployment: { ...deployment, workers: WORKERS },
-        operators: [DEV_OPERATOR],
-        observer,
-        seed: SEED,
         firstHttpPort: 0,
       });
       try {
--- a/cli/command/commands/dev.ts
+++ b/cli/command/commands/dev.ts
@@ -5,19 +5,16 @@
  */
 
 import { InvalidArgumentError } from "commander";
-import { Part } from "@dragonflyledge/log";
 import { EXAMPLES } from "../dev/deployments.ts";
-import { DEV_OPERATOR, DEV_OPERATOR_TOKEN } from "../dev/operator.ts";
+import { startExample } from "../dev/example.ts";
+import { DEV_OPERATOR_TOKEN } from "../dev/operator.ts";
 import { submitConfiguration } from "../dev/submit.ts";
-import { startDevSystem } from "../dev/system.ts";
-import { createObserver } from "../daemon/observer.ts";
 import { runUntilStopped } from "../daemon/run.ts";
 import { parseWholeNumber } from "./register.ts";
 import type { CommandRegistration } from "./register.ts";
 
 /** HTTP port of the first entry; the others use the next ones. */
 const DEFAULT_PORT = 8080;
-const SEED = 1;
 
 interface DevOptions {
   example: string;
@@ -37,17 +34,10 @@
     )
     .action(async ({ example, port }: DevOptions) => {
       const { deployment, configuration } = EXAMPLES[example]!;
-      const observer = createObserver({
-        part: Part.Cli,
+      const system = await startExample({
+        deployment,
         id: "dev",
         level: "warn",
-        metrics: { port: 0, prefix: "" },
-      });
-      const system = await startDevSystem({
-        deployment,
-        operators: [DEV_OPERATOR],
-        observer,
-        seed: SEED,
         firstHttpPort: port,
       });
       await submitConfiguration({ url: system.urls[0]!, configuration });
--- a/cli/command/commands/entry.ts
+++ b/cli/command/commands/entry.ts
@@ -4,20 +4,16 @@
  * @module
  */
 
-import { randomInt } from "node:crypto";
 import { createStoreRecords, startEntry } from "@dragonflyledge/entry";
 import { Part } from "@dragonflyledge/log";
-import { createRandom } from "@dragonflyledge/model";
 import { createSystemClock, createSystemTimer } from "@dragonflyledge/runtime";
 import type { EntrySettings } from "@dragonflyledge/settings";
 import { createObserver } from "../daemon/observer.ts";
+import { createDaemonRandom } from "../daemon/random.ts";
 import { readEntrySettings } from "../daemon/read_settings.ts";
 import { runUntilStopped } from "../daemon/run.ts";
 import type { CommandRegistration } from "./register.ts";
 
-/** Seeds of the random generator are below this. */
-const SEED_LIMIT = 2 ** 32;
-
 /** Registers the command. */
 export const registerEntry: CommandRegistration = (
   { program, dependencies },
@@ -44,7 +40,7 @@
   });
   const clock = createSystemClock();
   const timer = createSystemTimer();
-  const random = createRandom(randomInt(SEED_LIMIT));
+  const random = createDaemonRandom();
   const start = () =>
     startEntry({
       settings: {
--- a/cli/command/daemon/read_settings.ts
+++ b/cli/command/daemon/read_settings.ts
@@ -6,7 +6,11 @@
 
 import type { StepError } from "@dragonflyledge/model";
 import { readSettings, settingsError } from "@dragonflyledge/settings";
-import type { AgentSettings, EntrySettings } from "@dragonflyledge/settings";
+import type {
+  AgentSettings,
+  EntrySettings,
+  Role,
+} from "@dragonflyledge/settings";
 import type { Dependencies } from "../dependencies.ts";
 import { CommandFailure } from "../failure.ts";
 
@@ -15,14 +19,11 @@
  *
  * @throws CommandFailure that lists all problems of the file
  */
-export async function readEntrySettings(
+export function readEntrySettings(
   dependencies: Dependencies,
   file: string,
 ): Promise<EntrySettings> {
-  const text = await readText(dependencies, file);
-  const settings = readSettings({ text, file, role: "entry" });
-  if (settings.isErr()) throw toUsageFailure(settingsError(settings.error));
-  return settings.value;
+  return readFor("entry", dependencies, file);
 }
 
 /**
@@ -30,12 +31,20 @@
  *
  * @throws CommandFailure that lists all problems of the file
  */
-export async function readAgentSettings(
+export function readAgentSettings(
   dependencies: Dependencies,
   file: string,
 ): Promise<AgentSettings> {
+  return readFor("agent", dependencies, file);
+}
+
+async function readFor<R extends Role>(
+  role: R,
+  dependencies: Dependencies,
+  file: string,
+) {
   const text = await readText(dependencies, file);
-  const settings = readSettings({ text, file, role: "agent" });
+  const settings = readSettings({ text, file, role });
   if (settings.isErr()) throw toUsageFailure(settingsError(settings.error));
   return settings.value;
 }
