Reword comments and names of the scripts

Comments say in usual terms what each function returns, numbers in loops have names, and functions are named by what they do. Output stays the same.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -55,7 +55,7 @@
   format: "cjs",
   outExtension: { ".js": ".cjs" },
   sourcemap: false,
-  // Optional native helpers of bunyan, which it does without.
+  // Optional native dependencies of bunyan, which works without them.
   external: ["dtrace-provider", "mv", "source-map-support"],
   plugins: [workspaceSources],
   logLevel: "warning",
--- a/scripts/measure_interference.mjs
+++ b/scripts/measure_interference.mjs
@@ -1,10 +1,10 @@
 /**
- * Measures what the estimates of interference cost at target size: 860 workers
- * with 15 tasks each, listed every second, and a round of planning on 160
- * workers with 2,000 waiting tasks, with and without known pairs.
+ * Measures processor time and memory of the estimates of interference at target
+ * size: 860 workers with 15 tasks each, listed every second, and a round of
+ * planning on 160 workers with 2,000 waiting tasks, with and without known pairs.
  *
- * With a number of seeds, it counts instead which pairs are found on simulated
- * fleets with and without interference.
+ * With a number of seeds as argument, it counts which pairs are found on
+ * simulated fleets with and without interference instead.
  *
  * Run after `npm run build`:
  *
@@ -22,9 +22,13 @@
 import { createRandom } from "@dragonflyledge/model";
 
 const WORKERS = 860;
-const RUNS = 15;
+const RUNS_PER_WORKER = 15;
 const KINDS = 20;
+/** Length of the simulation of lists. */
 const SECONDS = 60;
+const REFRESHES_PER_SECOND = 4;
+/** Rounds of planning of which the median is taken. */
+const ROUNDS = 13;
 
 /** Processor time of this process in ms, which other load does not change. */
 function cpuTime() {
@@ -34,7 +38,7 @@
 
 const rate = () => ({ mean: 0, variance: 0.01 });
 
-/** Passes lists of all workers each second; returns the time of each part. */
+/** Passes lists of all workers each second; returns the cost of each part. */
 function measureLists() {
   const random = createRandom(1);
   const interference = createInterference();
@@ -51,7 +55,7 @@
   });
   const workers = Array.from(
     { length: WORKERS },
-    () => Array.from({ length: RUNS }, create),
+    () => Array.from({ length: RUNS_PER_WORKER }, create),
   );
   let observed = 0;
   let refreshed = 0;
@@ -78,9 +82,9 @@
       }
       observed += cpuTime() - start;
     });
-    for (let tick = 0; tick < 4; tick++) {
+    for (let tick = 0; tick < REFRESHES_PER_SECOND; tick++) {
       const start = cpuTime();
-      interference.refresh(now + 250 * tick);
+      interference.refresh(now + tick * 1000 / REFRESHES_PER_SECOND);
       const took = cpuTime() - start;
       refreshed += took;
       longest = Math.max(longest, took);
@@ -96,15 +100,15 @@
   };
 }
 
-/** Lets tasks of image `a` be slow beside those of image `b`. */
-function teach(interference) {
+/** Adds runs of image `a` that are slower beside runs of image `b`. */
+function addInterference(interference) {
   for (let run = 0; run < 400; run++) {
     const agent = `taught-${run % 20}`;
     let percent = 1;
     for (let second = 0; second < 12; second++) {
       const at = run * 20_000 + second * 1000;
-      const disturbed = second % 6 >= 3;
-      percent += disturbed ? 4 : 8;
+      const slowed = second % 6 >= 3;
+      percent += slowed ? 4 : 8;
       const listed = (key, kind, progress) => ({
         key: `${key}${run}`,
         kind,
@@ -114,7 +118,7 @@
         comparable: true,
       });
       const runs = [listed("a", "a", percent)];
-      if (disturbed) runs.push(listed("b", "b", 1 + second));
+      if (slowed) runs.push(listed("b", "b", 1 + second));
       interference.observe({ agent, worker: agent, at, now: at, runs, rate });
     }
     const now = run * 20_000 + 12_000;
@@ -130,12 +134,15 @@
   }
 }
 
-/** Time of a round that starts and tries 2,000 tasks on half-full workers. */
+/**
+ * Median time in ms of a round of planning with 2,000 waiting tasks on workers
+ * that are half full.
+ */
 function measureRound(known) {
   const samples = [];
-  for (let repeat = 0; repeat < 13; repeat++) {
+  for (let round = 0; round < ROUNDS; round++) {
     const fleet = createFleet({ workers: 160, planningInterval: 1e9 });
-    if (known) teach(fleet.scheduler.state.interference);
+    if (known) addInterference(fleet.scheduler.state.interference);
     if (known !== (fleet.scheduler.state.interference.pairCount() > 0)) {
       throw new Error("The pair was not found.");
     }
@@ -154,10 +161,10 @@
     samples.push(cpuTime() - start);
   }
   samples.sort((a, b) => a - b);
-  return samples[6];
+  return samples[ROUNDS >> 1];
 }
 
-/** Fleets of the trial; what they lack is in `FLEET`. */
+/** Fleet of which each of `FLEETS` changes some fields. */
 const FLEET = {
   workers: 56,
   slots: 8,
@@ -189,17 +196,20 @@
   "k5 k6": 0.12,
 };
 
-/** Counts pairs found, and the seconds until half of the seeds found them. */
+/**
+ * Counts the seeds that found each pair, with the median time until then, and
+ * the runs with a false pair.
+ */
 function countPairs(fields, seeds) {
   let withFalsePair = 0;
   const found = {};
   for (let seed = 1; seed <= seeds; seed++) {
-    const quiet = simulate({ ...FLEET, ...fields, seed });
+    const unaffected = simulate({ ...FLEET, ...fields, seed });
     const slowdown = (kind, beside) => SLOWDOWNS[`${kind} ${beside}`] ?? 0;
     const { changes } = simulate({ ...FLEET, ...fields, seed, slowdown });
     const apart = changes.filter((change) => change.apart);
     const isFalse = ({ kind, beside }) => !(`${kind} ${beside}` in SLOWDOWNS);
-    if (quiet.changes.length > 0) withFalsePair++;
+    if (unaffected.changes.length > 0) withFalsePair++;
     if (apart.some(isFalse)) withFalsePair++;
     for (const { kind, beside, at } of apart) {
       (found[`${kind} ${beside}`] ??= []).push(at / 1000);
--- a/scripts/regression.mjs
+++ b/scripts/regression.mjs
@@ -1,9 +1,9 @@
 /**
- * Compares scores of the users' bench with those of the last landing.
+ * Compares scores of the users' bench with those that were saved last.
  *
  * Usage: node scripts/regression.mjs [--save] FILE...
  * Each file holds the output of one `score`. Prints the worth of each day now
- * and at the last landing; `--save` stores the new figures for the next one.
+ * and as it was saved; `--save` replaces the saved figures.
  */
 import { readFileSync, writeFileSync } from "node:fs";
 import { dirname, join, resolve } from "node:path";
@@ -12,7 +12,7 @@
 
 const root = resolve(dirname(fileURLToPath(import.meta.url)), "..");
 const STORED = join(root, "measurements/regression.json");
-/** A smaller change of the worth of a day is not marked. */
+/** Smaller drops of the worth of a day are not marked. */
 const NOISE = 0.03;
 
 /** Parses the output of one score: site, gate and the worth of each day. */
@@ -32,19 +32,19 @@
 }
 
 /** Mean worth of the standard days with trouble and high load. */
-function meanOfTrouble(days) {
+function meanOfTroubleDays(days) {
   const worths = Object.entries(days)
     .filter(([day]) => /^(trouble|scale)-/.test(day))
     .map(([, worth]) => worth);
   return worths.reduce((sum, worth) => sum + worth, 0) / worths.length;
 }
 
-/** One line of the table; a fall beyond the noise is marked. */
+/** One line of the table; a drop beyond `NOISE` is marked. */
 function formatRow(site, day, now, before) {
-  const fell = before !== undefined && now < before - NOISE;
+  const dropped = before !== undefined && now < before - NOISE;
   const shown = before === undefined ? "-" : before.toFixed(3);
   return `${site.padEnd(24)} ${day.padEnd(16)} ${now.toFixed(3).padStart(7)} ` +
-    `${shown.padStart(7)}${fell ? "  fell" : ""}`;
+    `${shown.padStart(7)}${dropped ? "  fell" : ""}`;
 }
 
 const { values, positionals } = parseArgs({
@@ -59,8 +59,8 @@
   for (const [day, worth] of Object.entries(days)) {
     console.log(formatRow(site, day, worth, before[day]));
   }
-  const mean = meanOfTrouble(days);
-  const meanBefore = stored[site] && meanOfTrouble(before);
+  const mean = meanOfTroubleDays(days);
+  const meanBefore = stored[site] && meanOfTroubleDays(before);
   console.log(formatRow(site, "mean of trouble", mean, meanBefore));
   console.log(`${site.padEnd(24)} gate ${gate}`);
   stored[site] = { gate, days };
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -8,8 +8,11 @@
 import process from "node:process";
 
 const files = process.argv.slice(2);
-/** A failure's message holds a report of the process that caused it. */
-const MAX_SHOWN_LINE = 20_000;
+/** Longest line that is printed of a failure, which may hold a whole report. */
+const MAX_LINE_LENGTH = 20_000;
+/** Lines that are printed from each failure on. */
+const LINES_PER_FAILURE = 40;
+const MAX_FAILURE_LINES = 600;
 const SOURCE_ROOTS = [
   "cli",
   "config",
@@ -26,13 +29,13 @@
 const ISOLATED_TESTS = ["testing/platform/dist/floods_test.js"];
 const env = { ...process.env, DENO_NO_UPDATE_CHECK: "1", TAP_RCFILE: ".taprc" };
 
-/** Runs one command with its output shown, and returns whether it passed. */
-function run(command, args) {
+/** Runs a command with its output shown, and returns whether it passed. */
+function runCommand(command, args) {
   const result = spawnSync(command, args, { stdio: "inherit", env });
   return result.status === 0;
 }
 
-/** Built tests whose source still exists; older builds may have left others. */
+/** Built tests whose source exists; `dist` may hold tests that were deleted. */
 function listTests() {
   return SOURCE_ROOTS.filter((root) => existsSync(root))
     .flatMap((root) =>
@@ -46,7 +49,7 @@
     .sort();
 }
 
-/** Each package builds into its own `dist`. */
+/** Path of the built file; each package builds into its own `dist`. */
 function builtPath(path) {
   const parts = path.replace(/\.ts$/, ".js").split("/");
   for (let depth = parts.length - 1; depth > 0; depth--) {
@@ -57,7 +60,7 @@
   throw new Error(`${path} belongs to no package`);
 }
 
-/** Runs the tests and returns the TAP stream of all files. */
+/** Runs the tests; returns the TAP stream of all files, and a status. */
 function runTests() {
   const selected = files.length > 0 ? files : listTests();
   const isolated = selected.filter((file) => ISOLATED_TESTS.includes(file));
@@ -70,7 +73,7 @@
   };
 }
 
-/** Runs some test files beside each other. */
+/** Runs test files in parallel. */
 function runFiles(list) {
   return spawnSync(
     "node_modules/.bin/tap",
@@ -84,15 +87,18 @@
   );
 }
 
-/** Reads the names of tests that are known to fail, one entry a line. */
-function knownRed() {
+/** Reads the names of tests that are known to fail. */
+function readKnownFailures() {
   if (!existsSync("KNOWN-RED.txt")) return [];
   return readFileSync("KNOWN-RED.txt", "utf8").split("\n")
     .filter((line) => line.startsWith("test: "))
     .map((line) => line.slice("test: ".length).trim());
 }
 
-/** Top-level tests of each file, with the file as prefix. */
+/**
+ * Reads the results of the top-level tests, named by file and test. A file that
+ * fails without a failed test is a result of its own.
+ */
 function readResults(stream) {
   const results = [];
   let file = "";
@@ -107,7 +113,7 @@
     }
     const whole = /^(not )?ok \d+ - (.*_test\.js)/.exec(line);
     if (
-      whole && whole[1] && !results.some((r) => startsWithFile(r, whole[2]))
+      whole && whole[1] && !results.some((r) => isFailureIn(r, whole[2]))
     ) {
       results.push({ name: whole[2], passed: false, skipped: false });
     }
@@ -115,7 +121,8 @@
   return results;
 }
 
-function startsWithFile(result, file) {
+/** Whether the result is a failed test of the built file. */
+function isFailureIn(result, file) {
   const source = file.replace("dist/", "").replace(/js$/, "ts");
   return result.name.startsWith(source) && !result.passed;
 }
@@ -123,14 +130,15 @@
 let failed = 0;
 let passed = 0;
 if (files.length === 0) {
-  if (!run("node_modules/.bin/deno", ["fmt", "--check", "--quiet"])) failed++;
-  else passed++;
-  if (!run("node_modules/.bin/deno", ["lint", "--quiet"])) failed++;
+  if (!runCommand("node_modules/.bin/deno", ["fmt", "--check", "--quiet"])) {
+    failed++;
+  } else passed++;
+  if (!runCommand("node_modules/.bin/deno", ["lint", "--quiet"])) failed++;
   else passed++;
 }
 const tests = runTests();
 const results = readResults(tests.stdout);
-const known = knownRed();
+const known = readKnownFailures();
 for (const result of results) {
   if (result.passed) {
     passed++;
@@ -143,7 +151,7 @@
   failed++;
   console.log(`not ok: ${result.name}`);
 }
-// The details of a known failure are what is missing to trace it.
+// Also for known failures, since the details may show their cause.
 if (results.some(({ passed }) => !passed) || results.length === 0) {
   console.log(failureLines(tests.stdout));
 }
@@ -152,15 +160,17 @@
 console.log(`${passed} passed, ${failed} failed`);
 process.exit(failed === 0 ? 0 : 1);
 
-/** The parts of the stream around failures, for people. */
+/** The lines of the stream that describe failures. */
 function failureLines(stream) {
   const lines = stream.split("\n");
   const shown = new Set();
   lines.forEach((line, index) => {
     if (!/^\s*not ok/.test(line)) return;
-    for (let near = index; near < index + 40; near++) shown.add(near);
+    for (let near = index; near < index + LINES_PER_FAILURE; near++) {
+      shown.add(near);
+    }
   });
-  return [...shown].slice(0, 600).map((index) =>
-    (lines[index] ?? "").slice(0, MAX_SHOWN_LINE)
+  return [...shown].slice(0, MAX_FAILURE_LINES).map((index) =>
+    (lines[index] ?? "").slice(0, MAX_LINE_LENGTH)
   ).join("\n");
 }
