--- a/testing/replay/baselines/jobs.ts
+++ b/testing/replay/baselines/jobs.ts
@@ -11,7 +11,7 @@
 import type { Inventory, Milliseconds } from "@dragonflyledge/model";
 import { START_TIME } from "../cluster/worker.ts";
 import type { EventHeap } from "../event_heap.ts";
-import type { JobEntry, Stay } from "../record.ts";
+import type { JobEntry, MemberRun } from "../record.ts";
 
 /** How a baseline places gangs. */
 export interface JobPolicy {
@@ -84,7 +84,10 @@
   }
 
   function start(job: JobEntry, placed: MemberPlacement[]): void {
-    const stays = placed.map(({ host, accelerators }, member): Stay => ({
+    const memberRuns = placed.map((
+      { host, accelerators },
+      member,
+    ): MemberRun => ({
       job: job.id,
       epoch: 1,
       member,
@@ -95,29 +98,29 @@
       ending: "running",
       leaseUntil: Infinity,
     }));
-    job.stays.push(...stays);
+    job.memberRuns.push(...memberRuns);
     job.state = "running";
     const failing = placed.some(({ host }) => host.failing);
     const time = START_TIME + (failing ? FAILURE_TIME : job.runTime);
     heap.after(time, () => {
-      if (stays[0]!.ending !== "running") return;
-      end(job, stays, placed, failing ? "failed" : "finished");
+      if (memberRuns[0]!.ending !== "running") return;
+      end(job, memberRuns, placed, failing ? "failed" : "finished");
     });
-    stops.set(job, () => end(job, stays, placed, "stopped"));
+    stops.set(job, () => end(job, memberRuns, placed, "stopped"));
   }
 
   const stops = new Map<JobEntry, () => void>();
 
   function end(
     job: JobEntry,
-    stays: Stay[],
+    memberRuns: MemberRun[],
     placed: MemberPlacement[],
     ending: "finished" | "failed" | "stopped",
   ): void {
     stops.delete(job);
-    for (const stay of stays) {
-      stay.end = heap.now;
-      stay.ending = ending;
+    for (const memberRun of memberRuns) {
+      memberRun.end = heap.now;
+      memberRun.ending = ending;
     }
     for (const { host, accelerators } of placed) {
       for (const one of accelerators) host.free[one] = true;
--- a/testing/replay/cluster/worker.ts
+++ b/testing/replay/cluster/worker.ts
@@ -15,7 +15,7 @@
 } from "@dragonflyledge/model";
 import type { EventHeap } from "../event_heap.ts";
 import { note } from "../record.ts";
-import type { RunRecord, Stay } from "../record.ts";
+import type { MemberRun, RunRecord } from "../record.ts";
 
 type StartEffect = Extract<AgentEffect, { kind: "startTask" }>;
 
@@ -57,7 +57,7 @@
   id: TaskId;
   report: MemberReport;
   needs: Resources;
-  stay: Stay;
+  memberRun: MemberRun;
   /** When the task began to run; infinite while it starts. */
   startedAt: Milliseconds;
   /** Progress of the checkpoint from which the task resumed. */
@@ -111,10 +111,10 @@
     return sum;
   }
 
-  function endTask(task: RunningTask, ending: Stay["ending"]): void {
+  function endTask(task: RunningTask, ending: MemberRun["ending"]): void {
     if (!tasks.delete(taskKey(task.id))) return;
-    task.stay.end = heap.now;
-    task.stay.ending = ending;
+    task.memberRun.end = heap.now;
+    task.memberRun.ending = ending;
     const { job } = task.id.run;
     const text = `member ${task.id.member} ${ending} on ${name}`;
     note(record, job, heap.now, text);
@@ -139,9 +139,9 @@
   }
 
   function watchLease(task: RunningTask): void {
-    heap.at(task.stay.leaseUntil, () => {
+    heap.at(task.memberRun.leaseUntil, () => {
       if (tasks.get(taskKey(task.id)) !== task) return;
-      if (heap.now >= task.stay.leaseUntil) endTask(task, "lease");
+      if (heap.now >= task.memberRun.leaseUntil) endTask(task, "lease");
       else watchLease(task);
     });
   }
@@ -152,7 +152,7 @@
     start(effect) {
       const { task: id, report, perMember, lease } = effect;
       if (tasks.has(taskKey(id))) return handlers.onStarted(id);
-      const stay: Stay = {
+      const memberRun: MemberRun = {
         job: id.run.job,
         epoch: id.run.epoch,
         member: id.member,
@@ -167,12 +167,12 @@
         id,
         report: { ...report },
         needs: perMember,
-        stay,
+        memberRun,
         startedAt: Infinity,
         initialProgress: 0,
       };
       tasks.set(taskKey(id), task);
-      record.jobs.get(id.run.job)?.stays.push(stay);
+      record.jobs.get(id.run.job)?.memberRuns.push(memberRun);
       const text = `member ${id.member} of epoch ${id.run.epoch} on ${name}`;
       note(record, id.run.job, heap.now, text);
       checkCapacity();
@@ -181,7 +181,7 @@
     },
     renew(id, lease) {
       const task = tasks.get(taskKey(id));
-      if (task) task.stay.leaseUntil = heap.now + lease;
+      if (task) task.memberRun.leaseUntil = heap.now + lease;
     },
     checkpoint(id) {
       heap.after(CHECKPOINT_TIME, () => {
--- a/testing/replay/measure/measures.ts
+++ b/testing/replay/measure/measures.ts
@@ -85,8 +85,11 @@
 /** Time until all members of a job ran for the first time. */
 export function startTimeOf(job: JobEntry): Milliseconds {
   const byEpoch = new Map<number, number[]>();
-  for (const stay of job.stays) {
-    byEpoch.set(stay.epoch, [...byEpoch.get(stay.epoch) ?? [], stay.start]);
+  for (const memberRun of job.memberRuns) {
+    byEpoch.set(memberRun.epoch, [
+      ...byEpoch.get(memberRun.epoch) ?? [],
+      memberRun.start,
+    ]);
   }
   for (const starts of byEpoch.values()) {
     if (starts.length < job.spec.members) continue;
--- a/testing/replay/measure/measures_test.ts
+++ b/testing/replay/measure/measures_test.ts
@@ -88,7 +88,7 @@
 
 // Guards against a start that counts although members are missing.
 test("a gang has started when all members of one epoch have", (t) => {
-  const stay = (epoch: number, member: number, start: number) => ({
+  const memberRun = (epoch: number, member: number, start: number) => ({
     job: "j",
     epoch,
     member,
@@ -108,9 +108,16 @@
     cancelledAt: Infinity,
     endedAt: Infinity,
     state: "",
-    stays: [stay(1, 0, 200), stay(2, 0, 300), stay(2, 1, 320)],
+    memberRuns: [
+      memberRun(1, 0, 200),
+      memberRun(2, 0, 300),
+      memberRun(2, 1, 320),
+    ],
   };
   t.equal(startTimeOf(job), 220);
-  t.equal(startTimeOf({ ...job, stays: job.stays.slice(0, 2) }), Infinity);
+  t.equal(
+    startTimeOf({ ...job, memberRuns: job.memberRuns.slice(0, 2) }),
+    Infinity,
+  );
   t.end();
 });
--- a/testing/replay/record.ts
+++ b/testing/replay/record.ts
@@ -48,8 +48,8 @@
   executions: Execution[];
 }
 
-/** One stay of a gang member on a worker. */
-export interface Stay {
+/** One run of a gang member on a worker. */
+export interface MemberRun {
   job: JobId;
   epoch: number;
   member: number;
@@ -74,7 +74,7 @@
   /** When the store or the baseline held an end state. */
   endedAt: Milliseconds;
   state: string;
-  stays: Stay[];
+  memberRuns: MemberRun[];
 }
 
 /** One look at the fragmentation of free capacity. */
--- a/testing/replay/replay.ts
+++ b/testing/replay/replay.ts
@@ -174,7 +174,7 @@
     cancelledAt: Infinity,
     endedAt: Infinity,
     state: "",
-    stays: [],
+    memberRuns: [],
   };
   record.jobs.set(id, created);
   return created;
@@ -245,7 +245,10 @@
   for (const job of record.jobs.values()) {
     const stored = store.contents.jobs.get(job.id);
     job.state = stored?.record.state ?? "";
-    const ended = Math.max(0, ...job.stays.map((stay) => stay.end));
+    const ended = Math.max(
+      0,
+      ...job.memberRuns.map((memberRun) => memberRun.end),
+    );
     if (job.state === "succeeded") job.endedAt = ended;
   }
 }
--- a/testing/replay/sample_capacity.ts
+++ b/testing/replay/sample_capacity.ts
@@ -12,7 +12,7 @@
   Milliseconds,
 } from "@dragonflyledge/model";
 import type { Cluster } from "./cluster/mod.ts";
-import type { RunRecord, Stay } from "./record.ts";
+import type { MemberRun, RunRecord } from "./record.ts";
 
 /** Size of one member for which fragmentation is measured. */
 const MEMBER_ACCELERATORS = 4;
@@ -37,11 +37,11 @@
   const { record, inventories, homes, now } = fields;
   const held = new Map<string, HeldMember[]>();
   for (const job of record.jobs.values()) {
-    for (const stay of job.stays) {
-      if (stay.end <= now) continue;
-      const list = held.get(stay.worker) ?? [];
-      held.set(stay.worker, list);
-      list.push(toHeld(stay, job.spec));
+    for (const memberRun of job.memberRuns) {
+      if (memberRun.end <= now) continue;
+      const list = held.get(memberRun.worker) ?? [];
+      held.set(memberRun.worker, list);
+      list.push(toHeld(memberRun, job.spec));
     }
   }
   const workers: WorkerView[] = inventories.map((inventory) => ({
@@ -58,17 +58,17 @@
 }
 
 function toHeld(
-  stay: Stay,
+  memberRun: MemberRun,
   spec: { team: string; class: string; revocable: boolean },
 ): HeldMember {
   return {
-    run: { job: stay.job, epoch: stay.epoch },
-    member: stay.member,
+    run: { job: memberRun.job, epoch: memberRun.epoch },
+    member: memberRun.member,
     team: spec.team,
     class: spec.class,
     urgent: false,
     revocable: spec.revocable,
-    accelerators: stay.accelerators,
+    accelerators: memberRun.accelerators,
     cores: 0,
     memoryMiB: 0,
   };
--- a/testing/replay/soak/checks.ts
+++ b/testing/replay/soak/checks.ts
@@ -75,8 +75,8 @@
   }),
   ...[...record.jobs.values()].flatMap((job) => {
     const reported = job.answer?.kind === "not-run";
-    if (!reported || job.stays.length === 0) return [];
-    const detail = `started on ${job.stays[0]!.worker}`;
+    if (!reported || job.memberRuns.length === 0) return [];
+    const detail = `started on ${job.memberRuns[0]!.worker}`;
     return violation(Invariant.NotRunTrue, job.id, detail);
   }),
 ];
@@ -111,7 +111,7 @@
 export const checkGangs: Check = (record) =>
   [...record.jobs.values()].flatMap((job) => [
     ...checkPartialGang(job, record.endedAt),
-    ...checkOverlappingStays(job),
+    ...checkOverlappingRuns(job),
     ...checkRestarted(job),
   ]);
 
@@ -199,9 +199,9 @@
 
 /** Finds a time for which a gang ran too long with only some members. */
 function checkPartialGang(job: JobEntry, end: Milliseconds): Violation[] {
-  const changes = job.stays
-    .flatMap((stay) =>
-      [[stay.start, 1], [Math.min(stay.end, end), -1]] as const
+  const changes = job.memberRuns
+    .flatMap((memberRun) =>
+      [[memberRun.start, 1], [Math.min(memberRun.end, end), -1]] as const
     )
     .sort((left, right) => left[0] - right[0] || left[1] - right[1]);
   let running = 0;
@@ -222,23 +222,25 @@
 }
 
 /** Finds a member that ran twice at once. */
-function checkOverlappingStays(job: JobEntry): Violation[] {
+function checkOverlappingRuns(job: JobEntry): Violation[] {
   const last = new Map<number, Milliseconds>();
-  const sorted = job.stays.toSorted((left, right) => left.start - right.start);
-  for (const stay of sorted) {
-    if (stay.start < (last.get(stay.member) ?? -Infinity)) {
-      const detail = `member ${stay.member} runs twice from ` +
-        `${stay.start.toFixed(0)} on ${stay.worker}`;
+  const sorted = job.memberRuns.toSorted((left, right) =>
+    left.start - right.start
+  );
+  for (const memberRun of sorted) {
+    if (memberRun.start < (last.get(memberRun.member) ?? -Infinity)) {
+      const detail = `member ${memberRun.member} runs twice from ` +
+        `${memberRun.start.toFixed(0)} on ${memberRun.worker}`;
       return violation(Invariant.GangWhole, job.id, detail);
     }
-    last.set(stay.member, stay.end);
+    last.set(memberRun.member, memberRun.end);
   }
   return [];
 }
 
 /** Finds a job that is not idempotent and was started in several epochs. */
 function checkRestarted(job: JobEntry): Violation[] {
-  const epochs = new Set(job.stays.map((stay) => stay.epoch));
+  const epochs = new Set(job.memberRuns.map((memberRun) => memberRun.epoch));
   if (job.spec.idempotent || epochs.size <= 1) return [];
   const detail = `was started in epochs ${[...epochs].join(", ")}`;
   return violation(Invariant.AtMostOnce, job.id, detail);
@@ -247,10 +249,10 @@
 /** Tells whether all members of a job finished in the same epoch. */
 function allMembersFinished(job: JobEntry): boolean {
   const finished = new Map<number, Set<number>>();
-  for (const stay of job.stays) {
-    if (stay.ending !== "finished") continue;
-    const members = finished.get(stay.epoch) ?? new Set();
-    finished.set(stay.epoch, members.add(stay.member));
+  for (const memberRun of job.memberRuns) {
+    if (memberRun.ending !== "finished") continue;
+    const members = finished.get(memberRun.epoch) ?? new Set();
+    finished.set(memberRun.epoch, members.add(memberRun.member));
   }
   return [...finished.values()].some((members) =>
     members.size === job.spec.members
--- a/testing/replay/soak/checks_test.ts
+++ b/testing/replay/soak/checks_test.ts
@@ -1,7 +1,12 @@
 import { test } from "tap";
 import type { JobSpec, Outcome } from "@dragonflyledge/model";
 import { createRecord } from "../record.ts";
-import type { JobEntry, RequestRecord, RunRecord, Stay } from "../record.ts";
+import type {
+  JobEntry,
+  MemberRun,
+  RequestRecord,
+  RunRecord,
+} from "../record.ts";
 import {
   checkAtMostOnce,
   checkDeadlines,
@@ -51,7 +56,7 @@
   } as const;
 }
 
-function stay(changes: Partial<Stay> = {}): Stay {
+function memberRun(changes: Partial<MemberRun> = {}): MemberRun {
   return {
     job: "j1",
     epoch: 2,
@@ -77,7 +82,7 @@
     answer: { kind: "accepted" },
     endedAt: 5000,
     state: "succeeded",
-    stays: [stay(), stay({ member: 1 })],
+    memberRuns: [memberRun(), memberRun({ member: 1 })],
     ...changes,
   };
 }
@@ -123,7 +128,7 @@
       job({
         answer: { kind: "unknown", reason: "store-unavailable" },
         state: "queued",
-        stays: [],
+        memberRuns: [],
       }),
     ]),
   ],
@@ -157,20 +162,29 @@
     "a gang that runs partially beyond its lease",
     checkGangs,
     recordOf([], [
-      job({ stays: [stay({ end: 30_000 }), stay({ member: 1, end: 200 })] }),
+      job({
+        memberRuns: [
+          memberRun({ end: 30_000 }),
+          memberRun({ member: 1, end: 200 }),
+        ],
+      }),
     ]),
   ],
   [
     "a member that runs twice at once",
     checkGangs,
     recordOf([], [
-      job({ stays: [stay(), stay({ worker: "w2", start: 900 })] }),
+      job({
+        memberRuns: [memberRun(), memberRun({ worker: "w2", start: 900 })],
+      }),
     ]),
   ],
   [
     "a job started again that is not idempotent",
     checkGangs,
-    recordOf([], [job({ stays: [stay(), stay({ epoch: 3, start: 6000 })] })]),
+    recordOf([], [
+      job({ memberRuns: [memberRun(), memberRun({ epoch: 3, start: 6000 })] }),
+    ]),
   ],
   [
     "an accepted job that is not in the store",
@@ -185,7 +199,7 @@
   [
     "a success without all members",
     checkJobs,
-    recordOf([], [job({ stays: [stay()] })]),
+    recordOf([], [job({ memberRuns: [memberRun()] })]),
   ],
   [
     "a version that goes back",
@@ -196,13 +210,13 @@
     "an owner that starts late",
     checkOwners,
     recordOf([], [
-      job({ stays: [stay(), stay({ member: 1, start: 4200 })] }),
+      job({ memberRuns: [memberRun(), memberRun({ member: 1, start: 4200 })] }),
     ]),
   ],
   [
     "an owner that never starts",
     checkOwners,
-    recordOf([], [job({ stays: [stay()] })]),
+    recordOf([], [job({ memberRuns: [memberRun()] })]),
   ],
   [
     "a worker over its capacity",
