--- a/testing/replay/baselines/replay_baseline.ts
+++ b/testing/replay/baselines/replay_baseline.ts
@@ -14,7 +14,7 @@
 import { createRecord } from "../record.ts";
 import type { RequestRecord, RunRecord } from "../record.ts";
 import { recordJob, recordRequest, runToEnd, WARM_UP } from "../replay.ts";
-import { sample } from "../sample_capacity.ts";
+import { measureCapacity } from "../sample_capacity.ts";
 import type { Trace, TraceStep } from "../trace/trace.ts";
 import { createJobScheduler } from "./jobs.ts";
 import type { JobScheduler } from "./jobs.ts";
@@ -94,7 +94,7 @@
   for (let at = 0; at < trace.duration; at += SAMPLE_INTERVAL) {
     heap.at(WARM_UP + at, () => {
       const now = heap.now;
-      record.samples.push(sample({ record, inventories, homes, now }));
+      record.samples.push(measureCapacity({ record, inventories, homes, now }));
     });
   }
 }
--- a/testing/replay/deployment.ts
+++ b/testing/replay/deployment.ts
@@ -12,7 +12,7 @@
   ServiceName,
 } from "@dragonflyledge/model";
 
-/** Sizes, delays and configuration of a deployment. */
+/** Workers, entries, network delays and configuration of a deployment. */
 export interface Deployment {
   name: string;
   configuration: Configuration;
@@ -57,7 +57,7 @@
   });
 }
 
-function create(fields: {
+function createDeployment(fields: {
   name: string;
   configuration: Configuration;
   domains: string[];
@@ -82,7 +82,7 @@
 
 /** Deployments by name. */
 export const deployments: Readonly<Record<string, Deployment>> = {
-  nyabugogo: create({
+  nyabugogo: createDeployment({
     name: "nyabugogo",
     configuration: { ...nyabugogo, version: 1 },
     domains: ["d1", "d2", "d3"],
@@ -90,7 +90,7 @@
     oneWay: 1.5,
     entries: 3,
   }),
-  sahil: create({
+  sahil: createDeployment({
     name: "sahil",
     configuration: { ...sahil, version: 1 },
     domains: ["d1", "d2", "d3", "d4"],
--- a/testing/replay/event_heap.ts
+++ b/testing/replay/event_heap.ts
@@ -1,5 +1,6 @@
 /**
- * Virtual time: tasks in the order of their time, then of their insertion.
+ * Virtual time: runs tasks by their time, and those of one time in the order of
+ * their insertion.
  *
  * @module
  */
@@ -11,7 +12,7 @@
   readonly now: Milliseconds;
   at(time: Milliseconds, task: () => void): void;
   after(delay: Milliseconds, task: () => void): void;
-  /** Runs all tasks that are due until then, and moves the time there. */
+  /** Runs all tasks that are due by then, and advances the time to it. */
   run(until: Milliseconds): void;
 }
 
@@ -41,11 +42,11 @@
   function pop(): Entry {
     const first = heap[0]!;
     const last = heap.pop()!;
-    if (heap.length > 0) sink(last);
+    if (heap.length > 0) siftDown(last);
     return first;
   }
 
-  function sink(entry: Entry): void {
+  function siftDown(entry: Entry): void {
     let index = 0;
     while (true) {
       let child = 2 * index + 1;
--- a/testing/replay/measure/compare.ts
+++ b/testing/replay/measure/compare.ts
@@ -1,5 +1,5 @@
 /**
- * Runs of one trace with the real reducers and with every baseline.
+ * Compares the real reducers with every baseline on one trace.
  *
  * @module
  */
@@ -9,31 +9,31 @@
 import type { RunRecord } from "../record.ts";
 import { replayTrace } from "../replay.ts";
 import type { Trace } from "../trace/trace.ts";
-import { LONG, measure } from "./measures.ts";
+import { LONG_RUN_TIME, measure } from "./measures.ts";
 import type { Figures } from "./measures.ts";
 
-/** Name of the rows of the real reducers. */
-export const OWN = "this";
+/** Name of the real reducers among the schedulers. */
+export const OWN_SCHEDULER = "this";
 
 /** Figures of one scheduler on one trace. */
 export interface Row {
   trace: string;
   scheduler: string;
   figures: Figures;
-  /** Wait of short work with long work present over without it. */
+  /** Ratio of the waits of short work with and without long work. */
   blocking: { p50: number; p99: number };
 }
 
 /** Runs a trace with and without its long work, for every scheduler. */
 export function compare(fields: { trace: Trace; seed: number }): Row[] {
   const { trace, seed } = fields;
-  const own = row({
+  const own = createRow({
     trace,
-    scheduler: OWN,
+    scheduler: OWN_SCHEDULER,
     run: (each) => replayTrace({ trace: each, seed }),
   });
   const baselines = createPolicies().map(({ name }, index) =>
-    row({
+    createRow({
       trace,
       scheduler: name,
       run: (each) =>
@@ -43,7 +43,7 @@
   return [own, ...baselines];
 }
 
-function row(fields: {
+function createRow(fields: {
   trace: Trace;
   scheduler: string;
   run: (trace: Trace) => RunRecord;
@@ -52,7 +52,7 @@
   const slots = deploymentOf(trace.deployment).inventories
     .reduce((sum, each) => sum + each.slots, 0);
   const figures = measure({ trace, record: run(trace), slots });
-  const short = withoutLong(trace);
+  const short = withoutLongWork(trace);
   const alone = measure({ trace: short, record: run(short), slots });
   const ratio = (key: "p50" | "p99") =>
     figures.shortWait[key] / Math.max(0.01, alone.shortWait[key]);
@@ -60,11 +60,11 @@
   return { trace: trace.name, scheduler, figures, blocking };
 }
 
-/** The same trace with only the requests that are not long. */
-export function withoutLong(trace: Trace): Trace {
+/** The trace without its long requests and without cancellations. */
+export function withoutLongWork(trace: Trace): Trace {
   return {
     ...trace,
-    requests: trace.requests.filter((each) => each.runTime < LONG),
+    requests: trace.requests.filter((each) => each.runTime < LONG_RUN_TIME),
     steps: trace.steps.filter((each) => each.kind !== "cancelRequest"),
   };
 }
--- a/testing/replay/measure/measures.ts
+++ b/testing/replay/measure/measures.ts
@@ -1,5 +1,5 @@
 /**
- * Figures of one run.
+ * Computes the figures of one run.
  *
  * @module
  */
@@ -11,10 +11,10 @@
 import { summarise } from "./distribution.ts";
 import type { Distribution } from "./distribution.ts";
 
-/** Requests shorter than this are short work. */
-export const SHORT: Milliseconds = 1000;
-/** Requests longer than this are long work. */
-export const LONG: Milliseconds = 2000;
+/** Requests that run for less are short work. */
+export const SHORT_RUN_TIME: Milliseconds = 1000;
+/** Requests that run for this long or longer are long work. */
+export const LONG_RUN_TIME: Milliseconds = 2000;
 
 /** Figures of one run of one trace. */
 export interface Figures {
@@ -23,7 +23,7 @@
   jobs: Distribution;
   /** Share of urgent requests of the peak that were answered in time. */
   inTime: number;
-  /** Slot time of the peak that went into answers in time. */
+  /** Share of the slot time of the peak that was spent on answers in time. */
   goodput: number;
   peakWait: Distribution;
   /** Waits of short work. */
@@ -32,8 +32,9 @@
   placeable: number;
   /** Longest time until an owner's members had all started. */
   ownerStart: Milliseconds;
+  /** Number of requests by outcome. */
   outcomes: Record<string, number>;
-  /** Outcomes of jobs by end state. */
+  /** Number of jobs by state. */
   jobStates: Record<string, number>;
 }
 
@@ -60,10 +61,10 @@
     deferrable: completions(wanted.filter((each) => !each.urgent), end),
     jobs: jobCompletions(jobs, end),
     inTime: peak.length === 0 ? 1 : peak.filter(isInTime).length / peak.length,
-    goodput: goodSlotTime(requests, from, to) / (slots * (to - from)),
+    goodput: usefulSlotTime(requests, from, to) / (slots * (to - from)),
     peakWait: summarise(peak.map(waitOf)),
     shortWait: summarise(
-      wanted.filter((each) => each.runTime < SHORT).map(waitOf),
+      wanted.filter((each) => each.runTime < SHORT_RUN_TIME).map(waitOf),
     ),
     largestGang: mean(samples.map((each) => each.largestGang)),
     placeable: Math.min(1, ...samples.map((each) => each.placeableGuarantees)),
@@ -76,13 +77,13 @@
   };
 }
 
-/** Time until the work began; work that never began waited until its deadline. */
+/** Time until the work began, or until the deadline if it never did. */
 export function waitOf(request: RequestRecord): Milliseconds {
   const first = request.executions[0];
   return (first?.start ?? request.deadline) - request.sentAt;
 }
 
-/** Time until all members of a job ran for the first time. */
+/** Time until all members of one epoch had started; infinite if none did. */
 export function startTimeOf(job: JobEntry): Milliseconds {
   const byEpoch = new Map<number, number[]>();
   for (const memberRun of job.memberRuns) {
@@ -98,7 +99,7 @@
   return Infinity;
 }
 
-/** The only outcome of a request, or why there is none. */
+/** Kind of the first outcome of a request, or why there is none. */
 export function outcomeOf(request: RequestRecord): string {
   const outcome = request.outcomes[0]?.outcome;
   if (outcome) return outcome.kind;
@@ -110,7 +111,10 @@
   return first?.outcome.kind === "done" && first.at <= request.deadline;
 }
 
-/** Work without an answer counts until its deadline or the end of the run. */
+/**
+ * Completion times. Work that was not done counts until its deadline or the end
+ * of the run, whichever is earlier.
+ */
 function completions(requests: RequestRecord[], end: Milliseconds) {
   return summarise(requests.map((request) => {
     const first = request.outcomes[0];
@@ -130,7 +134,8 @@
   );
 }
 
-function goodSlotTime(
+/** Time within the period that endpoints spent on answers in time. */
+function usefulSlotTime(
   requests: RequestRecord[],
   from: Milliseconds,
   to: Milliseconds,
--- a/testing/replay/measure/plot.ts
+++ b/testing/replay/measure/plot.ts
@@ -1,5 +1,5 @@
 /**
- * Plot of the measurement as SVG.
+ * Plots figures of all schedulers and traces as SVG.
  *
  * @module
  */
@@ -14,10 +14,14 @@
   "#a8504b",
   "#7d5ba6",
 ];
+// All lengths are in pixels.
 const ROW_HEIGHT = 14;
-const LEFT = 150;
-const WIDTH = 420;
+const LEFT_MARGIN = 150;
+const PANEL_WIDTH = 420;
 const GAP = 60;
+const LEGEND_WIDTH = 110;
+/** Room for the value behind the longest bar. */
+const VALUE_WIDTH = 50;
 
 /** One panel of bars on a logarithmic scale. */
 interface Panel {
@@ -40,20 +44,20 @@
 export function plot(rows: Row[]): string {
   const schedulers = [...new Set(rows.map((row) => row.scheduler))];
   const height = rows.length * ROW_HEIGHT + GAP * 2;
-  const width = LEFT + PANELS.length * (WIDTH + GAP);
+  const width = LEFT_MARGIN + PANELS.length * (PANEL_WIDTH + GAP);
   const parts = [
     `<svg xmlns="http://www.w3.org/2000/svg" width="${width}" ` +
     `height="${height}" font-family="sans-serif" font-size="10">`,
     `<rect width="100%" height="100%" fill="white"/>`,
     ...schedulers.map((name, index) => {
-      const x = LEFT + index * 110;
+      const x = LEFT_MARGIN + index * LEGEND_WIDTH;
       const fill = COLORS[index % COLORS.length];
       return `<rect x="${x}" y="8" width="10" height="10" fill="${fill}"/>` +
         text(x + 14, 17, name);
     }),
   ];
   PANELS.forEach((panel, index) => {
-    const x = LEFT + index * (WIDTH + GAP);
+    const x = LEFT_MARGIN + index * (PANEL_WIDTH + GAP);
     parts.push(text(x, 40, panel.title));
     parts.push(...bars(panel, rows, schedulers, x));
   });
@@ -62,13 +66,13 @@
 
 function bars(panel: Panel, rows: Row[], schedulers: string[], x: number) {
   const logs = rows.map((row) => Math.log10(Math.max(1, panel.value(row))));
-  const most = Math.max(1, ...logs);
+  const largest = Math.max(1, ...logs);
   return rows.map((row, index) => {
     const y = GAP + index * ROW_HEIGHT;
-    const length = (logs[index]! / most) * (WIDTH - 50);
+    const length = (logs[index]! / largest) * (PANEL_WIDTH - VALUE_WIDTH);
     const fill = COLORS[schedulers.indexOf(row.scheduler) % COLORS.length];
     const first = rows[index - 1]?.trace !== row.trace;
-    const label = first && x === LEFT ? text(4, y + 10, row.trace) : "";
+    const label = first && x === LEFT_MARGIN ? text(4, y + 10, row.trace) : "";
     return label +
       `<rect x="${x}" y="${y}" width="${length.toFixed(1)}" ` +
       `height="${ROW_HEIGHT - 3}" fill="${fill}"/>` +
--- a/testing/replay/measure/table.ts
+++ b/testing/replay/measure/table.ts
@@ -1,5 +1,5 @@
 /**
- * The table that `npm run measure` prints.
+ * Formats the table that `npm run measure` prints.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import type { Row } from "./compare.ts";
 import type { Verdict } from "./targets.ts";
 
-/** Width and heading of each column, 100 characters together. */
+/** Heading and width of each column; the sum is at most 100. */
 const COLUMNS: readonly [string, number][] = [
   ["scheduler", 14],
   ["u.mean", 7],
@@ -39,46 +39,46 @@
 
 /** Formats all rows, one block for each trace. */
 export function formatTable(rows: Row[]): string {
-  const lines = [...LEGEND, "", line(COLUMNS.map(([name]) => name))];
+  const lines = [...LEGEND, "", formatLine(COLUMNS.map(([name]) => name))];
   let trace = "";
   for (const row of rows) {
     if (row.trace !== trace) {
       trace = row.trace;
       lines.push(`-- ${trace} `.padEnd(98, "-"));
     }
-    lines.push(line(cells(row)), outcomes(row));
+    lines.push(formatLine(formatCells(row)), formatOutcomes(row));
   }
   return lines.join("\n");
 }
 
-function cells({ scheduler, figures, blocking }: Row): string[] {
+function formatCells({ scheduler, figures, blocking }: Row): string[] {
   const { urgent, deferrable, peakWait } = figures;
   return [
     scheduler,
-    seconds(urgent.mean),
-    seconds(urgent.p50),
-    seconds(urgent.p99),
-    seconds(deferrable.mean),
-    seconds(deferrable.p50),
-    seconds(deferrable.p99),
-    percent(figures.inTime),
-    percent(figures.goodput),
-    seconds(peakWait.p99),
-    short(blocking.p50),
-    short(blocking.p99),
-    percent(figures.largestGang),
-    percent(figures.placeable),
-    seconds(figures.ownerStart),
+    formatSeconds(urgent.mean),
+    formatSeconds(urgent.p50),
+    formatSeconds(urgent.p99),
+    formatSeconds(deferrable.mean),
+    formatSeconds(deferrable.p50),
+    formatSeconds(deferrable.p99),
+    formatPercent(figures.inTime),
+    formatPercent(figures.goodput),
+    formatSeconds(peakWait.p99),
+    formatNumber(blocking.p50),
+    formatNumber(blocking.p99),
+    formatPercent(figures.largestGang),
+    formatPercent(figures.placeable),
+    formatSeconds(figures.ownerStart),
   ];
 }
 
-function outcomes({ figures }: Row): string {
+function formatOutcomes({ figures }: Row): string {
   const list = (counts: Record<string, number>) =>
     Object.entries(counts).sort().map(([kind, count]) => `${count} ${kind}`)
       .join(", ");
   const { jobs } = figures;
   return `  ${list(figures.outcomes)}; jobs: ${list(figures.jobStates)}; ` +
-    `j.mean ${seconds(jobs.mean)}, p99 ${seconds(jobs.p99)}`;
+    `j.mean ${formatSeconds(jobs.mean)}, p99 ${formatSeconds(jobs.p99)}`;
 }
 
 /** Formats the verdicts, one line for each. */
@@ -88,32 +88,32 @@
       passed ? "pass " : "short",
       trace.padEnd(21),
       target.padEnd(46),
-      short(value).padStart(8),
+      formatNumber(value).padStart(8),
       "of",
-      short(limit).padStart(8),
+      formatNumber(limit).padStart(8),
     ].join(" ")
   ).join("\n");
 }
 
-function line(texts: string[]): string {
+function formatLine(texts: string[]): string {
   return texts.map((text, index) => {
     const width = COLUMNS[index]![1];
     return index === 0 ? text.padEnd(width) : text.padStart(width);
   }).join("");
 }
 
-function seconds(milliseconds: number): string {
+function formatSeconds(milliseconds: number): string {
   if (!Number.isFinite(milliseconds)) return "none";
   const value = milliseconds / SECOND;
-  return value >= 100 ? value.toFixed(0) : short(value);
+  return value >= 100 ? value.toFixed(0) : formatNumber(value);
 }
 
-function percent(share: number): string {
+function formatPercent(share: number): string {
   const value = share * 100;
   return value === 100 ? "100" : value.toFixed(1);
 }
 
-function short(value: number): string {
+function formatNumber(value: number): string {
   if (!Number.isFinite(value)) return "none";
   const digits = value >= 100 ? 0 : value >= 10 ? 1 : value >= 1 ? 2 : 3;
   return value.toFixed(digits);
--- a/testing/replay/measure/targets.ts
+++ b/testing/replay/measure/targets.ts
@@ -1,12 +1,12 @@
 /**
- * Targets and whether the figures meet them.
+ * Checks whether the figures meet the targets.
  *
  * @module
  */
 
 import { SECOND, URGENT_START_TARGET } from "@dragonflyledge/model";
 import type { Expected } from "../trace/trace.ts";
-import { OWN } from "./compare.ts";
+import { OWN_SCHEDULER } from "./compare.ts";
 import type { Row } from "./compare.ts";
 
 /** Result of one target on one trace. */
@@ -20,7 +20,7 @@
 
 /** Checks all targets on the rows of one trace. */
 export function checkTargets(rows: Row[]): Verdict[] {
-  const own = rows.find((row) => row.scheduler === OWN)!;
+  const own = rows.find((row) => row.scheduler === OWN_SCHEDULER)!;
   const others = rows.filter((row) => row !== own);
   const best = (value: (row: Row) => number) => Math.min(...others.map(value));
   const { trace, figures } = own;
@@ -59,9 +59,9 @@
   return verdicts;
 }
 
-/** Checks the outcomes that are stated beside the trace. */
+/** Checks the outcomes that a trace is expected to have. */
 export function checkExpected(row: Row, expected: Expected): Verdict[] {
-  const values = flatten(row);
+  const values = figuresByName(row);
   const verdicts: Verdict[] = [];
   for (const [name, limit] of Object.entries(expected.atLeast)) {
     const value = values[name] ?? 0;
@@ -78,8 +78,8 @@
   return verdicts;
 }
 
-/** Names that the files of expected outcomes use. */
-function flatten({ figures }: Row): Record<string, number> {
+/** Figures by the names that files of expected outcomes use. */
+function figuresByName({ figures }: Row): Record<string, number> {
   const share = (counts: Record<string, number>, kind: string) => {
     const total = Object.values(counts).reduce((sum, each) => sum + each, 0);
     return (counts[kind] ?? 0) / Math.max(1, total);
--- a/testing/replay/measure_main.ts
+++ b/testing/replay/measure_main.ts
@@ -7,7 +7,7 @@
 
 import { mkdirSync, writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { compare, OWN } from "./measure/compare.ts";
+import { compare, OWN_SCHEDULER } from "./measure/compare.ts";
 import type { Row } from "./measure/compare.ts";
 import { plot } from "./measure/plot.ts";
 import { formatTable, formatVerdicts } from "./measure/table.ts";
@@ -30,7 +30,7 @@
   const compared = compare({ trace, seed });
   rows.push(...compared);
   targets.push(...checkTargets(compared));
-  const own = compared.find((row) => row.scheduler === OWN)!;
+  const own = compared.find((row) => row.scheduler === OWN_SCHEDULER)!;
   expectations.push(...checkExpected(own, expected));
 }
 
--- a/testing/replay/record.ts
+++ b/testing/replay/record.ts
@@ -1,5 +1,6 @@
 /**
- * What the fakes saw during a run, for measures and global checks.
+ * Record of what the fakes observed during a run, from which figures and global
+ * checks are computed.
  *
  * @module
  */
@@ -15,7 +16,7 @@
   WorkerId,
 } from "@dragonflyledge/model";
 
-/** One call that an endpoint began to serve. */
+/** A call that an endpoint began to serve. */
 export interface Execution {
   request: RequestId;
   worker: WorkerId;
@@ -25,7 +26,7 @@
   ending: "running" | "done" | "failed" | "aborted" | "lost";
 }
 
-/** One request as its caller and the endpoints saw it. */
+/** A request as its caller and the endpoints observed it. */
 export interface RequestRecord {
   id: RequestId;
   team: string;
@@ -39,7 +40,7 @@
   /** Absolute time. */
   deadline: Milliseconds;
   runTime: Milliseconds;
-  /** Whether it reached its entry before that ended. */
+  /** Whether it reached its entry while the entry ran. */
   delivered: boolean;
   callerLeft: boolean;
   /** The entry ended before it answered. */
@@ -48,7 +49,7 @@
   executions: Execution[];
 }
 
-/** One run of a gang member on a worker. */
+/** A run of a gang member on a worker. */
 export interface MemberRun {
   job: JobId;
   epoch: number;
@@ -61,39 +62,39 @@
   leaseUntil: Milliseconds;
 }
 
-/** One job as its caller and the workers saw it. */
+/** A job as its caller and the workers observed it. */
 export interface JobEntry {
   id: JobId;
   spec: JobSpec;
   runTime: Milliseconds;
-  /** Asks for capacity within the guarantee of its team. */
+  /** Whether it asks for capacity within the guarantee of its team. */
   owner: boolean;
   submittedAt: Milliseconds;
   cancelledAt: Milliseconds;
   answer?: SubmissionAnswer;
-  /** When the store or the baseline held an end state. */
+  /** When it ended by the store or the baseline; infinite until then. */
   endedAt: Milliseconds;
   state: string;
   memberRuns: MemberRun[];
 }
 
-/** One look at the fragmentation of free capacity. */
+/** A sample of the fragmentation of free capacity. */
 export interface CapacitySample {
   at: Milliseconds;
   largestGang: number;
   placeableGuarantees: number;
 }
 
-/** Everything that was seen. */
+/** All that was observed during one run. */
 export interface RunRecord {
   requests: Map<RequestId, RequestRecord>;
   jobs: Map<JobId, JobEntry>;
   samples: CapacitySample[];
   /** Configuration versions in force by process, in order. */
   versions: Map<string, number[]>;
-  /** Violations that a fake saw while they happened. */
+  /** Violations that the fakes detected themselves. */
   faults: string[];
-  /** Last lines about each request or job. */
+  /** Latest log lines of each request or job. */
   lines: Map<string, string[]>;
   /** Requests of each idempotency key. */
   keys: Map<string, RequestId[]>;
@@ -103,7 +104,8 @@
   endedAt: Milliseconds;
 }
 
-const LINES_KEPT = 40;
+/** Log lines that are kept of each request or job. */
+const MAX_LINES = 40;
 
 /** Creates an empty record. */
 export function createRecord(): RunRecord {
@@ -120,7 +122,7 @@
   };
 }
 
-/** Adds a line to the trace of one subject. */
+/** Adds a log line to one request or job. */
 export function note(
   record: RunRecord,
   subject: string,
@@ -130,5 +132,5 @@
   let lines = record.lines.get(subject);
   if (lines === undefined) record.lines.set(subject, lines = []);
   lines.push(`${now.toFixed(1)} ${text}`);
-  if (lines.length > LINES_KEPT) lines.shift();
+  if (lines.length > MAX_LINES) lines.shift();
 }
--- a/testing/replay/replay.ts
+++ b/testing/replay/replay.ts
@@ -1,5 +1,5 @@
 /**
- * Replays a trace against the real reducers.
+ * Replays a trace with the real reducers.
  *
  * @module
  */
@@ -20,14 +20,14 @@
   TraceStep,
 } from "./trace/trace.ts";
 
-/** Sessions and tables are in place before the trace starts. */
+/** Time before the trace, in which sessions and tables are set up. */
 export const WARM_UP: Milliseconds = 3000;
-/** Longest time after the trace for work that still runs. */
-const DRAIN: Milliseconds = 900_000;
-const DRAIN_STEP: Milliseconds = 5000;
+/** Longest time after the trace in which work may end. */
+const MAX_DRAIN_TIME: Milliseconds = 900_000;
+const DRAIN_CHECK_INTERVAL: Milliseconds = 5000;
 const SAMPLE_INTERVAL: Milliseconds = 500;
 
-/** Replays a trace and returns what was seen. */
+/** Replays a trace and returns the record of the run. */
 export function replayTrace(fields: { trace: Trace; seed: number }): RunRecord {
   const { trace, seed } = fields;
   const heap = createEventHeap();
@@ -42,7 +42,7 @@
     heap.at(start + job.at, () => submitJob(cluster, job, index))
   );
   for (const step of trace.steps) {
-    heap.at(start + step.at, () => takeStep(cluster, step));
+    heap.at(start + step.at, () => applyStep(cluster, step));
   }
   for (let at = 0; at < trace.duration; at += SAMPLE_INTERVAL) {
     heap.at(start + at, () => sampleCapacity(cluster));
@@ -56,26 +56,27 @@
   return record;
 }
 
-/** Runs until all work has ended, at most for the drain time. */
+/** Runs until all work has ended, at most for `MAX_DRAIN_TIME`. */
 export function runToEnd(fields: {
   heap: EventHeap;
   record: RunRecord;
   from: Milliseconds;
-  /** Brings the record up to date before it is looked at. */
+  /** Updates the record before it is checked. */
   update: () => void;
 }): void {
   const { heap, record, from, update } = fields;
-  for (let time = 0; time <= DRAIN; time += DRAIN_STEP) {
+  for (let time = 0; time <= MAX_DRAIN_TIME; time += DRAIN_CHECK_INTERVAL) {
     heap.run(from + time);
     update();
-    if (time > 0 && isSettled(record)) break;
+    if (time > 0 && hasEnded(record)) break;
   }
   record.endedAt = heap.now;
 }
 
 const END_STATES = ["succeeded", "failed", "cancelled", "unknown"];
 
-function isSettled(record: RunRecord): boolean {
+/** Whether each request is answered or lost, and each job has ended. */
+function hasEnded(record: RunRecord): boolean {
   for (const request of record.requests.values()) {
     const answered = request.outcomes.length > 0 || request.callerLeft;
     if (!answered && !request.entryDied) return false;
@@ -86,7 +87,7 @@
   return true;
 }
 
-/** Record of a request that is sent now. */
+/** Adds a request that is sent now to the record. */
 export function recordRequest(fields: {
   record: RunRecord;
   request: TraceRequest;
@@ -157,7 +158,7 @@
   return created;
 }
 
-/** Record of a job that is submitted now. */
+/** Adds a job that is submitted now to the record. */
 export function recordJob(
   record: RunRecord,
   job: TraceJob,
@@ -220,7 +221,8 @@
   );
 }
 
-function takeStep(cluster: Cluster, step: TraceStep): void {
+/** Applies a cancellation or a change of a machine. */
+function applyStep(cluster: Cluster, step: TraceStep): void {
   const machine = [...cluster.machines.values()][step.target];
   switch (step.kind) {
     case "cancelRequest":
@@ -239,7 +241,7 @@
   }
 }
 
-/** Takes the end states of the jobs over from the store. */
+/** Copies the states of the jobs from the store to the record. */
 export function collectJobs(cluster: Cluster): void {
   const { record, store } = cluster;
   for (const job of record.jobs.values()) {
--- a/testing/replay/sample_capacity.ts
+++ b/testing/replay/sample_capacity.ts
@@ -1,5 +1,5 @@
 /**
- * Samples of free capacity as the workers really use it.
+ * Samples the capacity that the members running on workers leave free.
  *
  * @module
  */
@@ -17,18 +17,20 @@
 /** Size of one member for which fragmentation is measured. */
 const MEMBER_ACCELERATORS = 4;
 
-/** Adds a sample of the present time to the record. */
+/** Adds a sample of a cluster to its record. */
 export function sampleCapacity(cluster: Cluster): void {
   const { heap, record, store, machines } = cluster;
   const inventories = [...machines.values()]
     .filter((each) => each.agent?.process.alive)
     .map((each) => each.inventory);
   const homes = store.contents.homes;
-  record.samples.push(sample({ record, inventories, homes, now: heap.now }));
+  record.samples.push(
+    measureCapacity({ record, inventories, homes, now: heap.now }),
+  );
 }
 
 /** Measures the capacity that running members leave free. */
-export function sample(fields: {
+export function measureCapacity(fields: {
   record: RunRecord;
   inventories: Inventory[];
   homes: HomesTable | undefined;
--- a/testing/replay/slopes/agent_load.ts
+++ b/testing/replay/slopes/agent_load.ts
@@ -1,5 +1,5 @@
 /**
- * An agent with members and requests.
+ * Puts load on the reducer of an agent: members, renewals and requests.
  *
  * @module
  */
@@ -10,17 +10,19 @@
 import { deploymentOf } from "../deployment.ts";
 import { createAttempt, createMembers } from "./messages.ts";
 
-/** An agent with sessions to four entries. */
+/** An agent with sessions to `ENTRIES` entries. */
 export interface AgentLoad {
+  /** Lets time pass; each member is renewed once a second. */
   tick(): void;
-  /** A request that is accepted and answered. */
+  /** Passes an attempt, which is accepted and answered. */
   request(): void;
+  /** Renews the lease of the next member. */
   renew(): void;
 }
 
 const ENTRIES = 4;
 
-/** Creates the agent with so many members. */
+/** Creates an agent with the given number of members. */
 export function createAgentLoad(fields: { members: number }): AgentLoad {
   const { service, inventories } = deploymentOf("nyabugogo");
   const inventory = {
--- a/testing/replay/slopes/capacity.ts
+++ b/testing/replay/slopes/capacity.ts
@@ -1,24 +1,19 @@
 /**
- * Slopes that `docs/CAPACITY.md` multiplies: stored values, homes, placement,
- * jobs and idle processes.
+ * Slopes from which `docs/CAPACITY.md` computes totals: stored values, homes,
+ * placement, jobs and idle processes.
  *
  * @module
  */
 
 import { Buffer } from "node:buffer";
-import type {
-  EntryPresence,
-  JobRecord,
-  JobSpec,
-  Message,
-} from "@dragonflyledge/model";
+import type { EntryPresence, JobRecord, JobSpec } from "@dragonflyledge/model";
 import { assignHomes, indexHomes, placeGang } from "@dragonflyledge/placement";
 import type { WorkerView } from "@dragonflyledge/placement";
 import { createAgentLoad } from "./agent_load.ts";
 import { createEntryLoad } from "./entry_load.ts";
 import { createJobLoad } from "./job_load.ts";
 import { createMembers, frameSize } from "./messages.ts";
-import { slope } from "./slope.ts";
+import { measureSlope } from "./slope.ts";
 import type { Slope } from "./slope.ts";
 import { createConfiguration, createInventories, SIZES } from "./target.ts";
 import type { Size } from "./target.ts";
@@ -35,7 +30,7 @@
 const sizeOf = (workers: number): Size =>
   SIZES.find((size) => size.workers === workers)!;
 
-/** Bytes as the store keeps them: JSON with the identity of the write. */
+/** Size of a stored value in bytes: JSON with the identity of the write. */
 function storedSize(value: unknown): number {
   const write = "entry-1.1764831600000.123456";
   return Buffer.byteLength(JSON.stringify({ write, value }));
@@ -55,60 +50,73 @@
   const configuration = (teams: number) =>
     createConfiguration({ teams, workers: 860 });
   const table = (workers: number) => tables.get(workers)!;
-  const frame = (message: Message) => frameSize(message);
   const run = { job: "01JG0000010000000001", epoch: 3 };
   return [
-    slope(
-      "homes, stored",
-      "B",
-      "workers",
-      WORKERS,
-      (workers) => storedSize(table(workers)),
-    ),
-    slope(
-      "homes, frame",
-      "B",
-      "workers",
-      WORKERS,
-      (workers) => frame({ kind: "homes", homes: table(workers) }),
-    ),
-    slope("configuration, stored", "B", "teams", TEAMS, (teams) =>
-      storedSize({
-        configuration: configuration(teams),
-        actor: "operator",
-        submitted: "2026-01-01T00:00:00.000Z",
-      })),
-    slope(
-      "configuration, frame",
-      "B",
-      "teams",
-      TEAMS,
-      (teams) =>
-        frame({ kind: "configuration", configuration: configuration(teams) }),
-    ),
-    slope(
-      "job record, stored",
-      "B",
-      "failed workers",
-      [0, 1, 3],
-      (failures) => storedSize(createRecord(failures)),
-    ),
-    slope(
-      "presence, stored",
-      "B",
-      "entries",
-      [1, 3, 6],
-      (entries) => entries * Buffer.byteLength(JSON.stringify(PRESENCE)),
-    ),
-    slope(
-      "renewal and answer",
-      "B",
-      "members",
-      MEMBERS,
-      (members) =>
-        frame({ kind: "renew", run, lease: 10_000 }) +
-        frame({ kind: "runState", run, members: createMembers(1, members) }),
-    ),
+    measureSlope({
+      name: "homes, stored",
+      unit: "B",
+      over: "workers",
+      sizes: WORKERS,
+      measure: (workers) => storedSize(table(workers)),
+    }),
+    measureSlope({
+      name: "homes, frame",
+      unit: "B",
+      over: "workers",
+      sizes: WORKERS,
+      measure: (workers) => frameSize({ kind: "homes", homes: table(workers) }),
+    }),
+    measureSlope({
+      name: "configuration, stored",
+      unit: "B",
+      over: "teams",
+      sizes: TEAMS,
+      measure: (teams) =>
+        storedSize({
+          configuration: configuration(teams),
+          actor: "operator",
+          submitted: "2026-01-01T00:00:00.000Z",
+        }),
+    }),
+    measureSlope({
+      name: "configuration, frame",
+      unit: "B",
+      over: "teams",
+      sizes: TEAMS,
+      measure: (teams) =>
+        frameSize({
+          kind: "configuration",
+          configuration: configuration(teams),
+        }),
+    }),
+    measureSlope({
+      name: "job record, stored",
+      unit: "B",
+      over: "failed workers",
+      sizes: [0, 1, 3],
+      measure: (failures) => storedSize(createRecord(failures)),
+    }),
+    measureSlope({
+      name: "presence, stored",
+      unit: "B",
+      over: "entries",
+      sizes: [1, 3, 6],
+      measure: (entries) =>
+        entries * Buffer.byteLength(JSON.stringify(PRESENCE)),
+    }),
+    measureSlope({
+      name: "renewal and answer",
+      unit: "B",
+      over: "members",
+      sizes: MEMBERS,
+      measure: (members) =>
+        frameSize({ kind: "renew", run, lease: 10_000 }) +
+        frameSize({
+          kind: "runState",
+          run,
+          members: createMembers(1, members),
+        }),
+    }),
   ];
 }
 
@@ -147,20 +155,26 @@
   };
 }
 
-/** Processor time of what each entry does with whole stored values. */
-export function measureSharing(seed: number): Slope[] {
+/** Processor time in which an entry encodes homes and lists ended jobs. */
+export function measureStoredValues(seed: number): Slope[] {
   const entryLoad = () => createEntryLoad({ workers: 11, tasks: 0, seed });
   return [
-    slope("homes, encode", "us", "workers", WORKERS, (workers) => {
-      const homes = createTable(sizeOf(workers));
-      return timeOf(20, () => void frameSize({ kind: "homes", homes }));
+    measureSlope({
+      name: "homes, encode",
+      unit: "us",
+      over: "workers",
+      sizes: WORKERS,
+      measure: (workers) => {
+        const homes = createTable(sizeOf(workers));
+        return timeOf(20, () => void frameSize({ kind: "homes", homes }));
+      },
     }),
-    slope(
-      "ended jobs, listing",
-      "us",
-      "records",
-      [100, 1000, 10_000],
-      (count) => {
+    measureSlope({
+      name: "ended jobs, listing",
+      unit: "us",
+      over: "records",
+      sizes: [100, 1000, 10_000],
+      measure: (count) => {
         const { reducer } = entryLoad();
         const values = Array.from(
           { length: count },
@@ -175,14 +189,14 @@
           reducer.reduce({ kind: "jobsLoaded", now: 0, jobs });
         });
       },
-    ),
+    }),
   ];
 }
 
 /** Processor time of homes and of placements. */
 export function measurePlacement(): Slope[] {
   const calls = (workers: number) => workers > 500 ? 3 : 20;
-  const timeLoss = (workers: number) => {
+  const timeDomainLoss = (workers: number) => {
     const size = sizeOf(workers);
     const configuration = createConfiguration(size);
     const previous = createTable(size);
@@ -192,7 +206,7 @@
       assignHomes({ configuration, inventories, previous, version: 2 });
     });
   };
-  const time = (again: boolean) => (workers: number) => {
+  const timeAssignment = (again: boolean) => (workers: number) => {
     const size = sizeOf(workers);
     const configuration = createConfiguration(size);
     const inventories = createInventories(workers);
@@ -202,26 +216,56 @@
     });
   };
   return [
-    slope("homes, first", "us", "workers", WORKERS, time(false)),
-    slope("homes, again", "us", "workers", WORKERS, time(true)),
-    slope("homes, domain lost", "us", "workers", WORKERS, timeLoss),
-    slope("placement of 64", "us", "workers", WORKERS, (workers) => {
-      const homes = indexHomes({ homes: createTable(sizeOf(workers)) });
-      const views = createInventories(workers).map(toView);
-      const spec = createSpec(64);
-      const run = { job: "01JG", epoch: 1 };
-      return timeOf(calls(workers), () => {
-        placeGang({ spec, run, urgent: false, workers: views, homes });
-      });
+    measureSlope({
+      name: "homes, first",
+      unit: "us",
+      over: "workers",
+      sizes: WORKERS,
+      measure: timeAssignment(false),
+    }),
+    measureSlope({
+      name: "homes, again",
+      unit: "us",
+      over: "workers",
+      sizes: WORKERS,
+      measure: timeAssignment(true),
     }),
-    slope("placement at 860", "us", "members", GANGS, (members) => {
-      const homes = indexHomes({ homes: createTable(sizeOf(860)) });
-      const workers = createInventories(860).map(toView);
-      const spec = createSpec(members);
-      const run = { job: "01JG", epoch: 1 };
-      return timeOf(3, () => {
-        placeGang({ spec, run, urgent: false, workers, homes });
-      });
+    measureSlope({
+      name: "homes, domain lost",
+      unit: "us",
+      over: "workers",
+      sizes: WORKERS,
+      measure: timeDomainLoss,
+    }),
+    measureSlope({
+      name: "placement of 64",
+      unit: "us",
+      over: "workers",
+      sizes: WORKERS,
+      measure: (workers) => {
+        const homes = indexHomes({ homes: createTable(sizeOf(workers)) });
+        const views = createInventories(workers).map(toView);
+        const spec = createSpec(64);
+        const run = { job: "01JG", epoch: 1 };
+        return timeOf(calls(workers), () => {
+          placeGang({ spec, run, urgent: false, workers: views, homes });
+        });
+      },
+    }),
+    measureSlope({
+      name: "placement at 860",
+      unit: "us",
+      over: "members",
+      sizes: GANGS,
+      measure: (members) => {
+        const homes = indexHomes({ homes: createTable(sizeOf(860)) });
+        const workers = createInventories(860).map(toView);
+        const spec = createSpec(members);
+        const run = { job: "01JG", epoch: 1 };
+        return timeOf(3, () => {
+          placeGang({ spec, run, urgent: false, workers, homes });
+        });
+      },
     }),
   ];
 }
@@ -236,39 +280,57 @@
   return view;
 }
 
-/** Writes of the records of non-idempotent jobs. */
+/** Number of writes of the records of non-idempotent jobs. */
 export function countJobWrites(seed: number): Slope {
-  return slope(
-    "store, jobs",
-    "writes",
-    "jobs",
-    [1, 10, 50],
-    (jobs) => createJobLoad({ ...sizeOf(100), seed }).run(jobs),
-  );
+  return measureSlope({
+    name: "store, jobs",
+    unit: "writes",
+    over: "jobs",
+    sizes: [1, 10, 50],
+    measure: (jobs) => createJobLoad({ ...sizeOf(100), seed }).run(jobs),
+  });
 }
 
-/** Writes of job records, and the time of a job at all sizes. */
+/** Number of writes of job records, and processor time of a whole job. */
 export function measureJobs(seed: number): Slope[] {
   return [
     countJobWrites(seed),
-    slope("entry job, whole", "us", "workers", WORKERS, (workers) => {
-      const load = createJobLoad({ ...sizeOf(workers), seed });
-      return timeOf(5, () => load.run(1));
+    measureSlope({
+      name: "entry job, whole",
+      unit: "us",
+      over: "workers",
+      sizes: WORKERS,
+      measure: (workers) => {
+        const load = createJobLoad({ ...sizeOf(workers), seed });
+        return timeOf(5, () => load.run(1));
+      },
     }),
   ];
 }
 
-/** Processor time of one second in which only time passes. */
+/** Processor time that idle processes spend on ticks in one second. */
 export function measureIdle(seed: number): Slope[] {
   return [
-    slope("entry idle, ticks", "us/s", "workers", WORKERS, (workers) => {
-      const tasks = workers * TASKS_PER_WORKER;
-      const load = createEntryLoad({ workers, tasks, seed });
-      return ENTRY_TICKS_PER_SECOND * timeOf(1000, () => load.tick());
+    measureSlope({
+      name: "entry idle, ticks",
+      unit: "us/s",
+      over: "workers",
+      sizes: WORKERS,
+      measure: (workers) => {
+        const tasks = workers * TASKS_PER_WORKER;
+        const load = createEntryLoad({ workers, tasks, seed });
+        return ENTRY_TICKS_PER_SECOND * timeOf(1000, () => load.tick());
+      },
     }),
-    slope("agent idle, ticks", "us/s", "members", MEMBERS, (members) => {
-      const load = createAgentLoad({ members });
-      return AGENT_TICKS_PER_SECOND * timeOf(1000, () => load.tick());
+    measureSlope({
+      name: "agent idle, ticks",
+      unit: "us/s",
+      over: "members",
+      sizes: MEMBERS,
+      measure: (members) => {
+        const load = createAgentLoad({ members });
+        return AGENT_TICKS_PER_SECOND * timeOf(1000, () => load.tick());
+      },
     }),
   ];
 }
--- a/testing/replay/slopes/entry_load.ts
+++ b/testing/replay/slopes/entry_load.ts
@@ -1,5 +1,5 @@
 /**
- * An entry with many workers, tasks and requests.
+ * Puts load on the reducer of an entry: workers, tasks and requests.
  *
  * @module
  */
@@ -16,17 +16,18 @@
 export interface EntryLoad {
   reducer: EntryReducer;
   workers: number;
+  /** Passes a report of the worker with this index. */
   report(worker: number): void;
-  /** A request that is sent, accepted and answered. */
+  /** Passes a request, whose attempt is accepted and answered. */
   request(): void;
   tick(): void;
-  /** Requests that stay queued or running. */
+  /** Passes requests that remain queued or running. */
   open(count: number): void;
 }
 
 const { configuration, service, domains } = deploymentOf("nyabugogo");
 
-/** Creates the entry, with `tasks` spread evenly over the workers. */
+/** Creates an entry, with `tasks` spread evenly over the workers. */
 export function createEntryLoad(fields: {
   workers: number;
   tasks: number;
--- a/testing/replay/slopes/fit_line.ts
+++ b/testing/replay/slopes/fit_line.ts
@@ -1,5 +1,5 @@
 /**
- * Linear fits.
+ * Fits lines by least squares.
  *
  * @module
  */
--- a/testing/replay/slopes/job_load.ts
+++ b/testing/replay/slopes/job_load.ts
@@ -1,17 +1,19 @@
 /**
- * Jobs from submission to the end on an entry, with agents that answer.
+ * Runs jobs from submission to end on the reducer of an entry, with agents that
+ * answer at once.
  *
  * @module
  */
 
 import { createEntryReducer } from "@dragonflyledge/entry-reducer";
 import type { EntryReducer } from "@dragonflyledge/entry-reducer";
-import { createRandom, PROTOCOL_VERSION } from "@dragonflyledge/model";
+import { createRandom, PROTOCOL_VERSION, SECOND } from "@dragonflyledge/model";
 import type {
   AgentMessage,
   EntryEffect,
   EntryEvent,
   MemberReport,
+  Milliseconds,
   Reserve,
 } from "@dragonflyledge/model";
 import { assignHomes } from "@dragonflyledge/placement";
@@ -21,13 +23,16 @@
 /** An entry whose jobs run as soon as they are placed. */
 export interface JobLoad {
   reducer: EntryReducer;
-  /** Runs so many jobs, and returns the writes of their records. */
+  /** Runs jobs one by one; returns the number of writes of their records. */
   run(jobs: number): number;
 }
 
-const SECONDS_OF_JOB = 10;
+/** A job that has not ended after this time is an error. */
+const MAX_JOB_TIME: Milliseconds = 10 * SECOND;
+/** Time between two ticks of the entry. */
+const TICK_INTERVAL: Milliseconds = 500;
 
-/** Creates the entry with its agents. */
+/** Creates an entry with its agents. */
 export function createJobLoad(size: Size & { seed: number }): JobLoad {
   const configuration = createConfiguration(size);
   const inventories = createInventories(size.workers);
@@ -149,7 +154,7 @@
     dispatch({
       kind: "leaseRenewed",
       now,
-      validUntil: now + SECONDS_OF_JOB * 1000,
+      validUntil: now + MAX_JOB_TIME,
     });
     dispatch({
       kind: "jobSubmitted",
@@ -168,9 +173,9 @@
         command: "tune --recipe plantain --batch 64",
       },
     });
-    const end = now + SECONDS_OF_JOB * 1000;
+    const end = now + MAX_JOB_TIME;
     while (ended === before && now < end) {
-      now += 500;
+      now += TICK_INTERVAL;
       dispatch({ kind: "tick", now });
     }
     if (ended === before) throw new Error(`job ${job} did not end`);
--- a/testing/replay/slopes/messages.ts
+++ b/testing/replay/slopes/messages.ts
@@ -1,5 +1,5 @@
 /**
- * Messages of given sizes, and the bytes of their frames.
+ * Creates messages of given sizes, and measures the size of their frames.
  *
  * @module
  */
@@ -13,7 +13,7 @@
   Report,
 } from "@dragonflyledge/model";
 
-/** Bytes of the frame of a message. */
+/** Size of the frame of a message, in bytes. */
 export function frameSize(message: Message): number {
   return encodeFrame({ message, peer: "slopes" })._unsafeUnwrap().length;
 }
@@ -45,7 +45,7 @@
   }));
 }
 
-/** A report of a worker with so many members. */
+/** A report of a worker with the given number of members. */
 export function createReport(worker: number, members: number): Report {
   return {
     kind: "report",
@@ -60,7 +60,7 @@
   };
 }
 
-/** An attempt with a body of so many bytes. */
+/** An attempt with a body of the given size. */
 export function createAttempt(request: string, bytes: number): Attempt {
   return {
     kind: "attempt",
--- a/testing/replay/slopes/sessions.ts
+++ b/testing/replay/slopes/sessions.ts
@@ -1,5 +1,5 @@
 /**
- * Cost of real sessions on loopback, both ends in this process.
+ * Measures the cost of real sessions on loopback, both ends in this process.
  *
  * @module
  */
@@ -16,7 +16,7 @@
 import { createDialer, listen } from "@dragonflyledge/session";
 import type { Session, SessionHandlers } from "@dragonflyledge/session";
 import { createHeartbeat, createReport, workerName } from "./messages.ts";
-import { slope } from "./slope.ts";
+import { measureSlope } from "./slope.ts";
 import type { Slope } from "./slope.ts";
 import { collectGarbage } from "./timing.ts";
 
@@ -25,18 +25,30 @@
 /** One report of each session falls into this time. */
 const RUN_TIME: Milliseconds = REPORT_INTERVAL;
 
+/** Cost of some sessions, both ends together. */
 interface Cost {
+  /** Bytes sent a second. */
   bytes: number;
+  /** Processor time in microseconds a second. */
   time: number;
+  /** Bytes of heap and buffers. */
   memory: number;
 }
 
 /** Bytes, processor time and memory by number of sessions. */
 export async function measureSessions(seed: number): Promise<Slope[]> {
   const costs = new Map<number, Cost>();
-  for (const count of SESSIONS) costs.set(count, await run(count, seed));
+  for (const count of SESSIONS) {
+    costs.set(count, await measureCost(count, seed));
+  }
   const by = (name: string, unit: string, field: keyof Cost) =>
-    slope(name, unit, "sessions", SESSIONS, (n) => costs.get(n)![field]);
+    measureSlope({
+      name,
+      unit,
+      over: "sessions",
+      sizes: SESSIONS,
+      measure: (n) => costs.get(n)![field],
+    });
   return [
     by("sessions, both ways", "B/s", "bytes"),
     by("sessions, both ends", "us/s", "time"),
@@ -44,7 +56,7 @@
   ];
 }
 
-async function run(count: number, seed: number): Promise<Cost> {
+async function measureCost(count: number, seed: number): Promise<Cost> {
   const clock = createSystemClock();
   const timer = createSystemTimer();
   const random = createRandom(seed);
@@ -59,7 +71,7 @@
     versions: held,
   });
   collectGarbage();
-  const memoryBefore = memory();
+  const memoryBefore = usedMemory();
   const accepted: Session[] = [];
   const opened: Session[] = [];
   let wake = () => {};
@@ -101,7 +113,7 @@
     createReport(index, TASKS_PER_WORKER)
   );
   collectGarbage();
-  const memoryHeld = memory() - memoryBefore;
+  const memoryHeld = usedMemory() - memoryBefore;
   const bytesBefore = sent();
   const cpuBefore = process.cpuUsage();
   opened.forEach((session, index) =>
@@ -123,7 +135,7 @@
   return cost;
 }
 
-function memory(): number {
+function usedMemory(): number {
   const { heapUsed, external } = process.memoryUsage();
   return heapUsed + external;
 }
--- a/testing/replay/slopes/store_calls.ts
+++ b/testing/replay/slopes/store_calls.ts
@@ -1,5 +1,6 @@
 /**
- * Store calls of whole entries on the in-memory store, in virtual time.
+ * Counts the store calls of whole entries on the in-memory store, in virtual
+ * time.
  *
  * @module
  */
@@ -10,14 +11,14 @@
 import type { MemoryStore } from "@dragonflyledge/fakes";
 import { createRandom, MINUTE, SECOND } from "@dragonflyledge/model";
 import type { Claim, Milliseconds } from "@dragonflyledge/model";
-import { slope } from "./slope.ts";
+import { measureSlope } from "./slope.ts";
 import type { Slope } from "./slope.ts";
 import { createConfiguration } from "./target.ts";
 
 const ENTRIES = [2, 4, 6];
 const KEYED_REQUESTS = [1, 10, 100];
 const PREFIX = "/dragonflyledge/";
-/** Entries have registered, written the homes table and read it. */
+/** Time in which entries register, and write and read the homes table. */
 const START_TIME: Milliseconds = 15 * SECOND;
 const STEADY_TIME: Milliseconds = 2 * MINUTE;
 const CHANGE_TIME: Milliseconds = 4 * SECOND;
@@ -28,11 +29,13 @@
 }
 
 interface Counts {
+  /** Calls a second. */
   steady: Calls;
+  /** Calls of one change, beyond those of the steady state. */
   change: Calls;
 }
 
-/** Calls in steady state, per change of the configuration and per claim. */
+/** Calls in steady state, for a change of the configuration and for claims. */
 export async function measureStoreCalls(seed: number): Promise<Slope[]> {
   const counts = new Map<number, Counts>();
   for (const entries of ENTRIES) {
@@ -46,22 +49,30 @@
     name: string,
     unit: string,
     value: (counts: Counts) => number,
-  ) => slope(name, unit, "entries", ENTRIES, (n) => value(counts.get(n)!));
+  ) =>
+    measureSlope({
+      name,
+      unit,
+      over: "entries",
+      sizes: ENTRIES,
+      measure: (n) => value(counts.get(n)!),
+    });
   return [
     by("store, steady", "reads/s", ({ steady }) => steady.reads),
     by("store, steady", "writes/s", ({ steady }) => steady.writes),
     by("store, one change", "reads", ({ change }) => change.reads),
     by("store, one change", "writes", ({ change }) => change.writes),
-    slope(
-      "store, keyed requests",
-      "writes",
-      "requests",
-      KEYED_REQUESTS,
-      (count) => claims.get(count)!,
-    ),
+    measureSlope({
+      name: "store, keyed requests",
+      unit: "writes",
+      over: "requests",
+      sizes: KEYED_REQUESTS,
+      measure: (count) => claims.get(count)!,
+    }),
   ];
 }
 
+/** Drops all log lines and metrics. */
 const observer = { log() {}, count() {} };
 
 async function countCalls(count: number, seed: number): Promise<Counts> {
@@ -113,10 +124,10 @@
   await clock.run(START_TIME);
   store.calls.length = 0;
   await clock.run(STEADY_TIME);
-  const steady = rate(store, STEADY_TIME / SECOND);
+  const steady = rateOfCalls(store, STEADY_TIME / SECOND);
   store.calls.length = 0;
   await submit(2);
-  const changed = rate(store, 1);
+  const changed = rateOfCalls(store, 1);
   const usual = CHANGE_TIME / SECOND;
   for (const entry of entries) entry.stop();
   await clock.run(START_TIME);
@@ -149,7 +160,8 @@
   });
 }
 
-function rate(store: MemoryStore, seconds: number): Calls {
+/** Recorded calls to the store, a second. */
+function rateOfCalls(store: MemoryStore, seconds: number): Calls {
   const reads =
     store.calls.filter(({ kind }) =>
       kind === "get" || kind === "list" || kind === "watch"
@@ -158,7 +170,7 @@
   return { reads: reads / seconds, writes: writes / seconds };
 }
 
-/** Writes of keyed requests that come one at a time, so that none share. */
+/** Writes of keyed requests one by one, so that no two share a write. */
 async function countClaims(count: number, seed: number): Promise<number> {
   const clock = createManualClock();
   const store = createMemoryStore({ clock, timer: clock });
--- a/testing/replay/slopes/target.ts
+++ b/testing/replay/slopes/target.ts
@@ -1,5 +1,5 @@
 /**
- * Deployments between today's size and that of two years ahead.
+ * Deployments from the present size to the one expected in two years.
  *
  * @module
  */
@@ -22,7 +22,7 @@
 
 const RACK_SIZE = 3;
 const DOMAINS = ["d1", "d2", "d3", "d4"];
-/** 1,500 accelerators on 860 workers. */
+/** The largest deployment has 1,500 accelerators on 860 workers. */
 const ACCELERATORS_PER_WORKER = 1500 / 860;
 
 /** Workers in two regions with four failure domains, three to a rack. */
--- a/testing/replay/slopes/timing.ts
+++ b/testing/replay/slopes/timing.ts
@@ -1,5 +1,5 @@
 /**
- * Processor time and memory of operations.
+ * Measures processor time and memory of operations.
  *
  * @module
  */
@@ -8,12 +8,14 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 
+/** Batches of calls of which the median time is taken. */
 const BATCHES = 15;
+/** Measurements of memory of which the median is taken. */
 const MEMORY_TRIES = 5;
-/** Several copies, so that the noise of the heap is small beside them. */
+/** Copies in one measurement, so that the noise of the heap is small. */
 const MEMORY_COPIES = 6;
 
-/** Microseconds of one call: the median over batches, after a warm-up. */
+/** Time of one call in microseconds: median over batches, after a warm-up. */
 export function timeOf(calls: number, call: (index: number) => void): number {
   const times: number[] = [];
   let index = 0;
@@ -27,11 +29,11 @@
 }
 
 /**
- * Bytes of heap that what `create` returns holds: the median of some tries,
- * after one that has the code compiled.
+ * Bytes of heap that one result of `create` holds: median of some measurements,
+ * after a call that has the code compiled.
  */
 export function memoryOf(create: () => unknown): number {
-  const collect = garbageCollector();
+  const collect = exposeGarbageCollector();
   create();
   const sizes = Array.from({ length: MEMORY_TRIES }, () => {
     collect();
@@ -44,12 +46,12 @@
   return sizes.sort((a, b) => a - b)[MEMORY_TRIES >> 1]!;
 }
 
-/** Frees what nothing holds. */
+/** Frees all memory that is not referenced. */
 export function collectGarbage(): void {
-  garbageCollector()();
+  exposeGarbageCollector()();
 }
 
-function garbageCollector(): () => void {
+function exposeGarbageCollector(): () => void {
   setFlagsFromString("--expose-gc");
   return runInNewContext("gc");
 }
--- a/testing/replay/slopes_main.ts
+++ b/testing/replay/slopes_main.ts
@@ -17,7 +17,7 @@
   measureJobs,
   measurePlacement,
   measureRecords,
-  measureSharing,
+  measureStoredValues,
 } from "./slopes/capacity.ts";
 import { measureSessions } from "./slopes/sessions.ts";
 import type { Slope } from "./slopes/slope.ts";
@@ -28,7 +28,7 @@
 });
 const seed = Number(values.seed);
 
-function format({ name, unit, over, points, line, ratio }: Slope): string {
+function formatSlope({ name, unit, over, points, line, ratio }: Slope): string {
   const number = (value: number) =>
     Math.abs(value) >= 1000 ? value.toFixed(0) : value.toPrecision(3);
   const list = points.map(([size, value]) => `${size}: ${number(value)}`);
@@ -47,13 +47,13 @@
   ...measureMemory(seed),
   ...measureIdle(seed),
   ...measureRecords(),
-  ...measureSharing(seed),
+  ...measureStoredValues(seed),
   ...measurePlacement(),
   ...measureJobs(seed),
   ...await measureStoreCalls(seed),
   ...await measureSessions(seed),
 ];
-for (const slope of slopes) console.log(format(slope));
+for (const slope of slopes) console.log(formatSlope(slope));
 
 const directory = new URL("../../../measurements/", import.meta.url);
 mkdirSync(directory, { recursive: true });
--- a/testing/replay/traces_main.ts
+++ b/testing/replay/traces_main.ts
@@ -1,5 +1,5 @@
 /**
- * Records all traces anew: `node dist/traces_main.js`.
+ * Generates all traces and writes their files: `node dist/traces_main.js`.
  *
  * @module
  */
@@ -10,9 +10,10 @@
 import { scenarios } from "./trace/scenarios.ts";
 import { formatTrace } from "./trace/trace.ts";
 
-const SEED = 20_261_204;
+/** Seed of the first trace; the next ones follow. */
+const FIRST_SEED = 20_261_204;
 
-let seed = SEED;
+let seed = FIRST_SEED;
 for (const deployment of Object.values(deployments)) {
   for (const scenario of scenarios) {
     const trace = generateTrace({ scenario, deployment, seed: seed++ });
