--- a/testing/replay/sample_capacity.ts
+++ b/testing/replay/sample_capacity.ts
@@ -1,5 +1,5 @@
 /**
- * Samples of free capacity as the workers really use it.
+ * Samples the capacity that the members running on workers leave free.
  *
  * @module
  */
@@ -12,23 +12,25 @@
   Milliseconds,
 } from "@dragonflyledge/model";
 import type { Cluster } from "./cluster/mod.ts";
-import type { RunRecord, Stay } from "./record.ts";
+import type { MemberRun, RunRecord } from "./record.ts";
 
 /** Size of one member for which fragmentation is measured. */
 const MEMBER_ACCELERATORS = 4;
 
-/** Adds a sample of the present time to the record. */
+/** Adds a sample of a cluster to its record. */
 export function sampleCapacity(cluster: Cluster): void {
   const { heap, record, store, machines } = cluster;
   const inventories = [...machines.values()]
     .filter((each) => each.agent?.process.alive)
     .map((each) => each.inventory);
   const homes = store.contents.homes;
-  record.samples.push(sample({ record, inventories, homes, now: heap.now }));
+  record.samples.push(
+    measureCapacity({ record, inventories, homes, now: heap.now }),
+  );
 }
 
 /** Measures the capacity that running members leave free. */
-export function sample(fields: {
+export function measureCapacity(fields: {
   record: RunRecord;
   inventories: Inventory[];
   homes: HomesTable | undefined;
@@ -37,11 +39,11 @@
   const { record, inventories, homes, now } = fields;
   const held = new Map<string, HeldMember[]>();
   for (const job of record.jobs.values()) {
-    for (const stay of job.stays) {
-      if (stay.end <= now) continue;
-      const list = held.get(stay.worker) ?? [];
-      held.set(stay.worker, list);
-      list.push(toHeld(stay, job.spec));
+    for (const memberRun of job.memberRuns) {
+      if (memberRun.end <= now) continue;
+      const list = held.get(memberRun.worker) ?? [];
+      held.set(memberRun.worker, list);
+      list.push(toHeld(memberRun, job.spec));
     }
   }
   const workers: WorkerView[] = inventories.map((inventory) => ({
@@ -58,17 +60,17 @@
 }
 
 function toHeld(
-  stay: Stay,
+  memberRun: MemberRun,
   spec: { team: string; class: string; revocable: boolean },
 ): HeldMember {
   return {
-    run: { job: stay.job, epoch: stay.epoch },
-    member: stay.member,
+    run: { job: memberRun.job, epoch: memberRun.epoch },
+    member: memberRun.member,
     team: spec.team,
     class: spec.class,
     urgent: false,
     revocable: spec.revocable,
-    accelerators: stay.accelerators,
+    accelerators: memberRun.accelerators,
     cores: 0,
     memoryMiB: 0,
   };
