--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -40,7 +40,7 @@
   stopRun,
 } from "../runs.ts";
 import { AgentLoss, isApplied } from "../state.ts";
-import type { Agent, Run, SchedulerState, Worker } from "../state.ts";
+import type { Agent, SchedulerState, Worker } from "../state.ts";
 
 interface ReportFields {
   state: SchedulerState;
