Report no start as failed while its task may run

What callers could see: a gang that runs twice. A start that the worker did not answer three times was stopped and reported as failed, also if no stop was answered either. On connections that break at once this takes a few milliseconds, and the task may run until its lease lapses, while the entry starts the gang elsewhere.

Change: the stop is repeated until the worker answers it, no process listens there, or the lease and 2 s more have passed.

--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -21,14 +21,14 @@
 const CALL_TIMEOUT: Milliseconds = 2 * SECOND;
 /** Maximum time that the worker takes to answer a poll for events. */
 const POLL_TIMEOUT: Milliseconds = 30 * SECOND;
-const POLL_RETRY_DELAY: Milliseconds = 500;
+/** Delay before a worker that did not answer is called again. */
+const RETRY_DELAY: Milliseconds = 500;
 /**
  * How long the agent's start waits for a worker that does not answer. The tasks
  * of the agent's former process have ended by then, unless the worker carries
  * out the last renewal later than `CALL_TIMEOUT` after it was sent.
  */
 const FIND_TIMEOUT: Milliseconds = CALL_TIMEOUT + GANG_LEASE;
-const FIND_RETRY_DELAY: Milliseconds = 100;
 /** Interval between reads of the worker's usage. */
 const USAGE_INTERVAL: Milliseconds = 5 * SECOND;
 /**
@@ -153,7 +153,9 @@
         return "done";
       } catch (cause) {
         logFailure(`Could not ${action} a task.`, task, cause);
-        if (isStatus(cause, NOT_FOUND)) return "absent";
+        // Tasks end with the process of the worker.
+        const gone = hasCode(cause, "ECONNREFUSED");
+        if (gone || isStatus(cause, NOT_FOUND)) return "absent";
         if (cause instanceof WorkerRefusal) return "failed";
       }
     }
@@ -194,8 +196,13 @@
       }
     }
     // The task may run although no attempt was answered, so it is stopped
-    // before it is reported as failed.
-    await callTask(task, "stop", () => ({}));
+    // before it is reported as failed, or its lease has lapsed by then.
+    while (
+      !closed && remaining() > -CALL_TIMEOUT &&
+      await callTask(task, "stop", () => ({})) === "failed"
+    ) {
+      await pause(RETRY_DELAY);
+    }
     end(task, "failed", reason);
   }
 
@@ -315,6 +322,12 @@
     dispatch({ kind: "taskEnded", now: clock.now(), task, ending, cause });
   }
 
+  function pause(delay: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      timer.after(delay, resolve);
+    });
+  }
+
   async function findTasks(): Promise<MemberReport[]> {
     const lapsedAt = clock.now() + FIND_TIMEOUT;
     while (!closed) {
@@ -329,9 +342,7 @@
         const absent = hasCode(cause, "ECONNREFUSED");
         if (absent || clock.now() >= lapsedAt) return [];
       }
-      await new Promise<void>((resolve) => {
-        timer.after(FIND_RETRY_DELAY, resolve);
-      });
+      await pause(RETRY_DELAY);
     }
     return [];
   }
@@ -349,7 +360,7 @@
       for (const ending of answer.endings) dispatchEnding(ending);
       schedulePoll("events", 0, pollEvents);
     } catch {
-      schedulePoll("events", POLL_RETRY_DELAY, pollEvents);
+      schedulePoll("events", RETRY_DELAY, pollEvents);
     }
   }
 
--- a/daemons/agent/worker_client_test.ts
+++ b/daemons/agent/worker_client_test.ts
@@ -1,3 +1,6 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "tap";
 import { createWorkerServer } from "@dragonflyledge/fakes";
@@ -20,9 +23,13 @@
  */
 async function open(clock: Clock = createSystemClock()) {
   const worker = await createWorkerServer();
+  return { worker, ...createClient(worker.url, clock) };
+}
+
+function createClient(url: string, clock: Clock = createSystemClock()) {
   const waiting: ((event: AgentEvent) => void)[] = [];
   const client = createWorkerClient({
-    url: worker.url,
+    url,
     clock,
     timer: createSystemTimer(),
     dispatch: (event) => {
@@ -32,7 +39,7 @@
   });
   const next = () =>
     new Promise<AgentEvent>((resolve) => waiting.push(resolve));
-  return { worker, client, next };
+  return { client, next };
 }
 
 const START = {
@@ -199,3 +206,19 @@
   client.perform({ kind: "stopTask", task: TASK });
   t.match(await first, { kind: "taskStarted" });
 });
+
+// Guards against a gang that starts elsewhere beside a member whose start was
+// not answered, and neither were the stops that followed.
+test("a start is not reported as failed while its task may run", async (t) => {
+  const server = createServer((request) => request.socket.destroy());
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const { client, next } = createClient(`http://127.0.0.1:${port}`);
+  t.teardown(() => client.close());
+  const begun = performance.now();
+  const ended = next();
+  client.perform({ ...START, lease: 1000 });
+  t.match(await ended, { kind: "taskEnded", ending: "failed" });
+  t.ok(performance.now() - begun >= 1000);
+});
