Let the stand-in worker return under its id

`halt` ends the worker, whose connections stay open without answers; calls wait. `restart` starts it under the same id with nothing left: clock, sequence, numbers of ends, fence and runs begin anew. The calls that waited are carried out once a promise of the caller resolves, whether or not their callers still wait. Leases are shortened to the longest lease of 10 s on the worker's clock, which may be 2% slow. Runs, incarnation and server are modules of their own.

Observers are given times of the shared clock, since the clocks of workers now differ. A crash under a new id behaves as before.

--- a/testing/platform/mod.ts
+++ b/testing/platform/mod.ts
@@ -13,5 +13,5 @@
 export type { ProgramProcess, Programs } from "./programs.ts";
 export { startStore } from "./store_server.ts";
 export type { StoreServer } from "./store_server.ts";
-export { startWorker } from "./worker_server.ts";
-export type { WorkerServer } from "./worker_server.ts";
+export { SLOWEST_CLOCK_RATE, startWorker } from "./worker_server.ts";
+export type { WaitingCall, WorkerServer } from "./worker_server.ts";
--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -111,6 +111,8 @@
   zones?: string[];
   /** How fast each worker runs tasks, by its index; 1 by default. */
   rates?: number[];
+  /** Rate of each worker's clock, by its index; 1 by default. */
+  clockRates?: number[];
   /** Milliseconds for which each task runs, unless there is an observer. */
   duration: number;
   /** Log lines that are kept for each program. */
@@ -222,6 +224,7 @@
       service: SERVICE,
       duration: fields.duration,
       rate: fields.rates?.[index],
+      clockRate: fields.clockRates?.[index],
       observer: fields.observer,
     });
     workers.push(worker);
