Add three found cases of starts that outlive a worker's return

What callers saw: a task ran twice when its start was carried out late by a later incarnation of the worker.

Cause: (1) a report that names an incarnation without lists frees the runs of the former one all the same, as it also tells of the crash; (2) a run that was listed after a second start call is given up with the grant, though the first call is still open; (3) an incarnation that returns twice has forgotten the token of the first return.

--- a/core/scheduler/end/agent_loss_test.ts
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -116,6 +116,22 @@
   t.end();
 });
 
+// Guards against the same, with a report that also tells of the crash.
+test("a crash frees no run before the next incarnation has listed its own", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING] }));
+  const crash = {
+    worker: "i-1@1000",
+    runs: [{ ...NAME, workedFor: 100 }],
+    silence: { aliveAgo: 100, failedAgo: 50 },
+  };
+  hear(200, report(200, { born: 2000, listed: false, crashes: [crash] }));
+  t.same(runsAt(201), RUN);
+  hear(300, report(300, { born: 2000, crashes: [crash] }));
+  t.same(runsAt(301).includes(RUN[0]!), false);
+  t.end();
+});
+
 // Guards against a task that never runs again: the new incarnation is gone
 // before it has listed anything.
 test("a returned worker that is gone frees the runs of the former one", (t) => {
--- a/testing/explorer/found_cases.ts
+++ b/testing/explorer/found_cases.ts
@@ -29,6 +29,12 @@
   callsOutliveWorkers: true,
 };
 
+/** Stopped runs end late enough to be seen beside the next ones. */
+const TWO_SLOW_AGENTS = {
+  ...TWO_AGENTS,
+  agents: [{ ...AGENT, stopDelay: 200 }, { ...AGENT, stopDelay: 200 }],
+};
+
 /** A job of one task. */
 function singleTask(duration: number): Extract<Happening, { kind: "job" }> {
   return {
@@ -421,4 +427,63 @@
       ],
     },
   },
+  {
+    name:
+      "a crash frees a run that the next incarnation got from a former agent",
+    cause: "the report that tells of the crash names an incarnation that has " +
+      "listed nothing yet, and the runs of the crashed one count as ended at " +
+      "once (applyCrash in core/scheduler/end/crashes.ts); the start is " +
+      "carried out 3.1 s late",
+    plan: {
+      setup: TWO_SLOW_AGENTS,
+      inputs: [
+        {
+          at: 8000,
+          ...delayCalls({ call: CallKind.Start, delay: 3080, duration: 1060 }),
+        },
+        { at: 9000, ...singleTask(12_000) },
+        { at: 9050, kind: "restartAgent", agent: 0, downFor: 100 },
+        { at: 11_900, ...crashFirst(200) },
+      ],
+    },
+  },
+  {
+    name: "a listed run starts again on the next incarnation of its worker",
+    cause:
+      "its first start call had no answer and is carried out 1.2 s late, " +
+      "while the agent stands still; the run was listed after a second call, " +
+      "so that the leader gives it up with the grant (loseAgentRuns in " +
+      "core/scheduler/end/agent_loss.ts)",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 8000,
+          ...delayCalls({ call: CallKind.Start, delay: 1200, duration: 1100 }),
+        },
+        { at: 9000, ...singleTask(15_000) },
+        { at: 10_100, kind: "pauseAgent", agent: 0, duration: 12_000 },
+        { at: 10_110, ...crashFirst(50) },
+      ],
+    },
+  },
+  {
+    name: "a late start reaches a worker that has returned twice",
+    cause: "the first incarnation after the crash has answered a call of the " +
+      "present holder, so that the run counts as ended; the second one has " +
+      "seen no token (moveListedRuns and applyCrash in core/scheduler/end); " +
+      "0.9 s late; like seeds 693 and 918 with --events 0",
+    plan: {
+      setup: TWO_AGENTS,
+      inputs: [
+        {
+          at: 8000,
+          ...delayCalls({ call: CallKind.Start, delay: 900, duration: 1060 }),
+        },
+        { at: 9000, ...singleTask(12_000) },
+        { at: 9100, ...crashFirst(100) },
+        { at: 9810, ...crashFirst(100) },
+      ],
+    },
+  },
 ];
