Test fences and leases of returned workers with a new leader

Change: four tests of fence_test.ts; the messages of decode_test.ts carry holder, leaseLeft and fence.

Measured: fence_test.ts and decode_test.ts pass.

--- a/core/scheduler/decode_test.ts
+++ b/core/scheduler/decode_test.ts
@@ -6,6 +6,8 @@
 const report: AgentReport = {
   kind: "report",
   sentAt: 1,
+  holder: "a i-1@1",
+  leaseLeft: 1,
   worker: {
     key: "i-1@1",
     born: 1,
@@ -35,6 +37,7 @@
   kind: "orders",
   epoch: 1,
   answersReport: 1,
+  fence: { holder: "a i-1@1", number: 1 },
   worker: "i-1@1",
   starts: [{ task: "a.0.0.0", run: 1, spec: "", checkpoint: "" }],
   stops: [{ task: "a.0.0.1", run: 1 }],
--- a/core/worker_control/fence_test.ts
+++ b/core/worker_control/fence_test.ts
@@ -14,6 +14,8 @@
 const EPOCH = 7;
 const NEXT = "i-1@2000";
 const NAME = { task: START_ORDER.task, run: START_ORDER.run };
+/** Time after which no call is carried out any more. */
+const CALL_DELAY_LIMIT = 12_000;
 /** Longest lease of 10 s by the slowest clock. */
 const LONGEST_LEASE_TIME = 10_000 / 0.98;
 
@@ -98,6 +100,65 @@
   t.end();
 });
 
+// Guards against an agent whose calls wait for ever, since a new leader numbers
+// anew and begins below what the former one has given.
+test("a new leader's lower number replaces that of the former one", (t) => {
+  const { reduce } = createFenced();
+  reduce(nextHeartbeat(50));
+  const numbered = orders({ answersReport: 50, fence: fenceOf(NEXT, 2) });
+  reduce({ kind: "orders", now: 70, orders: numbered });
+  reduce({ ...holdAnswer(80, 70), worker: NEXT, born: 2000 } as ControlEvent);
+  const anew = orders({
+    epoch: EPOCH + 1,
+    answersReport: 90,
+    fence: fenceOf(NEXT, 1),
+  });
+  reduce({ kind: "orders", now: 100, orders: anew });
+  const answer = { ...holdAnswer(110, 80), worker: NEXT, born: 2000 };
+  const calls = callsOf(reduce(answer as ControlEvent));
+  t.match(calls, [{ token: (EPOCH + 1) * FENCES_PER_EPOCH + 1 }]);
+  t.end();
+});
+
+// Guards against a leader that counts a start for the former incarnation as
+// ended while the next one, which no call has reached, may still carry it out.
+test("a report tells the lease that a late start may bring", (t) => {
+  const { reduce } = createFenced();
+  const start = orders({
+    answersReport: 25,
+    fence: fenceOf(WORKER, 1),
+    starts: [START_ORDER],
+  });
+  reduce({ kind: "orders", now: 30, orders: start });
+  const [report] = reportsOf(reduce(nextHeartbeat(50)));
+  t.equal(report!.leaseLeft, 30 + CALL_DELAY_LIMIT + LONGEST_LEASE_TIME - 50);
+  t.end();
+});
+
+// Guards against the same with the start of a former process of the agent.
+test("a report tells the lease of a worker that no call has reached", (t) => {
+  const { reduce } = createFenced();
+  const [report] = reportsOf(reduce(nextHeartbeat(50)));
+  t.equal(report!.leaseLeft, LONGEST_LEASE_TIME);
+  t.end();
+});
+
+// Guards against a leader that waits for the lease of a worker that has ended.
+test("a report tells no lease of a worker that has ended", (t) => {
+  const { reduce } = createFenced();
+  reduce({ kind: "left", now: 50, id: "i-1" });
+  const [report] = reportsOf(reduce({
+    kind: "holdFailed",
+    now: 100,
+    worker: WORKER,
+    reason: "connection refused",
+    refused: true,
+    connectionLost: false,
+  }));
+  t.match(report, { emptied: [WORKER], leaseLeft: 0 });
+  t.end();
+});
+
 // Guards against a run that nobody stops: the agent is cut off from all leaders
 // when its worker returns and carries out a start for its former incarnation.
 test("a start for a former incarnation is stopped without a leader", (t) => {
