--- a/core/scheduler/end/agent_loss_test.ts
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -1,8 +1,14 @@
 import { test } from "tap";
 import { request, step } from "../fleet_for_tests.ts";
+import { FENCES_PER_EPOCH } from "../messages.ts";
 import type { AgentReport, Fence } from "../messages.ts";
+import { noteHolder } from "../order/fences.ts";
 import { createScheduler } from "../reducer.ts";
-import type { SchedulerEffect, SchedulerEvent } from "../state.ts";
+import type {
+  SchedulerEffect,
+  SchedulerEvent,
+  SchedulerState,
+} from "../state.ts";
 
 const AGENT_LOSS = 8300;
 const UNLISTED_LOSS = 13_000;
@@ -63,6 +69,7 @@
   reduce({ kind: "stored", now: 20, job: JOB, version: 99 });
   return {
     hear,
+    workers: () => [...scheduler.state.workers.values()],
     /** Runs that are not lost at a time at which nothing else happens. */
     runsAt: (now: number) => {
       reduce({ kind: "tick", now, date: now });
@@ -93,6 +100,45 @@
   t.end();
 });
 
+// Guards against a task that runs twice by a worker whose clock differs.
+test("a lease that an agent tells counts with a margin", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING], leaseLeft: 10_204 }));
+  t.same(runsAt(100 + 10_204 + 300), RUN);
+  t.end();
+});
+
+// Guards against tasks that are placed on a worker that is out of reach.
+test("the worker of a lost agent is forgotten", (t) => {
+  const { hear, runsAt, workers } = createLeader();
+  hear(100, report(100, { running: [RUNNING], leaseLeft: 8000 }));
+  runsAt(100 + AGENT_LOSS + 1);
+  t.same(workers(), []);
+  t.end();
+});
+
+// Guards against work that waits longer the second time that an agent is lost.
+test("a listed run of an agent that was lost before is lost as soon", (t) => {
+  const { hear, runsAt } = createLeader();
+  hear(100, report(100, { running: [RUNNING], leaseLeft: 8000 }));
+  t.same(runsAt(100 + AGENT_LOSS + 1), []);
+  hear(9000, report(9000));
+  const again = { ...RUNNING, run: 2 };
+  hear(9100, report(9100, { running: [again], leaseLeft: 8000 }));
+  t.same(runsAt(9100 + AGENT_LOSS), [`${NAME.task}#2`]);
+  t.same(runsAt(9100 + AGENT_LOSS + 1), []);
+  t.end();
+});
+
+// Guards against a worker that takes no work while its agent starts again.
+test("a worker stays reachable while a new process of its agent lists", (t) => {
+  const { hear, workers } = createLeader();
+  hear(100, report(100, { running: [RUNNING] }));
+  hear(200, report(200, { listed: false }));
+  t.match(workers(), [{ state: { key: "i-1@1000", reachable: true } }]);
+  t.end();
+});
+
 // Guards against a task that runs twice: its start reached an incarnation that
 // the agent did not know yet when it was cut off, and for which the lease end in
 // the call is far ahead.
@@ -170,3 +216,15 @@
   t.equal(fenceIn(effects)?.number, 2);
   t.end();
 });
+
+// Guards against tokens of one epoch that reach those of the next.
+test("no holder gets a number beyond those of its epoch", (t) => {
+  const fences = new Map([
+    ["agent-1", { holder: "a ", number: FENCES_PER_EPOCH - 1 }],
+  ]);
+  const state = { fences, effects: [] } as unknown as SchedulerState;
+  noteHolder(state, "agent-1", report(100, { holder: "b " }));
+  t.equal(fences.get("agent-1")?.number, FENCES_PER_EPOCH - 1);
+  t.equal(state.effects.length, 1, "it is logged");
+  t.end();
+});
--- a/core/worker_control/fence_test.ts
+++ b/core/worker_control/fence_test.ts
@@ -159,6 +159,34 @@
   t.end();
 });
 
+// Guards against a run that starts elsewhere while its worker still holds a lease
+// that was extended long after its first lists.
+test("a report tells how far the lease was extended", (t) => {
+  const { reduce } = createFenced();
+  const fence = fenceOf(WORKER, 1);
+  const later = orders({ answersReport: 15_000, fence });
+  reduce({ kind: "orders", now: 15_000, orders: later });
+  const [hold] = callsOf(reduce(holdAnswer(15_010, 20)));
+  t.ok(hold?.kind === "hold" && hold.until);
+  const [report] = reportsOf(reduce({ kind: "tick", now: 16_000 }));
+  t.equal(report!.leaseLeft, 7000, "the grant of 8 s began at 15 s");
+  t.end();
+});
+
+// Guards against a flood of calls to a returned worker without a leader.
+test("a start for a former incarnation is stopped by one call at a time", (t) => {
+  const { reduce } = createFenced();
+  const start = orders({
+    answersReport: 25,
+    fence: fenceOf(WORKER, 1),
+    starts: [START_ORDER],
+  });
+  reduce({ kind: "orders", now: 30, orders: start });
+  t.equal(callsOf(reduce(nextHeartbeat(50))).length, 1);
+  t.same(callsOf(reduce({ kind: "tick", now: 60 })), []);
+  t.end();
+});
+
 // Guards against a run that nobody stops: the agent is cut off from all leaders
 // when its worker returns and carries out a start for its former incarnation.
 test("a start for a former incarnation is stopped without a leader", (t) => {
