Let workers return under their ids in the soak

No fault of the soak did that, and its tasks were too short to be at work when an agent that was cut off counts as lost.

Change: the fault returnWorker halts a worker for 3 s to 6 s, starts it under its id, lets it carry out calls to its former incarnation 0.5 s to 1.5 s later, and cuts its agent off 0.5 s to 3 s after the return for 9 s to 14 s. returnUnderNewAgent and returnUnderNewLeader also kill the agent's process or the leader in between. With these faults, some jobs take longer than a lease and half of the workers have slow clocks. A run that is cut off and works on counts: a start beside it is TWICE. While a long job is at work, open jobs do not count as lost.

The short soak, faults, ledger and callers tests pass.

--- a/testing/platform/faults_test.ts
+++ b/testing/platform/faults_test.ts
@@ -1,5 +1,12 @@
 import { test } from "tap";
-import { drawFault, FAULTS, LONG_FAULTS } from "./soak/faults.ts";
+import {
+  drawFault,
+  FAULT_NAMES,
+  FAULTS,
+  FORMER_FAULT_NAMES,
+  LONG_FAULTS,
+} from "./soak/faults.ts";
+import { RETURNED_WORKER_FAULTS } from "./soak/returned_worker_faults.ts";
 
 /** Longest time for which a start that was ordered may still be carried out. */
 const GRANT = 8000;
@@ -15,6 +22,11 @@
     t.equal(drawFault(name, () => 1).time, longest);
     t.notOk(name in FAULTS, "the short soak does not draw it");
   }
+  for (const name of Object.keys(RETURNED_WORKER_FAULTS)) {
+    t.ok(drawFault(name, () => 0).time > GRANT, name);
+    t.ok(FAULT_NAMES.includes(name), "the long soak draws it");
+    t.notOk(FORMER_FAULT_NAMES.includes(name), "former seeds do not draw it");
+  }
   for (const name of Object.keys(FAULTS)) {
     t.ok(drawFault(name, () => 1).time < GRANT, name);
   }
--- a/testing/platform/ledger_test.ts
+++ b/testing/platform/ledger_test.ts
@@ -80,6 +80,11 @@
   beside.start("i-1", "0.0");
   beside.start("i-2", "0.0", 2);
   t.same(beside.rules(), ["TWICE"]);
+  const cutOff = create([{}]);
+  cutOff.start("i-1", "0.0");
+  cutOff.cutOff();
+  cutOff.start("i-2", "0.0", 2);
+  t.same(cutOff.rules(), ["TWICE"], "a run that is cut off and works on");
   const after = create([{}]);
   after.start("i-1", "0.0");
   after.end("i-1", "0.0");
--- a/testing/platform/soak/callers.ts
+++ b/testing/platform/soak/callers.ts
@@ -25,6 +25,13 @@
 const MAX_SUBMISSIONS = 5;
 /** Polls of a job's state before the caller submits its next job. */
 const MAX_POLLS = 12;
+/** Longest time of a task of a usual job, in milliseconds. */
+const MAX_DURATION = 2500;
+/**
+ * Time in milliseconds that is added to the tasks of a long job; on most
+ * workers they are at work when an agent that was cut off counts as lost.
+ */
+const LONG_DURATION = 16_000;
 /** Share of the jobs that their caller cancels, 0 to 1. */
 const CANCEL_SHARE = 0.15;
 /** Share of the jobs of which a task crashes its workers, 0 to 1. */
@@ -116,6 +123,8 @@
   ledger: Ledger;
   count: number;
   random: () => number;
+  /** Whether the next job is a long one; none is by default. */
+  drawLong?: () => boolean;
   done: () => boolean;
   /** Whether the entry was recently affected by planned stops at most. */
   onlyPlannedStops: (entry: ProgramProcess) => boolean;
@@ -147,6 +156,7 @@
         random,
         number: nextId++,
         workers: programs.workers.length,
+        long: fields.drawLong?.() ?? false,
       });
       const record = ledger.sent(job);
       const path = `${random() < 0.5 ? "/plans/" : "/batch/"}${job.id}`;
@@ -209,6 +219,8 @@
   random: () => number;
   number: number;
   workers: number;
+  /** Whether its tasks take longer than a lease. */
+  long?: boolean;
 }): SoakJob {
   const { random, number, workers } = fields;
   const integer = (min: number, max: number) =>
@@ -220,8 +232,9 @@
     const room = workers * Math.floor(WORKER_ACCELERATORS / accelerators);
     return {
       count: gang ? Math.min(count, room) : count,
-      accelerators,
-      duration: integer(100, 2500),
+      // Many long tasks run beside each other.
+      accelerators: fields.long ? 1 : accelerators,
+      duration: integer(100, MAX_DURATION) + (fields.long ? LONG_DURATION : 0),
       gang,
       after,
     };
@@ -229,7 +242,7 @@
   const id = (number * 0x10000 + integer(0, 0xffff)).toString(16);
   const steps = random() < 0.25 ? [step([]), step([0])] : [step([])];
   const deadly = random() < DEADLY_SHARE;
-  return { id: id.padStart(16, "0"), steps, deadly };
+  return { id: id.padStart(16, "0"), steps, long: fields.long, deadly };
 }
 
 function encodeJob(job: SoakJob) {
--- a/testing/platform/soak/fault_target.ts
+++ b/testing/platform/soak/fault_target.ts
@@ -19,6 +19,10 @@
   zones: string[];
   /** Evacuated failure domains, and when the store took their keys. */
   evacuated: Map<string, number>;
+  /** Indexes of the workers that were halted, until their agents are back. */
+  returning: Set<number>;
+  /** Halts the worker with this index. */
+  haltWorker: (index: number) => void;
   /** Crashes the worker with this index. */
   crashWorker: (index: number) => void;
   /** Newest configuration version, and when the store took it. */
--- a/testing/platform/soak/faults.ts
+++ b/testing/platform/soak/faults.ts
@@ -11,6 +11,7 @@
 import { OVERTAKING_FAULTS } from "./overtaking_faults.ts";
 import type { LongFault } from "./overtaking_faults.ts";
 import { PROCESS_FAULTS } from "./process_faults.ts";
+import { RETURNED_WORKER_FAULTS } from "./returned_worker_faults.ts";
 import { CONFIGURATION_FAULTS, STORE_FAULTS } from "./store_faults.ts";
 import { WORKER_FAULTS } from "./worker_faults.ts";
 
@@ -40,6 +41,7 @@
 export const FAULT_NAMES = [
   ...FORMER_FAULT_NAMES,
   ...Object.keys(EVACUATION_FAULTS),
+  ...Object.keys(RETURNED_WORKER_FAULTS),
 ];
 
 /** Returns the fault with this name and a duration in its bounds. */
@@ -47,7 +49,8 @@
   name: string,
   random: () => number,
 ): { inject: Fault; time: number } {
-  const long = LONG_FAULTS[name] ?? EVACUATION_FAULTS[name];
+  const long = LONG_FAULTS[name] ?? EVACUATION_FAULTS[name] ??
+    RETURNED_WORKER_FAULTS[name];
   const inject = long?.inject ?? FAULTS[name];
   if (!inject) throw new Error(`unknown fault: ${name}`);
   const shortest = long?.shortest ?? MIN_FAULT_DURATION;
--- a/testing/platform/soak/ledger.ts
+++ b/testing/platform/soak/ledger.ts
@@ -44,6 +44,8 @@
 export interface SoakJob {
   id: string;
   steps: SoakStep[];
+  /** Whether its tasks take longer than a lease. */
+  long?: boolean;
   /** Whether its first task crashes each worker that starts it. */
   deadly?: boolean;
 }
--- a/testing/platform/soak/process_faults.ts
+++ b/testing/platform/soak/process_faults.ts
@@ -23,7 +23,7 @@
  * Sends the signal to the process and starts it again after it has ended. One
  * that still runs after STOP_GRACE is killed.
  */
-function restart(
+export function restart(
   { down }: FaultTarget,
   process: ProgramProcess,
   signal: "SIGKILL" | "SIGTERM",
--- a/testing/platform/soak/soak.ts
+++ b/testing/platform/soak/soak.ts
@@ -9,10 +9,12 @@
 import { createRandom } from "@dragonflyledge/model";
 import { startPrograms } from "../programs.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
+import { SLOWEST_CLOCK_RATE } from "../worker_server.ts";
 import { isFinal, runCallers, sendRequest } from "./callers.ts";
 import { drawFault, FAULTS, MAX_FAULT_DURATION } from "./faults.ts";
 import { createLedger, WORKER_ACCELERATORS } from "./ledger.ts";
 import type { JobRecord, Ledger } from "./ledger.ts";
+import { RETURNED_WORKER_FAULTS } from "./returned_worker_faults.ts";
 import { hasGoneBack } from "./version_check.ts";
 
 /** Time for which entries may take to answer after the start, in ms. */
@@ -51,6 +53,8 @@
 const EVACUATION_BOUND = 5000;
 /** Time from the start of a deadly task to the crash of its worker, in ms. */
 const CRASH_DELAY = 10;
+/** Share of long jobs while workers return under their ids, 0 to 1. */
+const LONG_SHARE = 0.3;
 /** Time for which a worker that crashed refuses connections, in ms. */
 const CRASH_DURATION = 1500;
 
@@ -100,6 +104,10 @@
     rate: lowest + randomRate() * (highest - lowest),
   }));
   const zones = agents.map(({ zone }) => zone);
+  const names = fields.faults ?? Object.keys(FAULTS);
+  /** Whether workers return under their ids, beside long tasks. */
+  const returns = names.some((name) => name in RETURNED_WORKER_FAULTS);
+  const randomLength = createRandom(fields.seed + 3);
   const evacuated = new Map<string, number>();
   const failingWorkers = new Set<string>();
   const down = new Set<ProgramProcess>();
@@ -133,8 +141,8 @@
 
   /** Crashes a worker, which refuses connections for a while. */
   function crashWorker(index: number, cause?: string): void {
-    if (stopping) return;
     const worker = programs.workers[index]!;
+    if (stopping || worker.isHalted()) return;
     const runs = worker.listRuns();
     // Another crash came first.
     if (cause && !runs.some(({ task }) => task === cause)) return;
@@ -146,6 +154,13 @@
     setTimeout(() => relay.refuse(false), CRASH_DURATION);
   }
 
+  /** Halts a worker, which answers no calls until it is started again. */
+  function haltWorker(index: number): void {
+    const worker = programs.workers[index]!;
+    ledger.crashed(worker.listRuns());
+    worker.halt();
+  }
+
   /**
    * Reports a process that ended by itself, and starts it again as the platform
    * would.
@@ -161,6 +176,9 @@
     agents: fields.agents,
     zones,
     rates: agents.map(({ rate }) => rate),
+    clockRates: agents.map((_, index) =>
+      returns && index % 2 === 0 ? SLOWEST_CLOCK_RATE : 1
+    ),
     duration: 0,
     linesKept: Infinity,
     observer: ledger.observer,
@@ -174,6 +192,8 @@
     failingWorkers,
     zones,
     evacuated,
+    returning: new Set<number>(),
+    haltWorker,
     crashWorker: (index: number) => crashWorker(index),
     version: { current: 1, acknowledgedAt: now() },
   };
@@ -188,7 +208,6 @@
     !target.down.has(process) && isUnaffected(process, since);
 
   async function injectFaults(): Promise<void> {
-    const names = fields.faults ?? Object.keys(FAULTS);
     const end = now() + fields.time;
     while (now() < end) {
       await sleep(MIN_FAULT_GAP + random() * FAULT_GAP_RANGE);
@@ -264,6 +283,7 @@
       ledger,
       count: fields.callers,
       random,
+      drawLong: () => returns && randomLength() < LONG_SHARE,
       done: () => over,
       onlyPlannedStops,
     });
@@ -319,9 +339,9 @@
 
 /**
  * Checks that every accepted job ends and that the entries show it. A job may
- * wait while more than half of the accelerators are in use; once fewer are in
- * use for RECOVERY_BOUND, jobs that are still open count as lost. If all jobs
- * have ended, no run may be left at a worker.
+ * wait while more than half of the accelerators are in use or a long job is at
+ * work; once neither has been so for RECOVERY_BOUND, jobs that are still open
+ * count as lost. If all jobs have ended, no run may be left at a worker.
  */
 async function checkJobsEnd(programs: Programs, ledger: Ledger): Promise<void> {
   const end = performance.now() + FINISH_TIMEOUT;
@@ -342,7 +362,9 @@
       0,
     );
     const total = programs.workers.length * WORKER_ACCELERATORS;
-    if (used > total / 2) busyAt = performance.now();
+    if (used > total / 2 || isLongAtWork(programs, ledger)) {
+      busyAt = performance.now();
+    }
     if (performance.now() > busyAt + RECOVERY_BOUND) break;
     await sleep(POLL_INTERVAL);
   }
@@ -354,3 +376,12 @@
     ledger.report("UNASKED", `${task}#${run} still runs after all jobs ended`);
   }
 }
+
+/** Whether a worker runs a task of a long job. */
+function isLongAtWork({ workers }: Programs, { jobs }: Ledger): boolean {
+  return workers.some((worker) =>
+    worker.listRuns().some(({ task }) =>
+      jobs.get(task.split(".")[0]!)?.job.long === true
+    )
+  );
+}
