Apply no crash before the next incarnation has listed its runs

Cause: a report that names an incarnation without lists usually tells the crash of the former one as well. The leader applied the crash, and with it freed the runs, before it looked at the lists.

--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -66,11 +66,14 @@
   state.changedAgents.add(agent.name);
   noteOutages(agent, report, now);
   moveListedRuns(state, agent, report);
-  for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
+  const reported = usableWorker(agent, report);
+  // Until then the next incarnation may carry out what the former one was told.
+  if (reported || !report.worker) {
+    for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
+  }
   for (const key of report.emptied) {
     loseRuns(fields, (run) => run.worker === key, LossReason.Emptied);
   }
-  const reported = confirmedWorker(agent, report);
   if (!reported) return handleMissingWorker(fields);
   const worker = updateWorker(fields, reported);
   if (worker === undefined) return;
@@ -104,10 +107,10 @@
 
 /**
  * Returns the reported worker, unless it is an incarnation that has not listed
- * its runs: it may still carry out a start for the former one, whose runs count
- * as ended once it replaces that one.
+ * its runs. Such a one may still carry out a start for the former one, whose
+ * runs count as ended once it replaces that one.
  */
-function confirmedWorker(
+function usableWorker(
   { worker: known }: Agent,
   { worker, listed, emptied }: AgentReport,
 ): WorkerState | undefined {
