--- a/testing/platform/returned_worker.ts
+++ b/testing/platform/returned_worker.ts
@@ -73,7 +73,7 @@
 
 /** Whether the call extends a lease. */
 const extendsLease = ({ path, body }: WaitingCall) =>
-  path === "/hold" && body.untilMs !== undefined;
+  (path === "/hold" || path === "/run-start") && body.untilMs !== undefined;
 
 /** Polls until the condition holds; throws if it does not in time. */
 function until(what: string, condition: () => boolean): Promise<void> {
@@ -147,10 +147,6 @@
      */
     returnWorker: async () => {
       worker.halt();
-      await until(
-        "a call that extends the lease waits",
-        () => worker.waitingCalls.some(extendsLease),
-      );
       const { status } = await programs.call(
         findLeader() ?? entries[0]!,
         "POST",
@@ -158,6 +154,10 @@
         JOB,
       );
       t.equal(status, 200);
+      await until(
+        "a call that extends the lease waits",
+        () => worker.waitingCalls.some(extendsLease),
+      );
       returnedAt = performance.now();
       worker.restart({ callsAfter: delivery });
       await until("the task runs", () => worker.listRuns().length === 1);
