Name the losses of agents by the runs that they mean

Cause: readers took "listed" for a property of the agent, and the margin of 0.3 s stood in three places.

--- a/core/scheduler/end/agent_loss.ts
+++ b/core/scheduler/end/agent_loss.ts
@@ -2,9 +2,10 @@
  * Agents that have been silent for so long that nothing can run under them.
  *
  * An agent may be cut off while its worker goes on. A run that the worker has
- * listed ends with the lease. A start that it has not listed may have reached a
- * later incarnation that the agent does not know of yet, which takes the longest
- * lease for a lease end on the clock of the former one.
+ * listed to this leader ends with the lease that the agent has told. A start that
+ * it has not listed may have reached a later incarnation that the agent does not
+ * know of yet, which takes the longest lease for a lease end on the clock of the
+ * former one.
  *
  * @module
  */
@@ -15,8 +16,11 @@
 import type { Agent, Run, SchedulerState } from "../state.ts";
 import { loseRuns, LossReason } from "./losses.ts";
 
-/** Added to a lease end that an agent tells; the clocks of machines differ. */
-const LEASE_MARGIN: Milliseconds = 300;
+/**
+ * Added to the end of a grant or of a lease that an agent tells, since the clocks
+ * of machines differ.
+ */
+export const LOSS_MARGIN: Milliseconds = 300;
 
 /** Notes until when the report says that a run may be at work. */
 export function noteLeaseEnd(
@@ -24,7 +28,7 @@
   { leaseLeft }: AgentReport,
   now: Milliseconds,
 ): void {
-  agent.leaseEnd = now + (leaseLeft ?? 0) + LEASE_MARGIN;
+  agent.leaseEnd = now + (leaseLeft ?? 0) + LOSS_MARGIN;
 }
 
 interface SilentAgent {
@@ -41,14 +45,14 @@
   const silence = now - agent.lastHeard;
   if (silence <= agentLoss || now <= agent.leaseEnd) return;
   if (agent.loss === AgentLoss.None) {
-    agent.loss = AgentLoss.Listed;
+    agent.loss = AgentLoss.ListedRuns;
     logLoss(fields);
     loseAgentRuns(fields, (run) => run.confirmed);
     if (agent.worker) state.workers.delete(agent.worker.state.key);
     agent.worker = undefined;
   }
-  if (silence <= unlistedLoss || agent.loss !== AgentLoss.Listed) return;
-  agent.loss = AgentLoss.All;
+  if (silence <= unlistedLoss || agent.loss !== AgentLoss.ListedRuns) return;
+  agent.loss = AgentLoss.AllRuns;
   loseAgentRuns(fields, () => true);
 }
 
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -11,6 +11,7 @@
   missingCapacity,
 } from "./order/capacity.ts";
 export { countOnProbation } from "./health/worker_health.ts";
+export { LOSS_MARGIN } from "./end/agent_loss.ts";
 export { decodeOrders, decodeReport } from "./decode.ts";
 export * from "./job.ts";
 export * from "./messages.ts";
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -391,7 +391,7 @@
   const { agentRetention } = state.times;
   for (const agent of state.agents.values()) {
     checkAgent({ state, agent, now, date });
-    if (agent.loss !== AgentLoss.All) continue;
+    if (agent.loss !== AgentLoss.AllRuns) continue;
     if (now - agent.lastHeard < agentRetention) continue;
     state.agents.delete(agent.name);
     state.rateEstimator.forget(agent.name);
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -154,9 +154,9 @@
 /** Which runs of an agent are lost since nothing is heard of it. */
 export const AgentLoss = {
   None: "none",
-  /** Those that its worker had listed. */
-  Listed: "listed",
-  All: "all",
+  /** Those that its worker has listed to this leader. */
+  ListedRuns: "listed runs",
+  AllRuns: "all runs",
 } as const;
 export type AgentLoss = typeof AgentLoss[keyof typeof AgentLoss];
 
--- a/core/worker_control/fence.ts
+++ b/core/worker_control/fence.ts
@@ -35,8 +35,8 @@
 
 /**
  * Returns the token for calls to the worker, or undefined if the leader has not
- * numbered the present holder yet. A leader of an older build numbers none, so
- * that its epoch is all that its calls can be told by.
+ * numbered the present holder yet. Under a leader of an older build, which gives
+ * no numbers, it is the epoch alone.
  */
 export function callToken(state: ControlState): number | undefined {
   if (state.epoch === 0) return undefined;
@@ -44,7 +44,10 @@
   return latestToken(state);
 }
 
-/** Returns the highest token of this process, for calls that change nothing. */
+/**
+ * Returns the highest token of this process, whichever of its holders it belongs
+ * to, for calls that extend no lease and start nothing.
+ */
 export function latestToken({ epoch, fence }: ControlState): number {
   return epoch * FENCES_PER_EPOCH + (fence?.number ?? 0);
 }
--- a/core/worker_control/reducer.ts
+++ b/core/worker_control/reducer.ts
@@ -173,7 +173,8 @@
   worker.ended = event.ended.filter((end) => end.number > worker.acknowledged);
   worker.allEnds = event.allEnds;
   if (!worker.listed) {
-    // From now on the worker does nothing for calls of earlier holders.
+    // The token of this call lets the worker do nothing for calls of earlier
+    // holders from now on.
     worker.latestLeaseEnd = latestEarlierLeaseEnd(state, event.now);
   }
   worker.listed = true;
--- a/core/worker_control/run_control.ts
+++ b/core/worker_control/run_control.ts
@@ -27,7 +27,9 @@
 /**
  * Returns the longest time after a report for which a run can be at work that
  * the worker has not listed: a start that is sent as late as it may be, and that
- * a later incarnation carries out which the agent does not know yet.
+ * a later incarnation carries out at once which the agent does not know yet.
+ * Starts that are carried out late are not counted: all jobs of a lost machine
+ * would wait for 12 s more.
  */
 export function longestUnlistedTime(longestLease: Milliseconds): Milliseconds {
   return START_ORDER_VALIDITY + longestLeaseTime(longestLease);
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -14,6 +14,7 @@
   countOnProbation,
   createScheduler,
   Lateness,
+  LOSS_MARGIN,
   missingCapacity,
   parseStoreKey,
 } from "@dragonflyledge/scheduler";
@@ -40,8 +41,6 @@
  * cut off from the agents.
  */
 const ISOLATION_LIMIT: Milliseconds = 3000;
-/** Added to an agent's grant before its runs count as ended. */
-const LOSS_MARGIN: Milliseconds = 300;
 
 /** A running term of leadership. */
 export interface Term {
--- a/testing/explorer/model/term.ts
+++ b/testing/explorer/model/term.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import { createScheduler, unpackProgress } from "@dragonflyledge/scheduler";
+import {
+  createScheduler,
+  LOSS_MARGIN,
+  unpackProgress,
+} from "@dragonflyledge/scheduler";
 import type {
   SchedulerEffect,
   SchedulerEvent,
@@ -25,7 +29,6 @@
 const PLANNING_INTERVAL: Milliseconds = 15;
 const AGENT_RETENTION: Milliseconds = 60_000;
 const ISOLATION_LIMIT: Milliseconds = 3000;
-const LOSS_MARGIN: Milliseconds = 300;
 const JOB_RETENTION: Milliseconds = 20_000;
 
 /** A term of leadership. */
