Give up listed runs with an open start call like unlisted ones

Cause: the first of two start calls got no answer, the second worked, and the run was listed. While the agent stood still, the worker returned and carried the first call out, with the longest lease. The leader gave the listed run up with the grant, 8.3 s after the last report.

Evidence: the found case "a listed run starts again on the next incarnation of its worker" ("once" broken at 18.6 s).

Change: reports name the runs of which a start call has no answer. A leader that hears nothing more counts them as ended after 13.0 s, as those that no list has shown. Not chosen: to wait for the 12 s of a late call and the longest lease for all runs of such an agent, as it would hold up the work of each lost machine whose worker had left one call unanswered.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -113,6 +113,7 @@
   running: listOf(isRunningTask),
   listClock: optional(isNumber),
   unsettled: optional(listOf(isRunName)),
+  openStarts: optional(listOf(isRunName)),
   ended: listOf(isEndedTask),
   allEnds: optional(isFlag),
   refused: listOf(isRefusedStart),
--- a/core/scheduler/decode_test.ts
+++ b/core/scheduler/decode_test.ts
@@ -8,6 +8,7 @@
   sentAt: 1,
   holder: "a i-1@1",
   leaseLeft: 1,
+  openStarts: [{ task: "a.0.0.0", run: 1 }],
   worker: {
     key: "i-1@1",
     born: 1,
--- a/core/scheduler/end/agent_loss.ts
+++ b/core/scheduler/end/agent_loss.ts
@@ -3,7 +3,8 @@
  *
  * An agent may be cut off while its worker goes on. A run that the worker has
  * listed to this leader ends with the lease that the agent has told. A start that
- * it has not listed may have reached a later incarnation that the agent does not
+ * it has not listed, or one of whose calls has no answer, may have reached a
+ * later incarnation that the agent does not
  * know of yet, which takes the longest lease for a lease end on the clock of the
  * former one.
  *
@@ -47,7 +48,7 @@
   if (agent.loss === AgentLoss.None) {
     agent.loss = AgentLoss.ListedRuns;
     logLoss(fields);
-    loseAgentRuns(fields, (run) => run.confirmed);
+    loseAgentRuns(fields, isListed);
     if (agent.worker) state.workers.delete(agent.worker.state.key);
     agent.worker = undefined;
   }
@@ -56,10 +57,15 @@
   loseAgentRuns(fields, () => true);
 }
 
+/** Whether the run is on the worker alone, and no start call for it is open. */
+function isListed({ confirmed, startOpen }: Run): boolean {
+  return confirmed && !startOpen;
+}
+
 function logLoss({ state, agent, now }: SilentAgent): void {
   const runs = [...state.runs.values()]
     .filter((run) => run.agent === agent.name);
-  const listed = runs.filter(({ confirmed }) => confirmed).length;
+  const listed = runs.filter(isListed).length;
   state.effects.push({
     kind: "log",
     level: "warn",
--- a/core/scheduler/end/agent_loss_test.ts
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -150,6 +150,17 @@
   t.end();
 });
 
+// Guards against a task that runs twice: the first of two start calls got no
+// answer, and the next incarnation carries it out while the agent stands still.
+test("a listed run with an open start call is lost as if it were unlisted", (t) => {
+  const { hear, runsAt } = createLeader();
+  const running = [RUNNING];
+  hear(100, report(100, { running, openStarts: [NAME], leaseLeft: 8000 }));
+  t.same(runsAt(100 + AGENT_LOSS + 1), RUN);
+  t.same(runsAt(100 + UNLISTED_LOSS + 1), []);
+  t.end();
+});
+
 // Guards against a task that runs twice: the new incarnation carries out a start
 // that a former process of its agent had sent to the former one.
 test("a returned worker frees no run before it has listed its own", (t) => {
--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -280,12 +280,14 @@
   const { state, report, now } = fields;
   const listed = new Set<string>();
   const unsettled = new Set(report.unsettled?.map(runKey));
+  const open = new Set(report.openStarts?.map(runKey));
   for (const running of report.running) {
     const key = runKey(running);
     listed.add(key);
     const run = state.runs.get(key);
     if (run && run.worker === worker.state.key) {
       noteListed(run, now);
+      run.startOpen = open.has(key);
       noteBegun(state, run.job);
       const listedLong = report.unsettled && !unsettled.has(key);
       if (listedLong && !report.silence) noteSettled(state, run, now);
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -166,6 +166,11 @@
    * for SETTLE_TIME yet. Undefined in reports of older builds.
    */
   unsettled?: RunName[];
+  /**
+   * Runs of which a start call has no answer, so that a later incarnation may
+   * carry it out; undefined in reports of older builds.
+   */
+  openStarts?: RunName[];
   ended: EndedTask[];
   /**
    * Whether `ended` holds all ends that are not acknowledged; undefined in
--- a/core/scheduler/rates/rated_fleet_for_tests.ts
+++ b/core/scheduler/rates/rated_fleet_for_tests.ts
@@ -296,6 +296,7 @@
     version: 1,
     ordered: true,
     confirmed: false,
+    startOpen: false,
     settled: false,
     isolation: Isolation.None,
     stopping: false,
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -72,6 +72,7 @@
     version: job.version,
     ordered: fields.ordered,
     confirmed: fields.confirmed,
+    startOpen: false,
     settled: false,
     isolation: isolationOf(tasksOf(job, task)),
     stopping: false,
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -78,6 +78,8 @@
   ordered: boolean;
   /** Whether the worker has listed the run. */
   confirmed: boolean;
+  /** Whether a start call for the run has no answer, by the latest report. */
+  startOpen: boolean;
   /**
    * When this process first saw all runs listed that work only together with
    * this one.
--- a/core/worker_control/report.ts
+++ b/core/worker_control/report.ts
@@ -9,7 +9,11 @@
 import { listUnsettled, tellCrash, tellSilence } from "./crash.ts";
 import { holderOf } from "./fence.ts";
 import { latestLeaseEnd } from "./lease.ts";
-import { hasMisdirected, listUnlistedEnds } from "./open_starts.ts";
+import {
+  hasMisdirected,
+  listOpenStarts,
+  listUnlistedEnds,
+} from "./open_starts.ts";
 import { nextReportTime, noteRelease } from "./overtaken.ts";
 import { ControlPhase } from "./state.ts";
 import type { ControlState } from "./state.ts";
@@ -48,6 +52,7 @@
     unsettled: worker
       ? [...listUnsettled(state, worker), ...unlistedEnds.map(toName)]
       : [],
+    openStarts: worker ? listOpenStarts(state, worker.id, now) : [],
     ended: worker?.ended ?? [],
     allEnds: worker?.allEnds ?? true,
     refused: controls
