--- a/core/scheduler/end/agent_loss.ts
+++ b/core/scheduler/end/agent_loss.ts
@@ -2,11 +2,10 @@
  * Agents that have been silent for so long that nothing can run under them.
  *
  * An agent may be cut off while its worker goes on. A run that the worker has
- * listed to this leader ends with the lease that the agent has told. A start that
- * it has not listed, or one of whose calls has no answer, may have reached a
- * later incarnation that the agent does not
- * know of yet, which takes the longest lease for a lease end on the clock of the
- * former one.
+ * listed to this leader ends with the lease that the agent has told. A run that it
+ * has not listed, or of which a start call has no answer, may be at work on a
+ * later incarnation that the agent does not know of yet. That one takes the
+ * longest lease for a lease end on the clock of the former one.
  *
  * @module
  */
--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -67,7 +67,8 @@
   noteOutages(agent, report, now);
   moveListedRuns(state, agent, report);
   const reported = usableWorker(agent, report);
-  // Until then the next incarnation may carry out what the former one was told.
+  // Before it has listed its runs, a new incarnation may carry out a start for
+  // the former one; a crash of that one would free the run.
   if (reported || !report.worker) {
     for (const crash of report.crashes ?? []) applyCrash({ ...fields, crash });
   }
