--- a/daemons/agent/worker_client.ts
+++ b/daemons/agent/worker_client.ts
@@ -137,8 +137,9 @@
 
   /**
    * Calls an action on a task, and again if the worker does not answer. Returns
-   * whether it succeeded, or that the worker does not know the task. `createBody` returns the body of each attempt, or
-   * undefined if there shall be no further one.
+   * whether it succeeded, or that the worker does not know the task. `createBody`
+   * returns the body of each attempt, or undefined if there shall be no further
+   * one.
    */
   async function callTask(
     task: TaskId,
