Log incomplete answers of the store, and the version and age behind refusals

The logs could not tell a store that does not answer a watch from an answer that is too long for its time, nor how old the configuration is by which a request is refused.

The warning of a failed list or watch has its call, its duration and the bytes that had arrived; each failure with bytes is logged, not only the first. Calls that fail so count as `incomplete` in store_calls_total. `Request not allowed.` has the version in force and its age.

--- a/daemons/program/observe_store.ts
+++ b/daemons/program/observe_store.ts
@@ -11,7 +11,7 @@
 /** Outcome of any call to the store. */
 type Outcome =
   | { kind: string }
-  | { isOk(): boolean; error?: { kind: string } };
+  | { isOk(): boolean; error?: { kind: string; receivedBytes?: number } };
 
 /**
  * Returns a store whose calls are recorded in the metrics `store_calls_total`,
@@ -54,5 +54,7 @@
 
 function outcomeName(outcome: Outcome): string {
   if ("kind" in outcome) return outcome.kind;
-  return outcome.isOk() ? "done" : outcome.error?.kind ?? "unknown";
+  if (outcome.isOk()) return "done";
+  if (outcome.error?.receivedBytes) return "incomplete";
+  return outcome.error?.kind ?? "unknown";
 }
--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -47,6 +47,8 @@
   store: KeyValue;
   replica: Replica;
   deployment: () => Deployment | undefined;
+  /** Time since the configuration was last known to be the newest. */
+  configurationAge: () => Milliseconds;
   /** Whether the store does not answer this process at present. */
   storeFails: () => boolean;
   forward: Peers["forward"];
@@ -139,17 +141,33 @@
     const current = deployment();
     if (!current || isFailing()) return { kind: "admitted" };
     const target = findTarget(current, head);
-    if ("status" in target) return { kind: "answered", answer: target };
+    if ("status" in target) {
+      logRefusal(current, head, target);
+      return { kind: "answered", answer: target };
+    }
     return target.team === undefined
       ? { kind: "admitted" }
       : { kind: "admitted", owner: target.team };
   }
 
+  /** Logs a request that the configuration does not allow. */
+  function logRefusal(
+    { version }: Deployment,
+    { method, path }: HttpRequestHead,
+    { status }: HttpAnswer,
+  ): void {
+    const age = Math.round(fields.configurationAge());
+    log.info("Request not allowed.", { method, path, status, version, age });
+  }
+
   async function answerLocally(request: HttpRequest): Promise<HttpAnswer> {
     const current = deployment();
     if (!current) return UNAVAILABLE;
     const target = findTarget(current, request);
-    if ("status" in target) return target;
+    if ("status" in target) {
+      logRefusal(current, request, target);
+      return target;
+    }
     return await answerCall({
       ...target,
       request,
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -83,6 +83,7 @@
       headerTimeout: 1000,
       idleTimeout: 1000,
     }),
+    configurationAge: () => 0,
     storeFails,
     forward: (request) =>
       Promise.resolve(fields.forward?.(request) ?? { kind: "notSent" }),
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -49,6 +49,7 @@
 import { startElection } from "./election.ts";
 import { createEvacuationHolder } from "./evacuations.ts";
 import { follow } from "./follow.ts";
+import type { FollowFailure } from "./follow.ts";
 import { startTerm } from "./leader.ts";
 import type { Term } from "./leader.ts";
 import { createPeers } from "./peers.ts";
@@ -135,10 +136,16 @@
     return policiesOf(configurations.current(), evacuations.current());
   }
 
-  const logTrouble = (follows: string) => (reason: string | undefined) => {
-    if (reason === undefined) log.info("The store answers again.", { follows });
-    else log.warn("The store does not answer.", { follows, reason });
-  };
+  const logTrouble =
+    (follows: string) => (failure: FollowFailure | undefined) => {
+      if (!failure) return log.info("The store answers again.", { follows });
+      const { call, reason, receivedBytes = 0 } = failure;
+      const duration = Math.round(failure.duration);
+      const text = receivedBytes === 0
+        ? "The store does not answer."
+        : "The store's answer is incomplete.";
+      log.warn(text, { follows, call, reason, duration, receivedBytes });
+    };
 
   const configuration = follow({
     store,
@@ -266,6 +273,7 @@
     store,
     replica,
     deployment: configurations.current,
+    configurationAge: () => elapsed.now() - configuration.freshAt(),
     storeFails: () => !jobs.isListed() || jobs.isFailing(),
     forward: peers.forward,
     clock,
--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -6,12 +6,24 @@
 
 import { sleep } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
-import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
+import type {
+  Change,
+  Item,
+  KeyValue,
+  StoreFailure,
+} from "@dragonflyledge/platform";
 
 /** The store answers a watch without changes after this long. */
 const WATCH_WAIT: Milliseconds = 1000;
 const RETRY_DELAY: Milliseconds = 150;
 
+/** A call of a follower that failed. */
+export interface FollowFailure extends StoreFailure {
+  call: "list" | "watch";
+  /** Time from the call to its failure. */
+  duration: Milliseconds;
+}
+
 /** Follows a prefix of the store until it is stopped. */
 export interface Follower {
   /** Monotonic time up to which the store's state is known. */
@@ -37,8 +49,11 @@
   /** Called with the items of a list that was begun at `revision`. */
   onList: (items: Item[], revision: number) => void;
   onChanges: (changes: Change[]) => void;
-  /** Called with the reason of a first failure, or undefined at recovery. */
-  onTrouble: (reason: string | undefined) => void;
+  /**
+   * Called with the first failure and each one of an answer that began, and with
+   * undefined at recovery.
+   */
+  onTrouble: (failure: FollowFailure | undefined) => void;
 }): Follower {
   const { store, clock, timer } = fields;
   let freshAt = -Infinity;
@@ -46,10 +61,21 @@
   let generation = 0;
   let troubled = false;
 
-  function reportTrouble(reason: string | undefined): void {
-    if (troubled === (reason !== undefined)) return;
-    troubled = reason !== undefined;
-    fields.onTrouble(reason);
+  function reportTrouble(
+    call: FollowFailure["call"],
+    sentAt: Milliseconds,
+    failure: StoreFailure,
+  ): void {
+    const isFirst = !troubled;
+    troubled = true;
+    if (!isFirst && !failure.receivedBytes) return;
+    fields.onTrouble({ ...failure, call, duration: clock.now() - sentAt });
+  }
+
+  function reportAnswer(): void {
+    if (!troubled) return;
+    troubled = false;
+    fields.onTrouble(undefined);
   }
 
   async function list(own: number): Promise<number | undefined> {
@@ -58,13 +84,13 @@
       const answer = await store.list(fields.listPrefix);
       if (own !== generation) return undefined;
       if (answer.isOk()) {
-        reportTrouble(undefined);
+        reportAnswer();
         fields.onList(answer.value.items, answer.value.revision);
         listed = true;
         freshAt = sentAt;
         return answer.value.revision;
       }
-      reportTrouble(answer.error.reason);
+      reportTrouble("list", sentAt, answer.error);
       await sleep({ timer, delay: RETRY_DELAY });
     }
     return undefined;
@@ -77,11 +103,11 @@
       const answer = await store.watch({ prefix, after, wait: WATCH_WAIT });
       if (own !== generation) return;
       if (answer.isErr()) {
-        reportTrouble(answer.error.reason);
+        reportTrouble("watch", sentAt, answer.error);
         await sleep({ timer, delay: RETRY_DELAY });
         continue;
       }
-      reportTrouble(undefined);
+      reportAnswer();
       if (answer.value.kind === "compacted") {
         after = await list(own);
         continue;
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -46,7 +46,8 @@
   },
   store_calls_total: {
     kind: "counter",
-    help: "Calls to the store by outcome; unknown ones got no answer.",
+    help: "Calls to the store by outcome; unknown ones got no answer, and " +
+      "incomplete ones a part of it.",
     labels: ["call", "outcome"],
   },
   store_call_seconds: {
