--- a/testing/fakes/relay.ts
+++ b/testing/fakes/relay.ts
@@ -1,11 +1,13 @@
 /**
- * TCP relay whose connections can be silenced, reset or delayed.
+ * TCP relay whose connections can be silenced, reset, delayed or slowed down.
  *
  * @module
  */
 
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
-import type { Milliseconds, Timer } from "@dragonflyledge/model";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
+import { createPacer } from "./pacer.ts";
+import type { Pacer } from "./pacer.ts";
 import { createSystemTime } from "./system_timer.ts";
 
 /** Direction in which bytes flow: to the target, to the caller, or both. */
@@ -32,6 +34,11 @@
   hold(direction?: Direction): void;
   /** Forwards what was held, in order. */
   release(): void;
+  /**
+   * Limits the speed in bytes per second that all connections share, also later
+   * ones, in each direction; Infinity sets no limit.
+   */
+  limitSpeed(speed: number): void;
   /** Resets the connections. */
   cut(): void;
   /** While `refused` is set, new connections are reset at once. */
@@ -63,11 +70,15 @@
     target: { host?: string; port: number };
     host?: string;
     port?: number;
-    timer?: Timer;
+    timer?: Timer & Clock;
   },
 ): Promise<Relay> {
   const links = new Set<RelayedConnection>();
   const bytes = { toTarget: 0, toCaller: 0 };
+  const pacers = {
+    toTarget: createPacer(timer),
+    toCaller: createPacer(timer),
+  };
   let accepted = 0;
   let refused = false;
   let muted = false;
@@ -89,8 +100,10 @@
   function createLink(caller: Socket, onward: Socket): RelayedConnection {
     const toTarget: DirectionState = { silent: muted, delay: 0 };
     const toCaller: DirectionState = { silent: muted, delay: 0 };
-    pass(caller, onward, toTarget, (size) => bytes.toTarget += size);
-    pass(onward, caller, toCaller, (size) => bytes.toCaller += size);
+    const countToTarget = (size: number) => bytes.toTarget += size;
+    const countToCaller = (size: number) => bytes.toCaller += size;
+    pass(caller, onward, toTarget, pacers.toTarget, countToTarget);
+    pass(onward, caller, toCaller, pacers.toCaller, countToCaller);
     const cut = () => {
       reset(caller);
       reset(onward);
@@ -106,6 +119,7 @@
     from: Socket,
     to: Socket,
     flow: DirectionState,
+    pacer: Pacer,
     count: (size: number) => void,
   ): void {
     let waiting = 0;
@@ -119,13 +133,27 @@
         else task();
       });
     };
-    from.on("error", () => {});
-    from.on("data", (chunk) =>
+    const deliver = (chunk: Uint8Array) =>
       forward(() => {
         if (flow.silent || to.destroyed) return;
         count(chunk.length);
         to.write(chunk);
-      }));
+      });
+    const send = ([segment, ...rest]: Uint8Array[]): void => {
+      if (!segment) return void from.resume();
+      const delay = pacer.reserve(segment.length);
+      if (delay === 0) {
+        deliver(segment);
+        return send(rest);
+      }
+      from.pause();
+      timer.after(delay, () => {
+        deliver(segment);
+        send(rest);
+      });
+    };
+    from.on("error", () => {});
+    from.on("data", (chunk) => send(pacer.split(chunk)));
     from.on("close", () =>
       forward(() => {
         // The close of a silenced connection is not forwarded.
@@ -173,6 +201,10 @@
         for (const task of tasks) task();
       }
     },
+    limitSpeed(speed) {
+      pacers.toTarget.speed = speed;
+      pacers.toCaller.speed = speed;
+    },
     cut: () => links.forEach((link) => link.cut()),
     refuse: (value) => void (refused = value),
     mute: (value) => void (muted = value),
--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -37,6 +37,8 @@
 const STOP_TIMEOUT = 10_000;
 /** Timeout of calls in milliseconds, longer than callers wait by default. */
 const CALL_TIMEOUT = 10_000;
+/** Length of the path prefixes of queues that nobody calls. */
+const IDLE_PREFIX_LENGTH = 100;
 /** Failures of a task after which a job of the configured queues fails. */
 export const MAX_ATTEMPTS = 3;
 
@@ -299,9 +301,10 @@
 
 /**
  * Returns a configuration whose queue "v<version>" no other version has, so
- * that a call tells whether the version is in force.
+ * that a call tells whether the version is in force. `idleQueues` are queues
+ * that nobody calls; each adds about 220 bytes.
  */
-export function createConfiguration(version: number) {
+export function createConfiguration(version: number, idleQueues = 0) {
   const queue = {
     host: QUEUE_HOST,
     service: SERVICE,
@@ -314,6 +317,11 @@
       { ...queue, name: "plans", prefix: "/plans/", priority: 0 },
       { ...queue, name: "batch", prefix: "/batch/" },
       { ...queue, name: `v${version}`, prefix: `/v${version}/` },
+      ...Array.from({ length: idleQueues }, (_, index) => ({
+        ...queue,
+        name: `idle-${index}`,
+        prefix: `/${`idle-${index}`.padEnd(IDLE_PREFIX_LENGTH, "-")}/`,
+      })),
     ],
     services: [{ name: SERVICE }],
     limits: {},
