List the operator's keys again after a failed watch

What callers saw: after the store had been away for an entry, the entry answered by an old configuration until the store dropped its history (20 s), although the store answered again. Cause: the repeated watch asks for each version since the last answer, whole. Its answer grows with the time for which it has failed, and had a fixed time of 1.5 s. Change: the follower of the operator's keys lists after each failed call, and after an answer that holds several values of a key: a list has one of each. The follower of the jobs lists after an answer that did not arrive whole.

--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -115,10 +115,9 @@
   let operatorListDue = false;
   let draining = false;
 
-  function applyConfigurationItems(items: Item[]): void {
-    for (const item of items) {
-      if (item.key === CONFIGURATION_KEY) configurations.apply(item.value);
-    }
+  function applyNewestConfiguration(items: Item[]): void {
+    const newest = items.findLast(({ key }) => key === CONFIGURATION_KEY);
+    if (newest) configurations.apply(newest.value);
   }
 
   const configurations = createDeploymentHolder({
@@ -152,16 +151,17 @@
     listPrefix: OPERATOR_PREFIX,
     clock: elapsed,
     timer,
+    listsWhenBehind: true,
     pause: () => 0,
     onList: (items) => {
       operatorListDue = false;
       evacuations.replace(items);
-      applyConfigurationItems(items);
+      applyNewestConfiguration(items);
       beginTermIfDue();
     },
     onChanges: (changes) => {
       evacuations.apply(changes);
-      applyConfigurationItems(
+      applyNewestConfiguration(
         changes.flatMap((each) => each.kind === "put" ? [each.item] : []),
       );
     },
@@ -172,6 +172,7 @@
     listPrefix: STORE_PREFIX,
     clock: elapsed,
     timer,
+    listsWhenBehind: false,
     pause: () => epoch === undefined ? STANDBY_PAUSE : LEADER_PAUSE,
     onList: (items, revision) => {
       replica.replace(items, revision);
--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -1,5 +1,6 @@
 /**
- * Follows all keys with a prefix: lists them once, then watches for changes.
+ * Follows all keys with a prefix: lists them once, then watches for changes, and
+ * lists them again where the missed changes may be too long to read.
  *
  * @module
  */
@@ -13,7 +14,7 @@
   StoreFailure,
 } from "@dragonflyledge/platform";
 
-/** The store answers a watch without changes after this long. */
+/** A watch without changes is answered when the last known state is this old. */
 const WATCH_WAIT: Milliseconds = 1000;
 const RETRY_DELAY: Milliseconds = 150;
 
@@ -26,7 +27,7 @@
 
 /** Follows a prefix of the store until it is stopped. */
 export interface Follower {
-  /** Monotonic time up to which the store's state is known. */
+  /** Monotonic time as of which the store's state is known. */
   freshAt(): Milliseconds;
   /** Whether a list has been received. */
   isListed(): boolean;
@@ -44,6 +45,13 @@
   listPrefix: string;
   clock: Clock;
   timer: Timer;
+  /**
+   * Whether to list again after each failed call, and after changes that hold
+   * several values of a key. A watch returns all of them, so that with large
+   * values its answer grows faster than a slow link carries it; a list has only
+   * the last one of each key.
+   */
+  listsWhenBehind: boolean;
   /** Pause after changes, so that one answer carries several. */
   pause: () => Milliseconds;
   /** Called with the items of a list that was begun at `revision`. */
@@ -96,34 +104,55 @@
     return undefined;
   }
 
-  async function watchChanges(own: number, prefix: string): Promise<void> {
-    let after = await list(own);
-    while (own === generation && after !== undefined) {
-      const sentAt = clock.now();
-      const answer = await store.watch({ prefix, after, wait: WATCH_WAIT });
-      if (own !== generation) return;
-      if (answer.isErr()) {
-        reportTrouble("watch", sentAt, answer.error);
-        await sleep({ timer, delay: RETRY_DELAY });
-        continue;
-      }
-      reportAnswer();
-      if (answer.value.kind === "compacted") {
-        after = await list(own);
-        continue;
-      }
-      freshAt = sentAt;
-      after = answer.value.revision;
-      if (answer.value.changes.length === 0) continue;
-      fields.onChanges(answer.value.changes);
-      const pause = fields.pause();
-      if (pause > 0) await sleep({ timer, delay: pause });
+  /**
+   * Waits for changes after a revision and passes them on. Returns the revision
+   * from which to go on; undefined if the keys must be listed again.
+   */
+  async function watch(
+    own: number,
+    prefix: string,
+    after: number,
+  ): Promise<number | undefined> {
+    const sentAt = clock.now();
+    const age = sentAt - freshAt;
+    const wait = Math.max(0, WATCH_WAIT - age);
+    const answer = await store.watch({ prefix, after, wait });
+    if (own !== generation) return undefined;
+    if (answer.isErr()) {
+      reportTrouble("watch", sentAt, answer.error);
+      await sleep({ timer, delay: RETRY_DELAY });
+      // A part of an answer shows that the whole one is too long for the link.
+      const tooLong = answer.error.receivedBytes !== undefined;
+      return fields.listsWhenBehind || tooLong ? undefined : after;
+    }
+    reportAnswer();
+    if (answer.value.kind === "compacted") return undefined;
+    const { changes, revision } = answer.value;
+    if (changes.length === 0) {
+      // The store waited for changes all the while.
+      freshAt = Math.min(sentAt + wait, clock.now());
+      return revision;
+    }
+    freshAt = sentAt;
+    fields.onChanges(changes);
+    const pause = fields.pause();
+    if (pause > 0) await sleep({ timer, delay: pause });
+    const isBehind = fields.listsWhenBehind && hasRepeatedKey(changes);
+    return isBehind ? undefined : revision;
+  }
+
+  async function listAndWatch(own: number, prefix: string): Promise<void> {
+    let after: number | undefined;
+    while (own === generation) {
+      after = after === undefined
+        ? await list(own)
+        : await watch(own, prefix, after);
     }
   }
 
   const restart = (prefix: string) => {
     generation++;
-    void watchChanges(generation, prefix);
+    void listAndWatch(generation, prefix);
   };
   return {
     freshAt: () => freshAt,
@@ -135,3 +164,11 @@
     },
   };
 }
+
+/** Whether several of the changes concern the same key. */
+function hasRepeatedKey(changes: Change[]): boolean {
+  const keys = changes.map((change) =>
+    change.kind === "put" ? change.item.key : change.key
+  );
+  return new Set(keys).size < keys.length;
+}
