Decide on requests only by a configuration that is confirmed

What callers saw: 401, 403 and 404 to calls that the newest configuration allows, and 200 to calls of routes that it had removed, for up to 20 s. Cause: an entry did not know how old its configuration is. Whether it answered or forwarded a request followed from its copy of the jobs alone, and a peer answered by its own configuration, however old. Change: an entry decides while no newer configuration can have been due for longer than configApplyMs, and no caller of it was answered by a newer one. Otherwise it forwards the request, is not ready, and as a peer answers 503, after which up to three other peers are asked. Without such a peer it answers 503, but shows states while the store is away. The test "an answer carries the peer's configuration if it is newer" guarded against an older configuration after a newer one had answered.

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -19,6 +19,7 @@
 import { OUTCOME_UNKNOWN, Status, UNAVAILABLE } from "./caller_answers.ts";
 import { createJobCalls } from "./job_calls.ts";
 import { createJobStore } from "./job_store.ts";
+import type { DeploymentHolder } from "./deployment.ts";
 import type { ForwardOutcome, Peers } from "./peers.ts";
 import type { Replica } from "./replica.ts";
 import { createStoreWait } from "./store_wait.ts";
@@ -31,12 +32,14 @@
 /** Answers the requests of callers. */
 export interface CallerApi {
   /**
-   * Checks path and key of a request before its body is received. While the
-   * store does not answer, another entry may know a newer configuration, so
-   * that the body is needed for it.
+   * Checks path and key of a request before its body is received. While another
+   * entry may know a newer configuration, the body is needed for it.
    */
   admit(head: HttpRequestHead): Admission;
-  /** Answers a request, or forwards it to another entry if the store fails. */
+  /**
+   * Answers a request, or forwards it to another entry while the store does not
+   * answer this one or the configuration is not confirmed.
+   */
   answer(request: HttpRequest): Promise<HttpAnswer>;
   /** Answers a request that another entry forwarded, without forwarding it. */
   answerLocally(request: HttpRequest): Promise<HttpAnswer>;
@@ -46,9 +49,10 @@
 export function createCallerApi(fields: {
   store: KeyValue;
   replica: Replica;
-  deployment: () => Deployment | undefined;
-  /** Time since the configuration was last known to be the newest. */
-  configurationAge: () => Milliseconds;
+  configurations: Pick<
+    DeploymentHolder,
+    "age" | "current" | "isConfirmed" | "isNewestUsed"
+  >;
   /** Whether the store does not answer this process at present. */
   storeFails: () => boolean;
   forward: Peers["forward"];
@@ -56,7 +60,8 @@
   timer: Timer;
   log: Log;
 }): CallerApi {
-  const { store, replica, deployment, storeFails, clock, timer, log } = fields;
+  const { store, replica, configurations, storeFails, clock, timer, log } =
+    fields;
   const jobStore = createJobStore({
     store,
     replica,
@@ -68,13 +73,13 @@
   const answerCall = createJobCalls({
     jobStore,
     replica,
-    deployment,
+    deployment: configurations.current,
     clock,
     log,
   });
 
   /** Whether this entry can carry out no request at present. */
-  const isFailing = () => storeFails() || !deployment();
+  const isFailing = () => storeFails() || !configurations.isConfirmed();
   const waitForStore = createStoreWait({ isFailing, clock, timer });
 
   async function answer(request: HttpRequest): Promise<HttpAnswer> {
@@ -134,11 +139,25 @@
       forwarded.kind === "unknown";
     if (uncertain && request.method !== "GET") return OUTCOME_UNKNOWN;
     if (peerAnswer && !isInconclusive(peerAnswer)) return peerAnswer;
-    return failing ? answerLocally(request) : local;
+    return failing ? answerAlone(request) : local;
+  }
+
+  /**
+   * Answers a request while neither the store nor a peer decides on it. By a
+   * configuration that is not confirmed nothing is refused and nothing carried
+   * out; while the store is away, the last known states are shown.
+   */
+  async function answerAlone(request: HttpRequest): Promise<HttpAnswer> {
+    if (configurations.isConfirmed()) return await answerLocally(request);
+    const shows = request.method === "GET" && storeFails() &&
+      configurations.isNewestUsed();
+    if (!shows) return UNAVAILABLE;
+    const answer = await answerLocally(request);
+    return answer.status === Status.Ok ? answer : UNAVAILABLE;
   }
 
   function admit(head: HttpRequestHead): Admission {
-    const current = deployment();
+    const current = configurations.current();
     if (!current || isFailing()) return { kind: "admitted" };
     const target = findTarget(current, head);
     if ("status" in target) {
@@ -156,12 +175,12 @@
     { method, path }: HttpRequestHead,
     { status }: HttpAnswer,
   ): void {
-    const age = Math.round(fields.configurationAge());
+    const age = Math.round(configurations.age());
     log.info("Request not allowed.", { method, path, status, version, age });
   }
 
   async function answerLocally(request: HttpRequest): Promise<HttpAnswer> {
-    const current = deployment();
+    const current = configurations.current();
     if (!current) return UNAVAILABLE;
     const target = findTarget(current, request);
     if ("status" in target) {
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -37,6 +37,10 @@
 function createEntryApi(fields: {
   commits?: CommitOutcome[];
   storeFails?: boolean;
+  /** Whether the configuration is confirmed; true by default. */
+  confirmed?: boolean;
+  /** Whether no caller was answered by a newer one; true by default. */
+  newestUsed?: boolean;
   /** Time at which the store answers again. */
   storeReturnsAt?: number;
   forward?: (request: HttpRequest) => ForwardOutcome;
@@ -66,24 +70,28 @@
   const api = createCallerApi({
     store,
     replica,
-    deployment: () => ({
-      version: 1,
-      queues: [{
-        name: "queue",
-        host: "jobs.example",
-        prefix: "/plans/",
-        service: "service",
-        priority: 0,
-        maxAttempts: 2,
-        anonymous: false,
-      }],
-      teams: [{ name: "team", keys: ["key"], guaranteedAccelerators: 8 }],
-      bodyLimit: 1000,
-      headerLimit: 1000,
-      headerTimeout: 1000,
-      idleTimeout: 1000,
-    }),
-    configurationAge: () => 0,
+    configurations: {
+      age: () => 0,
+      isConfirmed: () => fields.confirmed ?? true,
+      isNewestUsed: () => fields.newestUsed ?? true,
+      current: () => ({
+        version: 1,
+        queues: [{
+          name: "queue",
+          host: "jobs.example",
+          prefix: "/plans/",
+          service: "service",
+          priority: 0,
+          maxAttempts: 2,
+          anonymous: false,
+        }],
+        teams: [{ name: "team", keys: ["key"], guaranteedAccelerators: 8 }],
+        bodyLimit: 1000,
+        headerLimit: 1000,
+        headerTimeout: 1000,
+        idleTimeout: 1000,
+      }),
+    },
     storeFails,
     forward: (request) =>
       Promise.resolve(fields.forward?.(request) ?? { kind: "notSent" }),
@@ -191,6 +199,52 @@
   t.equal((await api.answer(createRequest("POST"))).status, 200);
 });
 
+// Guards against a key or a queue that is refused since the entry does not know
+// the configuration in force, and against one that was withdrawn and is accepted.
+test("an unconfirmed configuration decides on requests", async (t) => {
+  const confirmed = false;
+  for (const status of [200, 401, 404]) {
+    const { api } = createEntryApi({
+      confirmed,
+      forward: () => answered(status),
+    });
+    const answer = await api.answer(createRequest("POST"));
+    t.equal(answer.status, status, "a peer with the newest one decides");
+  }
+  const requests = [
+    createRequest("POST"),
+    createRequest("GET"),
+    createRequest("GET", "/plans/"),
+    createRequest("GET", "/none/"),
+    createRequest("GET", "/plans/", "other"),
+  ];
+  const { api, keys } = createEntryApi({ confirmed });
+  for (const request of requests) {
+    t.match(api.admit(request), { kind: "admitted" });
+    t.match(await api.answer(request), {
+      status: 503,
+      headers: { "retry-after": "1" },
+    });
+  }
+  t.same(keys, []);
+});
+
+// Guards against callers that learn nothing while the store is away for all
+// entries, so that nobody can change or confirm the configuration.
+test("states are hidden while the store is away", async (t) => {
+  const outage = { confirmed: false, storeFails: true };
+  const ask = async (request: HttpRequest, newestUsed = true) => {
+    const { api } = createEntryApi({ ...outage, newestUsed });
+    return (await api.answer(request)).status;
+  };
+  t.equal(await ask(createRequest("GET", "/plans/")), 200);
+  t.equal(await ask(createRequest("GET", "/plans/", "other")), 503);
+  t.equal(await ask(createRequest("GET", "/none/")), 503);
+  t.equal(await ask(createRequest("POST")), 503);
+  // A caller was answered by a newer configuration, at another entry.
+  t.equal(await ask(createRequest("GET", "/plans/"), false), 503);
+});
+
 // Guards against a refusal of a job that another entry may have accepted.
 test("a request that a peer may have run is answered with 504", async (t) => {
   const { api } = createEntryApi({
--- a/daemons/scheduler/deployment.ts
+++ b/daemons/scheduler/deployment.ts
@@ -1,34 +1,56 @@
 /**
- * The configuration in force at an entry. A version is never given up for a
- * lower one, whichever way that arrives.
+ * The configuration in force at an entry, and whether it may still be the newest.
+ * A version is never given up for a lower one, whichever way that arrives.
  *
  * @module
  */
 
+import type { Clock, Milliseconds } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
 import { decodeConfiguration } from "@dragonflyledge/platform";
 import type { Deployment } from "@dragonflyledge/platform";
-import type { StoredConfiguration } from "./peers.ts";
 
 /** Configuration in force; undefined before the first one. */
 export interface DeploymentHolder {
   current(): Deployment | undefined;
-  stored(): StoredConfiguration | undefined;
+  /** Time since the configuration was last known to be the newest. */
+  age(): Milliseconds;
+  /**
+   * Whether the configuration decides on requests: no newer one can have been
+   * due for longer than the bound, and no caller was answered by a newer one.
+   */
+  isConfirmed(): boolean;
+  /** Whether no answer of this entry followed a newer configuration. */
+  isNewestUsed(): boolean;
   /** Puts a configuration in force if it is newer than the present one. */
   apply(bytes: Uint8Array): void;
+  /** Notes that another entry has answered a caller of this one by a version. */
+  noteUsed(version: number): void;
 }
 
 /** Creates a holder without a configuration. */
 export function createDeploymentHolder(fields: {
+  /** Monotonic time as of which the operator's keys are known. */
+  freshAt: () => Milliseconds;
+  /** Time after which a configuration that the store took must be in force. */
+  bound: Milliseconds;
+  /** Clock that also counts the time for which the machine was suspended. */
+  clock: Pick<Clock, "now">;
   onNewer: (deployment: Deployment) => void;
   log: Log;
 }): DeploymentHolder {
   const { log } = fields;
   let deployment: Deployment | undefined;
-  let stored: StoredConfiguration | undefined;
+  let newestUsed = 0;
+
+  const age = () => fields.clock.now() - fields.freshAt();
+  const isNewestUsed = () =>
+    deployment !== undefined && deployment.version >= newestUsed;
   return {
     current: () => deployment,
-    stored: () => stored,
+    age,
+    isConfirmed: () => isNewestUsed() && age() <= fields.bound,
+    isNewestUsed,
     apply: (bytes) => {
       const decoded = decodeConfiguration(bytes);
       if (!decoded) return log.error("The configuration can't be decoded.");
@@ -39,7 +61,6 @@
       }
       if (version === deployment?.version) return;
       deployment = decoded;
-      stored = { version, bytes };
       log.info("Configuration in force.", {
         version,
         queues: queues.length,
@@ -47,5 +68,8 @@
       });
       fields.onNewer(decoded);
     },
+    noteUsed: (version) => {
+      newestUsed = Math.max(newestUsed, version);
+    },
   };
 }
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -121,6 +121,9 @@
   }
 
   const configurations = createDeploymentHolder({
+    freshAt: () => configuration.freshAt(),
+    bound: settings.configurationBound,
+    clock: elapsed,
     onNewer: () => term?.setPolicies(currentPolicies()),
     log,
   });
@@ -255,7 +258,7 @@
   });
 
   const isReady = () =>
-    !draining && configurations.current() !== undefined && jobs.isListed() &&
+    !draining && configurations.isConfirmed() && jobs.isListed() &&
     elapsed.now() - jobs.freshAt() < READY_FRESHNESS;
 
   const peers = createPeers({
@@ -265,16 +268,15 @@
     linkLimits: limitLinks(fields.clients),
     entries: () => replica.entries,
     handle: (request) => api.answerLocally(request),
-    configuration: configurations.stored,
-    onConfiguration: configurations.apply,
+    configurations,
+    clock,
     timer,
     log,
   });
   const api = createCallerApi({
     store,
     replica,
-    deployment: configurations.current,
-    configurationAge: () => elapsed.now() - configuration.freshAt(),
+    configurations,
     storeFails: () => !jobs.isListed() || jobs.isFailing(),
     forward: peers.forward,
     clock,
--- a/daemons/scheduler/peers.ts
+++ b/daemons/scheduler/peers.ts
@@ -1,6 +1,6 @@
 /**
  * Forwards callers' requests to other entries while the store does not answer
- * this entry.
+ * this entry, or its configuration may not be the newest.
  *
  * @module
  */
@@ -9,21 +9,20 @@
 import type { Link, LinkMessage } from "@dragonflyledge/link";
 import type { Log } from "@dragonflyledge/log";
 import { parseAddress } from "@dragonflyledge/model";
-import type { Milliseconds, Timer } from "@dragonflyledge/model";
+import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type {
   HttpAnswer,
   HttpRequest,
   LinkControl,
 } from "@dragonflyledge/program";
+import { Status, UNAVAILABLE } from "./caller_answers.ts";
+import type { DeploymentHolder } from "./deployment.ts";
 
 const CONNECT_TIMEOUT: Milliseconds = 300;
 /** Number of peers to which one request may be sent in turn. */
-const MAX_PEERS = 2;
-/** Answer of an entry whose configuration is older than the sender's. */
-const OUTDATED_ANSWER: HttpAnswer = {
-  status: 503,
-  headers: { "retry-after": "1" },
-};
+const MAX_PEERS = 4;
+/** Number of peers that may be unreachable before a request counts as not sent. */
+const MAX_UNREACHABLE_PEERS = 2;
 
 /** Message that forwards a request to another entry. */
 interface PeerRequest {
@@ -39,14 +38,11 @@
   kind: "answer";
   id: number;
   answer: HttpAnswer;
-  /** The stored configuration, if it is newer than the sender's. */
-  configuration?: Uint8Array;
-}
-
-/** A configuration in its stored form. */
-export interface StoredConfiguration {
-  version: number;
-  bytes: Uint8Array;
+  /**
+   * Version of the configuration that the answer follows. Entries of former
+   * releases don't tell it.
+   */
+  version?: number;
 }
 
 /** Outcome of forwarding a request. */
@@ -60,8 +56,8 @@
 /** Forwards requests to other entries, and serves theirs. */
 export interface Peers {
   /**
-   * Forwards a request to one peer after the other until one receives it, and
-   * waits for each answer for at most `timeout`.
+   * Forwards a request to one peer after the other until one carries it out, or
+   * leaves open whether it does. Takes at most `timeout`.
    */
   forward(
     request: HttpRequest,
@@ -81,13 +77,16 @@
   entries: () => ReadonlyMap<string, string>;
   /** Answers a request without forwarding it again. */
   handle: (request: HttpRequest) => Promise<HttpAnswer>;
-  configuration: () => StoredConfiguration | undefined;
-  /** Called with a newer configuration, so that later answers follow it too. */
-  onConfiguration: (bytes: Uint8Array) => void;
+  configurations: Pick<
+    DeploymentHolder,
+    "current" | "isConfirmed" | "noteUsed"
+  >;
+  clock: Pick<Clock, "now">;
   timer: Timer;
   log: Log;
 }): Peers {
-  const { timer, log } = fields;
+  const { configurations, clock, timer, log } = fields;
+  const ownVersion = () => configurations.current()?.version ?? 0;
   let nextId = 1;
   let nextPeer = 0;
 
@@ -118,17 +117,11 @@
 
   async function serve(link: Link, message: PeerRequest): Promise<void> {
     const { id, request, version } = message;
-    const own = fields.configuration()?.version ?? 0;
     // A caller must not be answered by an older configuration than the one that
-    // answered it before.
-    const answer = own < version
-      ? OUTDATED_ANSWER
-      : await fields.handle(request);
-    const known = fields.configuration();
-    const configuration = known && known.version > version
-      ? known.bytes
-      : undefined;
-    link.send({ kind: "answer", id, answer, configuration });
+    // answered it before, nor by one that may not be the newest.
+    const decides = configurations.isConfirmed() && ownVersion() >= version;
+    const answer = decides ? await fields.handle(request) : UNAVAILABLE;
+    link.send({ kind: "answer", id, answer, version: ownVersion() });
   }
 
   function askPeer(
@@ -157,14 +150,14 @@
         timer,
         onOpen: (opened) => {
           sent = true;
-          const version = fields.configuration()?.version ?? 0;
-          opened.send({ kind: "request", id, request, version });
+          opened.send({ kind: "request", id, request, version: ownVersion() });
         },
         onMessage: (message) => {
           const reply = decodePeerAnswer(message);
           if (!reply) return link.close();
           if (reply.id !== id) return;
-          if (reply.configuration) fields.onConfiguration(reply.configuration);
+          const decided = reply.answer.status !== Status.Unavailable;
+          if (decided) configurations.noteUsed(reply.version ?? 0);
           finish({ kind: "answer", answer: reply.answer });
         },
         onClose: fail,
@@ -172,22 +165,40 @@
     });
   }
 
+  async function forward(
+    request: HttpRequest,
+    timeout: Milliseconds,
+  ): Promise<ForwardOutcome> {
+    const endsAt = clock.now() + timeout;
+    const peers = [...fields.entries()]
+      .filter(([name]) => name !== fields.name)
+      .map(([, address]) => address);
+    let outcome: ForwardOutcome = { kind: "notSent" };
+    let unreachable = 0;
+    for (let tried = 0; tried < Math.min(MAX_PEERS, peers.length); tried++) {
+      const left = endsAt - clock.now();
+      if (left <= 0 || unreachable === MAX_UNREACHABLE_PEERS) break;
+      const address = peers[nextPeer++ % peers.length]!;
+      const asked = await askPeer(address, request, left);
+      if (!isNotCarriedOut(asked)) return asked;
+      if (asked.kind === "notSent") unreachable++;
+      else outcome = asked;
+    }
+    return outcome;
+  }
+
   return {
-    forward: async (request, timeout) => {
-      const peers = [...fields.entries()]
-        .filter(([name]) => name !== fields.name)
-        .map(([, address]) => address);
-      for (let tried = 0; tried < Math.min(MAX_PEERS, peers.length); tried++) {
-        const address = peers[nextPeer++ % peers.length]!;
-        const outcome = await askPeer(address, request, timeout);
-        if (outcome.kind !== "notSent") return outcome;
-      }
-      return { kind: "notSent" };
-    },
+    forward,
     close: () => server.close(),
   };
 }
 
+/** Whether the peer has certainly not carried out the request. */
+function isNotCarriedOut(outcome: ForwardOutcome): boolean {
+  return outcome.kind === "notSent" ||
+    outcome.kind === "answer" && outcome.answer.status === Status.Unavailable;
+}
+
 /** Returns the message if it forwards a request, otherwise undefined. */
 function decodePeerRequest(message: LinkMessage): PeerRequest | undefined {
   const { kind, id, version } = message;
@@ -201,11 +212,11 @@
 
 /** Returns the message if it answers a request, otherwise undefined. */
 function decodePeerAnswer(message: LinkMessage): PeerAnswer | undefined {
-  const { kind, id, configuration } = message;
+  const { kind, id, version } = message;
   const answer = message.answer as Partial<HttpAnswer> | null | undefined;
   const whole = kind === "answer" && typeof id === "number" &&
     Number.isInteger(answer?.status) &&
-    (configuration === undefined || configuration instanceof Uint8Array);
+    (version === undefined || typeof version === "number");
   return whole ? message as unknown as PeerAnswer : undefined;
 }
 
--- a/daemons/scheduler/peers_test.ts
+++ b/daemons/scheduler/peers_test.ts
@@ -6,6 +6,7 @@
 import { createLog, Part } from "@dragonflyledge/log";
 import type { HttpAnswer, HttpRequest } from "@dragonflyledge/program";
 import { listenLinks } from "@dragonflyledge/link";
+import type { Deployment } from "@dragonflyledge/platform";
 import { createPeers } from "./peers.ts";
 
 const HOST = "127.0.0.1";
@@ -30,20 +31,23 @@
   entries: Map<string, string>;
   version: number;
   answer: HttpAnswer;
+  /** Whether its configuration is confirmed; true by default. */
+  confirmed?: boolean;
 }) {
   const port = await freePort();
-  const received: string[] = [];
+  const used: number[] = [];
   const peers = createPeers({
     name: fields.name,
     host: HOST,
     port,
     entries: () => fields.entries,
     handle: () => Promise.resolve(fields.answer),
-    configuration: () => ({
-      version: fields.version,
-      bytes: new TextEncoder().encode(`version ${fields.version}`),
-    }),
-    onConfiguration: (bytes) => received.push(new TextDecoder().decode(bytes)),
+    configurations: {
+      current: () => ({ version: fields.version }) as Deployment,
+      isConfirmed: () => fields.confirmed ?? true,
+      noteUsed: (version) => used.push(version),
+    },
+    clock: performance,
     timer: {
       after: (delay, task) => {
         const handle = setTimeout(task, delay);
@@ -57,7 +61,7 @@
     }),
   });
   fields.entries.set(fields.name, `${HOST}:${port}`);
-  return { peers, received };
+  return { peers, used };
 }
 
 async function createPair(t: Test, own: number, other: number) {
@@ -91,11 +95,36 @@
 });
 
 // Guards against a return to the old configuration after a newer one answered.
-test("an answer carries the peer's configuration if it is newer", async (t) => {
-  const { peers, received } = await createPair(t, 8, 11);
+test("an answer tells the version of the peer's configuration", async (t) => {
+  const { peers, used } = await createPair(t, 8, 11);
   const outcome = await peers.forward(REQUEST, 2000);
   t.match(outcome, { kind: "answer", answer: { status: 404 } });
-  t.same(received, ["version 11"]);
+  t.same(used, [11]);
+});
+
+// Guards against a refusal by a peer that can't read the configuration either,
+// and against a request that is given up although another peer can answer it.
+test("a peer whose configuration is not confirmed decides", async (t) => {
+  const entries = new Map<string, string>();
+  const create = (name: string, status: number, confirmed: boolean) =>
+    createEntry({ name, entries, version: 3, answer: { status }, confirmed });
+  const own = await create("own", 404, false);
+  const others = [
+    await create("behind", 404, false),
+    await create("busy", 503, true),
+    await create("current", 200, true),
+  ];
+  t.teardown(() => [own, ...others].forEach(({ peers }) => peers.close()));
+  t.match(await own.peers.forward(REQUEST, 2000), {
+    kind: "answer",
+    answer: { status: 200 },
+  });
+  entries.delete("current");
+  t.match(await own.peers.forward(REQUEST, 2000), {
+    kind: "answer",
+    answer: { status: 503 },
+  });
+  t.same(own.used, [3]);
 });
 
 // Guards against an outcome that leaves open whether the request was sent.
