--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -115,7 +115,7 @@
   ): Promise<number | undefined> {
     const sentAt = clock.now();
     const age = sentAt - freshAt;
-    const wait = Math.max(0, WATCH_WAIT - age);
+    const wait = Math.max(0, Math.round(WATCH_WAIT - age));
     const answer = await store.watch({ prefix, after, wait });
     if (own !== generation) return undefined;
     if (answer.isErr()) {
