Check both halves of CONFIG in the soak, with large configurations

The soak asked each entry only for the newest queue, wrote only small configurations, and had no slow links. It now also asks for the queue and with the key that the newest version dropped, and compares the version that an answer shows with the one that is due and with the latest that the process has used.

--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -299,9 +299,14 @@
   });
 }
 
+/** API key of the team with a guarantee that only one version has. */
+export function versionKey(version: number): string {
+  return `key-of-version-${version}`;
+}
+
 /**
- * Returns a configuration whose queue "v<version>" no other version has, so
- * that a call tells whether the version is in force. `idleQueues` are queues
+ * Returns a configuration whose queue "v<version>" and one of whose API keys no
+ * other version has, so that a call tells whether the version is in force. `idleQueues` are queues
  * that nobody calls; each adds about 220 bytes.
  */
 export function createConfiguration(version: number, idleQueues = 0) {
@@ -326,7 +331,11 @@
     services: [{ name: SERVICE }],
     limits: {},
     tenants: [
-      { name: "team", apiKeys: [TEAM_KEY], guaranteed: { gpu: 8 } },
+      {
+        name: "team",
+        apiKeys: [TEAM_KEY, versionKey(version)],
+        guaranteed: { gpu: 8 },
+      },
       { name: "borrower", apiKeys: [BORROWER_KEY] },
     ],
   };
--- a/testing/platform/soak/callers.ts
+++ b/testing/platform/soak/callers.ts
@@ -66,6 +66,8 @@
   method: string;
   path: string;
   body?: unknown;
+  /** API key; that of the team with a guarantee by default. */
+  key?: string;
   agent?: Agent;
 }): Promise<SoakAnswer> {
   const [host, port] = fields.entry.callerAddress.split(":");
@@ -80,7 +82,7 @@
       agent: fields.agent,
       headers: {
         host: QUEUE_HOST,
-        "x-api-key": TEAM_KEY,
+        "x-api-key": fields.key ?? TEAM_KEY,
         "deadline-ms": String(REQUEST_TIMEOUT),
       },
     }, (response) => {
--- a/testing/platform/soak/fault_target.ts
+++ b/testing/platform/soak/fault_target.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ProgramProcess, Programs } from "../programs.ts";
+import type { ConfigurationVersions } from "./configuration_versions.ts";
 
 /** What a fault acts on. */
 export interface FaultTarget {
@@ -25,8 +26,8 @@
   haltWorker: (index: number) => void;
   /** Crashes the worker with this index. */
   crashWorker: (index: number) => void;
-  /** Newest configuration version, and when the store took it. */
-  version: { current: number; acknowledgedAt: number };
+  /** Versions of the configuration that were written. */
+  versions: ConfigurationVersions;
 }
 
 /** What a fault affects: names of processes, or "store". */
--- a/testing/platform/soak/faults.ts
+++ b/testing/platform/soak/faults.ts
@@ -5,6 +5,10 @@
  * @module
  */
 
+import {
+  CONFIGURATION_FAULTS,
+  LARGE_CONFIGURATION_FAULTS,
+} from "./configuration_faults.ts";
 import { EVACUATION_FAULTS } from "./evacuation_faults.ts";
 import type { Fault } from "./fault_target.ts";
 import { LINK_FAULTS } from "./link_faults.ts";
@@ -12,7 +16,7 @@
 import type { LongFault } from "./overtaking_faults.ts";
 import { PROCESS_FAULTS } from "./process_faults.ts";
 import { RETURNED_WORKER_FAULTS } from "./returned_worker_faults.ts";
-import { CONFIGURATION_FAULTS, STORE_FAULTS } from "./store_faults.ts";
+import { STORE_FAULTS } from "./store_faults.ts";
 import { WORKER_FAULTS } from "./worker_faults.ts";
 
 /** Shortest duration of a fault in milliseconds. */
@@ -42,6 +46,7 @@
   ...FORMER_FAULT_NAMES,
   ...Object.keys(EVACUATION_FAULTS),
   ...Object.keys(RETURNED_WORKER_FAULTS),
+  ...Object.keys(LARGE_CONFIGURATION_FAULTS),
 ];
 
 /** Returns the fault with this name and a duration in its bounds. */
@@ -50,7 +55,7 @@
   random: () => number,
 ): { inject: Fault; time: number } {
   const long = LONG_FAULTS[name] ?? EVACUATION_FAULTS[name] ??
-    RETURNED_WORKER_FAULTS[name];
+    RETURNED_WORKER_FAULTS[name] ?? LARGE_CONFIGURATION_FAULTS[name];
   const inject = long?.inject ?? FAULTS[name];
   if (!inject) throw new Error(`unknown fault: ${name}`);
   const shortest = long?.shortest ?? MIN_FAULT_DURATION;
--- a/testing/platform/soak/soak.ts
+++ b/testing/platform/soak/soak.ts
@@ -11,11 +11,16 @@
 import type { ProgramProcess, Programs } from "../programs.ts";
 import { SLOWEST_CLOCK_RATE } from "../worker_server.ts";
 import { isFinal, runCallers, sendRequest } from "./callers.ts";
+import {
+  LARGE_CONFIGURATION_FAULTS,
+  SLOW_LINK_SPEED,
+} from "./configuration_faults.ts";
+import { probeConfigurations } from "./configuration_probe.ts";
+import { createConfigurationVersions } from "./configuration_versions.ts";
 import { drawFault, FAULTS, MAX_FAULT_DURATION } from "./faults.ts";
 import { createLedger, WORKER_ACCELERATORS } from "./ledger.ts";
 import type { JobRecord, Ledger } from "./ledger.ts";
 import { RETURNED_WORKER_FAULTS } from "./returned_worker_faults.ts";
-import { hasGoneBack } from "./version_check.ts";
 
 /** Time for which entries may take to answer after the start, in ms. */
 const START_TIMEOUT = 30_000;
@@ -23,8 +28,6 @@
 const RECOVERY_BOUND = 12_000;
 /** Longest wait for open jobs at the end of a soak, in milliseconds. */
 const FINISH_TIMEOUT = 180_000;
-/** Guaranteed bound until a configuration is in force, in milliseconds. */
-const CONFIGURATION_BOUND = 2000;
 /** Time without a fault after which the bounds hold again, in ms. */
 const FAULT_FREE_TIME = 3000;
 /**
@@ -33,8 +36,6 @@
  * less and must not cut off requests.
  */
 const STOP_DURATION = 7000;
-/** Time between two probes of the entries' configuration, in ms. */
-const PROBE_INTERVAL = 250;
 /** Time between two checks of a condition, in milliseconds. */
 const POLL_INTERVAL = 200;
 /** Least time between two faults, in milliseconds. */
@@ -195,7 +196,7 @@
     returning: new Set<number>(),
     haltWorker,
     crashWorker: (index: number) => crashWorker(index),
-    version: { current: 1, acknowledgedAt: now() },
+    versions: createConfigurationVersions(programs.store),
   };
 
   /** Whether no fault but planned stops affected the process since then. */
@@ -225,59 +226,25 @@
     }
   }
 
-  /** Checks regularly that each entry has the newest configuration. */
-  async function probeVersions(): Promise<void> {
-    const seen = new Map<ProgramProcess["child"], number>();
-    while (!over) {
-      await sleep(PROBE_INTERVAL);
-      for (const entry of programs.entries) {
-        await probe(entry, seen);
-      }
-    }
-  }
+  const onlyPlannedStops = (entry: ProgramProcess) =>
+    isUnaffected(entry, now() - STOP_DURATION);
 
-  /**
-   * Asks an entry for the queue that only the newest version has. Reports an
-   * entry that returns to an older version or lacks the newest for too long.
-   */
-  async function probe(
-    entry: ProgramProcess,
-    seen: Map<ProgramProcess["child"], number>,
-  ) {
-    const { child } = entry;
-    const { current, acknowledgedAt } = target.version;
-    const sentAt = now();
-    const answer = await sendRequest({
-      entry,
-      method: "GET",
-      path: `/v${current}/`,
-    });
-    const since = sentAt - FAULT_FREE_TIME;
-    if (answer.status === 404) {
-      const known = seen.get(child) ?? 0;
-      const newest = target.version.current;
-      if (hasGoneBack({ asked: current, known, newest })) {
-        ledger.report(
-          "CONFIG",
-          `${entry.name} went back from version ${known}`,
-        );
-      }
-      const due = acknowledgedAt + CONFIGURATION_BOUND;
-      if (
-        sentAt > due && isUnaffectedAndUp(entry, since) && entry.child === child
-      ) {
-        ledger.report("CONFIG", `${entry.name} lacks version ${current}`);
-      }
+  if (names.some((name) => name in LARGE_CONFIGURATION_FAULTS)) {
+    for (const { relays } of programs.entries) {
+      relays.store.limitSpeed(SLOW_LINK_SPEED);
     }
-    if (answer.status === 200) seen.set(child, current);
   }
 
-  const onlyPlannedStops = (entry: ProgramProcess) =>
-    isUnaffected(entry, now() - STOP_DURATION);
-
   try {
     await waitForEntries(programs);
-    const probing = probeVersions();
+    const probing = probeConfigurations({
+      programs,
+      versions: target.versions,
+      isInTouch: (entry, time) =>
+        isUnaffectedAndUp(entry, time - FAULT_FREE_TIME),
+      report: ledger.report,
+      done: () => over,
+    });
     const calling = runCallers({
       programs,
       ledger,
--- a/testing/platform/soak/store_faults.ts
+++ b/testing/platform/soak/store_faults.ts
@@ -1,11 +1,10 @@
 /**
- * Faults of the store, and changes of the configuration in it.
+ * Faults of the store.
  *
  * @module
  */
 
-import { createConfiguration } from "../programs.ts";
-import { listProcesses, sleep, toNames } from "./fault_target.ts";
+import { listProcesses, toNames } from "./fault_target.ts";
 import type { Fault, FaultTarget } from "./fault_target.ts";
 
 function createStoreFault(
@@ -44,22 +43,3 @@
     return ["store"];
   },
 };
-
-/** Changes of the configuration by name. */
-export const CONFIGURATION_FAULTS: Record<string, Fault> = {
-  /** Writes a new configuration. */
-  configure: ({ programs, version }) => {
-    programs.store.put("op/config", createConfiguration(++version.current));
-    version.acknowledgedAt = performance.now();
-    return [];
-  },
-  /** Writes five configurations, one each 300 ms. */
-  configureOften: async ({ programs, version }) => {
-    for (let count = 0; count < 5; count++) {
-      programs.store.put("op/config", createConfiguration(++version.current));
-      version.acknowledgedAt = performance.now();
-      await sleep(300);
-    }
-    return [];
-  },
-};
--- a/testing/platform/soak/version_check.ts
+++ b/testing/platform/soak/version_check.ts
@@ -1,26 +1,28 @@
 /**
- * Judges the answers of entries to requests for queues of one configuration
- * version each.
+ * Judges the answers of entries to requests that one configuration version
+ * allows and no other one.
  *
  * @module
  */
 
-/** An entry that lacks the queue of a version which it had before. */
-export interface MissingVersion {
-  /** Version whose queue was asked for. */
+/** An entry's answer to such a request. */
+export interface VersionAnswer {
+  /** Version that allows the request. */
   asked: number;
-  /** Highest version whose queue the process had. */
-  known: number;
+  status: number;
   /** Newest version of the operator when the answer arrived. */
   newest: number;
 }
 
 /**
- * Whether the entry went back to an older version. A newer one, which has other
- * queues, may have come into force while the request was under way.
+ * Highest version by which the entry can have answered; undefined if the answer
+ * does not tell. A newer version, which refuses the request, may have come into
+ * force while it was under way.
  */
-export function hasGoneBack(
-  { asked, known, newest }: MissingVersion,
-): boolean {
-  return known >= asked && newest === asked;
+export function latestUsed(
+  { asked, status, newest }: VersionAnswer,
+): number | undefined {
+  if (status === 200) return asked;
+  const refused = status === 401 || status === 404;
+  return refused && asked === newest ? asked - 1 : undefined;
 }
--- a/testing/platform/soak_test.ts
+++ b/testing/platform/soak_test.ts
@@ -1,4 +1,5 @@
 import { test } from "tap";
+import { LARGE_CONFIGURATION_FAULTS } from "./soak/configuration_faults.ts";
 import { runSoak } from "./soak/soak.ts";
 
 const SEED = 7;
@@ -20,3 +21,27 @@
   t.same(result.violations, []);
   t.ok(result.completed > 0, `${result.completed} jobs are done`);
 });
+
+// Guards against an old configuration at an entry that missed large ones, or was
+// restarted among them, behind a slow link.
+test(
+  "an entry falls behind large configurations",
+  { timeout: TIMEOUT },
+  async (t) => {
+    const faults = [
+      ...Object.keys(LARGE_CONFIGURATION_FAULTS),
+      "killEntry",
+      "storeForgets",
+    ];
+    const result = await runSoak({
+      seed: SEED,
+      time: FAULT_TIME,
+      entries: 3,
+      agents: 2,
+      callers: 2,
+      faults,
+    });
+    t.comment(`seed ${SEED}, faults: ${result.faults.join(", ")}`);
+    t.same(result.violations, []);
+  },
+);
