Move what follows the operator's keys out of the entry

Forwarded requests are logged with the version in force and its age, and two gauges tell both at each readiness check.

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -113,6 +113,8 @@
       method: request.method,
       path: request.path,
       own,
+      version: configurations.current()?.version,
+      age: Math.round(configurations.age()),
       outcome: forwarded.kind,
       status: forwarded.kind === "answer" ? forwarded.answer.status : 0,
     });
--- a/daemons/scheduler/deployment.ts
+++ b/daemons/scheduler/deployment.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { Clock, Milliseconds } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
 import { decodeConfiguration } from "@dragonflyledge/platform";
 import type { Deployment } from "@dragonflyledge/platform";
@@ -30,20 +30,17 @@
 
 /** Creates a holder without a configuration. */
 export function createDeploymentHolder(fields: {
-  /** Monotonic time as of which the operator's keys are known. */
-  freshAt: () => Milliseconds;
+  /** Time since the store's configuration was last known. */
+  age: () => Milliseconds;
   /** Time after which a configuration that the store took must be in force. */
   bound: Milliseconds;
-  /** Clock that also counts the time for which the machine was suspended. */
-  clock: Pick<Clock, "now">;
   onNewer: (deployment: Deployment) => void;
   log: Log;
 }): DeploymentHolder {
-  const { log } = fields;
+  const { age, log } = fields;
   let deployment: Deployment | undefined;
   let newestUsed = 0;
 
-  const age = () => fields.clock.now() - fields.freshAt();
   const isNewestUsed = () =>
     deployment !== undefined && deployment.version >= newestUsed;
   return {
--- a/daemons/scheduler/deployment_test.ts
+++ b/daemons/scheduler/deployment_test.ts
@@ -12,9 +12,8 @@
   const lines: string[] = [];
   const newer: number[] = [];
   const holder = createDeploymentHolder({
-    freshAt: () => known.freshAt,
+    age: () => known.now - known.freshAt,
     bound: BOUND,
-    clock: { now: () => known.now },
     onNewer: ({ version }) => newer.push(version),
     log: createLevels({
       write: (_level, text) => lines.push(text),
--- a/daemons/scheduler/entry.ts
+++ b/daemons/scheduler/entry.ts
@@ -4,21 +4,15 @@
  * @module
  */
 
-import { KIBIBYTE } from "@dragonflyledge/model";
+import { KIBIBYTE, SECOND } from "@dragonflyledge/model";
 import type { Clock, Milliseconds, Timer } from "@dragonflyledge/model";
 import type { Log } from "@dragonflyledge/log";
 import {
-  CONFIGURATION_KEY,
   createKeyValue,
-  OPERATOR_PREFIX,
   policyOf,
   READINESS_PATH,
 } from "@dragonflyledge/platform";
-import type {
-  Deployment,
-  Item,
-  ProcessSettings,
-} from "@dragonflyledge/platform";
+import type { Deployment, ProcessSettings } from "@dragonflyledge/platform";
 import type { Instruments } from "@dragonflyledge/exposition";
 import {
   instrumentStore,
@@ -45,15 +39,14 @@
   longestUnlistedTime,
 } from "@dragonflyledge/worker-control";
 import { createCallerApi } from "./caller_api.ts";
-import { createDeploymentHolder } from "./deployment.ts";
 import { startElection } from "./election.ts";
-import { createEvacuationHolder } from "./evacuations.ts";
 import { follow } from "./follow.ts";
-import type { FollowFailure } from "./follow.ts";
 import { startTerm } from "./leader.ts";
 import type { Term } from "./leader.ts";
+import { createOperatorKeys } from "./operator_keys.ts";
 import { createPeers } from "./peers.ts";
 import { createReplica } from "./replica.ts";
+import { createTroubleLog } from "./trouble_log.ts";
 
 /** Pauses between watches, so that one answer carries several changes. */
 const LEADER_PAUSE: Milliseconds = 5;
@@ -115,61 +108,24 @@
   let operatorListDue = false;
   let draining = false;
 
-  function applyNewestConfiguration(items: Item[]): void {
-    const newest = items.findLast(({ key }) => key === CONFIGURATION_KEY);
-    if (newest) configurations.apply(newest.value);
-  }
-
-  const configurations = createDeploymentHolder({
-    freshAt: () => configuration.freshAt(),
+  const operatorKeys = createOperatorKeys({
+    store,
     bound: settings.configurationBound,
     clock: elapsed,
-    onNewer: () => term?.setPolicies(currentPolicies()),
-    log,
-  });
-  const evacuations = createEvacuationHolder({
-    onChange: (evacuated) => {
-      log.info("Evacuations read.", { domains: [...evacuated].join() });
-      term?.setPolicies(currentPolicies());
+    timer,
+    onChange: () => term?.setPolicies(currentPolicies()),
+    onListed: () => {
+      operatorListDue = false;
+      beginTermIfDue();
     },
+    log,
   });
+  const { configurations, evacuations } = operatorKeys;
 
   function currentPolicies(): Policies {
     return policiesOf(configurations.current(), evacuations.current());
   }
 
-  const logTrouble =
-    (follows: string) => (failure: FollowFailure | undefined) => {
-      if (!failure) return log.info("The store answers again.", { follows });
-      const { call, reason, receivedBytes = 0 } = failure;
-      const duration = Math.round(failure.duration);
-      const text = receivedBytes === 0
-        ? "The store does not answer."
-        : "The store's answer is incomplete.";
-      log.warn(text, { follows, call, reason, duration, receivedBytes });
-    };
-
-  const configuration = follow({
-    store,
-    listPrefix: OPERATOR_PREFIX,
-    clock: elapsed,
-    timer,
-    listsWhenBehind: true,
-    pause: () => 0,
-    onList: (items) => {
-      operatorListDue = false;
-      evacuations.replace(items);
-      applyNewestConfiguration(items);
-      beginTermIfDue();
-    },
-    onChanges: (changes) => {
-      evacuations.apply(changes);
-      applyNewestConfiguration(
-        changes.flatMap((each) => each.kind === "put" ? [each.item] : []),
-      );
-    },
-    onTrouble: logTrouble("configuration"),
-  });
   const jobs = follow({
     store,
     listPrefix: STORE_PREFIX,
@@ -192,7 +148,7 @@
       term?.applyChanges(changes);
       if (replica.leader() === undefined) election.noteVacancy();
     },
-    onTrouble: logTrouble("jobs"),
+    onTrouble: createTroubleLog(log, "jobs"),
   });
 
   /** Begins the term of a won election once jobs and evacuations are known. */
@@ -203,9 +159,8 @@
 
   /** Lists the operator's keys again if the copy of them is old. */
   function refreshOperatorKeys(): void {
-    operatorListDue =
-      elapsed.now() - configuration.freshAt() > OPERATOR_FRESHNESS;
-    if (operatorListDue) configuration.restart(OPERATOR_PREFIX);
+    operatorListDue = operatorKeys.age() > OPERATOR_FRESHNESS;
+    if (operatorListDue) operatorKeys.restart();
   }
 
   function beginTerm(epoch: number): Term {
@@ -306,6 +261,9 @@
 
   function checkReadiness({ path }: HttpRequestHead): HttpAnswer {
     if (path !== READINESS_PATH) return { status: 404 };
+    const version = configurations.current()?.version ?? 0;
+    instruments.set("configuration_version", version);
+    instruments.set("configuration_age_seconds", operatorKeys.age() / SECOND);
     return { status: isReady() ? 200 : 503 };
   }
 
@@ -338,7 +296,7 @@
     handle: checkReadiness,
     onError,
   });
-  configuration.restart(OPERATOR_PREFIX);
+  operatorKeys.restart();
   jobs.restart(STORE_PREFIX);
   const key = entryKey(settings.name);
   const address = `${settings.host}:${settings.linkPort}`;
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -65,6 +65,18 @@
     help: "Time of calls to the worker, the wait of holds included.",
     labels: ["call"],
   },
+  configuration_version: {
+    kind: "gauge",
+    help: "Version of the configuration in force, 0 before the first one.",
+    labels: [],
+  },
+  configuration_age_seconds: {
+    kind: "gauge",
+    help:
+      "Time since the configuration was last known to be the newest, as of " +
+      "the last readiness check.",
+    labels: [],
+  },
   client_limits_total: {
     kind: "counter",
     help: "Times that a limit acted on clients of a listener.",
