Send peers the highest version by which callers were answered

What callers would see: an answer by an older configuration than the one before, at an entry that forwards its requests to two peers in turn. Cause: since answers of peers no longer bring their configuration, the version that the entry sends along did not rise with them. Evidence: by reading; the new test of peers_test fails without the change. Change: the entry sends the highest version by which it or a peer has answered.

--- a/daemons/scheduler/caller_api.ts
+++ b/daemons/scheduler/caller_api.ts
@@ -51,7 +51,7 @@
   replica: Replica;
   configurations: Pick<
     DeploymentHolder,
-    "age" | "current" | "isConfirmed" | "isNewestUsed"
+    "age" | "current" | "isConfirmed" | "newestUsed"
   >;
   /** Whether the store does not answer this process at present. */
   storeFails: () => boolean;
@@ -152,7 +152,7 @@
   async function answerAlone(request: HttpRequest): Promise<HttpAnswer> {
     if (configurations.isConfirmed()) return await answerLocally(request);
     const shows = request.method === "GET" && storeFails() &&
-      configurations.isNewestUsed();
+      configurations.current()?.version === configurations.newestUsed();
     if (!shows) return UNAVAILABLE;
     const answer = await answerLocally(request);
     return answer.status === Status.Ok ? answer : UNAVAILABLE;
--- a/daemons/scheduler/caller_api_test.ts
+++ b/daemons/scheduler/caller_api_test.ts
@@ -39,8 +39,8 @@
   storeFails?: boolean;
   /** Whether the configuration is confirmed; true by default. */
   confirmed?: boolean;
-  /** Whether no caller was answered by a newer one; true by default. */
-  newestUsed?: boolean;
+  /** Highest version by which a caller was answered; 1 by default. */
+  newestUsed?: number;
   /** Time at which the store answers again. */
   storeReturnsAt?: number;
   forward?: (request: HttpRequest) => ForwardOutcome;
@@ -73,7 +73,7 @@
     configurations: {
       age: () => 0,
       isConfirmed: () => fields.confirmed ?? true,
-      isNewestUsed: () => fields.newestUsed ?? true,
+      newestUsed: () => fields.newestUsed ?? 1,
       current: () => ({
         version: 1,
         queues: [{
@@ -233,7 +233,7 @@
 // entries, so that nobody can change or confirm the configuration.
 test("states are hidden while the store is away", async (t) => {
   const outage = { confirmed: false, storeFails: true };
-  const ask = async (request: HttpRequest, newestUsed = true) => {
+  const ask = async (request: HttpRequest, newestUsed = 1) => {
     const { api } = createEntryApi({ ...outage, newestUsed });
     return (await api.answer(request)).status;
   };
@@ -242,7 +242,7 @@
   t.equal(await ask(createRequest("GET", "/none/")), 503);
   t.equal(await ask(createRequest("POST")), 503);
   // A caller was answered by a newer configuration, at another entry.
-  t.equal(await ask(createRequest("GET", "/plans/"), false), 503);
+  t.equal(await ask(createRequest("GET", "/plans/"), 2), 503);
 });
 
 // Guards against a refusal of a job that another entry may have accepted.
--- a/daemons/scheduler/deployment.ts
+++ b/daemons/scheduler/deployment.ts
@@ -20,8 +20,11 @@
    * due for longer than the bound, and no caller was answered by a newer one.
    */
   isConfirmed(): boolean;
-  /** Whether no answer of this entry followed a newer configuration. */
-  isNewestUsed(): boolean;
+  /**
+   * Highest version by which callers of this entry may have been answered, here
+   * or by a peer; 0 if there is none.
+   */
+  newestUsed(): number;
   /** Puts a configuration in force if it is newer than the present one. */
   apply(bytes: Uint8Array): void;
   /** Notes that another entry has answered a caller of this one by a version. */
@@ -39,15 +42,15 @@
 }): DeploymentHolder {
   const { age, log } = fields;
   let deployment: Deployment | undefined;
-  let newestUsed = 0;
+  let usedByPeers = 0;
 
-  const isNewestUsed = () =>
-    deployment !== undefined && deployment.version >= newestUsed;
+  const newestUsed = () => Math.max(usedByPeers, deployment?.version ?? 0);
   return {
     current: () => deployment,
     age,
-    isConfirmed: () => isNewestUsed() && age() <= fields.bound,
-    isNewestUsed,
+    isConfirmed: () =>
+      deployment?.version === newestUsed() && age() <= fields.bound,
+    newestUsed,
     apply: (bytes) => {
       const decoded = decodeConfiguration(bytes);
       if (!decoded) return log.error("The configuration can't be decoded.");
@@ -66,7 +69,7 @@
       fields.onNewer(decoded);
     },
     noteUsed: (version) => {
-      newestUsed = Math.max(newestUsed, version);
+      usedByPeers = Math.max(usedByPeers, version);
     },
   };
 }
--- a/daemons/scheduler/deployment_test.ts
+++ b/daemons/scheduler/deployment_test.ts
@@ -65,11 +65,13 @@
   holder.apply(configuration(8));
   holder.noteUsed(11);
   t.notOk(holder.isConfirmed());
-  t.notOk(holder.isNewestUsed());
+  t.equal(holder.newestUsed(), 11);
   holder.noteUsed(9);
   holder.apply(configuration(10));
   t.notOk(holder.isConfirmed());
   holder.apply(configuration(11));
   t.ok(holder.isConfirmed());
+  holder.apply(configuration(12));
+  t.equal(holder.newestUsed(), 12);
   t.end();
 });
--- a/daemons/scheduler/peers.ts
+++ b/daemons/scheduler/peers.ts
@@ -29,7 +29,7 @@
   kind: "request";
   id: number;
   request: HttpRequest;
-  /** Version of the sender's configuration, or 0 if it has none. */
+  /** Highest version by which callers of the sender may have been answered. */
   version: number;
 }
 
@@ -79,7 +79,7 @@
   handle: (request: HttpRequest) => Promise<HttpAnswer>;
   configurations: Pick<
     DeploymentHolder,
-    "current" | "isConfirmed" | "noteUsed"
+    "current" | "isConfirmed" | "newestUsed" | "noteUsed"
   >;
   clock: Pick<Clock, "now">;
   timer: Timer;
@@ -150,7 +150,8 @@
         timer,
         onOpen: (opened) => {
           sent = true;
-          opened.send({ kind: "request", id, request, version: ownVersion() });
+          const version = configurations.newestUsed();
+          opened.send({ kind: "request", id, request, version });
         },
         onMessage: (message) => {
           const reply = decodePeerAnswer(message);
--- a/daemons/scheduler/peers_test.ts
+++ b/daemons/scheduler/peers_test.ts
@@ -45,6 +45,7 @@
     configurations: {
       current: () => ({ version: fields.version }) as Deployment,
       isConfirmed: () => fields.confirmed ?? true,
+      newestUsed: () => Math.max(fields.version, ...used),
       noteUsed: (version) => used.push(version),
     },
     clock: performance,
@@ -102,6 +103,22 @@
   t.same(used, [11]);
 });
 
+// Guards against an entry whose callers are answered by a newer configuration and
+// then by an older one, since two peers differ.
+test("a peer decides by a version below that of an earlier answer", async (t) => {
+  const entries = new Map<string, string>();
+  const create = (name: string, version: number) =>
+    createEntry({ name, entries, version, answer: { status: 404 } });
+  const own = await create("own", 8);
+  const newer = await create("newer", 11);
+  const older = await create("older", 10);
+  t.teardown(() => [own, newer, older].forEach(({ peers }) => peers.close()));
+  const ask = () => own.peers.forward(REQUEST, 2000);
+  t.match(await ask(), { answer: { status: 404 } });
+  entries.delete("newer");
+  t.match(await ask(), { answer: { status: 503 } });
+});
+
 // Guards against a refusal by a peer that can't read the configuration either,
 // and against a request that is given up although another peer can answer it.
 test("a peer whose configuration is not confirmed decides", async (t) => {
