Read large values of the etcd gateway as long as they keep arriving

What operators would see: an entry behind a slow link that never reads a large configuration, and a circuit breaker that opens with each failed attempt. A call had 1 s for its whole answer, and was repeated with the same limit.

--- a/storage/store/etcd_connections.ts
+++ b/storage/store/etcd_connections.ts
@@ -56,7 +56,9 @@
 
 /**
  * Creates connections to the gateway at `url`, at most `connections` at a time.
- * `timeout` is the deadline of each call.
+ * `timeout` is the longest time until an answer begins, and between two parts of
+ * it: a slow link carries a large value for longer. Each call has a deadline in
+ * the guarded store.
  */
 export function createEtcdConnections(
   { url, timeout, timer, connections }: {
@@ -99,14 +101,19 @@
     const controller = new AbortController();
     const used = pool;
     let timedOut = false;
-    const cancel = timer.after(timeout, () => {
+    const expire = () => {
       timedOut = true;
       controller.abort();
-    });
+    };
+    let cancel = timer.after(timeout, expire);
+    const awaitPart = () => {
+      cancel();
+      cancel = timer.after(timeout, expire);
+    };
     try {
       const { signal } = controller;
       const answer = await used.request(encodeRequest(path, body, signal));
-      const text = await readText(answer.body);
+      const text = await readText(answer.body, awaitPart);
       return checkStatus(path, answer.statusCode, text);
     } catch (cause) {
       if (timedOut && used === pool) replaceAll();
@@ -159,10 +166,14 @@
   };
 }
 
-async function readText(body: AsyncIterable<unknown>): Promise<string> {
+async function readText(
+  body: AsyncIterable<unknown>,
+  onPart: () => void,
+): Promise<string> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of body) {
+    onPart();
     size += (chunk as Buffer).length;
     if (size > maxAnswerSize) throw new Error("the answer is too large");
     chunks.push(chunk as Buffer);
--- a/storage/store/etcd_store.ts
+++ b/storage/store/etcd_store.ts
@@ -35,7 +35,8 @@
 /**
  * Creates a store that calls the gateway at `url`.
  *
- * @param fields.timeout deadline of each call; default 1 s
+ * @param fields.timeout longest time until an answer begins, and between two parts
+ *   of it; default 1 s
  * @param fields.watchLifetime time after which a watch ends, so that its owner
  * starts a new one; default 15 s
  * @param fields.connections maximum number of connections, including one for
