--- a/testing/fakes/servers_test.ts
+++ b/testing/fakes/servers_test.ts
@@ -1,3 +1,4 @@
+import { performance } from "node:perf_hooks";
 import { test } from "tap";
 import { Pool, request } from "undici";
 import { createEndpointServer } from "./endpoint_server.ts";
@@ -201,3 +202,24 @@
   await relay.stop();
   await endpoint.stop();
 });
+
+// Guards against a slow link that carries more than its speed, loses bytes, or
+// gives each connection a link of its own.
+test("connections of a slow link share more than its speed", async (t) => {
+  const endpoint = await createEndpointServer();
+  const relay = await createRelay({ target: endpoint });
+  const speed = 400_000;
+  const size = 50_000;
+  relay.limitSpeed(speed);
+  const startedAt = performance.now();
+  const answers = await Promise.all(
+    [1, 2, 3].map(() =>
+      send("POST", `http://127.0.0.1:${relay.port}/`, { size })
+    ),
+  );
+  const duration = performance.now() - startedAt;
+  t.same(answers.map(({ text }) => text.length), [size, size, size]);
+  t.ok(duration >= 3 * size / speed * 1000, `${Math.round(duration)} ms`);
+  await relay.stop();
+  await endpoint.stop();
+});
