--- a/daemons/scheduler/follow.ts
+++ b/daemons/scheduler/follow.ts
@@ -121,9 +121,9 @@
     if (answer.isErr()) {
       reportTrouble("watch", sentAt, answer.error);
       await sleep({ timer, delay: RETRY_DELAY });
-      // A part of an answer shows that the whole one is too long for the link.
-      const tooLong = answer.error.receivedBytes !== undefined;
-      return fields.listsWhenBehind || tooLong ? undefined : after;
+      // The whole answer may be too long to arrive; the pages of a list are not.
+      const isIncomplete = answer.error.receivedBytes !== undefined;
+      return fields.listsWhenBehind || isIncomplete ? undefined : after;
     }
     reportAnswer();
     if (answer.value.kind === "compacted") return undefined;
