--- a/testing/platform/floods_main.ts
+++ b/testing/platform/floods_main.ts
@@ -20,7 +20,8 @@
   wholeRequest,
 } from "./floods.ts";
 import type { FloodClient } from "./floods.ts";
-import { QUEUE_HOST, startPrograms, TEAM_KEY } from "./programs.ts";
+import { QUEUE_HOST, TEAM_KEY } from "./configuration.ts";
+import { startPrograms } from "./programs.ts";
 import type { ProgramProcess } from "./programs.ts";
 import { waitUntil } from "./wait.ts";
 
--- a/testing/platform/floods_test.ts
+++ b/testing/platform/floods_test.ts
@@ -14,7 +14,8 @@
   wholeRequest,
 } from "./floods.ts";
 import type { Flood, FloodClient } from "./floods.ts";
-import { QUEUE_HOST, startPrograms, TEAM_KEY } from "./programs.ts";
+import { QUEUE_HOST, TEAM_KEY } from "./configuration.ts";
+import { startPrograms } from "./programs.ts";
 import type { ProgramProcess, Programs } from "./programs.ts";
 import { holdsWithin } from "./wait.ts";
 
--- a/testing/platform/mod.ts
+++ b/testing/platform/mod.ts
@@ -5,11 +5,8 @@
  * @module
  */
 
-export {
-  BORROWER_KEY,
-  createConfiguration,
-  startPrograms,
-} from "./programs.ts";
+export { BORROWER_KEY, createConfiguration } from "./configuration.ts";
+export { startPrograms } from "./programs.ts";
 export type { ProgramProcess, Programs } from "./programs.ts";
 export { startStore } from "./store_server.ts";
 export type { StoreServer } from "./store_server.ts";
--- a/testing/platform/programs.ts
+++ b/testing/platform/programs.ts
@@ -15,6 +15,12 @@
 import { fileURLToPath } from "node:url";
 import { createRelay, findFreePort } from "@dragonflyledge/fakes";
 import type { Relay } from "@dragonflyledge/fakes";
+import {
+  createConfiguration,
+  QUEUE_HOST,
+  SERVICE,
+  TEAM_KEY,
+} from "./configuration.ts";
 import { HOST } from "./json_server.ts";
 import { startStore } from "./store_server.ts";
 import type { StoreServer } from "./store_server.ts";
@@ -22,25 +28,14 @@
 import type { WorkerServer, WorkObserver } from "./worker_server.ts";
 
 const ROOT = fileURLToPath(new URL("../../../", import.meta.url));
-const SERVICE = "planning";
 /** Failure domain of the programs unless a test names others. */
 const ZONE = "zone-a";
-/** Key of the configured team that has a guarantee of 8 accelerators. */
-export const TEAM_KEY = "key-1";
-/** Key of the configured team without a guarantee. */
-export const BORROWER_KEY = "key-2";
-/** Host name of all configured queues. */
-export const QUEUE_HOST = "jobs.example";
 /** Log lines that are kept for each process by default. */
 const DEFAULT_KEPT_LINES = 400;
 /** Time for which each process or stand-in may take to stop, in ms. */
 const STOP_TIMEOUT = 10_000;
 /** Timeout of calls in milliseconds, longer than callers wait by default. */
 const CALL_TIMEOUT = 10_000;
-/** Length of the path prefixes of queues that nobody calls. */
-const IDLE_PREFIX_LENGTH = 100;
-/** Failures of a task after which a job of the configured queues fails. */
-export const MAX_ATTEMPTS = 3;
 
 /** Answer of an entry; status 0 means that there was none. */
 export interface CallAnswer {
@@ -299,48 +294,6 @@
   });
 }
 
-/** API key of the team with a guarantee that only one version has. */
-export function versionKey(version: number): string {
-  return `key-of-version-${version}`;
-}
-
-/**
- * Returns a configuration whose queue "v<version>" and one of whose API keys no
- * other version has, so that a call tells whether the version is in force. `idleQueues` are queues
- * that nobody calls; each adds about 220 bytes.
- */
-export function createConfiguration(version: number, idleQueues = 0) {
-  const queue = {
-    host: QUEUE_HOST,
-    service: SERVICE,
-    priority: 1,
-    maxAttempts: MAX_ATTEMPTS,
-  };
-  return {
-    version,
-    routes: [
-      { ...queue, name: "plans", prefix: "/plans/", priority: 0 },
-      { ...queue, name: "batch", prefix: "/batch/" },
-      { ...queue, name: `v${version}`, prefix: `/v${version}/` },
-      ...Array.from({ length: idleQueues }, (_, index) => ({
-        ...queue,
-        name: `idle-${index}`,
-        prefix: `/${`idle-${index}`.padEnd(IDLE_PREFIX_LENGTH, "-")}/`,
-      })),
-    ],
-    services: [{ name: SERVICE }],
-    limits: {},
-    tenants: [
-      {
-        name: "team",
-        apiKeys: [TEAM_KEY, versionKey(version)],
-        guaranteed: { gpu: 8 },
-      },
-      { name: "borrower", apiKeys: [BORROWER_KEY] },
-    ],
-  };
-}
-
 function parsePort(address: string): number {
   return Number(address.split(":")[1]);
 }
--- a/testing/platform/soak/callers.ts
+++ b/testing/platform/soak/callers.ts
@@ -7,7 +7,7 @@
 
 import { Agent, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { QUEUE_HOST, TEAM_KEY } from "../programs.ts";
+import { QUEUE_HOST, TEAM_KEY } from "../configuration.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
 import { WORKER_ACCELERATORS } from "./ledger.ts";
 import type { JobRecord, Ledger, SoakJob, SoakStep } from "./ledger.ts";
--- a/testing/platform/soak/configuration_probe.ts
+++ b/testing/platform/soak/configuration_probe.ts
@@ -6,7 +6,7 @@
  */
 
 import { setTimeout as sleep } from "node:timers/promises";
-import { versionKey } from "../programs.ts";
+import { versionKey } from "../configuration.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
 import { sendRequest } from "./callers.ts";
 import type { ConfigurationVersions } from "./configuration_versions.ts";
--- a/testing/platform/soak/configuration_versions.ts
+++ b/testing/platform/soak/configuration_versions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { createConfiguration } from "../programs.ts";
+import { createConfiguration } from "../configuration.ts";
 import type { StoreServer } from "../store_server.ts";
 
 /** The versions written so far; the first is 1. */
--- a/testing/platform/soak/ledger.ts
+++ b/testing/platform/soak/ledger.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { MAX_ATTEMPTS } from "../programs.ts";
+import { MAX_ATTEMPTS } from "../configuration.ts";
 import type { Ending, WorkerRun, WorkObserver } from "../worker_server.ts";
 
 /** Accelerators that each worker has. */
