--- a/daemons/scheduler/store_wait.ts
+++ b/daemons/scheduler/store_wait.ts
@@ -32,7 +32,7 @@
 
 /** Creates the wait for the requests of one entry. */
 export function createStoreWait(fields: {
-  /** Whether the store does not answer this process at present. */
+  /** Whether this process can carry out no request at present. */
   isFailing: () => boolean;
   clock: Clock;
   timer: Timer;
