--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -47,7 +47,8 @@
 
   function end(run, how) {
     running.delete(run.task);
-    ended.push([++endCount, run.task, run.run, how, ""]);
+    const checkpoint = worker.checkpointOf(run);
+    ended.push([++endCount, run.task, run.run, how, checkpoint]);
     record("end", { worker: id, task: run.task, run: run.run, how });
     for (const resume of [...wake]) resume();
   }
@@ -97,7 +98,13 @@
       const share = each.duration === Infinity
         ? 100
         : 100 * (Date.now() - each.at) / each.duration;
-      return [each.task, each.run, "", Math.min(100, Math.floor(share))];
+      const checkpoint = worker.checkpointOf(each);
+      return [
+        each.task,
+        each.run,
+        checkpoint,
+        Math.min(100, Math.floor(share)),
+      ];
     });
     return {
       status: 200,
@@ -149,11 +156,14 @@
     }
   }, POLL_INTERVAL);
 
-  /** Ends the incarnation under a run; another one is back after a while. */
+  /**
+   * Ends the incarnation, under a run if there is a `cause`; another one is back
+   * after a while.
+   */
   function crash(cause) {
     const lost = [...running.keys()];
-    record("crash", { worker: id, task: cause.task, run: cause.run, lost });
-    worker.onCrash(cause.task, cause.run);
+    record("crash", { worker: id, task: cause?.task, run: cause?.run, lost });
+    if (cause) worker.onCrash(cause.task, cause.run);
     running.clear();
     highest.clear();
     ended = [];
@@ -187,6 +197,9 @@
     address,
     onStart: () => {},
     onCrash: () => {},
+    /** Checkpoint that a run has made; a case may replace it. */
+    checkpointOf: () => "",
+    crash: () => crash(),
     running,
     /** Carries a call out; a case may replace it. */
     handle: (_call, go) => go(),
