--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,5 +1,5 @@
-// Lasting tasks of a lower queue hold all accelerators. Does the tenant with a
-// guarantee get its accelerators back?
+// Workers crash twice under the tasks of a long job, which then goes on. Do other
+// jobs still start on the workers, which are almost empty?
 
 import { dirname } from "node:path";
 import process from "node:process";
@@ -17,83 +17,84 @@
 } from "../lib-2/site.mjs";
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
-const WORKERS = 3;
+const WORKERS = 7;
 const ACCELERATORS = 8;
-/** `reclaimMs` of the site. */
-const RECLAIM = 2700;
-/** Time for which the urgent job is watched, far beyond the bound. */
-const WATCH = 30_000;
-
-const BATCH = jobId(0x3000);
-const URGENT = jobId(0x4000);
+/** Crashes of a worker, each this long after all tasks have started. */
+const CRASHES = hasTrouble ? 2 : 0;
+const CRASH_AFTER = 4000;
+/** `finish_s` of the site, and the 3 s of the rule, in milliseconds. */
+const FINISH = 14_000;
+const WINDOW = 3000;
+const SAMPLE_INTERVAL = 50;
+const LONG = jobId(0x7000);
+const LATER = jobId(0x8000);
 
 const record = createRecord(FOLDER);
 const site = await startSite({
   entries: 2,
   agents: WORKERS,
   record,
-  work: (task) => ({ duration: task.startsWith(BATCH) ? Infinity : 1000 }),
+  work: (task) => ({ duration: task.startsWith(LONG) ? 3_600_000 : 1000 }),
 });
 const [entry] = site.entries;
 
-const countRuns = (id) =>
-  site.workers
-    .flatMap(({ running }) => [...running.values()])
-    .filter(({ task }) => task.startsWith(id)).length;
+const runsOf = (id) =>
+  site.workers.flatMap(({ running }) => [...running.values()])
+    .filter(({ task }) => task.startsWith(id));
+
+/** Accelerators in use; each task of this case has one. */
+const used = () =>
+  site.workers.reduce((sum, { running }) => sum + running.size, 0);
+
+/** Tasks of the long job on each worker. */
+const spread = () => site.workers.map(({ running }) => running.size);
 
 async function play() {
   if (!await settle(site)) return Verdict.NotRun;
-  // Without the trouble the same tasks are ordinary ones that take long.
   const step = {
-    count: WORKERS * ACCELERATORS,
+    count: WORKERS,
     cpu: 1000,
     memMb: 256,
     gpu: 1,
-    estimateMs: 60_000,
-    ...(hasTrouble ? { longRunning: true } : {}),
+    estimateMs: 3_600_000,
   };
-  const batch = await call(entry.callers, "POST", `/oil/${BATCH}`, {
-    key: "key-lab",
-    body: { spec: "serve", steps: [step] },
-  });
-  record("batch submitted", { status: batch.status });
-  const full = await until(() => countRuns(BATCH) === step.count, 20_000);
-  if (!full) return Verdict.NotRun;
-  await sleep(2000);
-  const plan = { count: 2, cpu: 1000, memMb: 256, gpu: 2, estimateMs: 1000 };
-  const answer = await call(entry.callers, "POST", `/shift/${URGENT}`, {
-    key: "key-hall",
-    body: { spec: "plan", steps: [plan] },
+  const answer = await call(entry.callers, "POST", `/oil/${LONG}`, {
+    body: { spec: "check", steps: [step] },
   });
-  const acknowledgedAt = Date.now();
-  record("urgent job submitted", {
-    status: answer.status,
-    gpu: 4,
-    guaranteed: 8,
+  record("long job submitted", { status: answer.status });
+  const allRun = () => runsOf(LONG).length === step.count;
+  for (let crash = 1; crash <= CRASHES; crash++) {
+    if (!await until(allRun, 15_000)) return Verdict.NotRun;
+    await sleep(CRASH_AFTER);
+    record("before the crash", { spread: spread() });
+    const fullest = site.workers
+      .reduce((a, b) => b.running.size > a.running.size ? b : a);
+    fullest.crash();
+    await sleep(1000);
+  }
+  if (!await until(allRun, 15_000)) return Verdict.NotRun;
+  await sleep(5000);
+  record("the long job goes on", { spread: spread() });
+  const later = await call(entry.callers, "POST", `/recipe/${LATER}`, {
+    body: { spec: "tune", steps: [{ cpu: 1000, memMb: 256, gpu: 1 }] },
   });
-  if (answer.status !== 200) return Verdict.NotRun;
-  const begun = new Set();
-  const all = await until(
-    () => {
-      for (const { running } of site.workers) {
-        for (const { task } of running.values()) {
-          if (task.startsWith(URGENT)) begun.add(task);
-        }
-      }
-      return begun.size === plan.count;
-    },
-    WATCH,
-    20,
-  );
-  const wait = Date.now() - acknowledgedAt;
-  const state = await call(entry.callers, "GET", `/shift/${URGENT}`);
-  record("watched", {
-    begun: begun.size,
-    waited: wait,
-    state: state.body,
-    lasting: countRuns(BATCH),
+  record("later job submitted; traffic ends", { status: later.status });
+  if (later.status !== 200) return Verdict.NotRun;
+  await sleep(FINISH);
+  const { body } = await call(entry.callers, "GET", `/recipe/${LATER}`);
+  record("asked", { state: body, spread: spread() });
+  if (body.includes("completed")) return Verdict.Held;
+  const end = Date.now() + WINDOW;
+  while (Date.now() < end) {
+    const isHalfFull = used() * 2 >= WORKERS * ACCELERATORS;
+    if (runsOf(LATER).length > 0 || isHalfFull) return Verdict.Held;
+    await sleep(SAMPLE_INTERVAL);
+  }
+  record("nothing of it ran for 3 s", {
+    used: used(),
+    of: WORKERS * ACCELERATORS,
   });
-  return all && wait <= RECLAIM ? Verdict.Held : Verdict.Broken;
+  return Verdict.Broken;
 }
 
 let verdict = Verdict.NotRun;
