--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -160,7 +160,7 @@
    * Ends the incarnation, under a run if there is a `cause`; another one is back
    * after a while.
    */
-  function crash(cause) {
+  function crash(cause, { downFor = CRASH_TIME, sameId = false } = {}) {
     const lost = [...running.keys()];
     record("crash", { worker: id, task: cause?.task, run: cause?.run, lost });
     if (cause) worker.onCrash(cause.task, cause.run);
@@ -176,15 +176,17 @@
     server.close();
     setTimeout(() => {
       if (stopped) return;
-      id = `${firstId}-${++incarnation}`;
+      incarnation++;
+      if (!sameId) id = `${firstId}-${incarnation}`;
       started = Date.now();
       born = started;
       server.listen(Number(address.split(":")[1]), host, () => {
         down = false;
-        record("back", { worker: id });
+        record("back", { worker: id, incarnation });
+        worker.onBack(incarnation);
         beat();
       });
-    }, CRASH_TIME);
+    }, downFor);
   }
   let beats;
   let beat = () => {};
@@ -199,7 +201,14 @@
     onCrash: () => {},
     /** Checkpoint that a run has made; a case may replace it. */
     checkpointOf: () => "",
-    crash: () => crash(),
+    /** Called when an incarnation has begun, before its first heartbeat. */
+    onBack: () => {},
+    /** Carries out a call of which the answer is lost. */
+    carryOutLate: ({ path, body }) => {
+      const reply = carryOut(path, body);
+      record("late call", { worker: id, path, run: body.run, reply });
+    },
+    crash: (how) => crash(undefined, how),
     running,
     /** Carries a call out; a case may replace it. */
     handle: (_call, go) => go(),
