--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -160,7 +160,7 @@
    * Ends the incarnation, under a run if there is a `cause`; another one is back
    * after a while.
    */
-  function crash(cause, { downFor = CRASH_TIME, sameId = false } = {}) {
+  function crash(cause) {
     const lost = [...running.keys()];
     record("crash", { worker: id, task: cause?.task, run: cause?.run, lost });
     if (cause) worker.onCrash(cause.task, cause.run);
@@ -176,17 +176,15 @@
     server.close();
     setTimeout(() => {
       if (stopped) return;
-      incarnation++;
-      if (!sameId) id = `${firstId}-${incarnation}`;
+      id = `${firstId}-${++incarnation}`;
       started = Date.now();
       born = started;
       server.listen(Number(address.split(":")[1]), host, () => {
         down = false;
-        record("back", { worker: id, incarnation });
-        worker.onBack(incarnation);
+        record("back", { worker: id });
         beat();
       });
-    }, downFor);
+    }, CRASH_TIME);
   }
   let beats;
   let beat = () => {};
@@ -201,14 +199,7 @@
     onCrash: () => {},
     /** Checkpoint that a run has made; a case may replace it. */
     checkpointOf: () => "",
-    /** Called when an incarnation has begun, before its first heartbeat. */
-    onBack: () => {},
-    /** Carries out a call of which the answer is lost. */
-    carryOutLate: ({ path, body }) => {
-      const reply = carryOut(path, body);
-      record("late call", { worker: id, path, run: body.run, reply });
-    },
-    crash: (how) => crash(undefined, how),
+    crash: () => crash(),
     running,
     /** Carries a call out; a case may replace it. */
     handle: (_call, go) => go(),
--- a/review/t/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if the
-# case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")" && exec node case.mjs
