--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -23,6 +23,19 @@
 /** Exit codes of a case. */
 export const Verdict = { Held: 0, Broken: 1, NotRun: 2 };
 
+/** Processes that run now. */
+const children = new Set();
+
+/** Ends all processes and the case, which could not run. */
+function giveUp(error) {
+  console.error(error);
+  for (const child of children) child.kill("SIGKILL");
+  process.exit(Verdict.NotRun);
+}
+process.on("uncaughtException", giveUp);
+process.on("unhandledRejection", giveUp);
+for (const signal of ["SIGINT", "SIGTERM"]) process.on(signal, giveUp);
+
 /** Returns the words of the start command of a role in the deploy file. */
 function startCommand(role) {
   const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
@@ -161,7 +174,10 @@
         program.log = (program.log + chunk).slice(-2_000_000);
       child.stdout.on("data", keep);
       child.stderr.on("data", keep);
+      children.add(child);
+      child.on("error", giveUp);
       child.on("exit", (code, signal) => {
+        children.delete(child);
         program.exits.push({ code, signal });
         record("exit", { name, code, signal });
         if (program.restarts && !program.stopped) {
