Count excused crashes toward the limit of five

Cause: a crash that was excused left no trace. The crash of a run that had settled was not counted at all if another worker ended at the same moment, so that tasks which crash together excused each other each time, of one step or not. The same holds for what cleared the counts: a run that settled, long work, and others that had just begun on the worker.

Change: each crash under a task counts toward a total that no excuse lowers, and after five the job is given up. A crash that an idle worker shares can't have been caused by a task and gives none up alone. The total is forgotten after an hour of work. Excuses are logged and counted.

Four tests demanded that a task be started again after seven or more crashes, which breaks the rule if the task is their cause; nothing that the scheduler sees tells such a task from the innocent one that the tests meant. They go to the limit of five now, and check there that the task goes on unsuspected, that it is given up at the limit, and that hours of work clear it.

--- a/core/scheduler/end/crash_counts.ts
+++ b/core/scheduler/end/crash_counts.ts
@@ -4,18 +4,20 @@
  * @module
  */
 
-import type { Milliseconds } from "@dragonflyledge/model";
-import { FailureCode, isFinal, JobStatus, TaskPhase } from "../job.ts";
-import type { CrashCounts } from "../job.ts";
+import type { Fields, Milliseconds } from "@dragonflyledge/model";
+import {
+  attributableCrashes,
+  FailureCode,
+  isFinal,
+  JobStatus,
+  TaskPhase,
+} from "../job.ts";
+import type { CrashCounts, TaskProgress } from "../job.ts";
 import { finishJob, markChanged } from "../record/progress.ts";
 import { findTask } from "../runs.ts";
+import { Excuse } from "../state.ts";
 import type { Run, SchedulerState } from "../state.ts";
-import {
-  countOf,
-  isGivenUp,
-  isSuspect,
-  SETTLE_TIME,
-} from "../place/suspects.ts";
+import { isGivenUp, isSuspect, SETTLE_TIME } from "../place/suspects.ts";
 
 /** Longest time between two answers of a worker that is not silent. */
 const ANSWER_INTERVAL: Milliseconds = 1200;
@@ -39,39 +41,87 @@
   run: Run,
   { kind, sole }: CountedCrash,
 ): void {
-  const { state, date } = fields;
-  const { job } = run;
-  const task = findTask(job, run.task);
-  if (!task || task.run !== run.run || task.phase === TaskPhase.Done) return;
-  if (isFinal(job.progress.status)) return;
+  const { state } = fields;
+  const task = findLatest(run);
+  if (!task) return;
   const { crashes } = task;
   const wasSuspect = isSuspect(crashes);
   crashes[kind]++;
+  crashes.total++;
   if (sole) crashes[kind === "early" ? "soleEarly" : "soleLate"]++;
-  markChanged(state, job);
+  markChanged(state, run.job);
   if (!wasSuspect && isSuspect(crashes)) {
     state.effects.push({ kind: "suspicion", change: "raised" });
   }
+  logCrash(state, run, crashes, "A worker crashed under a task.");
+  giveUpAtLimit(fields, run, crashes);
+}
+
+/**
+ * Counts a crash that does not speak against the run's task only toward the
+ * limit of all crashes, so that tasks which crash their workers together don't
+ * excuse each other without end.
+ */
+export function excuseCrash(
+  fields: CrashFields,
+  run: Run,
+  excuse: Excuse,
+): void {
+  const { state } = fields;
+  const task = findLatest(run);
+  if (!task) return;
+  const { crashes } = task;
+  crashes[excuse === Excuse.Outside ? "outside" : "total"]++;
+  markChanged(state, run.job);
+  state.effects.push({ kind: "crashExcused", excuse });
+  logCrash(state, run, crashes, "A crash was excused.", { excuse });
+  giveUpAtLimit(fields, run, crashes);
+}
+
+/** Progress of the run's task, if the run is its latest one and may go on. */
+function findLatest(run: Run): TaskProgress | undefined {
+  const task = findTask(run.job, run.task);
+  if (!task || task.run !== run.run || task.phase === TaskPhase.Done) {
+    return undefined;
+  }
+  return isFinal(run.job.progress.status) ? undefined : task;
+}
+
+function logCrash(
+  state: SchedulerState,
+  run: Run,
+  crashes: CrashCounts,
+  text: string,
+  fields: Fields = {},
+): void {
   state.effects.push({
     kind: "log",
     level: "warn",
-    text: "A worker crashed under a task.",
+    text,
     fields: {
-      job: job.request.id,
+      job: run.job.request.id,
       task: run.name,
       run: run.run,
       agent: run.agent,
+      ...fields,
       ...crashes,
       suspect: isSuspect(crashes),
     },
   });
+}
+
+function giveUpAtLimit(
+  { state, date }: CrashFields,
+  run: Run,
+  crashes: CrashCounts,
+): void {
   if (!isGivenUp(crashes)) return;
   const failure = {
     code: FailureCode.WorkerCrashes,
     task: run.name,
-    count: countOf(crashes),
+    count: crashes.total + crashes.outside,
   };
-  finishJob({ state, job, status: JobStatus.Failed, failure, date });
+  finishJob({ state, job: run.job, status: JobStatus.Failed, failure, date });
 }
 
 /**
@@ -113,7 +163,7 @@
   if (!task || isFinal(run.job.progress.status)) return;
   const before = task.crashes;
   task.crashes = counts;
-  if (countOf(before) <= countOf(counts)) return;
+  if (attributableCrashes(before) <= attributableCrashes(counts)) return;
   const wasSuspect = isSuspect(before);
   markChanged(state, run.job);
   if (wasSuspect && !isSuspect(counts)) {
@@ -127,7 +177,7 @@
       job: run.job.request.id,
       task: run.name,
       run: run.run,
-      crashes: countOf(counts),
+      crashes: attributableCrashes(counts),
       suspect: isSuspect(counts),
       wasSuspect,
     },
--- a/core/scheduler/end/crashes.ts
+++ b/core/scheduler/end/crashes.ts
@@ -5,19 +5,35 @@
  * @module
  */
 
+import { HOUR } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
-import { countCrash, replaceCounts } from "./crash_counts.ts";
+import { countCrash, excuseCrash, replaceCounts } from "./crash_counts.ts";
 import type { CountedCrash, CrashFields } from "./crash_counts.ts";
 import { loseRun } from "./endings.ts";
 import { createCrashCounts } from "../job.ts";
+import type { CrashCounts } from "../job.ts";
 import { runKey } from "../messages.ts";
 import type { AgentReport, WorkerCrash } from "../messages.ts";
 import { findOtherCause, OtherCause } from "./outages.ts";
 import type { Outage } from "./outages.ts";
 import { findTask } from "../runs.ts";
+import { Excuse } from "../state.ts";
 import type { Agent, Run } from "../state.ts";
 import { isSameWork, isSuspect, RunStage, stageOf } from "../place/suspects.ts";
 
+/**
+ * A run that worked for this long is no longer one that crashes the workers that
+ * start it, so that all crashes before are forgotten.
+ */
+const FORGIVENESS_TIME: Milliseconds = HOUR;
+
+/** Excuses by the other cause of a crash. */
+const EXCUSES: Record<OtherCause, Excuse> = {
+  [OtherCause.Outside]: Excuse.Outside,
+  [OtherCause.Shared]: Excuse.Shared,
+  [OtherCause.Unstable]: Excuse.Unstable,
+};
+
 /** A run that was on a worker when it crashed. */
 interface CrashedWorkerRun {
   run: Run;
@@ -65,11 +81,15 @@
       otherCause: otherCause ?? "",
     },
   });
-  for (const each of likely) countLikelyCause(notice, each, isOneUnit(likely));
+  const othersBegan = begun.length > 0;
+  for (const each of begun) countEarlyCrash(notice, each, isOneUnit(begun));
+  for (const each of settled) {
+    if (othersBegan) excuseCrash(notice, each.run, Excuse.OthersBegan);
+    else countLateCrash(notice, each, isOneUnit(settled));
+  }
   for (const each of proven) {
-    const possible = likely.length === 0 &&
-      findOtherCause({ ...notice, run: each.run }) === undefined;
-    weighLongWork(notice, each, { possible, alone: isOneUnit(proven) });
+    const excuse = findLongWorkExcuse(notice, each, likely.length > 0);
+    weighLongWork(notice, each, { excuse, alone: isOneUnit(proven) });
   }
   for (const { run } of present) loseRun(state, run, "worker crashed");
 }
@@ -79,40 +99,73 @@
   return new Set(runs.map(({ run }) => unitKey(run))).size === 1;
 }
 
+/** Excuse of a run that had worked for long, if another cause is likely. */
+function findLongWorkExcuse(
+  notice: CrashNotice,
+  { run }: CrashedWorkerRun,
+  othersBegan: boolean,
+): Excuse | undefined {
+  if (othersBegan) return Excuse.OthersBegan;
+  const otherCause = findOtherCause({ ...notice, run });
+  return otherCause && EXCUSES[otherCause];
+}
+
 /**
  * Weighs a crash under a run that had worked for long. It clears the task of
- * all crashes before it, unless the task crashed its worker at the same point
- * of its work before. A task that runs without end is never the cause, since it
- * may meet workers that are restarted regularly. `possible` if no other cause is
- * likely, `alone` if no other task had worked for long.
+ * the crashes before it, but for their total, unless the task crashed its worker
+ * at the same point of its work before. A task that runs without end is not
+ * suspected, since it may meet workers that are restarted regularly. `excuse` if
+ * another cause is likely, `alone` if no other task had worked for long.
  */
 function weighLongWork(
   notice: CrashNotice,
   { run, workedFor }: CrashedWorkerRun,
-  { possible, alone }: { possible: boolean; alone: boolean },
+  { excuse, alone }: { excuse: Excuse | undefined; alone: boolean },
 ): void {
   const task = findTask(run.job, run.task);
   if (!task) return;
-  const counts = possible && !run.step.longRunning;
-  if (counts && isSameWork(task.crashes.workedFor, workedFor)) {
+  const suspected = excuse === undefined && !run.step.longRunning;
+  const isSame = isSameWork(task.crashes.workedFor, workedFor);
+  if (suspected && isSame) {
     return countCrash(notice, run, { kind: "late", sole: alone });
   }
-  const late = counts ? 1 : 0;
-  const weighed = { ...createCrashCounts(), late, workedFor };
+  const isForgiven = workedFor >= FORGIVENESS_TIME &&
+    (run.step.longRunning || !isSame);
+  const { total, outside } = task.crashes;
+  const weighed: CrashCounts = {
+    ...createCrashCounts(),
+    late: suspected ? 1 : 0,
+    workedFor,
+    total: isForgiven ? 0 : total,
+    outside: isForgiven ? 0 : outside,
+  };
   replaceCounts(notice.state, run, weighed);
+  excuseCrash(notice, run, excuse ?? Excuse.LongWork);
 }
 
-/** Counts the crash for a task; `alone` if no other one is as likely. */
-function countLikelyCause(
+/** Counts the crash for a run that had just begun; `alone` if no other had. */
+function countEarlyCrash(
   notice: CrashNotice,
-  { run, stage }: CrashedWorkerRun,
+  { run }: CrashedWorkerRun,
   alone: boolean,
 ): void {
   const otherCause = findOtherCause({ ...notice, run });
-  const early = stage === RunStage.Begun;
-  if (!early && otherCause === OtherCause.Shared) return;
   const sole = alone && otherCause === undefined;
-  countCrash(notice, run, { kind: early ? "early" : "late", sole });
+  countCrash(notice, run, { kind: "early", sole });
+}
+
+/** Counts the crash for a run that had settled; `alone` if no other had. */
+function countLateCrash(
+  notice: CrashNotice,
+  { run }: CrashedWorkerRun,
+  alone: boolean,
+): void {
+  const otherCause = findOtherCause({ ...notice, run });
+  if (otherCause === OtherCause.Outside || otherCause === OtherCause.Shared) {
+    return excuseCrash(notice, run, EXCUSES[otherCause]);
+  }
+  const sole = alone && otherCause === undefined;
+  countCrash(notice, run, { kind: "late", sole });
 }
 
 /**
--- a/core/scheduler/end/crashes_test.ts
+++ b/core/scheduler/end/crashes_test.ts
@@ -151,7 +151,7 @@
   second.runOn(0, "deadly.0.0.0", 1);
   second.crash(0);
   const { crashes } = second.progress("deadly").occurrences[0]!.steps[0]![0]!;
-  t.same(crashes, { ...createCrashCounts(), early: 1, soleEarly: 1 });
+  t.same(crashes, { ...createCrashCounts(), early: 1, soleEarly: 1, total: 1 });
   t.end();
 });
 
@@ -188,8 +188,9 @@
   crashBeneath(fleet, "new.0.0.0", ["old.0.0.0"]);
   const counts = (id: string) =>
     fleet.progress(id).occurrences[0]!.steps[0]![0]!.crashes;
-  t.same(counts("old"), createCrashCounts());
-  t.same(counts("new"), { ...createCrashCounts(), early: 1, soleEarly: 1 });
+  const total = { ...createCrashCounts(), total: 1 };
+  t.same(counts("old"), total);
+  t.same(counts("new"), { ...total, early: 1, soleEarly: 1 });
   const placed = fleet.logsOf("Tasks placed.").slice(-2);
   t.same(
     placed.map(({ job, isolation }) => [job, isolation ?? "none"]).sort(),
--- a/core/scheduler/end/outages.ts
+++ b/core/scheduler/end/outages.ts
@@ -30,6 +30,8 @@
   to: Milliseconds;
   /** Whether any run had just begun on it. */
   begun: boolean;
+  /** Whether it is known that no run was on it. */
+  idle: boolean;
   /** Names of the tasks that may have been at work on it. */
   tasks: string[];
 }
@@ -46,6 +48,7 @@
         worker: crash.worker,
         ...spanOf(crash.silence, now),
         begun: hasBegun(crash),
+        idle: crash.runs.length === 0,
         tasks: crash.runs.map(({ task }) => task),
       }]
       : []
@@ -57,13 +60,20 @@
     worker: worker.key,
     ...spanOf(silence, now),
     begun: runs.some((run) => !run.settled),
+    idle: runs.length === 0 && agent.worker?.listed === true &&
+      agent.worker.state.key === worker.key,
     tasks: runs.map(({ name }) => name),
   });
 }
 
 /** What may have caused a crash beside the runs on the worker. */
 export const OtherCause = {
-  /** Another worker ended at the same moment, for another reason than the run. */
+  /** An idle worker ended at the same moment, which no task can cause. */
+  Outside: "an idle worker ended at the same moment",
+  /**
+   * A worker with tasks ended at the same moment. Each of the tasks may have
+   * crashed its own worker.
+   */
   Shared: "another worker ended at the same moment",
   /** The worker, or one before it, crashed before while nothing had begun. */
   Unstable: "the worker crashed by itself before",
@@ -82,26 +92,26 @@
   report: AgentReport;
   run: Run;
 }): OtherCause | undefined {
-  const { state, agent, crash, report, run } = fields;
+  const { agent, crash, report, run } = fields;
   const own = agent.outages.find(({ worker }) => worker === crash.worker);
-  const isShared = own !== undefined &&
-    [...state.agents.values()].some((other) =>
-      other !== agent && hasOutageAtOnce(other, own, run)
-    );
+  const atOnce = own === undefined ? [] : listOutagesAtOnce(fields, own);
+  if (atOnce.some(({ idle }) => idle)) return OtherCause.Outside;
+  const isShared = atOnce
+    .some((outage) => !outage.begun && !holdsGangOf(outage, run));
   if (isShared) return OtherCause.Shared;
   const job = run.job.request.id;
   return isUnstable(report, crash, job) ? OtherCause.Unstable : undefined;
 }
 
-/**
- * Whether the agent's worker ended together with the outage while no run had
- * just begun there, nor a member of the run's gang was at work. Tasks that start
- * or work together may each crash their worker.
- */
-function hasOutageAtOnce(agent: Agent, own: Outage, run: Run): boolean {
-  return agent.outages.some((outage) =>
-    isAtOnce(outage, own) && !outage.begun && !holdsGangOf(outage, run)
-  );
+/** Outages of other agents' workers at the same moment. */
+function listOutagesAtOnce(
+  { state, agent }: { state: SchedulerState; agent: Agent },
+  own: Outage,
+): Outage[] {
+  const others = [...state.agents.values()].filter((each) => each !== agent);
+  return others
+    .flatMap(({ outages }) => outages)
+    .filter((outage) => isAtOnce(outage, own));
 }
 
 /** Whether a member of the run's gang was on the worker. */
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -143,6 +143,13 @@
    * milliseconds; 0 otherwise.
    */
   workedFor: Milliseconds;
+  /**
+   * Crashes of any cause, also those that the other counts leave out or have
+   * been cleared of; without `outside`.
+   */
+  total: number;
+  /** Crashes that no task has caused, since an idle worker ended with them. */
+  outside: number;
 }
 
 /** Why a job failed, as callers are told. */
@@ -234,9 +241,18 @@
     soleLate: 0,
     untold: 0,
     workedFor: 0,
+    total: 0,
+    outside: 0,
   };
 }
 
+/** Number of crashes of which the task may be the cause. */
+export function attributableCrashes(
+  { early, late, untold }: Pick<CrashCounts, "early" | "late" | "untold">,
+): number {
+  return early + late + untold;
+}
+
 /** Creates an occurrence of which all tasks are waiting. */
 export function createOccurrence(
   fields: { request: JobRequest; index: number },
--- a/core/scheduler/place/suspects.ts
+++ b/core/scheduler/place/suspects.ts
@@ -22,7 +22,10 @@
  * the task had settled.
  */
 const SOLE_CRASH_LIMIT = 3;
-/** A task is given up after this many crashes of which it may be the cause. */
+/**
+ * A task is given up after this many crashes, whatever their likely cause: it
+ * may be started twice more after three workers have crashed under it.
+ */
 const CRASH_LIMIT = 5;
 /**
  * A task that had settled when its worker crashed is suspected only after this
@@ -53,15 +56,11 @@
 
 /** Whether the job of the task fails, since the task crashes its workers. */
 export function isGivenUp(crashes: CrashCounts): boolean {
-  const { soleEarly, soleLate } = crashes;
+  const { soleEarly, soleLate, total, outside } = crashes;
   return soleEarly >= SOLE_EARLY_CRASH_LIMIT ||
     soleEarly + soleLate >= SOLE_CRASH_LIMIT ||
-    countOf(crashes) >= CRASH_LIMIT;
-}
-
-/** Number of crashes of which the task may be the cause. */
-export function countOf({ early, late, untold }: CrashCounts): number {
-  return early + late + untold;
+    // Crashes that surely had another cause alone speak against no task.
+    (total > 0 && total + outside >= CRASH_LIMIT);
 }
 
 /** Whether the task is suspected of crashing workers. */
--- a/core/scheduler/place/suspects_test.ts
+++ b/core/scheduler/place/suspects_test.ts
@@ -6,7 +6,10 @@
 
 /** More crashes than a task may be the cause of before it is given up. */
 const MANY_CRASHES = 8;
+/** Crashes under a task after which it isn't started again; the rule's bound. */
+const CRASH_LIMIT = 5;
 const LONG = 60_000;
+const HOUR = 3_600_000;
 
 /** Waits until the task runs, and returns the index of its worker. */
 function runTask(fleet: Fleet, task: string): number {
@@ -17,12 +20,12 @@
   return fleet.workerOf(task);
 }
 
-// Guards against a job that fails because many tasks in turn crash the workers
+// Guards against a job that fails because several tasks in turn crash the workers
 // on which it has long begun.
-test("a task beside many that crash workers in turn is not given up", (t) => {
+test("a task beside several that crash workers in turn is not given up", (t) => {
   const fleet = createFleet({ workers: 1 });
   fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
-  for (let round = 0; round < MANY_CRASHES; round++) {
+  for (let round = 1; round < CRASH_LIMIT; round++) {
     runTask(fleet, "innocent.0.0.0");
     fleet.advance(2000);
     const id = `deadly-${round}`;
@@ -30,6 +33,7 @@
     t.equal(runTask(fleet, `${id}.0.0.0`), 0);
     fleet.cancel(id);
     fleet.crash(0, { settled: ["innocent.0.0.0"] });
+    t.equal(fleet.logsOf("Tasks placed.").at(-1)!.isolation, undefined);
   }
   t.equal(fleet.status("innocent"), "running");
   t.end();
@@ -41,30 +45,39 @@
   const fleet = createFleet({ workers: 1 });
   const task = "innocent.0.0.0";
   fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
-  for (let round = 0; round < MANY_CRASHES; round++) {
+  for (let round = 1; round < CRASH_LIMIT; round++) {
     runTask(fleet, task);
     fleet.crash(0);
     runTask(fleet, task);
     fleet.advance(2000);
     fleet.crash(0, { evidence: false });
+    t.equal(fleet.status("innocent"), "running");
+    t.equal(fleet.logsOf("Tasks placed.").at(-1)!.isolation, undefined);
   }
-  t.equal(fleet.status("innocent"), "running");
-  t.equal(fleet.logsOf("Tasks placed.").at(-1)!.isolation, undefined);
+  runTask(fleet, task);
+  fleet.crash(0);
+  t.equal(fleet.status("innocent"), "failed", "it has reached the limit");
   t.end();
 });
 
 // Guards against a long-running task that is given up once enough workers have
 // crashed under it over the weeks.
 test("a task that worked for long is not the cause of a crash", (t) => {
-  const fleet = createFleet({ workers: 2 });
   const lasting = step({ accelerators: 8, longRunning: true });
-  fleet.submit(request({ id: "lasting", steps: [lasting] }));
   const task = "lasting.0.0.0";
-  for (let round = 0; round < MANY_CRASHES; round++) {
-    const index = runTask(fleet, task);
-    fleet.crash(index, { settled: [task], workedFor: LONG });
+  const cases = [
+    { workedFor: HOUR, crashes: MANY_CRASHES },
+    { workedFor: LONG, crashes: CRASH_LIMIT - 1 },
+  ];
+  for (const { workedFor, crashes } of cases) {
+    const fleet = createFleet({ workers: 2 });
+    fleet.submit(request({ id: "lasting", steps: [lasting] }));
+    for (let round = 0; round < crashes; round++) {
+      const index = runTask(fleet, task);
+      fleet.crash(index, { settled: [task], workedFor });
+    }
+    t.equal(fleet.status("lasting"), "running", `${workedFor} ms of work`);
   }
-  t.equal(fleet.status("lasting"), "running");
   t.end();
 });
 
@@ -96,7 +109,7 @@
   const second = createFleet({ workers: 1, takesOver: true });
   second.load(suspect, first.progress("suspect"));
   const { crashes } = second.progress("suspect").occurrences[0]!.steps[0]![0]!;
-  t.same(crashes, createCrashCounts());
+  t.same(crashes, { ...createCrashCounts(), total: 1 });
   t.end();
 });
 
@@ -146,10 +159,17 @@
 // Guards against a long task that is given up since its workers crashed at
 // unlike points of its work, or with others beside it.
 test("a long task whose workers crash for other reasons is not given up", (t) => {
+  const innocent = request({
+    id: "innocent",
+    steps: [step({ estimate: LONG })],
+  });
+  const first = createFleet({ workers: 4 });
+  first.submit(innocent);
+  const unlike = [12_000, 30_000, 20_000, 55_000];
+  t.equal(crashAfter(first, "innocent.0.0.0", unlike), unlike.length);
+  t.equal(first.status("innocent"), "running");
   const fleet = createFleet({ workers: 4 });
-  fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
-  const unlike = [12_000, 30_000, 20_000, 55_000, 15_000, 40_000, 11_000];
-  t.equal(crashAfter(fleet, "innocent.0.0.0", unlike), unlike.length);
+  fleet.submit(innocent);
   for (const workedFor of TWELVE_SECONDS) {
     const index = runTask(fleet, "innocent.0.0.0");
     fleet.stopAnswering((index + 1) % fleet.size);
--- a/core/scheduler/record/records.ts
+++ b/core/scheduler/record/records.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
-import { FailureCode, JobStatus } from "../job.ts";
+import { attributableCrashes, FailureCode, JobStatus } from "../job.ts";
 import type {
+  CrashCounts,
   JobFailure,
   JobProgress,
   TaskPhase,
@@ -23,7 +24,20 @@
   number,
   ...(CrashRow | []),
 ];
-type CrashRow = [number, number, number, number, number, number];
+/**
+ * The last two counts are left out, as in records of older builds, if no crash
+ * is missing in the others.
+ */
+type CrashRow = [
+  number,
+  number,
+  number,
+  number,
+  number,
+  number,
+  number?,
+  number?,
+];
 type OccurrenceRow = [number, TaskRow[][]];
 type FailureRow = [string, string, number];
 
@@ -70,9 +84,11 @@
   { crashes }: TaskProgress,
 ): CrashRow | [] {
   const { early, soleEarly, late, soleLate, untold, workedFor } = crashes;
-  return early + late + untold + workedFor === 0
-    ? []
-    : [early, soleEarly, late, soleLate, untold, workedFor];
+  const { total, outside } = crashes;
+  if (total + outside + workedFor === 0) return [];
+  const row: CrashRow = [early, soleEarly, late, soleLate, untold, workedFor];
+  if (total + outside > attributableCrashes(crashes)) row.push(total, outside);
+  return row;
 }
 
 function packFailure(
@@ -101,14 +117,7 @@
     checkpoint: task[4],
     failures: task[5],
     failedRun: task[6] ?? 0,
-    crashes: {
-      early: task[7] ?? 0,
-      soleEarly: task[8] ?? 0,
-      late: task[9] ?? 0,
-      soleLate: task[10] ?? 0,
-      untold: task[11] ?? 0,
-      workedFor: task[12] ?? 0,
-    },
+    crashes: unpackCrashes(task.slice(CRASH_ROW_START) as CrashRow | []),
   });
   const statuses: string[] = Object.values(JobStatus);
   return {
@@ -125,6 +134,21 @@
   };
 }
 
+function unpackCrashes(row: CrashRow | []): CrashCounts {
+  const [early = 0, soleEarly = 0, late = 0, soleLate = 0, untold = 0] = row;
+  const [, , , , , workedFor = 0, total, outside = 0] = row;
+  return {
+    early,
+    soleEarly,
+    late,
+    soleLate,
+    untold,
+    workedFor,
+    total: total ?? attributableCrashes({ early, late, untold }),
+    outside,
+  };
+}
+
 /** Whether any task of the job was ever placed on a worker. */
 function hasRuns(row: ProgressRow): boolean {
   return row[3].some(([, steps]) =>
@@ -147,8 +171,12 @@
   "number",
   "number",
   "number",
+  "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
+/** Index of the first count of crashes in a task's row. */
+const CRASH_ROW_START = 7;
 
 function isProgressRow(value: unknown): value is ProgressRow {
   return Array.isArray(value) && typeof value[0] === "string" &&
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -268,6 +268,21 @@
 } as const;
 export type Lateness = typeof Lateness[keyof typeof Lateness];
 
+/** Why a crash does not speak against a task that was on the worker. */
+export const Excuse = {
+  /** An idle worker ended at the same moment. */
+  Outside: "outside cause",
+  /** Other workers ended at the same moment. */
+  Shared: "other workers",
+  /** The worker crashed by itself before. */
+  Unstable: "unstable worker",
+  /** Other runs had begun on the worker more recently. */
+  OthersBegan: "others had just begun",
+  /** The run had worked for long, to another point than before. */
+  LongWork: "long work",
+} as const;
+export type Excuse = typeof Excuse[keyof typeof Excuse];
+
 /** Output of the reducer: what the process around it is to do. */
 export type SchedulerEffect =
   | { kind: "store"; job: string }
@@ -291,6 +306,8 @@
   }
   /** Count a worker that crashed with runs, `begun` of them just begun. */
   | { kind: "workerCrashed"; begun: number }
+  /** Count a crash that does not speak against a task on the worker. */
+  | { kind: "crashExcused"; excuse: Excuse }
   /** Count a task that is or is no longer suspected of crashing workers. */
   | { kind: "suspicion"; change: "raised" | "cleared" }
   /** Show how many pairs of kinds of tasks are kept apart. */
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -161,6 +161,10 @@
         return fields.instruments.increment("worker_crashes_total", {
           begun: quantify(effect.begun),
         });
+      case "crashExcused":
+        return fields.instruments.increment("excused_crashes_total", {
+          excuse: effect.excuse,
+        });
       case "suspicion":
         return fields.instruments.increment("suspicions_total", {
           change: effect.change,
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -107,6 +107,12 @@
       "these had just begun.",
     labels: ["begun"],
   },
+  excused_crashes_total: {
+    kind: "counter",
+    help: "Crashes that count only toward a task's limit of all crashes, by " +
+      "the reason.",
+    labels: ["excuse"],
+  },
   suspicions_total: {
     kind: "counter",
     help: "Tasks suspected of crashing workers, by change of the suspicion.",
--- a/testing/platform/crash_test.ts
+++ b/testing/platform/crash_test.ts
@@ -15,6 +15,8 @@
 const DOWN_TIME = 1500;
 /** Time in ms after which a task of the kind crashes its worker. */
 const CRASH_DELAY = 10;
+/** Same, for one that has settled before. */
+const LATE_CRASH_DELAY = 1500;
 const OUTAGE = 2500;
 
 const DEADLY = "000000000000dead";
@@ -46,12 +48,16 @@
   t: Test,
   duration: number,
   crashes: CrashRule = crashUnderDeadly,
+  { delay, agents }: { delay: number; agents: number } = {
+    delay: CRASH_DELAY,
+    agents: 3,
+  },
 ): Promise<CrashScene> {
   let starts = 0;
   const scene = { stopped: false };
   const programs: Programs = await startPrograms({
     entries: 2,
-    agents: 3,
+    agents,
     duration: 0,
     observer: {
       accelerators: () => 1,
@@ -64,7 +70,7 @@
         setTimeout(() => {
           if (scene.stopped) return;
           for (const each of crashed) crashWorker(programs, each);
-        }, CRASH_DELAY);
+        }, delay);
       },
       ended: () => {},
       acknowledged: () => {},
@@ -108,13 +114,17 @@
   });
 }
 
-async function submit({ programs }: CrashScene, id: string): Promise<void> {
+async function submit(
+  { programs }: CrashScene,
+  id: string,
+  body: object = job,
+): Promise<void> {
   await waitUntil("the job is accepted", START_TIMEOUT, async () => {
     const { status } = await programs.call(
       programs.entries[0]!,
       "POST",
       path(id),
-      job,
+      body,
     );
     return status === 200;
   });
@@ -185,6 +195,33 @@
   t.ok(scene.starts() <= MAX_STARTS, `${scene.starts()} starts`);
 });
 
+// Guards against tasks without a tie that are started without end, since each
+// crash of one excuses the other's at the same moment.
+test("jobs that crash their workers together at work are given up", async (t) => {
+  const ids = [`${DEADLY}`, "000000000000deae"];
+  const startsOf = new Map<string, number>();
+  const crashes: CrashRule = ({ task, worker }) => {
+    startsOf.set(task, (startsOf.get(task) ?? 0) + 1);
+    return [worker];
+  };
+  const scene = await start(t, 60_000, crashes, {
+    delay: LATE_CRASH_DELAY,
+    agents: 5,
+  });
+  const steps = [{ count: 1, cpu: 1000, memMb: 9, gpu: 8 }];
+  await Promise.all(ids.map((id) => submit(scene, id, { ...job, steps })));
+  for (const id of ids) {
+    await waitUntil(
+      "the job fails",
+      GIVE_UP_TIMEOUT,
+      async () => (await scene.stateOf(id)).includes("failed"),
+    );
+  }
+  for (const [task, starts] of startsOf) {
+    t.ok(starts <= MAX_STARTS, `${starts} starts of ${task}`);
+  }
+});
+
 // Guards against a job that fails because all workers crashed together, again
 // and again, just after it had started.
 test("a task whose workers crash with all others is not given up", async (t) => {
