--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -19,7 +19,6 @@
 export { checkJobRequest, isProgressOf } from "./record/job_record.ts";
 export * from "./record/records.ts";
 export * from "./record/store_keys.ts";
-export type { RateCounts } from "./rates/rate_notices.ts";
 export { SETTLE_TIME } from "./place/suspects.ts";
 export { createScheduler } from "./reducer.ts";
 export type { Scheduler } from "./reducer.ts";
--- a/daemons/scheduler/leader.ts
+++ b/daemons/scheduler/leader.ts
@@ -11,21 +11,18 @@
 import type { Change, Item, KeyValue } from "@dragonflyledge/platform";
 import { createLoop } from "@dragonflyledge/runtime";
 import {
-  countOnProbation,
   createScheduler,
   Lateness,
   LOSS_MARGIN,
-  missingCapacity,
   parseStoreKey,
 } from "@dragonflyledge/scheduler";
 import type {
-  Capacity,
   Policies,
-  RateCounts,
   SchedulerEffect,
   SchedulerEvent,
 } from "@dragonflyledge/scheduler";
 import { createAgentLinks } from "./agent_links.ts";
+import { hideFleet, showFleet } from "./fleet_gauges.ts";
 import type { Replica } from "./replica.ts";
 import { createProgressWriter } from "./writer.ts";
 
@@ -227,23 +224,6 @@
     for (const name of replica.agents.keys()) addAgent(name);
   }
 
-  function showMissing({ accelerators, millicores }: Capacity): void {
-    fields.instruments.set("missing_accelerators", accelerators);
-    fields.instruments.set("missing_cores", millicores / 1000);
-  }
-
-  const showEvacuated = (domains: number) =>
-    fields.instruments.set("evacuated_domains", domains);
-  function showRates(differ: boolean, counts: RateCounts): void {
-    fields.instruments.set("workers_differ", differ ? 1 : 0);
-    fields.instruments.set("known_rates", counts.known);
-    fields.instruments.set("slow_workers", counts.slow);
-    fields.instruments.set("slowed_workers", counts.slowed);
-  }
-
-  const showOnProbation = (workers: number) =>
-    fields.instruments.set("workers_on_probation", workers);
-
   const tick = () => {
     if (ended) return;
     links.closeSilent();
@@ -251,11 +231,7 @@
     if (clock.now() - lastReport > ISOLATION_LIMIT) return fields.onIsolated();
     const date = clock.date().getTime();
     dispatch({ kind: "tick", now: clock.now(), date });
-    showMissing(missingCapacity(scheduler.state));
-    showEvacuated(scheduler.state.policies.evacuated.size);
-    const { rates, rateNotices } = scheduler.state;
-    showRates(rates.differ(), rateNotices.counts);
-    showOnProbation(countOnProbation(scheduler.state));
+    showFleet(fields.instruments, scheduler.state);
     const interval = scheduler.state.survey
       ? SURVEY_TICK_INTERVAL
       : TICK_INTERVAL;
@@ -281,12 +257,7 @@
       dispatch({ kind: "policies", now: clock.now(), policies }),
     end: () => {
       ended = true;
-      // Only the leader knows; another process shows it from now on.
-      showMissing({ accelerators: 0, millicores: 0, megabytes: 0 });
-      showEvacuated(0);
-      showRates(false, { known: 0, slow: 0, slowed: 0 });
-      fields.instruments.set("interfering_pairs", 0);
-      showOnProbation(0);
+      hideFleet(fields.instruments);
       writer.stop();
       links.close();
     },
