Bound how long and on how many workers suspects keep others off

Cause: a suspect of late crashes was isolated until its run ended, on as many workers as there were suspects, and nothing let a task that fitted nowhere else join it. A suspect that never settled, since a member of its gang did not begin, kept urgent tasks off, too.

Change: a run that has worked for clearly longer than at any crash under its task is no longer isolated; suspects of late crashes close half of a service's workers at most; and tasks that waited for 2 s (urgent: 1 s) without room elsewhere join suspects that have kept their workers for as long. The longest work at a crash is stored with the task. The end of an isolation is logged, and dragonflyledge_closed_workers shows the workers that are closed.

--- a/core/scheduler/end/crashes.ts
+++ b/core/scheduler/end/crashes.ts
@@ -91,7 +91,10 @@
     const excuse = findLongWorkExcuse(notice, each, likely.length > 0);
     weighLongWork(notice, each, { excuse, alone: isOneUnit(proven) });
   }
-  for (const { run } of present) loseRun(state, run, "worker crashed");
+  for (const { run, workedFor } of present) {
+    noteWork(run, workedFor);
+    loseRun(state, run, "worker crashed");
+  }
 }
 
 /** Whether the runs are one task or one gang. */
@@ -131,18 +134,26 @@
   }
   const isForgiven = workedFor >= FORGIVENESS_TIME &&
     (run.step.longRunning || !isSame);
-  const { total, outside } = task.crashes;
+  const { total, outside, longestWork } = task.crashes;
   const weighed: CrashCounts = {
     ...createCrashCounts(),
     late: suspected ? 1 : 0,
     workedFor,
     total: isForgiven ? 0 : total,
     outside: isForgiven ? 0 : outside,
+    longestWork: isForgiven ? 0 : longestWork,
   };
   replaceCounts(notice.state, run, weighed);
   excuseCrash(notice, run, excuse ?? Excuse.LongWork);
 }
 
+/** Keeps for how long the run's task had worked at the crash. */
+function noteWork(run: Run, workedFor: Milliseconds): void {
+  const crashes = findTask(run.job, run.task)?.crashes;
+  if (!crashes) return;
+  crashes.longestWork = Math.max(crashes.longestWork, workedFor);
+}
+
 /** Counts the crash for a run that had just begun; `alone` if no other had. */
 function countEarlyCrash(
   notice: CrashNotice,
--- a/core/scheduler/end/crashes_test.ts
+++ b/core/scheduler/end/crashes_test.ts
@@ -189,7 +189,7 @@
   const counts = (id: string) =>
     fleet.progress(id).occurrences[0]!.steps[0]![0]!.crashes;
   const total = { ...createCrashCounts(), total: 1 };
-  t.same(counts("old"), total);
+  t.same(counts("old"), { ...total, longestWork: 1000 });
   t.same(counts("new"), { ...total, early: 1, soleEarly: 1 });
   const placed = fleet.logsOf("Tasks placed.").slice(-2);
   t.same(
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -150,6 +150,8 @@
   total: number;
   /** Crashes that no task has caused, since an idle worker ended with them. */
   outside: number;
+  /** Longest time for which the task had worked at any of these crashes. */
+  longestWork: Milliseconds;
 }
 
 /** Why a job failed, as callers are told. */
@@ -243,6 +245,7 @@
     workedFor: 0,
     total: 0,
     outside: 0,
+    longestWork: 0,
   };
 }
 
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -19,6 +19,7 @@
 export { checkJobRequest, isProgressOf } from "./record/job_record.ts";
 export * from "./record/records.ts";
 export * from "./record/store_keys.ts";
+export { countClosed } from "./place/isolation.ts";
 export { SETTLE_TIME } from "./place/suspects.ts";
 export { createScheduler } from "./reducer.ts";
 export type { Scheduler } from "./reducer.ts";
--- a/core/scheduler/place/find.ts
+++ b/core/scheduler/place/find.ts
@@ -13,6 +13,7 @@
 import { taskWeight } from "./fit.ts";
 import type { CandidateWorker } from "./fit.ts";
 import { placeTasks } from "./place.ts";
+import { joinWait } from "./isolation.ts";
 import { isolationWait, isSuspected, placeSuspect } from "./place_suspect.ts";
 import type { Placement, PreemptionRule } from "./place.ts";
 import type { PlanningRound } from "./round.ts";
@@ -49,11 +50,20 @@
   if (!isSuspected(unit)) {
     const find = (round: PlanningRound) =>
       findUsualPlacement({ ...fields, round });
-    return find(round) ?? placeBeyondHealth(round, unit, find);
+    return find(round) ?? placeBeyondHealth(round, unit, find) ??
+      joinSuspects(fields);
   }
   const placement = placeSuspect(round, unit);
   if (placement || isolationWait(unit, round.now) > 0) return placement;
-  return findUsualPlacement(fields);
+  return findUsualPlacement(fields) ?? joinSuspects(fields);
+}
+
+/** Finds workers also among those that suspects have kept for long. */
+function joinSuspects(fields: Fields): Placement | undefined {
+  const { round, unit } = fields;
+  const waited = round.now - unit.readyAt;
+  if (!round.hasIsolated || waited < joinWait(isUrgent(unit))) return undefined;
+  return findUsualPlacement({ ...fields, round: round.withJoinable() });
 }
 
 /**
--- a/core/scheduler/place/plan.ts
+++ b/core/scheduler/place/plan.ts
@@ -12,6 +12,7 @@
 import { JobStatus, TaskPhase } from "../job.ts";
 import { listInterfering } from "../interference/cost.ts";
 import { findPlacement } from "./find.ts";
+import { reviewIsolation } from "./isolation.ts";
 import { isolationOfUnit, isSuspected } from "./place_suspect.ts";
 import type { Placement } from "./place.ts";
 import { markChanged } from "../record/progress.ts";
@@ -32,6 +33,7 @@
 export function plan(state: SchedulerState, now: Milliseconds): void {
   evacuateRuns(state, now);
   assessWorkers(state, now);
+  reviewIsolation(state, now);
   const round = createRound(state, now);
   const cover = createGuaranteeCover(state);
   const isLate = (unit: Unit) =>
--- a/core/scheduler/place/round.ts
+++ b/core/scheduler/place/round.ts
@@ -27,7 +27,7 @@
 import type { InterferenceCost } from "../interference/cost.ts";
 import { addCapacity, gangOf, taskCapacity } from "../runs.ts";
 import type { Capacity, Run, SchedulerState, Worker } from "../state.ts";
-import { isClosed } from "./suspects.ts";
+import { isClosed, isJoinable } from "./isolation.ts";
 import { isUrgent } from "../wait/units.ts";
 import type { Unit } from "../wait/units.ts";
 
@@ -51,6 +51,10 @@
   probeable(unit: Unit): CandidateWorker[];
   /** The same round, in which workers are candidates whatever their health. */
   withUnsound(): PlanningRound;
+  /** Whether a run on any worker of the round is isolated. */
+  readonly hasIsolated: boolean;
+  /** The same round, in which tasks may join suspects that are joinable. */
+  withJoinable(): PlanningRound;
   /** Subtracts a task of the step from the free capacity of the worker. */
   take(worker: Worker, step: Step): void;
   /** Keeps all other tasks off the worker in this round. */
@@ -67,6 +71,15 @@
   isFull(unit: Unit, avoid: boolean): boolean;
 }
 
+/** Which workers are candidates besides those that are sound and open. */
+interface CandidateScope {
+  unsound: boolean;
+  joinable: boolean;
+}
+const USUAL: CandidateScope = { unsound: false, joinable: false };
+const WITH_UNSOUND: CandidateScope = { unsound: true, joinable: false };
+const WITH_JOINABLE: CandidateScope = { unsound: false, joinable: true };
+
 /** A usable worker with its free capacity. */
 interface UsableWorker {
   worker: Worker;
@@ -91,6 +104,7 @@
   const paced = new Map<TaskProgress[], boolean>();
   const mostlySound = new Map<string, boolean>();
 
+  const hasIsolated = usable.some(({ worker }) => worker.isolatedRuns > 0);
   const hasUnsound = usable.some(({ worker }) => !isAdmitted(worker, true));
   const lowest = hasUnsound ? lowestPriority(state) : 0;
 
@@ -119,14 +133,17 @@
 
   function listMatching(
     unit: Unit,
+    joinable: boolean,
     isWanted: (worker: Worker) => boolean,
   ): CandidateWorker[] {
     const { service } = unit.job.policy;
     const { label } = unit.step;
+    const urgent = isUrgent(unit);
     return usable
       .filter(({ worker }) =>
         worker.state.service === service &&
-        !isClosed(worker, isUrgent(unit)) &&
+        (!isClosed(worker, urgent) ||
+          joinable && isJoinable(worker, urgent, now)) &&
         (label === "" || worker.state.labels.includes(label)) &&
         isWanted(worker)
       )
@@ -136,20 +153,21 @@
   function listCandidates(
     unit: Unit,
     avoid: boolean,
-    anyHealth: boolean,
+    { unsound, joinable }: CandidateScope,
   ): CandidateWorker[] {
     const { waits, soundOnly, excluded } = demandsOf(unit);
-    if (waits && !anyHealth) return [];
-    const key = `${anyHealth} ${soundOnly} ${listKey(unit, avoid)}`;
+    if (waits && !unsound) return [];
+    const key = `${unsound} ${joinable} ${soundOnly} ${listKey(unit, avoid)}`;
     const known = lists.get(key) ?? listMatching(
       unit,
+      joinable,
       (worker) =>
-        (anyHealth ||
+        (unsound ||
           isAdmitted(worker, soundOnly) && !takesNoneNow(worker, now)) &&
         !(avoid && isAvoided(worker, now)),
     );
     lists.set(key, known);
-    const listed = excluded.size === 0 || anyHealth
+    const listed = excluded.size === 0 || unsound
       ? known
       : known.filter(({ worker }) => !excluded.has(worker.state.key));
     if (unit.step.maxPerWorker === 0) return listed;
@@ -160,8 +178,31 @@
   }
 
   /** Key of what the unit needs; units with the same key find the same room. */
-  function fullKey(unit: Unit, avoid: boolean): string {
-    return `${demandsOf(unit).soundOnly} ${needKey(unit, avoid)}`;
+  function fullKey(
+    unit: Unit,
+    avoid: boolean,
+    { joinable }: CandidateScope,
+  ): string {
+    const { soundOnly } = demandsOf(unit);
+    return `${joinable} ${soundOnly} ${needKey(unit, avoid)}`;
+  }
+
+  function noteFull(unit: Unit, avoid: boolean, scope: CandidateScope): void {
+    // Others may find room on the workers that the unit excludes.
+    const { waits, excluded } = demandsOf(unit);
+    if (waits || excluded.size > 0) return;
+    full.add(fullKey(unit, avoid, scope));
+  }
+
+  /** Functions of the round that look at the workers of the scope. */
+  function searchIn(
+    scope: CandidateScope,
+  ): Pick<PlanningRound, "candidates" | "noteFull" | "isFull"> {
+    return {
+      candidates: (unit, avoid) => listCandidates(unit, avoid, scope),
+      noteFull: (unit, avoid) => noteFull(unit, avoid, scope),
+      isFull: (unit, avoid) => full.has(fullKey(unit, avoid, scope)),
+    };
   }
 
   function close(worker: Worker): void {
@@ -177,21 +218,23 @@
     now,
     forecaster,
     hasUnsound,
-    candidates: (unit, avoid) => listCandidates(unit, avoid, false),
+    hasIsolated,
+    ...searchIn(USUAL),
     isRestricted: (unit) => {
       const { waits, soundOnly, excluded } = demandsOf(unit);
       return !waits && (soundOnly || excluded.size > 0);
     },
     probeable: (unit) => {
       if (!mayProbe(unit, lowest) || isPaced(unit)) return [];
-      return listMatching(unit, (worker) => isProbeDue(worker, now));
+      return listMatching(unit, false, (worker) => isProbeDue(worker, now));
     },
     withUnsound: () => ({
       ...round,
-      candidates: (unit, avoid) => listCandidates(unit, avoid, true),
+      ...searchIn(WITH_UNSOUND),
       noteFull: () => {},
       isFull: () => false,
     }),
+    withJoinable: () => ({ ...round, ...searchIn(WITH_JOINABLE) }),
     take: (worker, step) => {
       interference.noteTaken(worker);
       paced.clear();
@@ -215,13 +258,6 @@
       return sum;
     },
     interferenceCost: interference.costFor,
-    noteFull: (unit, avoid) => {
-      // Others may find room on the workers that the unit excludes.
-      const { waits, excluded } = demandsOf(unit);
-      if (waits || excluded.size > 0) return;
-      full.add(fullKey(unit, avoid));
-    },
-    isFull: (unit, avoid) => full.has(fullKey(unit, avoid)),
   };
   return round;
 }
--- a/core/scheduler/place/suspects.ts
+++ b/core/scheduler/place/suspects.ts
@@ -13,7 +13,6 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { TaskPhase } from "../job.ts";
 import type { CrashCounts, TaskProgress } from "../job.ts";
-import type { Worker } from "../state.ts";
 
 /** A task that settles on no worker is given up after this many sole crashes. */
 const SOLE_EARLY_CRASH_LIMIT = 2;
@@ -49,7 +48,10 @@
   None: "none",
   /** Until the run has settled. */
   Start: "start",
-  /** Until it ends; only urgent tasks may join it once it has settled. */
+  /**
+   * Until it has worked for longer than at the crashes; only urgent tasks may
+   * join it once it has settled.
+   */
   Whole: "whole",
 } as const;
 export type Isolation = typeof Isolation[keyof typeof Isolation];
@@ -91,6 +93,14 @@
   return Math.abs(a - b) <= tolerance;
 }
 
+/** Whether a run has worked for clearly longer than at any crash before. */
+export function hasOutlived(
+  { longestWork }: CrashCounts,
+  workedFor: Milliseconds,
+): boolean {
+  return workedFor > longestWork && !isSameWork(longestWork, workedFor);
+}
+
 /** Isolation of a run of these tasks, which start together. */
 export function isolationOf(tasks: TaskProgress[]): Isolation {
   const suspects = tasks
@@ -101,15 +111,3 @@
   const early = suspects.every(({ crashes }) => crashes.late === 0);
   return early ? Isolation.Start : Isolation.Whole;
 }
-
-/** Whether a run on the worker keeps off a new task. */
-export function isClosed(worker: Worker, urgent: boolean): boolean {
-  if (worker.isolatedRuns === 0) return false;
-  for (const run of worker.runs) {
-    if (run.isolation === Isolation.None) continue;
-    const open = run.settled &&
-      (run.isolation === Isolation.Start || urgent);
-    if (!open) return true;
-  }
-  return false;
-}
--- a/core/scheduler/record/records.ts
+++ b/core/scheduler/record/records.ts
@@ -24,10 +24,7 @@
   number,
   ...(CrashRow | []),
 ];
-/**
- * The last two counts are left out, as in records of older builds, if no crash
- * is missing in the others.
- */
+/** The last three fields are missing in records of older builds. */
 type CrashRow = [
   number,
   number,
@@ -37,6 +34,7 @@
   number,
   number?,
   number?,
+  number?,
 ];
 type OccurrenceRow = [number, TaskRow[][]];
 type FailureRow = [string, string, number];
@@ -84,11 +82,18 @@
   { crashes }: TaskProgress,
 ): CrashRow | [] {
   const { early, soleEarly, late, soleLate, untold, workedFor } = crashes;
-  const { total, outside } = crashes;
-  if (total + outside + workedFor === 0) return [];
-  const row: CrashRow = [early, soleEarly, late, soleLate, untold, workedFor];
-  if (total + outside > attributableCrashes(crashes)) row.push(total, outside);
-  return row;
+  const { total, outside, longestWork } = crashes;
+  return total + outside === 0 ? [] : [
+    early,
+    soleEarly,
+    late,
+    soleLate,
+    untold,
+    workedFor,
+    total,
+    outside,
+    longestWork,
+  ];
 }
 
 function packFailure(
@@ -136,7 +141,7 @@
 
 function unpackCrashes(row: CrashRow | []): CrashCounts {
   const [early = 0, soleEarly = 0, late = 0, soleLate = 0, untold = 0] = row;
-  const [, , , , , workedFor = 0, total, outside = 0] = row;
+  const [, , , , , workedFor = 0, total, outside = 0, longestWork = 0] = row;
   return {
     early,
     soleEarly,
@@ -146,6 +151,7 @@
     workedFor,
     total: total ?? attributableCrashes({ early, late, untold }),
     outside,
+    longestWork,
   };
 }
 
@@ -173,6 +179,7 @@
   "number",
   "number",
   "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
 /** Index of the first count of crashes in a task's row. */
@@ -199,5 +206,8 @@
 
 function isTaskRow(value: unknown): boolean {
   return Array.isArray(value) && value.length >= MIN_TASK_FIELDS &&
-    value.every((field, index) => typeof field === TASK_FIELDS[index]);
+    value.every((field, index) =>
+      // Later builds may add fields.
+      index >= TASK_FIELDS.length || typeof field === TASK_FIELDS[index]
+    );
 }
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -109,6 +109,14 @@
   addCapacity(worker.used, taskCapacity(run.step), 1);
 }
 
+/** Lets others join the run on its worker. */
+export function endIsolation(state: SchedulerState, run: Run): void {
+  if (run.isolation === Isolation.None) return;
+  run.isolation = Isolation.None;
+  const worker = state.workers.get(run.worker);
+  if (worker?.runs.has(run)) worker.isolatedRuns--;
+}
+
 /** Moves a run to the worker with this key, which need not be known yet. */
 export function moveRun(state: SchedulerState, run: Run, key: string): void {
   if (run.worker === key) return;
--- a/daemons/scheduler/fleet_gauges.ts
+++ b/daemons/scheduler/fleet_gauges.ts
@@ -5,7 +5,11 @@
  */
 
 import type { Instruments } from "@dragonflyledge/exposition";
-import { countOnProbation, missingCapacity } from "@dragonflyledge/scheduler";
+import {
+  countClosed,
+  countOnProbation,
+  missingCapacity,
+} from "@dragonflyledge/scheduler";
 import type { SchedulerState } from "@dragonflyledge/scheduler";
 
 /** Value of each gauge, by its name. */
@@ -18,6 +22,7 @@
   slow_workers: ({ rateNotices }) => rateNotices.counts.slow,
   slowed_workers: ({ rateNotices }) => rateNotices.counts.slowed,
   workers_on_probation: countOnProbation,
+  closed_workers: countClosed,
 } as const satisfies Record<string, (state: SchedulerState) => number>;
 const NAMES = Object.keys(GAUGES) as (keyof typeof GAUGES)[];
 
--- a/observe/exposition/table.ts
+++ b/observe/exposition/table.ts
@@ -168,6 +168,11 @@
     help: "Workers that get only probes, since their runs failed.",
     labels: [],
   },
+  closed_workers: {
+    kind: "gauge",
+    help: "Workers off which suspects of crashes keep other tasks.",
+    labels: [],
+  },
   log_lines_total: {
     kind: "counter",
     help: "Lines of the log by text, those left out included.",
--- a/testing/platform/crash_test.ts
+++ b/testing/platform/crash_test.ts
@@ -2,17 +2,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { test } from "tap";
 import type { Test } from "tap";
+import { crashWorker, START_TIMEOUT, waitForEntries } from "./crash_scene.ts";
 import { startPrograms } from "./mod.ts";
 import type { ProgramProcess, Programs } from "./mod.ts";
 import { waitUntil } from "./wait.ts";
 
 /** Starts of a task that crashes its workers, at most; the rule's bound. */
 const MAX_STARTS = 5;
-const START_TIMEOUT = 20_000;
 /** Time in ms for crashes with outages and restarts between them. */
 const GIVE_UP_TIMEOUT = 60_000;
-/** Time in ms for which a worker that crashed accepts no connections. */
-const DOWN_TIME = 1500;
 /** Time in ms after which a task of the kind crashes its worker. */
 const CRASH_DELAY = 10;
 /** Same, for one that has settled before. */
@@ -95,25 +93,6 @@
   };
 }
 
-/** Crashes the worker, which refuses connections for a while. */
-function crashWorker({ workers, agents }: Programs, worker: string): void {
-  const index = Number(worker.split("-")[1]);
-  const relay = agents[index]!.relays.worker!;
-  workers[index]!.crash();
-  relay.cut();
-  relay.refuse(true);
-  setTimeout(() => relay.refuse(false), DOWN_TIME);
-}
-
-async function waitForEntries({ entries, call }: Programs): Promise<void> {
-  await waitUntil("entries answer", START_TIMEOUT, async () => {
-    for (const entry of entries) {
-      if ((await call(entry, "GET", "/plans/")).status !== 200) return false;
-    }
-    return true;
-  });
-}
-
 async function submit(
   { programs }: CrashScene,
   id: string,
