Clear tasks of crashes for which another job was given up

Cause: a crash that other runs are blamed for counts toward the limit, since the blame may be wrong, and stayed there when it had proved right.

Change: the leader keeps which tasks were on a worker beside the likely causes of its crash. Once one of these has crashed two workers right after its start, or three in all, where nothing else can be the cause, the crashes before under the others count as explained, like those that an idle worker shared. They add to the limit, but a task with fewer than two other crashes is not given up.

Result: the new test "a task beside many that are given up is not" failed before after five of eight such jobs and passes now.

--- a/core/scheduler/end/crash_counts.ts
+++ b/core/scheduler/end/crash_counts.ts
@@ -17,7 +17,13 @@
 import { findTask } from "../runs.ts";
 import { Excuse } from "../state.ts";
 import type { Run, SchedulerState } from "../state.ts";
-import { isGivenUp, isSuspect, SETTLE_TIME } from "../place/suspects.ts";
+import {
+  isGivenUp,
+  isProvenCause,
+  isSuspect,
+  SETTLE_TIME,
+} from "../place/suspects.ts";
+import { explainCrashes, forgetCompanions } from "./crash_companions.ts";
 
 /** Longest time between two answers of a worker that is not silent. */
 const ANSWER_INTERVAL: Milliseconds = 1200;
@@ -54,6 +60,7 @@
     state.effects.push({ kind: "suspicion", change: "raised" });
   }
   logCrash(state, run, crashes, "A worker crashed under a task.");
+  if (isProvenCause(crashes)) explainCrashes(state, run);
   giveUpAtLimit(fields, run, crashes);
 }
 
@@ -71,7 +78,8 @@
   const task = findLatest(run);
   if (!task) return;
   const { crashes } = task;
-  crashes[excuse === Excuse.Outside ? "outside" : "total"]++;
+  const isExplained = excuse === Excuse.Outside || excuse === Excuse.GivenUp;
+  crashes[isExplained ? "explained" : "total"]++;
   markChanged(state, run.job);
   state.effects.push({ kind: "crashExcused", excuse });
   logCrash(state, run, crashes, "A crash was excused.", { excuse });
@@ -119,7 +127,7 @@
   const failure = {
     code: FailureCode.WorkerCrashes,
     task: run.name,
-    count: crashes.total + crashes.outside,
+    count: crashes.total + crashes.explained,
   };
   finishJob({ state, job: run.job, status: JobStatus.Failed, failure, date });
 }
@@ -164,6 +172,7 @@
   const before = task.crashes;
   task.crashes = counts;
   if (attributableCrashes(before) <= attributableCrashes(counts)) return;
+  if (attributableCrashes(counts) === 0) forgetCompanions(run);
   const wasSuspect = isSuspect(before);
   markChanged(state, run.job);
   if (wasSuspect && !isSuspect(counts)) {
--- a/core/scheduler/end/crashes.ts
+++ b/core/scheduler/end/crashes.ts
@@ -10,7 +10,7 @@
 import { countCrash, excuseCrash, replaceCounts } from "./crash_counts.ts";
 import type { CountedCrash, CrashFields } from "./crash_counts.ts";
 import { loseRun } from "./endings.ts";
-import { createCrashCounts } from "../job.ts";
+import { createCrashCounts, isFinal } from "../job.ts";
 import type { CrashCounts } from "../job.ts";
 import { runKey } from "../messages.ts";
 import type { AgentReport, WorkerCrash } from "../messages.ts";
@@ -19,7 +19,14 @@
 import { findTask } from "../runs.ts";
 import { Excuse } from "../state.ts";
 import type { Agent, Run } from "../state.ts";
-import { isSameWork, isSuspect, RunStage, stageOf } from "../place/suspects.ts";
+import {
+  isProvenCause,
+  isSameWork,
+  isSuspect,
+  RunStage,
+  stageOf,
+} from "../place/suspects.ts";
+import { noteCompanions } from "./crash_companions.ts";
 
 /**
  * A run that worked for this long is no longer one that crashes the workers that
@@ -81,22 +88,40 @@
       otherCause: otherCause ?? "",
     },
   });
-  const othersBegan = begun.length > 0;
   for (const each of begun) countEarlyCrash(notice, each, isOneUnit(begun));
+  const excuse = begun.length > 0 ? excuseBeside(begun) : undefined;
   for (const each of settled) {
-    if (othersBegan) excuseCrash(notice, each.run, Excuse.OthersBegan);
+    if (excuse) excuseCrash(notice, each.run, excuse);
     else countLateCrash(notice, each, isOneUnit(settled));
   }
+  const later = settled.length > 0 ? excuseBeside(settled) : undefined;
   for (const each of proven) {
-    const excuse = findLongWorkExcuse(notice, each, likely.length > 0);
-    weighLongWork(notice, each, { excuse, alone: isOneUnit(proven) });
+    weighLongWork(notice, each, {
+      excuse: excuse ?? later ?? findLongWorkExcuse(notice, each),
+      alone: isOneUnit(proven),
+    });
   }
+  const causes = likely.filter(({ run }) => !isFinal(run.job.progress.status));
+  noteCompanions(causes.map(runOf), present.map(runOf));
   for (const { run, workedFor } of present) {
     noteWork(run, workedFor);
     loseRun(state, run, "worker crashed");
   }
 }
 
+function runOf({ run }: CrashedWorkerRun): Run {
+  return run;
+}
+
+/** Excuse of runs beside others that are likelier causes of the crash. */
+function excuseBeside(likelier: CrashedWorkerRun[]): Excuse {
+  const isProven = likelier.some(({ run }) => {
+    const crashes = findTask(run.job, run.task)?.crashes;
+    return crashes !== undefined && isProvenCause(crashes);
+  });
+  return isProven ? Excuse.GivenUp : Excuse.OthersBegan;
+}
+
 /** Whether the runs are one task or one gang. */
 function isOneUnit(runs: CrashedWorkerRun[]): boolean {
   return new Set(runs.map(({ run }) => unitKey(run))).size === 1;
@@ -106,9 +131,7 @@
 function findLongWorkExcuse(
   notice: CrashNotice,
   { run }: CrashedWorkerRun,
-  othersBegan: boolean,
 ): Excuse | undefined {
-  if (othersBegan) return Excuse.OthersBegan;
   const otherCause = findOtherCause({ ...notice, run });
   return otherCause && EXCUSES[otherCause];
 }
@@ -134,13 +157,13 @@
   }
   const isForgiven = workedFor >= FORGIVENESS_TIME &&
     (run.step.longRunning || !isSame);
-  const { total, outside, longestWork } = task.crashes;
+  const { total, explained, longestWork } = task.crashes;
   const weighed: CrashCounts = {
     ...createCrashCounts(),
     late: suspected ? 1 : 0,
     workedFor,
     total: isForgiven ? 0 : total,
-    outside: isForgiven ? 0 : outside,
+    explained: isForgiven ? 0 : explained,
     longestWork: isForgiven ? 0 : longestWork,
   };
   replaceCounts(notice.state, run, weighed);
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -145,11 +145,14 @@
   workedFor: Milliseconds;
   /**
    * Crashes of any cause, also those that the other counts leave out or have
-   * been cleared of; without `outside`.
+   * been cleared of; without `explained`.
    */
   total: number;
-  /** Crashes that no task has caused, since an idle worker ended with them. */
-  outside: number;
+  /**
+   * Crashes that are known to have another cause: an idle worker ended with
+   * them, or a job was given up for them.
+   */
+  explained: number;
   /** Longest time for which the task had worked at any of these crashes. */
   longestWork: Milliseconds;
 }
@@ -244,7 +247,7 @@
     untold: 0,
     workedFor: 0,
     total: 0,
-    outside: 0,
+    explained: 0,
     longestWork: 0,
   };
 }
--- a/core/scheduler/place/suspects.ts
+++ b/core/scheduler/place/suspects.ts
@@ -26,6 +26,11 @@
  * may be started twice more after three workers have crashed under it.
  */
 const CRASH_LIMIT = 5;
+/**
+ * Explained crashes alone speak against no task, and the cause of the latest one
+ * may show only later.
+ */
+const MIN_UNEXPLAINED = 2;
 /**
  * A task that had settled when its worker crashed is suspected only after this
  * many crashes. One crash may have any cause.
@@ -58,11 +63,15 @@
 
 /** Whether the job of the task fails, since the task crashes its workers. */
 export function isGivenUp(crashes: CrashCounts): boolean {
-  const { soleEarly, soleLate, total, outside } = crashes;
+  const { total, explained } = crashes;
+  return isProvenCause(crashes) ||
+    (total >= MIN_UNEXPLAINED && total + explained >= CRASH_LIMIT);
+}
+
+/** Whether the task has crashed workers where nothing else can be the cause. */
+export function isProvenCause({ soleEarly, soleLate }: CrashCounts): boolean {
   return soleEarly >= SOLE_EARLY_CRASH_LIMIT ||
-    soleEarly + soleLate >= SOLE_CRASH_LIMIT ||
-    // Crashes that surely had another cause alone speak against no task.
-    (total > 0 && total + outside >= CRASH_LIMIT);
+    soleEarly + soleLate >= SOLE_CRASH_LIMIT;
 }
 
 /** Whether the task is suspected of crashing workers. */
--- a/core/scheduler/place/suspects_test.ts
+++ b/core/scheduler/place/suspects_test.ts
@@ -39,6 +39,31 @@
   t.end();
 });
 
+// Guards against a job that fails because many jobs in turn crashed its workers,
+// although each of them was given up for that.
+test("a task beside many that are given up is not", (t) => {
+  const fleet = createFleet({ workers: 3 });
+  const task = "innocent.0.0.0";
+  fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
+  for (let round = 0; round < MANY_CRASHES; round++) {
+    runTask(fleet, task);
+    fleet.advance(2000);
+    const deadly = `deadly-${round}`;
+    fleet.submit(request({ id: deadly, steps: [step({})] }));
+    const beside = runTask(fleet, `${deadly}.0.0.0`);
+    t.equal(beside, fleet.workerOf(task), "it begins beside the task");
+    fleet.crash(beside, { settled: [task] });
+    const alone = runTask(fleet, `${deadly}.0.0.0`);
+    t.not(alone, fleet.workerOf(task), "it begins elsewhere again");
+    fleet.crash(alone);
+    t.equal(fleet.status(deadly), "failed");
+  }
+  t.equal(fleet.status("innocent"), "running");
+  const { crashes } = fleet.progress("innocent").occurrences[0]!.steps[0]![0]!;
+  t.match(crashes, { total: 0, explained: MANY_CRASHES });
+  t.end();
+});
+
 // Guards against a job that fails because it began beside others several times
 // that crashed the worker at once, though it ran well in between.
 test("a task that has settled since is not suspected any more", (t) => {
--- a/core/scheduler/rates/rated_fleet_for_tests.ts
+++ b/core/scheduler/rates/rated_fleet_for_tests.ts
@@ -272,6 +272,7 @@
     runs: new Set(),
     readyAt: new Map(),
     waitNotedAt: new Map(),
+    crashCompanions: [],
     outcomes: new Map(),
   };
 }
--- a/core/scheduler/record/records.ts
+++ b/core/scheduler/record/records.ts
@@ -82,8 +82,9 @@
   { crashes }: TaskProgress,
 ): CrashRow | [] {
   const { early, soleEarly, late, soleLate, untold, workedFor } = crashes;
-  const { total, outside, longestWork } = crashes;
-  return total + outside === 0 ? [] : [
+  const { total, explained, longestWork } = crashes;
+  const known = total + explained + attributableCrashes(crashes);
+  return known === 0 ? [] : [
     early,
     soleEarly,
     late,
@@ -91,7 +92,7 @@
     untold,
     workedFor,
     total,
-    outside,
+    explained,
     longestWork,
   ];
 }
@@ -141,7 +142,7 @@
 
 function unpackCrashes(row: CrashRow | []): CrashCounts {
   const [early = 0, soleEarly = 0, late = 0, soleLate = 0, untold = 0] = row;
-  const [, , , , , workedFor = 0, total, outside = 0, longestWork = 0] = row;
+  const [, , , , , workedFor = 0, total, explained = 0, longestWork = 0] = row;
   return {
     early,
     soleEarly,
@@ -150,7 +151,7 @@
     untold,
     workedFor,
     total: total ?? attributableCrashes({ early, late, untold }),
-    outside,
+    explained,
     longestWork,
   };
 }
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -223,6 +223,7 @@
     runs: new Set(),
     readyAt: new Map(),
     waitNotedAt: new Map(),
+    crashCompanions: [],
     outcomes: new Map(),
   };
   state.jobs.set(request.id, job);
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -57,6 +57,24 @@
   waitNotedAt: Map<string, Milliseconds>;
   /** Outcomes of the steps of which a run has failed, by `stepKey`. */
   outcomes: Map<string, StepOutcomes>;
+  /** Tasks of other jobs that were on workers which its tasks may have crashed. */
+  crashCompanions: CrashCompanion[];
+}
+
+/** A crash for which one of two tasks is known as a likely cause. */
+export interface CrashCompanion {
+  /** Name of the likely cause. */
+  cause: string;
+  /** The other task, and the crash under it. */
+  crash: UnexplainedCrash;
+}
+
+/** A crash under a task that counts for it until its cause is known. */
+export interface UnexplainedCrash {
+  job: Job;
+  task: TaskName;
+  /** Whether it does not count any more. */
+  explained: boolean;
 }
 
 /** A run that was decided on and is not known to have ended. */
@@ -272,12 +290,14 @@
 export const Excuse = {
   /** An idle worker ended at the same moment. */
   Outside: "outside cause",
+  /** A job was given up for this crash. */
+  GivenUp: "a job was given up",
   /** Other workers ended at the same moment. */
   Shared: "other workers",
   /** The worker crashed by itself before. */
   Unstable: "unstable worker",
   /** Other runs had begun on the worker more recently. */
-  OthersBegan: "others had just begun",
+  OthersBegan: "others began later",
   /** The run had worked for long, to another point than before. */
   LongWork: "long work",
 } as const;
