Soak: draw tasks that crash their workers late and together

The soak's deadly jobs crashed their workers 10 ms after the start, one task each, so that it could not show tasks which excuse each other's crashes. Half of them now crash after 0.8 s to 3.5 s of work, with one or two tasks that have whole workers.

The check of jobs that are shown as failed asked for two crashes that no other task had caused.

--- a/testing/platform/soak/callers.ts
+++ b/testing/platform/soak/callers.ts
@@ -7,6 +7,7 @@
 
 import { Agent, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
+import { createRandom } from "@dragonflyledge/model";
 import { QUEUE_HOST, TEAM_KEY } from "../configuration.ts";
 import type { ProgramProcess, Programs } from "../programs.ts";
 import { WORKER_ACCELERATORS } from "./ledger.ts";
@@ -36,6 +37,16 @@
 const CANCEL_SHARE = 0.15;
 /** Share of the jobs of which a task crashes its workers, 0 to 1. */
 const DEADLY_SHARE = 0.05;
+/** Time from the start of most deadly tasks to the crash, in milliseconds. */
+const EARLY_CRASH_DELAY = 10;
+/** Share of the deadly jobs whose tasks settle before the crash, 0 to 1. */
+const LATE_CRASH_SHARE = 0.5;
+/** Bounds of that time for these, in milliseconds. */
+const LATE_CRASH_DELAY = { least: 800, most: 3500 };
+/** Longest time for which such a task would work on, in milliseconds. */
+const LATE_CRASH_MARGIN = 1500;
+/** Most tasks of such a job that crash their workers at the same moment. */
+const TIED_TASKS = 2;
 /** Share of the accepted jobs that are submitted once more, 0 to 1. */
 const REPEAT_SHARE = 0.1;
 /**
@@ -243,8 +254,32 @@
   };
   const id = (number * 0x10000 + integer(0, 0xffff)).toString(16);
   const steps = random() < 0.25 ? [step([]), step([0])] : [step([])];
-  const deadly = random() < DEADLY_SHARE;
-  return { id: id.padStart(16, "0"), steps, long: fields.long, deadly };
+  const job = { id: id.padStart(16, "0"), steps, long: fields.long };
+  return random() < DEADLY_SHARE ? makeDeadly(job) : job;
+}
+
+/**
+ * Lets tasks of the job crash their workers, right after their start or
+ * together at work. Its details are drawn from its id, so that a seed draws the
+ * rest as ever.
+ */
+function makeDeadly(job: SoakJob): SoakJob {
+  const random = createRandom(Number.parseInt(job.id, 16));
+  if (random() >= LATE_CRASH_SHARE) {
+    return { ...job, deadly: { count: 1, delay: EARLY_CRASH_DELAY } };
+  }
+  const { least, most } = LATE_CRASH_DELAY;
+  const delay = least + random() * (most - least);
+  const count = 1 + Math.floor(random() * TIED_TASKS);
+  const first: SoakStep = {
+    count,
+    accelerators: WORKER_ACCELERATORS,
+    duration: delay + LATE_CRASH_MARGIN,
+    gang: false,
+    after: [],
+  };
+  const steps = [first, ...job.steps.slice(1)];
+  return { ...job, steps, deadly: { count, delay } };
 }
 
 function encodeJob(job: SoakJob) {
--- a/testing/platform/soak/ledger.ts
+++ b/testing/platform/soak/ledger.ts
@@ -25,6 +25,8 @@
 const LATE_STARTS = 2;
 /** Crashes under a task after which its job may be given up. */
 const CRASHES_TO_GIVE_UP = 2;
+/** Same, if crashes count that a task beside it has caused. */
+const CRASHES_BESIDE_TO_GIVE_UP = 5;
 
 /** A step of a job that the soak submits. */
 export interface SoakStep {
@@ -46,8 +48,16 @@
   steps: SoakStep[];
   /** Whether its tasks take longer than a lease. */
   long?: boolean;
-  /** Whether its first task crashes each worker that starts it. */
-  deadly?: boolean;
+  /** Which of its tasks crash each worker that starts them. */
+  deadly?: DeadlyTasks;
+}
+
+/** Tasks of a job's first step that crash their workers. */
+export interface DeadlyTasks {
+  /** Number of them, from the first on. */
+  count: number;
+  /** Milliseconds from the start of each to the crash. */
+  delay: number;
 }
 
 /** Crashes of a task's workers. */
@@ -56,6 +66,8 @@
   own: number;
   /** Crashes without a deadly task. */
   other: number;
+  /** Crashes that a deadly task beside it caused. */
+  beside: number;
   /** Starts by machines in touch after the last permitted crash. */
   lateStarts: number;
 }
@@ -145,8 +157,8 @@
   hasLease: (worker: string, since: number) => boolean;
   /** Whether nothing may start on the worker, since its domain is evacuated. */
   isEvacuated: (worker: string) => boolean;
-  /** Called when a task started that crashes the worker. */
-  onDeadlyStart: (worker: string, task: string) => void;
+  /** Called when a task started that crashes the worker after `delay` ms. */
+  onDeadlyStart: (worker: string, task: string, delay: number) => void;
 }) {
   const jobs = new Map<string, JobRecord>();
   const tasks = new Map<string, TaskRecord>();
@@ -176,7 +188,7 @@
         running: new Map(),
         done: new Map(),
         failures: 0,
-        crashes: { own: 0, other: 0, lateStarts: 0 },
+        crashes: { own: 0, other: 0, beside: 0, lateStarts: 0 },
       };
       tasks.set(name, task);
     }
@@ -260,9 +272,12 @@
     }
   }
 
-  function isDeadly(task: string): boolean {
+  /** Time from the task's start to the crash that it causes, if it does. */
+  function crashDelay(task: string): number | undefined {
     const { record, stepIndex, index } = parse(task);
-    return record?.job.deadly === true && stepIndex === 0 && index === 0;
+    const deadly = record?.job.deadly;
+    const causes = deadly && stepIndex === 0 && index < deadly.count;
+    return causes ? deadly.delay : undefined;
   }
 
   /** Records a crash under these runs, caused by the deadly task if given. */
@@ -270,16 +285,19 @@
     for (const { task } of runs) {
       const { crashes } = findTask(task);
       if (task === cause) crashes.own++;
-      if (cause === undefined) crashes.other++;
+      else if (cause === undefined) crashes.other++;
+      else crashes.beside++;
     }
   }
 
   /** Whether workers crashed under a task as often as a given-up job needs. */
   function hasCrashes({ job }: JobRecord): boolean {
-    return [...tasks].some(([name, { crashes }]) =>
-      name.startsWith(job.id) &&
-      crashes.own + crashes.other >= CRASHES_TO_GIVE_UP
-    );
+    return [...tasks].some(([name, { crashes }]) => {
+      if (!name.startsWith(job.id)) return false;
+      const alone = crashes.own + crashes.other;
+      return alone >= CRASHES_TO_GIVE_UP ||
+        alone + crashes.beside >= CRASHES_BESIDE_TO_GIVE_UP;
+    });
   }
 
   function gangEndingAt(step: SoakStep, run: WorkerRun, now: number) {
@@ -317,7 +335,8 @@
       const { record, step } = parse(run.task);
       if (!record || !step) return;
       record.started = true;
-      if (isDeadly(run.task)) fields.onDeadlyStart(worker, run.task);
+      const delay = crashDelay(run.task);
+      if (delay !== undefined) fields.onDeadlyStart(worker, run.task, delay);
       findTask(run.task).running.set(worker, run.run);
       if (fields.failsRuns(worker)) failing.add(`${run.task}#${run.run}`);
       if (!step.gang) return;
--- a/testing/platform/soak/soak.ts
+++ b/testing/platform/soak/soak.ts
@@ -52,8 +52,6 @@
  * domain whose evacuation the store has acknowledged.
  */
 const EVACUATION_BOUND = 5000;
-/** Time from the start of a deadly task to the crash of its worker, in ms. */
-const CRASH_DELAY = 10;
 /** Share of long jobs while workers return under their ids, 0 to 1. */
 const LONG_SHARE = 0.3;
 /** Time for which a worker that crashed refuses connections, in ms. */
@@ -132,8 +130,8 @@
       return (evacuated.get(zones[index]!) ?? Infinity) < latest &&
         isUnaffectedAndUp(programs.agents[index]!, latest);
     },
-    onDeadlyStart: (worker, task) => {
-      setTimeout(() => crashWorker(indexOf(worker), task), CRASH_DELAY);
+    onDeadlyStart: (worker, task, delay) => {
+      setTimeout(() => crashWorker(indexOf(worker), task), delay);
     },
   });
   const injected: InjectedFault[] = [];
