Take messages and runs out of the circle of imports in the scheduler

messages.ts, state.ts, runs.ts and eight other modules imported each other's types. Capacity belongs to messages.ts and Outage to state.ts now; effects.ts holds what the reducer returns, which needs no state, and rate_estimator.ts the types of the rates, without the code that learns them.

--- a/core/scheduler/decode.ts
+++ b/core/scheduler/decode.ts
@@ -33,7 +33,7 @@
   WorkerSilence,
   WorkerState,
 } from "./messages.ts";
-import type { Capacity } from "./state.ts";
+import type { Capacity } from "./messages.ts";
 
 const isEnding: Guard<RunEnding> = (value): value is RunEnding =>
   Object.values(RunEnding).some((ending) => ending === value);
--- a/core/scheduler/end/agent_loss_test.ts
+++ b/core/scheduler/end/agent_loss_test.ts
@@ -4,11 +4,8 @@
 import type { AgentReport, Fence } from "../messages.ts";
 import { noteHolder } from "../order/fences.ts";
 import { createScheduler } from "../reducer.ts";
-import type {
-  SchedulerEffect,
-  SchedulerEvent,
-  SchedulerState,
-} from "../state.ts";
+import type { SchedulerEffect } from "../effects.ts";
+import type { SchedulerEvent, SchedulerState } from "../state.ts";
 
 const AGENT_LOSS = 8300;
 const UNLISTED_LOSS = 13_000;
--- a/core/scheduler/end/crash_counts.ts
+++ b/core/scheduler/end/crash_counts.ts
@@ -15,7 +15,7 @@
 import type { CrashCounts, TaskProgress } from "../job.ts";
 import { finishJob, markChanged } from "../record/progress.ts";
 import { findTask } from "../runs.ts";
-import { Excuse } from "../state.ts";
+import { Excuse } from "../effects.ts";
 import type { Run, SchedulerState } from "../state.ts";
 import {
   isGivenUp,
--- a/core/scheduler/end/crashes.ts
+++ b/core/scheduler/end/crashes.ts
@@ -15,10 +15,9 @@
 import { runKey } from "../messages.ts";
 import type { AgentReport, WorkerCrash } from "../messages.ts";
 import { findOtherCause, OtherCause } from "./outages.ts";
-import type { Outage } from "./outages.ts";
 import { findTask } from "../runs.ts";
-import { Excuse } from "../state.ts";
-import type { Agent, Run } from "../state.ts";
+import { Excuse } from "../effects.ts";
+import type { Agent, Outage, Run } from "../state.ts";
 import {
   isProvenCause,
   isSameWork,
--- a/core/scheduler/end/outages.ts
+++ b/core/scheduler/end/outages.ts
@@ -13,7 +13,7 @@
 import type { Milliseconds } from "@dragonflyledge/model";
 import { parseTask } from "../job.ts";
 import type { AgentReport, WorkerCrash, WorkerSilence } from "../messages.ts";
-import type { Agent, Run, SchedulerState } from "../state.ts";
+import type { Agent, Outage, Run, SchedulerState } from "../state.ts";
 import { RunStage, stageOf } from "../place/suspects.ts";
 
 /** Workers that end within this time of each other have ended at once. */
@@ -21,21 +21,6 @@
 /** A worker that crashed by itself may do so again for this long. */
 const UNSTABLE_TIME: Milliseconds = 10 * MINUTE;
 
-/** A span of time in which a worker ended or fell silent. */
-export interface Outage {
-  worker: string;
-  /** When the worker last showed that it lives. */
-  from: Milliseconds;
-  /** When a call to it first failed. */
-  to: Milliseconds;
-  /** Whether any run had just begun on it. */
-  begun: boolean;
-  /** Whether it is known that no run was on it. */
-  idle: boolean;
-  /** Names of the tasks that may have been at work on it. */
-  tasks: string[];
-}
-
 /** Keeps what the report tells of outages beside the agent. */
 export function noteOutages(
   agent: Agent,
--- a/core/scheduler/fleet_for_tests.ts
+++ b/core/scheduler/fleet_for_tests.ts
@@ -18,7 +18,7 @@
   WorkerCrash,
   WorkerSilence,
 } from "./messages.ts";
-import type { SchedulerEffect } from "./state.ts";
+import type { SchedulerEffect } from "./effects.ts";
 import { SETTLE_TIME } from "./place/suspects.ts";
 
 /** Time without a report after which an agent counts as lost. */
--- a/core/scheduler/messages.ts
+++ b/core/scheduler/messages.ts
@@ -5,7 +5,13 @@
  */
 
 import type { Milliseconds } from "@dragonflyledge/model";
-import type { Capacity } from "./state.ts";
+
+/** Amounts of each resource that a task uses or a worker has. */
+export interface Capacity {
+  millicores: number;
+  megabytes: number;
+  accelerators: number;
+}
 
 /** What is known of how fast a worker is, without transient slow-downs. */
 export interface KnownRate {
--- a/core/scheduler/mod.ts
+++ b/core/scheduler/mod.ts
@@ -23,11 +23,10 @@
 export { SETTLE_TIME } from "./place/suspects.ts";
 export { createScheduler } from "./reducer.ts";
 export type { Scheduler } from "./reducer.ts";
-export { Lateness } from "./state.ts";
+export { Lateness } from "./effects.ts";
+export type { SchedulerEffect } from "./effects.ts";
 export type {
-  Capacity,
   Policies,
-  SchedulerEffect,
   SchedulerEvent,
   SchedulerState,
   SchedulerTimes,
--- a/core/scheduler/order/capacity.ts
+++ b/core/scheduler/order/capacity.ts
@@ -6,7 +6,8 @@
 
 import type { WorkerState } from "../messages.ts";
 import { addCapacity, gangOf, stopRun, taskCapacity } from "../runs.ts";
-import type { Capacity, Run, SchedulerState, Worker } from "../state.ts";
+import type { Capacity } from "../messages.ts";
+import type { Run, SchedulerState, Worker } from "../state.ts";
 
 const KINDS = ["millicores", "megabytes", "accelerators"] as const;
 
--- a/core/scheduler/order/orders.ts
+++ b/core/scheduler/order/orders.ts
@@ -9,7 +9,8 @@
 import { rateToTell } from "../rates/rate_exchange.ts";
 import { isEvacuated } from "./evacuated_domains.ts";
 import { findTask, isCurrent } from "../runs.ts";
-import type { Run, SchedulerEffect, SchedulerState } from "../state.ts";
+import type { SchedulerEffect } from "../effects.ts";
+import type { Run, SchedulerState } from "../state.ts";
 
 /** Most bytes of the starts in one message; the rest of a frame holds names. */
 const STARTS_LIMIT = FRAME_LIMIT / 2;
--- a/core/scheduler/place/fit.ts
+++ b/core/scheduler/place/fit.ts
@@ -9,7 +9,8 @@
 import type { Step } from "../job.ts";
 import { isEvacuated } from "../order/evacuated_domains.ts";
 import { addCapacity, gangOf, taskCapacity } from "../runs.ts";
-import type { Capacity, Run, SchedulerState, Worker } from "../state.ts";
+import type { Capacity } from "../messages.ts";
+import type { Run, SchedulerState, Worker } from "../state.ts";
 
 /** Number of cores that one accelerator counts as when work is weighed. */
 const CORES_PER_ACCELERATOR = 8;
--- a/core/scheduler/place/forecast.ts
+++ b/core/scheduler/place/forecast.ts
@@ -12,7 +12,7 @@
 import { SECOND } from "@dragonflyledge/model";
 import type { Milliseconds } from "@dragonflyledge/model";
 import type { Step } from "../job.ts";
-import type { RateEstimate } from "../rates/worker_rates.ts";
+import type { RateEstimate } from "../rates/rate_estimator.ts";
 import { remainingTime } from "../order/evacuate.ts";
 import { gangOf } from "../runs.ts";
 import type { Run, SchedulerState, Worker } from "../state.ts";
--- a/core/scheduler/place/rates_test.ts
+++ b/core/scheduler/place/rates_test.ts
@@ -2,7 +2,7 @@
 import { createRandom } from "@dragonflyledge/model";
 import { createFleet, request, step } from "../fleet_for_tests.ts";
 import type { JobRequest, Step } from "../job.ts";
-import type { WorkerRates } from "../rates/worker_rates.ts";
+import type { WorkerRates } from "../rates/rate_estimator.ts";
 import { createTimedFleet } from "../timed_fleet_for_tests.ts";
 
 const WORKERS = 40;
--- a/core/scheduler/rates/progress_samples.ts
+++ b/core/scheduler/rates/progress_samples.ts
@@ -11,7 +11,7 @@
 import type { Run, Worker } from "../state.ts";
 import type { Sample } from "./rate_edges.ts";
 import type { RateModel } from "./rate_model.ts";
-import type { ListedProgress } from "./worker_rates.ts";
+import type { ListedProgress } from "./rate_estimator.ts";
 
 /** Length of the first part of a run, which may include preparations. */
 const FIRST_PART: Milliseconds = 600;
--- a/core/scheduler/rates/rate_exchange_test.ts
+++ b/core/scheduler/rates/rate_exchange_test.ts
@@ -3,7 +3,7 @@
 import { createFleet, request, step } from "../fleet_for_tests.ts";
 import type { KnownRate } from "../messages.ts";
 import { createScheduler } from "../reducer.ts";
-import type { SchedulerEffect } from "../state.ts";
+import type { SchedulerEffect } from "../effects.ts";
 
 const AGENTS = 9;
 const RATES = [0.6, 1, 1.6];
--- a/core/scheduler/rates/rate_notices_test.ts
+++ b/core/scheduler/rates/rate_notices_test.ts
@@ -1,7 +1,8 @@
 import { test } from "tap";
 import { createScheduler } from "../reducer.ts";
 import { AgentLoss } from "../state.ts";
-import type { SchedulerEffect, SchedulerState } from "../state.ts";
+import type { SchedulerEffect } from "../effects.ts";
+import type { SchedulerState } from "../state.ts";
 import { createRateNotices, noteRates } from "./rate_notices.ts";
 import type { Belief } from "./unknowns.ts";
 
--- a/core/scheduler/rates/slowdowns.ts
+++ b/core/scheduler/rates/slowdowns.ts
@@ -14,7 +14,7 @@
 import { speedOf } from "./progress_samples.ts";
 import type { Interval, Samples } from "./progress_samples.ts";
 import type { RateModel } from "./rate_model.ts";
-import type { ListedProgress } from "./worker_rates.ts";
+import type { ListedProgress } from "./rate_estimator.ts";
 
 /** Share of the expected progress below which a worker is slowed down. */
 const SLOWED = 0.4;
--- a/core/scheduler/reducer.ts
+++ b/core/scheduler/reducer.ts
@@ -29,7 +29,7 @@
 import { refreshInterference } from "./interference/observe.ts";
 import { createRateNotices, noteRates } from "./rates/rate_notices.ts";
 import { createWorkerRates } from "./rates/worker_rates.ts";
-import type { WorkerRates } from "./rates/worker_rates.ts";
+import type { WorkerRates } from "./rates/rate_estimator.ts";
 import {
   beginSurvey,
   createSurvey,
@@ -37,10 +37,10 @@
   noteReport,
 } from "./wait/survey.ts";
 import { AgentLoss } from "./state.ts";
+import type { SchedulerEffect } from "./effects.ts";
 import type {
   Job,
   Policies,
-  SchedulerEffect,
   SchedulerEvent,
   SchedulerState,
   SchedulerTimes,
--- a/core/scheduler/runs.ts
+++ b/core/scheduler/runs.ts
@@ -8,7 +8,8 @@
 import { formatTask, TaskPhase } from "./job.ts";
 import type { Step, TaskName, TaskProgress } from "./job.ts";
 import { runKey } from "./messages.ts";
-import type { Capacity, Job, Run, SchedulerState, Worker } from "./state.ts";
+import type { Capacity } from "./messages.ts";
+import type { Job, Run, SchedulerState, Worker } from "./state.ts";
 import { Isolation, isolationOf } from "./place/suspects.ts";
 
 /** Capacity that one task of a step occupies; idle cores count as none. */
--- a/core/scheduler/state.ts
+++ b/core/scheduler/state.ts
@@ -4,39 +4,31 @@
  * @module
  */
 
-import type { Fields, LogLevel, Milliseconds } from "@dragonflyledge/model";
+import type { Milliseconds } from "@dragonflyledge/model";
 import type {
-  FailureCode,
   JobProgress,
   JobRequest,
   QueuePolicy,
   Step,
   TaskName,
 } from "./job.ts";
+import type { SchedulerEffect } from "./effects.ts";
 import type { StepOutcomes } from "./health/step_outcomes.ts";
 import type { WorkerHealth } from "./health/worker_health.ts";
-import type { Outage } from "./end/outages.ts";
 import type { Isolation } from "./place/suspects.ts";
 import type { Survey } from "./wait/survey.ts";
 import type { Interference } from "./interference/interference.ts";
 import type { RateNotices } from "./rates/rate_notices.ts";
-import type { RateEstimator, WorkerRates } from "./rates/worker_rates.ts";
+import type { RateEstimator, WorkerRates } from "./rates/rate_estimator.ts";
 import type {
-  AgentOrders,
   AgentReport,
+  Capacity,
   EndedTask,
   Fence,
   KnownRate,
   WorkerState,
 } from "./messages.ts";
 
-/** Amounts of each resource that a task uses or a worker has. */
-export interface Capacity {
-  millicores: number;
-  megabytes: number;
-  accelerators: number;
-}
-
 /** A job with its record and the state that only this process keeps. */
 export interface Job {
   request: JobRequest;
@@ -171,6 +163,21 @@
   outages: Outage[];
 }
 
+/** A span of time in which a worker ended or fell silent. */
+export interface Outage {
+  worker: string;
+  /** When the worker last showed that it lives. */
+  from: Milliseconds;
+  /** When a call to it first failed. */
+  to: Milliseconds;
+  /** Whether any run had just begun on it. */
+  begun: boolean;
+  /** Whether it is known that no run was on it. */
+  idle: boolean;
+  /** Names of the tasks that may have been at work on it. */
+  tasks: string[];
+}
+
 /** Which runs of an agent are lost since nothing is heard of it. */
 export const AgentLoss = {
   None: "none",
@@ -276,66 +283,6 @@
     | { kind: "plan" }
   );
 
-/** Whether tasks are predicted, when they are placed, to end late. */
-export const Lateness = {
-  None: "none",
-  /** More likely than not, on the workers they were placed on. */
-  Likely: "likely",
-  /** On any worker. */
-  Certain: "certain",
-} as const;
-export type Lateness = typeof Lateness[keyof typeof Lateness];
-
-/** Why a crash does not speak against a task that was on the worker. */
-export const Excuse = {
-  /** An idle worker ended at the same moment. */
-  Outside: "outside cause",
-  /** A job was given up for this crash. */
-  GivenUp: "a job was given up",
-  /** Other workers ended at the same moment. */
-  Shared: "other workers",
-  /** The worker crashed by itself before. */
-  Unstable: "unstable worker",
-  /** Other runs had begun on the worker more recently. */
-  OthersBegan: "others began later",
-  /** The run had worked for long, to another point than before. */
-  LongWork: "long work",
-} as const;
-export type Excuse = typeof Excuse[keyof typeof Excuse];
-
-/** Output of the reducer: what the process around it is to do. */
-export type SchedulerEffect =
-  | { kind: "store"; job: string }
-  | { kind: "remove"; job: string }
-  /** Pass the event `plan` after `delay`. */
-  | { kind: "planLater"; delay: Milliseconds }
-  /** Remove the agent's address; it was lost for the retention time. */
-  | { kind: "forget"; agent: string }
-  | {
-    kind: "orders";
-    agent: string;
-    orders: Omit<AgentOrders, "epoch" | "kind">;
-  }
-  /** Measure that tasks were placed `wait` after they had become ready. */
-  | {
-    kind: "placed";
-    priority: number;
-    guaranteed: boolean;
-    wait: Milliseconds;
-    lateness: Lateness;
-  }
-  /** Count a worker that crashed with runs, `begun` of them just begun. */
-  | { kind: "workerCrashed"; begun: number }
-  /** Count a crash that does not speak against a task on the worker. */
-  | { kind: "crashExcused"; excuse: Excuse }
-  /** Count a task that is or is no longer suspected of crashing workers. */
-  | { kind: "suspicion"; change: "raised" | "cleared" }
-  /** Show how many pairs of kinds of tasks are kept apart. */
-  | { kind: "interference"; pairs: number }
-  /** Count a job that failed. */
-  | { kind: "jobFailed"; code: FailureCode }
-  | { kind: "log"; level: LogLevel; text: string; fields: Fields };
-
 /** Key of a step within its job, used for in-memory maps. */
 export function stepKey(name: { occurrence: number; step: number }): string {
   return `${name.occurrence}.${name.step}`;
--- a/core/scheduler/timed_fleet_for_tests.ts
+++ b/core/scheduler/timed_fleet_for_tests.ts
@@ -9,8 +9,9 @@
 import type { JobRequest, Step } from "./job.ts";
 import { runKey } from "./messages.ts";
 import type { EndedTask, RunEnding, RunName, StartOrder } from "./messages.ts";
-import type { WorkerRates } from "./rates/worker_rates.ts";
-import type { SchedulerEffect, SchedulerEvent } from "./state.ts";
+import type { WorkerRates } from "./rates/rate_estimator.ts";
+import type { SchedulerEffect } from "./effects.ts";
+import type { SchedulerEvent } from "./state.ts";
 
 /** Time until the store confirms a write. */
 const STORE_DELAY = 12;
