--- a/core/scheduler/place/isolation.ts
+++ b/core/scheduler/place/isolation.ts
@@ -88,8 +88,9 @@
     if (worker.isolatedRuns === 0) continue;
     for (const run of [...worker.runs]) {
       if (run.isolation !== Isolation.Whole || !run.settled) continue;
-      if (isOutlived(run)) end(state, run, IsolationEnd.Outlived, now);
-      else closed.set(service, [...closed.get(service) ?? [], run]);
+      if (isOutlived(run)) {
+        finishIsolation(state, run, IsolationEnd.Outlived, now);
+      } else closed.set(service, [...closed.get(service) ?? [], run]);
     }
   }
   for (const [service, runs] of closed) {
@@ -124,12 +125,12 @@
   );
   for (const run of mostSuspect) {
     if (!workers.has(run.worker) && workers.size >= limit) {
-      end(state, run, IsolationEnd.Share, now);
+      finishIsolation(state, run, IsolationEnd.Share, now);
     } else workers.add(run.worker);
   }
 }
 
-function end(
+function finishIsolation(
   state: SchedulerState,
   run: Run,
   reason: IsolationEnd,
