Count starts after three crashes, however the runs end

Cause: the limit counted crashes, and the rule counts starts after the third one. A run that is stopped, lapses or is lost with its agent uses one up, too.

Change: starts are counted and stored once three workers have crashed under a task, at least two of them of unknown cause. After two more the job fails when the task would be placed again. A start that its worker never began, since it was not sent, was refused or had not arrived, does not count.

The test "a task that has settled since is not suspected any more" let a task start five times after the third crash, since it was lost in between without evidence of a crash; it goes on to the second start now, as the rule does.

--- a/core/scheduler/end/crash_counts.ts
+++ b/core/scheduler/end/crash_counts.ts
@@ -16,7 +16,7 @@
 import { finishJob, markChanged } from "../record/progress.ts";
 import { findTask } from "../runs.ts";
 import { Excuse } from "../effects.ts";
-import type { Run, SchedulerState } from "../state.ts";
+import type { Job, Run, SchedulerState } from "../state.ts";
 import {
   isGivenUp,
   isProvenCause,
@@ -123,13 +123,23 @@
   run: Run,
   crashes: CrashCounts,
 ): void {
-  if (!isGivenUp(crashes)) return;
+  if (isGivenUp(crashes)) {
+    giveUp({ state, job: run.job, date }, run.name, crashes);
+  }
+}
+
+/** Fails the job for crashes under its task. */
+export function giveUp(
+  fields: CrashFields & { job: Job },
+  task: string,
+  { total, explained }: CrashCounts,
+): void {
   const failure = {
     code: FailureCode.WorkerCrashes,
-    task: run.name,
-    count: crashes.total + crashes.explained,
+    task,
+    count: total + explained,
   };
-  finishJob({ state, job: run.job, status: JobStatus.Failed, failure, date });
+  finishJob({ ...fields, status: JobStatus.Failed, failure });
 }
 
 /**
--- a/core/scheduler/end/crash_limit_test.ts
+++ b/core/scheduler/end/crash_limit_test.ts
@@ -148,11 +148,43 @@
   t.end();
 });
 
+// Guards against a task that is started a third time after three crashes, since
+// a run in between was stopped for another task.
+test("runs that are stopped count as starts after three crashes", (t) => {
+  const fleet = createFleet({ workers: 1 });
+  const task = "deadly.0.0.0";
+  fleet.submit(request({ id: "deadly", steps: [WHOLE] }));
+  let starts = 0;
+  for (const workedFor of [12_000, 30_000, 20_000]) {
+    crashAtOnce(fleet, [task], { workedFor });
+  }
+  for (let round = 0; round < ROUNDS; round++) {
+    if (runTasks(fleet, [task]).length === 0) break;
+    starts++;
+    const id = `urgent-${round}`;
+    fleet.submit(
+      request({ id, priority: 0, steps: [{ ...WHOLE, estimate: 1 }] }),
+    );
+    fleet.end(0, 0, "stopped");
+    runTasks(fleet, [`${id}.0.0.0`]);
+    fleet.end(0, 0, "done");
+  }
+  t.equal(starts, 2);
+  t.equal(fleet.status("deadly"), "failed");
+  t.end();
+});
+
 /** Progress as a new leader reads it, with all tasks waiting. */
 function readProgress(fleet: Fleet, id: string): JobProgress {
   const progress = unpackProgress(packProgress(fleet.progress(id)));
   const tasks = progress.occurrences.flatMap(({ steps }) => steps.flat());
-  for (const task of tasks) task.phase = TaskPhase.Waiting;
+  for (const task of tasks) {
+    // A start that was not sent does not count.
+    if (task.phase === TaskPhase.Assigned && task.crashes.lateStarts > 0) {
+      task.crashes.lateStarts--;
+    }
+    task.phase = TaskPhase.Waiting;
+  }
   return progress;
 }
 
--- a/core/scheduler/end/endings.ts
+++ b/core/scheduler/end/endings.ts
@@ -127,6 +127,17 @@
   endRun(state, run);
 }
 
+/** The same for a run that never began, whose start doesn't count. */
+export function loseStart(
+  state: SchedulerState,
+  run: Run,
+  reason: string,
+): void {
+  const crashes = findTask(run.job, run.task)?.crashes;
+  if (crashes && isLatest(run) && crashes.lateStarts > 0) crashes.lateStarts--;
+  loseRun(state, run, reason);
+}
+
 /** Marks the run's task, or its whole gang, as done. */
 function markDone(
   fields: { state: SchedulerState; run: Run; date: Milliseconds },
--- a/core/scheduler/end/losses.ts
+++ b/core/scheduler/end/losses.ts
@@ -8,7 +8,7 @@
 import type { AgentReport } from "../messages.ts";
 import type { Agent, Run, SchedulerState } from "../state.ts";
 import { noteUnexplainedLoss } from "./crashes.ts";
-import { loseRun } from "./endings.ts";
+import { loseRun, loseStart } from "./endings.ts";
 
 /** Fields of a loss. */
 export interface LossFields {
@@ -42,7 +42,11 @@
     if (!isLost(run)) continue;
     // The report of a crash names every run that may have been on the worker.
     const neverBegan = crashes.some(({ worker }) => worker === run.worker);
-    if (!neverBegan) noteUnexplainedLoss(fields, run, replaced);
+    if (neverBegan) {
+      loseStart(fields.state, run, reason);
+      continue;
+    }
+    noteUnexplainedLoss(fields, run, replaced);
     loseRun(fields.state, run, reason);
   }
 }
--- a/core/scheduler/end/reports.ts
+++ b/core/scheduler/end/reports.ts
@@ -18,7 +18,7 @@
 import { noteSettled } from "./crash_counts.ts";
 import { noteLeaseEnd } from "./agent_loss.ts";
 import { applyCrash } from "./crashes.ts";
-import { applyEnding, applyLateEnding, loseRun } from "./endings.ts";
+import { applyEnding, applyLateEnding, loseRun, loseStart } from "./endings.ts";
 import {
   createHealth,
   noteRefused,
@@ -97,7 +97,7 @@
   for (const name of report.absent) {
     const run = state.runs.get(runKey(name));
     if (run && run.worker === worker.state.key) {
-      loseRun(state, run, "not on the worker");
+      loseStart(state, run, "not on the worker");
     }
   }
   // A new leader may meet starts that were ordered before the worker shrank.
@@ -163,7 +163,7 @@
   agent.connected = false;
   for (const run of [...state.runs.values()]) {
     if (run.agent !== name || run.ordered || run.confirmed) continue;
-    loseRun(state, run, "start not sent");
+    loseStart(state, run, "start not sent");
   }
 }
 
@@ -363,5 +363,5 @@
   const run = state.runs.get(runKey(refused));
   if (!run || run.worker !== worker.state.key || run.confirmed) return;
   noteRefused(worker, now);
-  loseRun(state, run, `start refused: ${refused.reason}`);
+  loseStart(state, run, `start refused: ${refused.reason}`);
 }
--- a/core/scheduler/job.ts
+++ b/core/scheduler/job.ts
@@ -155,6 +155,8 @@
   explained: number;
   /** Longest time for which the task had worked at any of these crashes. */
   longestWork: Milliseconds;
+  /** Starts since the task has had so many crashes that they are counted. */
+  lateStarts: number;
 }
 
 /** Why a job failed, as callers are told. */
@@ -249,6 +251,7 @@
     total: 0,
     explained: 0,
     longestWork: 0,
+    lateStarts: 0,
   };
 }
 
--- a/core/scheduler/place/plan.ts
+++ b/core/scheduler/place/plan.ts
@@ -9,7 +9,8 @@
 import { assessWorkers } from "../health/assessment.ts";
 import { createGuaranteeCover } from "../wait/guarantees.ts";
 import type { GuaranteeCover } from "../wait/guarantees.ts";
-import { JobStatus, TaskPhase } from "../job.ts";
+import { formatTask, isFinal, JobStatus, TaskPhase } from "../job.ts";
+import { giveUp } from "../end/crash_counts.ts";
 import { listInterfering } from "../interference/cost.ts";
 import { findPlacement } from "./find.ts";
 import { reviewIsolation } from "./isolation.ts";
@@ -22,7 +23,7 @@
 import { Lateness } from "../effects.ts";
 import { stepKey } from "../state.ts";
 import type { SchedulerState } from "../state.ts";
-import { Isolation } from "./suspects.ts";
+import { countsStarts, Isolation, isOutOfStarts } from "./suspects.ts";
 import { isUrgent, listUnits } from "../wait/units.ts";
 import type { Unit } from "../wait/units.ts";
 import { noteUrgentWait } from "../wait/waits.ts";
@@ -68,6 +69,9 @@
   cover: GuaranteeCover,
 ): boolean {
   const { state, now } = round;
+  // An earlier unit of the job may have failed it in this round.
+  if (isFinal(unit.job.progress.status)) return false;
+  if (giveUpIfOutOfStarts(state, unit, now)) return false;
   const placement = findPlacement({ round, unit, cover });
   if (placement?.victims.size === 0) {
     startUnit(round, unit, placement);
@@ -81,6 +85,29 @@
   return placement !== undefined;
 }
 
+/**
+ * Fails the job of a task that may not be started any more, since workers have
+ * crashed under it and its runs since have ended in other ways.
+ */
+function giveUpIfOutOfStarts(
+  state: SchedulerState,
+  { job, occurrence, stepIndex, tasks }: Unit,
+  now: Milliseconds,
+): boolean {
+  const progress = occurrence.steps[stepIndex]!;
+  const index = tasks.find((each) => isOutOfStarts(progress[each]!.crashes));
+  if (index === undefined) return false;
+  const task = formatTask({
+    job: job.request.id,
+    occurrence: occurrence.index,
+    step: stepIndex,
+    index,
+  });
+  const date = now + (state.dateOffset ?? 0);
+  giveUp({ state, job, date }, task, progress[index]!.crashes);
+  return true;
+}
+
 /** Assigns the unit's tasks to the workers of the placement under a new run. */
 function startUnit(
   round: PlanningRound,
@@ -100,6 +127,7 @@
     const task = tasks[index]!;
     const worker = placement.workers[position]!;
     task.phase = TaskPhase.Assigned;
+    if (countsStarts(task.crashes)) task.crashes.lateStarts++;
     task.run = highest + 1;
     task.agent = worker.agent;
     task.worker = worker.state.key;
--- a/core/scheduler/place/suspects.ts
+++ b/core/scheduler/place/suspects.ts
@@ -26,6 +26,10 @@
  * may be started twice more after three workers have crashed under it.
  */
 const CRASH_LIMIT = 5;
+/** Crashes under a task from which on its starts are counted. */
+const LATE_CRASHES = 3;
+/** Starts of a task after these crashes, at most. */
+const LATE_START_LIMIT = 2;
 /**
  * Explained crashes alone speak against no task, and the cause of the latest one
  * may show only later.
@@ -68,6 +72,19 @@
     (total >= MIN_UNEXPLAINED && total + explained >= CRASH_LIMIT);
 }
 
+/**
+ * Whether the task has had so many crashes that it may only be started
+ * LATE_START_LIMIT times more, however these runs end.
+ */
+export function countsStarts({ total, explained }: CrashCounts): boolean {
+  return total >= MIN_UNEXPLAINED && total + explained >= LATE_CRASHES;
+}
+
+/** Whether the task may not be started any more. */
+export function isOutOfStarts(crashes: CrashCounts): boolean {
+  return countsStarts(crashes) && crashes.lateStarts >= LATE_START_LIMIT;
+}
+
 /** Whether the task has crashed workers where nothing else can be the cause. */
 export function isProvenCause({ soleEarly, soleLate }: CrashCounts): boolean {
   return soleEarly >= SOLE_EARLY_CRASH_LIMIT ||
--- a/core/scheduler/place/suspects_test.ts
+++ b/core/scheduler/place/suspects_test.ts
@@ -70,7 +70,7 @@
   const fleet = createFleet({ workers: 1 });
   const task = "innocent.0.0.0";
   fleet.submit(request({ id: "innocent", steps: [step({ estimate: LONG })] }));
-  for (let round = 1; round < CRASH_LIMIT; round++) {
+  for (let crashes = 1; crashes <= 3; crashes++) {
     runTask(fleet, task);
     fleet.crash(0);
     runTask(fleet, task);
@@ -81,7 +81,7 @@
   }
   runTask(fleet, task);
   fleet.crash(0);
-  t.equal(fleet.status("innocent"), "failed", "it has reached the limit");
+  t.equal(fleet.status("innocent"), "failed", "after two starts more");
   t.end();
 });
 
--- a/core/scheduler/record/records.ts
+++ b/core/scheduler/record/records.ts
@@ -24,7 +24,7 @@
   number,
   ...(CrashRow | []),
 ];
-/** The last three fields are missing in records of older builds. */
+/** The last four fields are missing in records of older builds. */
 type CrashRow = [
   number,
   number,
@@ -35,6 +35,7 @@
   number?,
   number?,
   number?,
+  number?,
 ];
 type OccurrenceRow = [number, TaskRow[][]];
 type FailureRow = [string, string, number];
@@ -82,7 +83,7 @@
   { crashes }: TaskProgress,
 ): CrashRow | [] {
   const { early, soleEarly, late, soleLate, untold, workedFor } = crashes;
-  const { total, explained, longestWork } = crashes;
+  const { total, explained, longestWork, lateStarts } = crashes;
   const known = total + explained + attributableCrashes(crashes);
   return known === 0 ? [] : [
     early,
@@ -94,6 +95,7 @@
     total,
     explained,
     longestWork,
+    lateStarts,
   ];
 }
 
@@ -142,7 +144,8 @@
 
 function unpackCrashes(row: CrashRow | []): CrashCounts {
   const [early = 0, soleEarly = 0, late = 0, soleLate = 0, untold = 0] = row;
-  const [, , , , , workedFor = 0, total, explained = 0, longestWork = 0] = row;
+  const [, , , , , workedFor = 0, total, explained = 0] = row;
+  const [longestWork = 0, lateStarts = 0] = row.slice(LONGEST_WORK);
   return {
     early,
     soleEarly,
@@ -153,6 +156,7 @@
     total: total ?? attributableCrashes({ early, late, untold }),
     explained,
     longestWork,
+    lateStarts,
   };
 }
 
@@ -181,10 +185,13 @@
   "number",
   "number",
   "number",
+  "number",
 ];
 const MIN_TASK_FIELDS = 6;
 /** Index of the first count of crashes in a task's row. */
 const CRASH_ROW_START = 7;
+/** Index of the longest work in the row of crashes. */
+const LONGEST_WORK = 8;
 
 function isProgressRow(value: unknown): value is ProgressRow {
   return Array.isArray(value) && typeof value[0] === "string" &&
